--- /dev/null
+++ b/crates/simhost/src/wire.rs
@@ -0,0 +1,372 @@
+//! The wire's words and the decision module's types, each way.
+
+use curlewfront::{
+    Action, Class, Decider, Effect, Entry, Event, Group, ListKind, Load, Micros, Outcome, Plan, Settings,
+    State,
+};
+use serde_json::{Map, Value, json};
+use std::collections::HashMap;
+
+type Res<T> = Result<T, String>;
+
+/// All instances of this process, and the numbered lists that their events refer to.
+#[derive(Default)]
+pub struct Host {
+    instances: HashMap<String, Option<Decider>>,
+    lists: HashMap<u64, Vec<Entry>>,
+}
+
+/// The values of one message, read in order, with its name for what is said of a bad one.
+struct Values<'a> {
+    name: &'a str,
+    place: usize,
+    items: &'a [Value],
+}
+
+impl<'a> Values<'a> {
+    fn bad(&self, at: usize, want: &str) -> String {
+        format!(
+            "event {} ({}), value {at}: expected {want}, found {}",
+            self.place,
+            self.name,
+            show(self.items.get(at))
+        )
+    }
+    fn get(&self, at: usize) -> Option<&'a Value> {
+        self.items.get(at).filter(|v| !v.is_null())
+    }
+    fn text(&self, at: usize) -> Res<&'a str> {
+        self.get(at).and_then(Value::as_str).ok_or_else(|| self.bad(at, "a string"))
+    }
+    fn whole(&self, at: usize) -> Res<u64> {
+        self.get(at).and_then(Value::as_u64).ok_or_else(|| self.bad(at, "a whole number"))
+    }
+    fn small(&self, at: usize) -> Res<u32> {
+        u32::try_from(self.whole(at)?).map_err(|_| self.bad(at, "a whole number below 2^32"))
+    }
+    fn number(&self, at: usize) -> Res<f64> {
+        self.get(at).and_then(Value::as_f64).ok_or_else(|| self.bad(at, "a number"))
+    }
+    fn whole_or_none(&self, at: usize) -> Res<Option<u64>> {
+        self.get(at).map(|_| self.whole(at)).transpose()
+    }
+    fn truth(&self, at: usize) -> Res<bool> {
+        self.get(at).and_then(Value::as_bool).ok_or_else(|| self.bad(at, "true or false"))
+    }
+    fn truth_or_false(&self, at: usize) -> Res<bool> {
+        self.get(at).map_or(Ok(false), |_| self.truth(at))
+    }
+    fn outcome(&self, at: usize) -> Res<Outcome> {
+        Ok(match self.text(at)? {
+            "delivered" => Outcome::Ok,
+            "app_error" => Outcome::Error,
+            "shed" => Outcome::Full,
+            "expired" => Outcome::TimedOut,
+            "dial_failed" => Outcome::ConnectFailed,
+            "dropped" => Outcome::Reset,
+            "revoked" => Outcome::Cancelled,
+            "unused" => Outcome::Moot,
+            _ => return Err(self.bad(at, "the name of an ending")),
+        })
+    }
+    fn load(&self, at: usize) -> Res<Load> {
+        let Some(value) = self.get(at) else {
+            return Ok(Load::default());
+        };
+        let report = value.as_object().ok_or_else(|| self.bad(at, "a load report"))?;
+        let figure =
+            |name: &str| report.get(name).and_then(Value::as_f64).filter(|x| x.is_finite() && *x >= 0.0);
+        Ok(Load {
+            inflight: figure("inflight"),
+            queue: figure("queue"),
+            util: figure("util"),
+            latency_ms: figure("latency_ms"),
+        })
+    }
+    fn bytes(&self, at: usize) -> Res<()> {
+        let text = self.text(at)?;
+        let good = text.len().is_multiple_of(2) && text.bytes().all(|b| b.is_ascii_hexdigit());
+        good.then_some(()).ok_or_else(|| self.bad(at, "bytes as hex digits"))
+    }
+}
+
+fn show(value: Option<&Value>) -> String {
+    let text = value.map_or_else(|| "nothing".into(), Value::to_string);
+    if text.chars().count() > 60 { text.chars().take(60).chain("...".chars()).collect() } else { text }
+}
+
+impl Host {
+    /// Answers one line of input.
+    pub fn batch(&mut self, line: &str) -> Res<String> {
+        let batch: Value = serde_json::from_str(line).map_err(|e| format!("not JSON: {e}"))?;
+        let now = batch.get("tUs").and_then(Value::as_u64).ok_or("tUs: expected a whole number")?;
+        let events = batch.get("events").and_then(Value::as_array).ok_or("events: expected an array")?;
+        let mut out = Vec::new();
+        for (place, event) in events.iter().enumerate() {
+            let items = event.as_array().ok_or_else(|| format!("event {place}: expected an array"))?;
+            let name = items.first().and_then(Value::as_str);
+            let name = name.ok_or_else(|| format!("event {place}: expected a message name first"))?;
+            self.event(now, &Values { name, place, items }, &mut out)?;
+        }
+        Ok(json!({ "out": out }).to_string())
+    }
+
+    fn event(&mut self, now: Micros, v: &Values, out: &mut Vec<Value>) -> Res<()> {
+        if v.name == "register" {
+            let number = v.whole(1)?;
+            let lines = v.get(2).and_then(Value::as_array).ok_or_else(|| v.bad(2, "an array of entries"))?;
+            let entries = lines.iter().map(|l| entry(v, l)).collect::<Res<Vec<_>>>()?;
+            self.lists.insert(number, entries);
+            return Ok(());
+        }
+        if !KNOWN.contains(&v.name) {
+            return Err(format!("event {}: unknown message {:?}", v.place, v.name));
+        }
+        let gateway = v.text(1)?;
+        if v.name == "enlist" {
+            let seed = v.whole(2)?;
+            let facts =
+                v.get(3).and_then(Value::as_object).ok_or_else(|| v.bad(3, "an object of settings"))?;
+            let set = settings(facts).map_err(|e| format!("event {} (enlist), settings: {e}", v.place))?;
+            let decider = Decider::new(set, seed);
+            if let Err(why) = &decider {
+                out.push(json!(["bailOut", gateway, why.to_string()]));
+            }
+            self.instances.insert(gateway.to_string(), decider.ok());
+            return Ok(());
+        }
+        if v.name == "shutdown" {
+            let known = self.instances.remove(gateway);
+            return known.map(|_| ()).ok_or_else(|| v.bad(1, "an instance that was set up"));
+        }
+        let event = self.translate(v)?;
+        let decider =
+            self.instances.get_mut(gateway).ok_or_else(|| v.bad(1, "an instance that was set up"))?;
+        if let (Some(decider), Some(event)) = (decider, event) {
+            let mut acts = Vec::new();
+            decider.handle(now, event, &mut acts);
+            out.extend(acts.iter().map(|a| action(gateway, a)));
+        }
+        Ok(())
+    }
+
+    fn translate(&self, v: &Values) -> Res<Option<Event>> {
+        Ok(Some(match v.name {
+            "membership" => {
+                let kind = match v.text(2)? {
+                    "INCREMENTAL" => ListKind::Changes,
+                    "FULL" => ListKind::Full,
+                    "SAVED" => ListKind::Saved,
+                    "FAILED" => ListKind::Failed,
+                    _ => return Err(v.bad(2, "the kind of a list")),
+                };
+                let entries = if kind == ListKind::Failed {
+                    Vec::new()
+                } else {
+                    let list = self.lists.get(&v.whole(3)?);
+                    list.ok_or_else(|| v.bad(3, "a list that was set up"))?.clone()
+                };
+                Event::List { kind, entries }
+            }
+            "submit" => Event::Request {
+                id: v.whole(2)?,
+                class: v.small(3)? as usize,
+                plan: v.small(4)? as usize,
+                customer: u64::from_str_radix(v.text(5)?, 16).map_err(|_| v.bad(5, "16 hex digits"))?,
+                left_us: v.whole(6)?,
+                units: v.get(7).map_or(Ok(1.0), |_| v.number(7))?,
+                spread: v.get(8).map_or(Ok(1), |_| v.small(8))?,
+                first: v.get(9).map_or(Ok(0), |_| v.small(9))?,
+            },
+            "underWay" => Event::Started { id: v.whole(2)?, attempt: v.small(3)? },
+            "returned" => Event::Returned {
+                id: v.whole(2)?,
+                attempt: v.small(3)?,
+                server: v.whole(4)?,
+                outcome: v.outcome(5)?,
+                latency_us: v.whole(6)?,
+                closed: v.truth_or_false(7)?,
+                used: v.whole_or_none(8)?.filter(|u| *u > 0).map(|u| (u - 1) as f64 / 100.0),
+                final_units: v.get(9).map(|_| v.number(9)).transpose()?.filter(|f| *f > 0.0),
+                load: v.load(10)?,
+            },
+            "withdrawn" => Event::Withdrawn { id: v.whole(2)? },
+            "probed" => Event::Probed {
+                server: v.whole(2)?,
+                outcome: v.outcome(3)?,
+                latency_us: v.whole(4)?,
+                load: v.load(5)?,
+            },
+            "wake" => Event::Timer { token: v.whole(2)? },
+            // Nothing is decided by peers or by the counter: well formed, they go no further.
+            "peerData" => {
+                v.small(2)?;
+                v.bytes(3)?;
+                return Ok(None);
+            }
+            "tallyBack" => {
+                v.whole(2)?;
+                v.whole(3)?;
+                v.outcome(5)?;
+                return Ok(None);
+            }
+            _ => return Err(format!("event {}: unknown message {:?}", v.place, v.name)),
+        }))
+    }
+}
+
+const KNOWN: [&str; 11] = [
+    "enlist",
+    "membership",
+    "submit",
+    "underWay",
+    "returned",
+    "withdrawn",
+    "probed",
+    "wake",
+    "peerData",
+    "tallyBack",
+    "shutdown",
+];
+
+fn entry(v: &Values, line: &Value) -> Res<Entry> {
+    let items = line.as_array().ok_or_else(|| v.bad(2, "each entry as an array"))?;
+    let e = Values { name: "register entry", place: v.place, items };
+    Ok(Entry {
+        server: e.whole(0)?,
+        zone: e.small(1)?,
+        cell: e.small(3)?,
+        state: match e.text(4)? {
+            "U" => State::Up,
+            "L" => State::Draining,
+            "D" => State::Gone,
+            _ => return Err(e.bad(4, "U, L or D")),
+        },
+        weight: e.get(5).map_or(Ok(1.0), |_| e.number(5))?,
+        up_since_us: e.whole_or_none(6)?.unwrap_or(0),
+    })
+}
+
+/// The settings object: unknown keys are passed over, absent ones mean nothing or no.
+struct Facts<'a>(&'a Map<String, Value>, String);
+
+impl<'a> Facts<'a> {
+    fn at(&self, key: &str) -> Option<&'a Value> {
+        self.0.get(key).filter(|v| !v.is_null())
+    }
+    fn bad(&self, key: &str, want: &str) -> String {
+        format!("{}{key}: expected {want}, found {}", self.1, show(self.0.get(key)))
+    }
+    fn whole(&self, key: &str) -> Res<u64> {
+        let read = |v: &Value| v.as_u64().or_else(|| v.as_f64().filter(|f| *f >= 0.0).map(|f| f as u64));
+        self.at(key).map_or(Ok(0), |v| read(v).ok_or_else(|| self.bad(key, "a whole number")))
+    }
+    fn small(&self, key: &str) -> Res<u32> {
+        u32::try_from(self.whole(key)?).map_err(|_| self.bad(key, "a whole number below 2^32"))
+    }
+    fn number(&self, key: &str) -> Res<f64> {
+        self.at(key).map_or(Ok(0.0), |v| v.as_f64().ok_or_else(|| self.bad(key, "a number")))
+    }
+    fn truth(&self, key: &str) -> Res<bool> {
+        self.at(key).map_or(Ok(false), |v| v.as_bool().ok_or_else(|| self.bad(key, "true or false")))
+    }
+    fn word(&self, key: &str) -> Res<&'a str> {
+        self.at(key).map_or(Ok(""), |v| v.as_str().ok_or_else(|| self.bad(key, "a string")))
+    }
+    fn inner(&self, key: &str) -> Res<Facts<'a>> {
+        static NONE: std::sync::OnceLock<Map<String, Value>> = std::sync::OnceLock::new();
+        let path = format!("{}{key}.", self.1);
+        match self.at(key) {
+            None => Ok(Facts(NONE.get_or_init(Map::new), path)),
+            Some(v) => v.as_object().map(|m| Facts(m, path)).ok_or_else(|| self.bad(key, "an object")),
+        }
+    }
+    fn each(&self, key: &str) -> Res<Vec<Facts<'a>>> {
+        let Some(v) = self.at(key) else {
+            return Ok(Vec::new());
+        };
+        let list = v.as_array().ok_or_else(|| self.bad(key, "an array"))?;
+        let one = |(n, v): (usize, &'a Value)| {
+            v.as_object()
+                .map(|m| Facts(m, format!("{}{key}[{n}].", self.1)))
+                .ok_or_else(|| self.bad(key, "objects"))
+        };
+        list.iter().enumerate().map(one).collect()
+    }
+}
+
+fn settings(facts: &Map<String, Value>) -> Res<Settings> {
+    let f = Facts(facts, String::new());
+    let (allow, rules, family) = (f.inner("permissions")?, f.inner("rules")?, f.inner("familyInfo")?);
+    Ok(Settings {
+        balancers: f.small("balancers")?,
+        index: f.small("index")?,
+        zone: f.small("zone")?,
+        classes: f.each("classes")?.iter().map(class).collect::<Res<_>>()?,
+        plans: f.each("tiersOfService")?.iter().map(plan).collect::<Res<_>>()?,
+        ask_for_list: match f.word("membershipMode")? {
+            "on_request" => true,
+            "pushed" | "" => false,
+            _ => return Err(f.bad("membershipMode", "pushed or on_request")),
+        },
+        meter_us: family.whole("meterUs")?,
+        trued_up: family.truth("truedUp")?,
+        tick_us: f.whole("granularityUs")?,
+        may_cancel: allow.truth("mayCancel")?,
+        may_probe: allow.truth("mayProbe")?,
+        second_copies: allow.truth("secondCopies")?,
+        retry_after: allow.truth("retryAfter")?,
+        max_retry_after_us: allow.whole("maxRetryAfterUs")?,
+        attempts_cap: allow.small("attemptsCap")?,
+        answer_slack_us: rules.whole("answerSlackUs")?,
+        ask_within_us: rules.whole("askWithinUs")?,
+        cold_from: rules.number("coldFrom")?,
+        cold_us: rules.whole("coldUs")?,
+        fall_multiple: rules.number("fallMultiple")?,
+        fall_us: rules.whole("fallUs")?,
+    })
+}
+
+fn class(c: &Facts) -> Res<Class> {
+    Ok(Class {
+        aim_us: c.whole("aimUs")?,
+        deadline_us: c.whole("deadlineUs")?,
+        late_worth: c.number("lateWorth")?,
+        effect: match c.word("effect")? {
+            "repeatable" => Effect::Repeatable,
+            "once" => Effect::Once,
+            "by_key" => Effect::ByKey {
+                window_us: c.whole("windowUs")?,
+                group: match c.word("group")? {
+                    "all" => Group::All,
+                    "zone" => Group::Zone,
+                    "cell" => Group::Cell,
+                    _ => return Err(c.bad("group", "all, zone or cell")),
+                },
+            },
+            _ => return Err(c.bad("effect", "repeatable, by_key or once")),
+        },
+    })
+}
+
+fn plan(p: &Facts) -> Res<Plan> {
+    Ok(Plan {
+        rate: p.number("unitsPerS")?,
+        burst: p.number("depth")?,
+        at_once: p.small("atOnce")?,
+        ceiling_rate: p.number("capRate")?,
+        ceiling_burst: p.number("capDepth")?,
+    })
+}
+
+fn action(gateway: &str, act: &Action) -> Value {
+    match *act {
+        Action::Send { id, server, timeout_us } => json!(["callOut", gateway, id, server, timeout_us]),
+        Action::Refuse { id, retry_after_us } => json!(["shed", gateway, id, retry_after_us]),
+        Action::Fail { id } => json!(["endFailed", gateway, id]),
+        Action::Cancel { id, attempt } => json!(["recall", gateway, id, attempt]),
+        Action::Probe { server } => json!(["askLoad", gateway, server]),
+        Action::Watch => json!(["keepInformed", gateway, true]),
+        Action::Timer { at_us, token } => json!(["sleep", gateway, at_us, token]),
+    }
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,239 @@
+//! The interface of the decision module: what it is set, what it is told, what it answers.
+//! Plain data only; times are microseconds on one clock that never runs backwards.
+
+/// A point on the clock, or a length of time, in microseconds.
+pub type Micros = u64;
+
+/// What a gateway is told once, at its start.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Settings {
+    pub balancers: u32,
+    /// Number of this gateway among them, from 0.
+    pub index: u32,
+    /// Zone that this gateway stands in.
+    pub zone: u32,
+    pub classes: Vec<Class>,
+    pub plans: Vec<Plan>,
+    /// The list of servers comes only when asked for.
+    pub ask_for_list: bool,
+    /// Period over which the meter totals use; 0: no meter.
+    pub meter_us: Micros,
+    /// A request's units are a guess that its answer corrects.
+    pub trued_up: bool,
+    /// Smallest gap between two moments at which events are handled.
+    pub tick_us: Micros,
+    pub may_cancel: bool,
+    pub may_probe: bool,
+    pub second_copies: bool,
+    pub retry_after: bool,
+    pub max_retry_after_us: Micros,
+    pub attempts_cap: u32,
+    pub answer_slack_us: Micros,
+    pub ask_within_us: Micros,
+    pub cold_from: f64,
+    pub cold_us: Micros,
+    pub fall_multiple: f64,
+    pub fall_us: Micros,
+}
+
+/// A class of requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    pub aim_us: Micros,
+    pub deadline_us: Micros,
+    /// Part of the worth that an answer past the aim still earns.
+    pub late_worth: f64,
+    pub effect: Effect,
+}
+
+/// How safe a repeat is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Repeatable,
+    /// Repeats are dropped by the servers of `group`, for `window_us` from the first send that may have run.
+    ByKey {
+        group: Group,
+        window_us: Micros,
+    },
+    Once,
+}
+
+/// The servers that drop each other's repeats.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+/// A plan and its quotas, which hold for each customer over all gateways together.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Plan {
+    /// Units a second; 0: no such quota.
+    pub rate: f64,
+    /// Units that may be used at once.
+    pub burst: f64,
+    /// Attempts out at once; 0: no such quota.
+    pub at_once: u32,
+    /// Units a second of the hard ceiling; 0: none.
+    pub ceiling_rate: f64,
+    pub ceiling_burst: f64,
+}
+
+/// A line of the list of servers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Entry {
+    pub server: u64,
+    pub zone: u32,
+    pub cell: u32,
+    pub state: State,
+    pub weight: f64,
+    /// Time of the last start; 0: long ago.
+    pub up_since_us: Micros,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    Up,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListKind {
+    /// Changed lines only.
+    Changes,
+    /// The whole list.
+    Full,
+    /// The whole list as it was last known here, perhaps outdated.
+    Saved,
+    /// Discovery did not answer, or ended the subscription.
+    Failed,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Ok,
+    Error,
+    /// Turned away unseen.
+    Full,
+    TimedOut,
+    ConnectFailed,
+    Reset,
+    Cancelled,
+    /// Never sent.
+    Moot,
+}
+
+impl Outcome {
+    /// The attempt is known not to have run.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot)
+    }
+}
+
+/// A load report; what was not told is absent.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    pub inflight: Option<f64>,
+    pub queue: Option<f64>,
+    pub util: Option<f64>,
+    pub latency_ms: Option<f64>,
+}
+
+/// What a gateway is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    List {
+        kind: ListKind,
+        entries: Vec<Entry>,
+    },
+    Request {
+        id: u64,
+        class: usize,
+        plan: usize,
+        customer: u64,
+        left_us: Micros,
+        units: f64,
+        /// Number of gateways that this customer's requests come through, from number `first` on.
+        spread: u32,
+        first: u32,
+    },
+    /// The answer to a streamed request has begun.
+    Started {
+        id: u64,
+        attempt: u32,
+    },
+    Returned {
+        id: u64,
+        attempt: u32,
+        server: u64,
+        outcome: Outcome,
+        latency_us: Micros,
+        /// The request has ended, by this outcome or before.
+        closed: bool,
+        /// The customer's use by all gateways, as a part of its quota.
+        used: Option<f64>,
+        /// The true units of the request.
+        final_units: Option<f64>,
+        load: Load,
+    },
+    /// The client has given up.
+    Withdrawn {
+        id: u64,
+    },
+    Probed {
+        server: u64,
+        outcome: Outcome,
+        latency_us: Micros,
+        load: Load,
+    },
+    Timer {
+        token: u64,
+    },
+}
+
+/// What a gateway does.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    Send {
+        id: u64,
+        server: u64,
+        timeout_us: Micros,
+    },
+    /// Final answer: not done, trying again is harmless.
+    Refuse {
+        id: u64,
+        retry_after_us: Micros,
+    },
+    /// Final answer that promises nothing.
+    Fail {
+        id: u64,
+    },
+    Cancel {
+        id: u64,
+        attempt: u32,
+    },
+    Probe {
+        server: u64,
+    },
+    /// Subscribe to the list of servers.
+    Watch,
+    Timer {
+        at_us: Micros,
+        token: u64,
+    },
+}
+
+/// Settings that make no sense, and why.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SettingsError(pub &'static str);
+
+impl std::fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "settings make no sense: {}", self.0)
+    }
+}
+
+impl std::error::Error for SettingsError {}
