Quarter the gain of the AIMD target

Cause: at one permit a server and second the target regained between cuts what a cut took, so an overloaded fleet stayed jammed.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -10,7 +10,7 @@
 
 /// AIMD: permits for each server of the fleet, over all gateways: at the start, and gained each second.
 const START_PER_SERVER: f64 = 8.0;
-const GAIN_PER_SERVER: f64 = 1.0;
+const GAIN_PER_SERVER: f64 = 0.25;
 /// AIMD: what a cut leaves of the target, and the part of the last second's outcomes that calls for one.
 const CUT_TO: f64 = 0.8;
 const BAD_MARK: f64 = 0.1;
