Refuse a waiting request two deviations before an answer gets unlikely

Cause: requests waited for a permit until only the mean answer time was left, so under load half of them were sent to time out, and the jam kept itself. Could harm where answers vary so widely that the margin is longer than the aim: then nothing waits.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -20,6 +20,8 @@
 /// Retry budget: further attempts for each first one, and how many may be saved up.
 const RETRY_PART: f64 = 0.1;
 const RETRY_SAVED: f64 = 10.0;
+/// A request waits while this many usual deviations past the mean time of an answer are left to it.
+const WAIT_DEVIATIONS: f64 = 2.0;
 /// A second copy goes out once a first has taken so many times the usual deviation past the mean.
 const HEDGE_DEVIATIONS: f64 = 4.0;
 /// Ejection: part of a server's outcomes that failed, alone and as a multiple of the fleet's.
@@ -372,7 +374,12 @@
         let r = Request { class, customer: key, units, best_by, end, attempts, waits, streaming, done };
         self.requests.insert(id, r);
         self.agenda.insert((end, Task::End(id)));
-        self.agenda.insert((best_by.saturating_sub(self.mean as u64).max(self.now + 1), Task::Wait(id)));
+        self.agenda.insert((best_by.saturating_sub(self.needs()).max(self.now + 1), Task::Wait(id)));
+    }
+
+    /// The time that an attempt needs to be answered in all likelihood.
+    fn needs(&self) -> Micros {
+        (self.mean + WAIT_DEVIATIONS * self.deviation) as Micros
     }
 
     fn advice(&self, wait: f64) -> Micros {
@@ -703,7 +710,7 @@
                 let Some(r) = self.requests.get(&id).filter(|r| r.waits) else {
                     return;
                 };
-                let last = r.best_by.saturating_sub(self.mean as u64);
+                let last = r.best_by.saturating_sub(self.needs());
                 if last <= self.now {
                     self.give_up(id, acts);
                 } else {
