--- a/src/decide.rs
+++ b/src/decide.rs
@@ -295,7 +295,7 @@
         let Some(c) = self.customers.get(&key) else { return };
         let (share, plan) = (self.share(c), &self.set.plans[c.plan]);
         let dt = (self.now - c.filled_at) as f64 / 1e6;
-        let level = (c.level + plan.rate * share * dt).min(plan.burst * share);
+        let level = (c.level + plan.rate * share * dt).min(plan.burst / c.spread as f64);
         let spread = c.spread as f64;
         let ceiling = (c.ceiling + plan.ceiling_rate / spread * dt).min(plan.ceiling_burst / spread);
         if let Some(c) = self.customers.get_mut(&key) {
