Believe a lower meter reading over twelve periods, a higher one at once

Cause: the reading is one to three seconds old, so a customer that begins to flood was granted the room of its calm past. Room now grows slowly and goes at once. Could harm a customer whose gateways shift often while it uses nearly all of its quota: it gets less than the room allows for some seconds.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -20,6 +20,8 @@
 /// Retry budget: further attempts for each first one, and how many may be saved up.
 const RETRY_PART: f64 = 0.1;
 const RETRY_SAVED: f64 = 10.0;
+/// Periods of the meter over which a lower reading is believed.
+const BELIEVE_OVER: f64 = 12.0;
 /// A request waits while this many usual deviations past the mean time of an answer are left to it.
 const WAIT_DEVIATIONS: f64 = 2.0;
 /// A second copy goes out once a first has taken so many times the usual deviation past the mean.
@@ -339,7 +341,7 @@
                 attempts_out: 0,
                 waiting: VecDeque::new(),
                 in_ring: false,
-                used: 0.0,
+                used: 1.0,
                 used_at: None,
             };
             self.customers.insert(key, c);
@@ -663,7 +665,11 @@
         c.units_out = (c.units_out - units).max(0.0);
         c.attempts_out -= 1;
         if let Some(used) = used.filter(|u| u.is_finite() && *u >= 0.0) {
-            (c.used, c.used_at) = (used, Some(self.now));
+            // Believed at once when it says more is used, over some periods when it says less.
+            let since = self.now - c.used_at.unwrap_or(self.now);
+            let believe = (since as f64 / (BELIEVE_OVER * self.set.meter_us.max(1) as f64)).min(1.0);
+            c.used += (used - c.used) * if used > c.used { 1.0 } else { believe };
+            c.used_at = Some(self.now);
         }
         if let Some(f) = final_units.filter(|f| self.set.trued_up && f.is_finite() && *f > 0.0) {
             c.level -= f - units;
