Let the least attempt of a told limit give way while the meter reads it full

Cause: a limit of two attempts over four gateways, at least one each, lets four out. A gateway whose part of the limit is less than one now waits while the meter reads the limit full; when the meter falls silent it may send one again.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -417,7 +417,9 @@
     /// or its part of a told limit on attempts; one in any case.
     fn under_cap(&self, c: &Customer, class: usize, units: f64) -> bool {
         let (plan, share) = (&self.set.plans[c.plan], self.share(c));
-        if c.attempts_out == 0 {
+        // The least one gives way where a told limit is too small for all its gateways and the meter reads full.
+        let full = c.used >= 1.0 && c.used_at.is_some_and(|at| self.now - at <= 2 * self.set.meter_us);
+        if c.attempts_out == 0 && !(plan.at_once > 0 && full) {
             return true;
         }
         if plan.at_once > 0 {
