--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -1,8 +1,8 @@
 //! The wire's words and the decision module's types, each way.
 
 use curlewfront::{
-    Action, Class, Decider, Effect, Entry, Event, Group, ListKind, Load, Micros, Outcome, Plan, Settings,
-    State,
+    Action, Class, Decider, Effect, Entry, Event, Group, ListKind, Load, Micros, NewRequest, Outcome, Plan,
+    Return, Settings, State,
 };
 use serde_json::{Map, Value, json};
 use std::collections::HashMap;
@@ -168,7 +168,7 @@
                 };
                 Event::List { kind, entries }
             }
-            "submit" => Event::Request {
+            "submit" => Event::Request(NewRequest {
                 id: v.whole(2)?,
                 class: v.small(3)? as usize,
                 plan: v.small(4)? as usize,
@@ -177,9 +177,9 @@
                 units: v.get(7).map_or(Ok(1.0), |_| v.number(7))?,
                 spread: v.get(8).map_or(Ok(1), |_| v.small(8))?,
                 first: v.get(9).map_or(Ok(0), |_| v.small(9))?,
-            },
+            }),
             "underWay" => Event::Started { id: v.whole(2)?, attempt: v.small(3)? },
-            "returned" => Event::Returned {
+            "returned" => Event::Returned(Return {
                 id: v.whole(2)?,
                 attempt: v.small(3)?,
                 server: v.whole(4)?,
@@ -189,7 +189,7 @@
                 used: v.whole_or_none(8)?.filter(|u| *u > 0).map(|u| (u - 1) as f64 / 100.0),
                 final_units: v.get(9).map(|_| v.number(9)).transpose()?.filter(|f| *f > 0.0),
                 load: v.load(10)?,
-            },
+            }),
             "withdrawn" => Event::Withdrawn { id: v.whole(2)? },
             "probed" => Event::Probed {
                 server: v.whole(2)?,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -111,7 +111,7 @@
     Failed,
 }
 
-/// How an attempt ended.
+/// The ways in which an attempt can end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
     Ok,
@@ -142,6 +142,38 @@
     pub latency_ms: Option<f64>,
 }
 
+/// A request that a client has sent here.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct NewRequest {
+    pub id: u64,
+    pub class: usize,
+    pub plan: usize,
+    pub customer: u64,
+    /// Time left before the client gives this try up.
+    pub left_us: Micros,
+    pub units: f64,
+    /// Number of gateways that this customer's requests come through, from number `first` on.
+    pub spread: u32,
+    pub first: u32,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Return {
+    pub id: u64,
+    pub attempt: u32,
+    pub server: u64,
+    pub outcome: Outcome,
+    pub latency_us: Micros,
+    /// The request has ended, by this outcome or before.
+    pub closed: bool,
+    /// The customer's use by all gateways, as a part of its quota.
+    pub used: Option<f64>,
+    /// The true units of the request.
+    pub final_units: Option<f64>,
+    pub load: Load,
+}
+
 /// What a gateway is told.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -149,36 +181,13 @@
         kind: ListKind,
         entries: Vec<Entry>,
     },
-    Request {
-        id: u64,
-        class: usize,
-        plan: usize,
-        customer: u64,
-        left_us: Micros,
-        units: f64,
-        /// Number of gateways that this customer's requests come through, from number `first` on.
-        spread: u32,
-        first: u32,
-    },
+    Request(NewRequest),
     /// The answer to a streamed request has begun.
     Started {
         id: u64,
         attempt: u32,
     },
-    Returned {
-        id: u64,
-        attempt: u32,
-        server: u64,
-        outcome: Outcome,
-        latency_us: Micros,
-        /// The request has ended, by this outcome or before.
-        closed: bool,
-        /// The customer's use by all gateways, as a part of its quota.
-        used: Option<f64>,
-        /// The true units of the request.
-        final_units: Option<f64>,
-        load: Load,
-    },
+    Returned(Return),
     /// The client has given up.
     Withdrawn {
         id: u64,
