--- a/src/decide.rs
+++ b/src/decide.rs
@@ -33,6 +33,8 @@
 const EJECT_LONGEST: Micros = 8_000_000;
 /// Weight of one outcome in a server's moving averages; the fleet's move four times as slowly.
 const LEARN: f64 = 0.15;
+/// Time over which what was learned of a server's speed fades, when nothing more is heard.
+const FORGET: f64 = 3e6;
 /// Work for a cold server, as a part of what its share of a warm one's would be.
 const COLD_PART: f64 = 1.0;
 
@@ -61,6 +63,7 @@
     /// Moving averages: time taken, and part of the outcomes that failed.
     latency: f64,
     bad: f64,
+    heard_at: Micros,
     /// Outcomes of the last second.
     seen: u32,
     seen_bad: u32,
@@ -184,6 +187,19 @@
         })
     }
 
+    /// The target concurrency as it stands.
+    pub fn target(&self) -> f64 {
+        self.target
+    }
+
+    pub fn customers_known(&self) -> usize {
+        self.customers.len()
+    }
+
+    pub fn requests_known(&self) -> usize {
+        self.requests.len()
+    }
+
     /// Takes one event and adds what is to be done about it to `acts`.
     pub fn handle(&mut self, now: Micros, event: Event, acts: &mut Vec<Action>) {
         self.now = self.now.max(now);
@@ -468,7 +484,9 @@
         let c = self.customers.get_mut(&r.customer).expect("holds a request");
         let s = self.servers.get_mut(&server).expect("picked");
         if r.attempts.is_empty() {
-            c.ceiling -= r.units;
+            if self.set.plans[c.plan].ceiling_rate > 0.0 {
+                c.ceiling -= r.units;
+            }
             self.retries = (self.retries + RETRY_PART).min(RETRY_SAVED);
             let wait = self.mean + HEDGE_DEVIATIONS * self.deviation;
             self.agenda.insert((self.now + wait as Micros, Task::Hedge(id)));
@@ -510,7 +528,8 @@
             s.up && allowed(s) && (healthy || spread_on) && self.bears(s, warm)
         };
         let all = self.servers.iter().filter(|(_, s)| fits(s));
-        let mut fit: Vec<(u64, f64)> = all.map(|(k, s)| (*k, (s.out as f64 + 1.0) * s.latency)).collect();
+        let cost = |s: &Server| (s.out as f64 + 1.0) * s.latency_now(self.now, self.mean);
+        let mut fit: Vec<(u64, f64)> = all.map(|(k, s)| (*k, cost(s))).collect();
         let tried = |k: u64| r.attempts.iter().any(|a| a.server == k);
         if fit.iter().any(|(k, _)| !tried(*k)) {
             fit.retain(|(k, _)| !tried(*k));
@@ -572,7 +591,9 @@
         let bad = !matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot);
         // A fast failure or a cancelled attempt says nothing of speed unless it took long.
         if outcome == Outcome::Ok || (outcome != Outcome::Moot && taken > s.latency) {
+            s.latency = s.latency_now(self.now, self.mean);
             s.latency += (taken - s.latency) * LEARN;
+            s.heard_at = self.now;
         }
         if matches!(outcome, Outcome::Cancelled | Outcome::Moot) {
             return;
@@ -733,6 +754,12 @@
 }
 
 impl Server {
+    /// The time this server takes, as far as it is still known. Not heard of, it is soon taken for one like
+    /// the rest; else one that was slow once would never be tried again.
+    fn latency_now(&self, now: Micros, usual: f64) -> f64 {
+        usual + (self.latency - usual) * (-((now - self.heard_at) as f64) / FORGET).exp()
+    }
+
     /// What was sent here in about the last `window`, as a moving sum.
     fn lately_sent(&self, now: Micros, window: Micros) -> f64 {
         self.sent * (-((now - self.sent_at) as f64) / window.max(1) as f64).exp()
--- /dev/null
+++ b/tests/overload.rs
@@ -0,0 +1,203 @@
+//! The target concurrency, waiting, retries, server choice and health.
+
+mod common;
+use common::*;
+use curlewfront::*;
+
+/// Sends all that goes out at once; answers nothing.
+fn fill(g: &mut Gateway, from: u64, many: u64) -> Vec<(u64, u64)> {
+    let mut out = Vec::new();
+    for id in from..from + many {
+        for act in g.ask(NewRequest { customer: id, ..request(id) }) {
+            if let Action::Send { id, server, .. } = act {
+                out.push((id, server));
+            }
+        }
+    }
+    out
+}
+
+/// Sends so many requests and ends every attempt with `outcome`, those let in later included.
+fn serve(g: &mut Gateway, from: u64, many: u64, outcome: Outcome) {
+    let mut out = fill(g, from, many);
+    while let Some((id, server)) = out.pop() {
+        for act in g.back(Return { closed: true, ..answer(id, 0, server, outcome) }) {
+            if let Action::Send { id, server, .. } = act {
+                out.push((id, server));
+            }
+        }
+    }
+}
+
+#[test]
+fn the_target_starts_by_the_size_of_the_fleet() {
+    let small = fill(&mut Gateway::with_servers(settings(free()), 4), 0, 500).len();
+    let large = fill(&mut Gateway::with_servers(settings(free()), 12), 0, 500).len();
+    assert!(small >= 4, "{small}");
+    assert_eq!(large, 3 * small);
+}
+
+#[test]
+fn failures_all_over_the_fleet_cut_the_target_once_per_aim() {
+    let mut g = Gateway::with_servers(settings(free()), 8);
+    let out = fill(&mut g, 0, 500);
+    let start = g.decider.target();
+    for (id, server) in &out {
+        g.back(Return { closed: true, ..answer(*id, 0, *server, Outcome::TimedOut) });
+    }
+    let cut = g.decider.target();
+    assert!(cut < 0.95 * start && cut > 0.5 * start, "one cut: {start} to {cut}");
+}
+
+#[test]
+fn a_few_ill_servers_do_not_cut_the_target() {
+    let mut g = Gateway::with_servers(settings(free()), 8);
+    let start = g.decider.target();
+    for round in 0..40 {
+        for (id, server) in fill(&mut g, round * 100, 20) {
+            let outcome = if server <= 2 { Outcome::TimedOut } else { Outcome::Ok };
+            g.back(Return { closed: true, ..answer(id, 0, server, outcome) });
+        }
+        g.pass(100 * MS);
+    }
+    assert!(g.decider.target() >= start, "{} against {start}", g.decider.target());
+}
+
+#[test]
+fn the_target_climbs_back_after_a_pause_and_never_falls_below_its_floor() {
+    let mut g = Gateway::with_servers(settings(free()), 8);
+    let mut id = 0;
+    for _ in 0..60 {
+        serve(&mut g, id, 60, Outcome::TimedOut);
+        id += 60;
+        g.pass(SEC);
+    }
+    let low = g.decider.target();
+    assert!((2.0..=8.0).contains(&low), "{low}");
+    for _ in 0..100 {
+        let out = fill(&mut g, id, 60);
+        id += 60;
+        g.pass(100 * MS);
+        for (id, server) in out {
+            g.back(answer(id, 0, server, Outcome::Ok));
+        }
+    }
+    assert!(g.decider.target() > low + 3.0, "{} after ten good seconds", g.decider.target());
+}
+
+#[test]
+fn a_target_that_is_not_used_does_not_grow() {
+    let mut g = Gateway::with_servers(settings(free()), 8);
+    let start = g.decider.target();
+    g.pass(20 * SEC);
+    assert_eq!(g.decider.target(), start);
+}
+
+#[test]
+fn a_black_hole_that_fails_fast_is_ejected_and_found_again_when_well() {
+    let mut g = Gateway::with_servers(settings(free()), 6);
+    let mut id = 0;
+    let mut run = |g: &mut Gateway, rounds: u64, ill: bool| {
+        let mut hits = 0;
+        for _ in 0..rounds {
+            id += 1;
+            let mut acts = g.ask(NewRequest { customer: id, ..request(id) });
+            let mut n = 0;
+            while let Some(server) = sent(&acts).first().copied() {
+                hits += u64::from(server == 3);
+                let bad = ill && server == 3;
+                g.now += if bad { MS } else { 20 * MS };
+                let latency_us = if bad { MS } else { (15 + id * 7 % 11) * MS };
+                let outcome = if bad { Outcome::Error } else { Outcome::Ok };
+                acts = g.back(Return { latency_us, ..answer(id, n, server, outcome) });
+                n += 1;
+            }
+        }
+        hits
+    };
+    let before = run(&mut g, 300, false);
+    let while_ill = run(&mut g, 600, true);
+    run(&mut g, 1000, false);
+    let after = run(&mut g, 1000, false);
+    assert!(before > 20, "{before}");
+    assert!(while_ill < 30, "{while_ill} of 600 to a server that fails all");
+    assert!(after > 100, "{after} of 1000 once it is well");
+}
+
+#[test]
+fn a_fleet_that_all_looks_ill_still_gets_traffic() {
+    let mut g = Gateway::with_servers(settings(free()), 4);
+    let mut served = 0;
+    for id in 0..200 {
+        for act in g.ask(NewRequest { customer: id, ..request(id) }) {
+            if let Action::Send { id, server, .. } = act {
+                served += 1;
+                g.back(Return { closed: true, ..answer(id, 0, server, Outcome::Error) });
+            }
+        }
+        g.pass(50 * MS);
+    }
+    assert!(served > 150, "{served}");
+}
+
+#[test]
+fn a_slow_server_gets_less() {
+    let mut g = Gateway::with_servers(settings(free()), 4);
+    let mut hits = [0u32; 5];
+    for id in 0..600 {
+        for server in sent(&g.ask(NewRequest { customer: id, ..request(id) })) {
+            hits[server as usize] += 1;
+            let latency_us = if server == 2 { 300 * MS } else { 30 * MS };
+            g.back(Return { latency_us, ..answer(id, 0, server, Outcome::Ok) });
+        }
+        g.pass(10 * MS);
+    }
+    assert!(hits[2] * 3 < hits[1], "{hits:?}");
+}
+
+#[test]
+fn retries_stay_within_their_budget() {
+    let mut g = Gateway::with_servers(settings(free()), 8);
+    let (mut first, mut all) = (0, 0);
+    for id in 0..400 {
+        let mut acts = g.ask(NewRequest { customer: id, ..request(id) });
+        let mut n = 0;
+        while let Some(server) = sent(&acts).first().copied() {
+            first += u32::from(n == 0);
+            all += 1;
+            acts = g.back(answer(id, n, server, Outcome::Error));
+            n += 1;
+        }
+        g.pass(20 * MS);
+    }
+    assert!(all > first, "some retries are made");
+    assert!(all - first <= first / 10 + 11, "{} further attempts for {first}", all - first);
+}
+
+#[test]
+fn one_customers_backlog_does_not_hold_up_the_others() {
+    let mut g = Gateway::with_servers(settings(free()), 1);
+    // Customer 7 takes every permit and leaves forty waiting; then another comes.
+    let mut out: Vec<u64> =
+        (0..50).flat_map(|id| sent(&g.ask(request(id))).into_iter().map(move |_| id)).collect();
+    assert!(!out.is_empty() && out.len() < 20);
+    assert_eq!(sent(&g.ask(NewRequest { customer: 8, ..request(99) })).len(), 0);
+    for turn in 0..2 {
+        for act in g.back(answer(out.remove(0), 0, 1, Outcome::Ok)) {
+            if matches!(act, Action::Send { id: 99, .. }) {
+                return;
+            }
+        }
+        assert!(turn < 1, "the other customer comes second at the latest");
+    }
+}
+
+#[test]
+fn waiting_requests_are_refused_before_an_answer_gets_unlikely() {
+    let mut g = Gateway::with_servers(settings(free()), 1);
+    fill(&mut g, 0, 100);
+    g.pass(980 * MS);
+    let waited =
+        g.log.iter().filter(|(at, a)| matches!(a, Action::Refuse { .. }) && *at < T0 + 800 * MS).count();
+    assert!(waited > 80, "{waited} refused with time left to try elsewhere");
+}
--- /dev/null
+++ b/tests/quotas.rs
@@ -0,0 +1,237 @@
+//! Buckets, slices, caps, ceilings.
+
+mod common;
+use common::*;
+use curlewfront::*;
+
+#[test]
+fn the_bucket_lets_its_even_part_of_the_burst_through_and_then_its_rate() {
+    let mut g = Gateway::with_servers(settings(rate(4.0, 8.0)), 4);
+    // Burst 8 over two gateways: four at once here, not a fifth.
+    for id in 0..4 {
+        assert_eq!(refused(&g.ask(request(id))), 0, "request {id} is inside the burst");
+    }
+    assert_eq!(refused(&g.ask(request(4))), 1);
+    // Two units a second here: one after half a second, not before.
+    g.pass(490 * MS);
+    assert_eq!(refused(&g.ask(request(5))), 1);
+    g.pass(20 * MS);
+    assert_eq!(refused(&g.ask(request(6))), 0);
+}
+
+#[test]
+fn over_quota_is_told_when_there_will_be_room() {
+    let mut g = Gateway::with_servers(settings(rate(4.0, 2.0)), 4);
+    g.ask(request(0));
+    let acts = g.ask(request(1));
+    assert!(
+        matches!(acts[0], Action::Refuse { id: 1, retry_after_us } if retry_after_us.abs_diff(500 * MS) < 2)
+    );
+}
+
+#[test]
+fn a_retry_after_stays_within_what_clients_honour_and_is_left_out_where_not_allowed() {
+    let mut set = settings(rate(0.1, 2.0));
+    let mut g = Gateway::with_servers(set.clone(), 4);
+    g.ask(request(0));
+    assert!(matches!(g.ask(request(1))[0], Action::Refuse { retry_after_us, .. } if retry_after_us == SEC));
+    set.retry_after = false;
+    let mut g = Gateway::with_servers(set, 4);
+    g.ask(request(0));
+    assert!(matches!(g.ask(request(1))[0], Action::Refuse { retry_after_us: 0, .. }));
+}
+
+#[test]
+fn the_true_units_take_the_place_of_the_guess() {
+    let mut set = settings(rate(4.0, 8.0));
+    set.trued_up = true;
+    let mut g = Gateway::with_servers(set, 4);
+    let server = sent(&g.ask(request(0)))[0];
+    g.back(Return { final_units: Some(4.0), ..answer(0, 0, server, Outcome::Ok) });
+    // Four of the four units here are gone, not one.
+    assert_eq!(refused(&g.ask(request(1))), 1);
+}
+
+#[test]
+fn a_malformed_settlement_or_meter_reading_is_passed_over() {
+    let mut set = settings(rate(4.0, 8.0));
+    set.trued_up = true;
+    let mut g = Gateway::with_servers(set, 4);
+    let server = sent(&g.ask(request(0)))[0];
+    g.back(Return { final_units: Some(f64::NAN), used: Some(f64::NAN), ..answer(0, 0, server, Outcome::Ok) });
+    for id in 1..4 {
+        assert_eq!(refused(&g.ask(request(id))), 0);
+    }
+    assert_eq!(refused(&g.ask(request(4))), 1);
+}
+
+/// How many requests get through in ten seconds when the meter reads `used`, or says nothing.
+fn let_through(plan: Plan, used: Option<f64>) -> usize {
+    let mut g = Gateway::with_servers(settings(plan), 8);
+    let mut through = 0;
+    for id in 0..2000 {
+        let acts = g.ask(request(id));
+        for server in sent(&acts) {
+            through += 1;
+            g.back(Return { used, ..answer(id, 0, server, Outcome::Ok) });
+        }
+        g.pass(10 * MS);
+    }
+    through
+}
+
+#[test]
+fn a_slice_rises_by_the_room_the_meter_leaves_and_falls_back_without_it() {
+    let silent = let_through(rate(10.0, 10.0), None);
+    let full = let_through(rate(10.0, 10.0), Some(1.0));
+    let idle = let_through(rate(10.0, 10.0), Some(0.1));
+    // Twenty seconds at five a second, and five of the burst.
+    assert!((104..=106).contains(&silent), "{silent}");
+    assert_eq!(full, silent);
+    assert!(idle > silent + 20, "room of 0.9 must raise {silent}, not only to {idle}");
+    assert!(idle <= 5 + 190, "never above the even share and the room, {idle}");
+}
+
+#[test]
+fn under_a_ceiling_slices_stay_even() {
+    let plan = Plan { ceiling_rate: 20.0, ceiling_burst: 20.0, ..rate(10.0, 10.0) };
+    assert_eq!(let_through(plan.clone(), Some(0.1)), let_through(plan, None));
+}
+
+#[test]
+fn a_flood_after_a_calm_past_loses_the_raised_slice_at_once() {
+    let mut g = Gateway::with_servers(settings(rate(10.0, 10.0)), 8);
+    let mut through = [0, 0];
+    for id in 0..4000 {
+        let acts = g.ask(request(id));
+        let phase = usize::from(id >= 2000);
+        for server in sent(&acts) {
+            through[phase] += 1;
+            let used = Some(if phase == 0 { 0.1 } else { 2.0 });
+            g.back(Return { used, ..answer(id, 0, server, Outcome::Ok) });
+        }
+        g.pass(10 * MS);
+    }
+    assert!(through[0] > 125, "raised while calm: {}", through[0]);
+    assert!(through[1] <= 101, "five a second once the meter reads full: {}", through[1]);
+}
+
+#[test]
+fn what_a_customer_has_out_is_capped_by_littles_law_and_the_rest_waits() {
+    // Slice 2 x aim 1 s + burst here 4 = 6 units out; the bucket alone would let more through in time.
+    let mut g = Gateway::with_servers(settings(rate(4.0, 8.0)), 8);
+    let mut out = 0;
+    for id in 0..12 {
+        out += sent(&g.ask(request(id))).len();
+        out += sent(&g.pass(400 * MS)).len();
+        if id == 5 {
+            assert!(out <= 6, "{out}");
+        }
+    }
+    assert!(g.log.iter().any(|(_, a)| matches!(a, Action::Send { .. })));
+}
+
+#[test]
+fn a_told_limit_is_split_in_whole_parts_that_add_up_to_it() {
+    let plan = Plan { at_once: 5, ..Plan::default() };
+    let mut total = 0;
+    for index in 0..2 {
+        let mut g = Gateway::with_servers(Settings { index, ..settings(plan.clone()) }, 8);
+        total += (0..10).map(|id| sent(&g.ask(request(id))).len()).sum::<usize>();
+    }
+    assert_eq!(total, 5);
+}
+
+#[test]
+fn copies_count_as_out_where_attempts_are_capped() {
+    let plan = Plan { at_once: 2, ..Plan::default() };
+    let mut g = Gateway::with_servers(settings(plan), 8);
+    assert_eq!(sent(&g.ask(request(0))).len(), 1);
+    // Its part is one: no second copy beside the first, however long that takes.
+    assert_eq!(sent(&g.pass(900 * MS)).len(), 0);
+}
+
+#[test]
+fn the_least_attempt_gives_way_while_the_meter_reads_a_small_limit_full() {
+    let set = Settings { balancers: 4, index: 0, ..settings(Plan { at_once: 2, ..Plan::default() }) };
+    let ask = |id| NewRequest { spread: 4, ..request(id) };
+    let mut g = Gateway::with_servers(set, 8);
+    // A part of half an attempt: the least one goes out.
+    let server = sent(&g.ask(ask(0)))[0];
+    g.back(Return { used: Some(1.5), ..answer(0, 0, server, Outcome::Ok) });
+    assert_eq!(sent(&g.ask(ask(1))).len(), 0);
+    // Once the meter is silent, one goes out again.
+    g.pass(3 * SEC);
+    assert_eq!(sent(&g.ask(ask(2))).len(), 1);
+}
+
+#[test]
+fn a_ceiling_starts_empty_and_fills_at_the_even_rate() {
+    let plan = Plan { ceiling_rate: 4.0, ceiling_burst: 8.0, ..Plan::default() };
+    let mut g = Gateway::with_servers(settings(plan), 8);
+    assert_eq!(sent(&g.ask(request(0))).len(), 0, "an earlier life may have spent it all");
+    let acts = g.pass(520 * MS);
+    assert_eq!(sent(&acts).len(), 1, "two units a second here");
+}
+
+/// Several gateways, restarts included, against the customer's true store.
+#[test]
+fn even_parts_of_a_ceiling_never_overdraw_it_together() {
+    for seed in 0..6u64 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let plan = Plan { ceiling_rate: 12.0, ceiling_burst: 30.0, ..Plan::default() };
+        let set = |index| Settings { balancers: 3, index, ..settings(plan.clone()) };
+        let mut gateways: Vec<_> = (0..3).map(|i| Gateway::with_servers(set(i), 8)).collect();
+        let (mut store, mut id, mut sends) = (30.0f64, 0, 0);
+        for _ in 0..20_000 {
+            store = (store + 12.0 * 0.001).min(30.0);
+            let which = rng.usize(0..3);
+            if rng.u32(0..4000) == 0 {
+                let now = gateways[which].now;
+                gateways[which] = Gateway::new(set(which as u32));
+                gateways[which].now = now;
+                gateways[which].list(ListKind::Saved, &(1..=8).map(up).collect::<Vec<_>>());
+            }
+            for (n, g) in gateways.iter_mut().enumerate() {
+                g.now += MS;
+                let mut acts = g.tell(Event::Timer { token: 0 });
+                if n == which && rng.u32(0..8) == 0 {
+                    id += 1;
+                    let units = rng.u32(1..=5) as f64;
+                    acts.extend(g.ask(NewRequest {
+                        units,
+                        spread: 3,
+                        id: id * 8 + units as u64,
+                        ..request(0)
+                    }));
+                }
+                for act in acts {
+                    if let Action::Send { id, server, .. } = act {
+                        store -= (id % 8) as f64;
+                        sends += 1;
+                        g.back(answer(id, 0, server, Outcome::Ok));
+                    }
+                }
+            }
+            assert!(store >= -1e-6, "overdrawn to {store} with seed {seed}");
+        }
+        assert!(sends > 50, "the test must send, not only {sends}");
+    }
+}
+
+#[test]
+fn one_off_customers_are_forgotten() {
+    // Seen from outside: a customer that comes again after long is as good as new, and the work for an event
+    // stays the same, so a hundred thousand strangers take no longer than their number.
+    let mut g = Gateway::with_servers(settings(rate(4.0, 8.0)), 8);
+    for id in 0..100_000u64 {
+        g.now += MS;
+        let acts = g.ask(NewRequest { customer: 1000 + id, ..request(id) });
+        for server in sent(&acts) {
+            g.back(answer(id, 0, server, Outcome::Ok));
+        }
+        g.log.clear();
+    }
+    assert!(g.decider.customers_known() < 5_000, "{}", g.decider.customers_known());
+    assert_eq!(g.decider.requests_known(), 0);
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,314 @@
+//! The five rules, under any legal settings.
+
+mod common;
+use common::*;
+use curlewfront::*;
+use std::collections::HashMap;
+
+fn gateway(effect: Effect) -> Gateway {
+    let mut set = settings(free());
+    set.classes = vec![class(effect)];
+    let mut g = Gateway::new(set);
+    let entry = |server| Entry { zone: (server % 2) as u32, cell: (server % 4) as u32, ..up(server) };
+    g.list(ListKind::Saved, &(1..=8).map(entry).collect::<Vec<_>>());
+    g
+}
+
+#[test]
+fn every_request_is_answered_before_its_time_is_up() {
+    for left_us in [0, 20 * MS, 300 * MS, 3 * SEC] {
+        let mut g = Gateway::with_servers(settings(free()), 2);
+        let mut acts = g.ask(NewRequest { left_us, ..request(1) });
+        acts.extend(g.pass(left_us.max(20 * MS)));
+        assert_eq!(refused(&acts) + failed(&acts), 1, "with {left_us} left");
+    }
+}
+
+#[test]
+fn no_server_at_all_means_waiting_and_then_a_refusal() {
+    let mut g = Gateway::with_servers(settings(free()), 0);
+    let mut acts = g.ask(request(1));
+    assert!(refused(&acts) == 0);
+    acts.extend(g.pass(SEC));
+    assert_eq!((sent(&acts).len(), refused(&acts)), (0, 1));
+    // One that comes up in time gets what waits.
+    g.ask(request(2));
+    g.list(ListKind::Full, &[up(1)]);
+    assert_eq!(sent(&g.pass(100 * MS)), [1]);
+}
+
+#[test]
+fn a_request_that_may_have_run_once_is_neither_sent_again_nor_refused() {
+    for outcome in [Outcome::Error, Outcome::TimedOut, Outcome::Reset] {
+        let mut g = gateway(Effect::Once);
+        let server = sent(&g.ask(request(1)))[0];
+        assert_eq!(sent(&g.pass(700 * MS)).len(), 0, "no second copy");
+        let acts = g.back(answer(1, 0, server, outcome));
+        assert_eq!((sent(&acts).len(), refused(&acts), failed(&acts)), (0, 0, 1), "{outcome:?}");
+    }
+}
+
+#[test]
+fn a_request_that_never_ran_is_sent_again_even_where_once_is_all() {
+    for outcome in [Outcome::Full, Outcome::ConnectFailed] {
+        let mut g = gateway(Effect::Once);
+        let server = sent(&g.ask(request(1)))[0];
+        let acts = g.back(answer(1, 0, server, outcome));
+        assert_eq!(sent(&acts).len(), 1, "{outcome:?}");
+    }
+}
+
+#[test]
+fn a_keyed_request_stays_in_its_group_and_its_window() {
+    for group in [Group::Zone, Group::Cell] {
+        for first in 0..20 {
+            let mut g = gateway(Effect::ByKey { group, window_us: 200 * MS });
+            let server = sent(&g.ask(request(first)))[0];
+            let again = sent(&g.back(answer(first, 0, server, Outcome::Error)));
+            let same = if group == Group::Zone { 2 } else { 4 };
+            assert!(again.iter().all(|s| s % same == server % same), "{group:?}: {server} then {again:?}");
+            assert_eq!(again.len(), 1);
+            // Past the window it may not be sent, and as it may have run it may not be refused.
+            g.now += 250 * MS;
+            let acts = g.back(answer(first, 1, again[0], Outcome::Error));
+            let later = g.pass(SEC);
+            assert_eq!(sent(&acts).len() + sent(&later).len(), 0);
+            assert_eq!((failed(&acts) + failed(&later), refused(&acts) + refused(&later)), (1, 0));
+        }
+    }
+}
+
+#[test]
+fn without_second_copies_no_two_attempts_are_out_together() {
+    let mut set = settings(free());
+    set.second_copies = false;
+    let mut g = Gateway::with_servers(set, 8);
+    g.ask(request(1));
+    assert_eq!(sent(&g.pass(980 * MS)).len(), 0);
+}
+
+#[test]
+fn a_late_copy_goes_out_where_allowed_and_the_other_is_cancelled_when_one_answers() {
+    let mut g = Gateway::with_servers(settings(free()), 8);
+    let first = sent(&g.ask(request(1)))[0];
+    let second = sent(&g.pass(700 * MS))[0];
+    assert_ne!(first, second);
+    let acts = g.back(answer(1, 1, second, Outcome::Ok));
+    assert!(acts.contains(&Action::Cancel { id: 1, attempt: 0 }));
+}
+
+#[test]
+fn a_stream_under_way_has_no_deadline_and_is_not_answered_again() {
+    let mut g = gateway(Effect::Repeatable);
+    let server = sent(&g.ask(request(1)))[0];
+    g.tell(Event::Started { id: 1, attempt: 0 });
+    let mut acts = g.pass(5 * SEC);
+    acts.extend(g.back(Return { closed: true, ..answer(1, 0, server, Outcome::Reset) }));
+    assert_eq!((sent(&acts).len(), refused(&acts), failed(&acts)), (0, 0, 0));
+}
+
+#[test]
+fn nothing_goes_to_a_server_that_drains_is_gone_or_fell_off_the_list() {
+    let drains = Entry { state: State::Draining, ..up(1) };
+    let gone = Entry { state: State::Gone, ..up(1) };
+    for (kind, list) in [
+        (ListKind::Changes, vec![drains]),
+        (ListKind::Changes, vec![gone]),
+        (ListKind::Full, vec![up(2)]),
+        (ListKind::Full, vec![up(2), drains]),
+    ] {
+        let mut g = Gateway::with_servers(settings(free()), 2);
+        g.list(kind, &list);
+        for id in 0..50 {
+            for server in sent(&g.ask(NewRequest { customer: id, ..request(id) })) {
+                assert_eq!(server, 2);
+                g.back(answer(id, 0, server, Outcome::Ok));
+            }
+        }
+    }
+}
+
+/// What a cold server is sent in a second, against a warm one, after a warm-up without it.
+fn cold_against_warm(up_since_us: Micros) -> (u32, u32) {
+    let mut g = Gateway::with_servers(settings(free()), 4);
+    let mut hits = [0u32; 6];
+    for id in 0..800 {
+        if id == 400 {
+            hits = [0; 6];
+            g.list(ListKind::Changes, &[Entry { up_since_us, ..up(5) }]);
+        }
+        for server in sent(&g.ask(NewRequest { customer: id, ..request(id) })) {
+            hits[server as usize] += 1;
+            g.back(Return { latency_us: 9 * MS, ..answer(id, 0, server, Outcome::Ok) });
+        }
+        // Several out at once, so that the limit of one at a time is not all that holds.
+        g.pass(5 * MS);
+    }
+    (hits[5], hits[1])
+}
+
+#[test]
+fn a_cold_server_gets_no_more_than_its_ramp_and_a_warm_one_its_full_part() {
+    let mut set = settings(free());
+    set.cold_from = 0.2;
+    let mut g = Gateway::with_servers(set, 4);
+    let now = g.now;
+    g.list(ListKind::Changes, &[Entry { up_since_us: now, ..up(5) }]);
+    let mut sends = 0;
+    for id in 0..300 {
+        sends += sent(&g.ask(NewRequest { customer: id, ..request(id) })).iter().filter(|s| **s == 5).count();
+    }
+    assert!(sends <= 4, "{sends} held at once by a server that has just started");
+    let (late, warm) = cold_against_warm(T0 - 100 * SEC);
+    assert!(late * 2 > warm, "{late} against {warm}");
+}
+
+#[test]
+fn discovery_on_request_is_asked_at_start_and_again_after_a_failure_in_time() {
+    let set = Settings { ask_for_list: true, ..settings(free()) };
+    let mut g = Gateway::new(set);
+    let acts = g.list(ListKind::Saved, &[up(1)]);
+    assert!(acts.contains(&Action::Watch));
+    for _ in 0..6 {
+        g.list(ListKind::Failed, &[]);
+        let acts = g.pass(16 * SEC);
+        assert_eq!(acts.iter().filter(|a| **a == Action::Watch).count(), 1);
+    }
+    // The list from before still serves.
+    assert_eq!(sent(&g.ask(request(1))), [1]);
+}
+
+#[test]
+fn late_repeated_and_unknown_events_do_no_harm() {
+    let mut g = Gateway::with_servers(settings(free()), 2);
+    let server = sent(&g.ask(request(1)))[0];
+    g.back(answer(1, 0, server, Outcome::Ok));
+    assert!(g.back(answer(1, 0, server, Outcome::Ok)).is_empty());
+    assert!(g.back(answer(77, 3, 999, Outcome::Error)).is_empty());
+    assert!(g.back(answer(1, 9, server, Outcome::Error)).is_empty());
+    g.tell(Event::Withdrawn { id: 1 });
+    g.tell(Event::Started { id: 55, attempt: 0 });
+    g.tell(Event::Timer { token: 123 });
+    let bad = Load { latency_ms: Some(f64::NAN), queue: Some(-1.0), ..Load::default() };
+    g.tell(Event::Probed { server: 999, outcome: Outcome::Ok, latency_us: 0, load: bad });
+    assert_eq!(sent(&g.ask(request(2))).len(), 1);
+    assert!(sent(&g.ask(request(2))).is_empty(), "an id is taken once");
+}
+
+#[test]
+fn a_class_or_plan_that_was_never_set_is_refused() {
+    let mut g = Gateway::with_servers(settings(free()), 2);
+    assert_eq!(refused(&g.ask(NewRequest { class: 9, ..request(1) })), 1);
+    assert_eq!(refused(&g.ask(NewRequest { plan: 9, ..request(2) })), 1);
+    assert_eq!(sent(&g.ask(NewRequest { units: f64::NAN, spread: 0, first: 99, ..request(3) })).len(), 1);
+}
+
+#[test]
+fn settings_that_make_no_sense_are_rejected() {
+    let good = settings(rate(4.0, 8.0));
+    let spoil: [fn(&mut Settings); 7] = [
+        |s| s.classes.clear(),
+        |s| s.plans.clear(),
+        |s| s.classes[0].aim_us = 0,
+        |s| s.plans[0].rate = f64::NAN,
+        |s| s.plans[0].ceiling_burst = f64::INFINITY,
+        |s| s.balancers = 0,
+        |s| s.cold_from = -1.0,
+    ];
+    assert!(Decider::new(good.clone(), 1).is_ok());
+    for (n, spoil) in spoil.iter().enumerate() {
+        let mut set = good.clone();
+        spoil(&mut set);
+        assert!(Decider::new(set, 1).is_err(), "case {n}");
+    }
+}
+
+/// Random traffic, outcomes, lists and settings: what must hold whatever happens.
+fn storm(seed: u64, effect: Effect) -> Vec<(Micros, Action)> {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut set = settings(Plan { at_once: 3 * (seed % 2) as u32, ..rate(30.0, 20.0) });
+    set.classes = vec![class(effect)];
+    set.second_copies = !seed.is_multiple_of(3);
+    set.may_cancel = !seed.is_multiple_of(4);
+    set.attempts_cap = 1 + (seed % 5) as u32;
+    set.cold_us *= seed % 2;
+    let mut g = Gateway::with_servers(set, 6);
+    let mut open: HashMap<u64, Micros> = HashMap::new();
+    let mut out: Vec<(u64, u32, u64, Micros)> = Vec::new();
+    let mut tries: HashMap<u64, u32> = HashMap::new();
+    let mut down = [None; 7];
+    for step in 0..30_000u64 {
+        g.now += MS;
+        let mut acts = Vec::new();
+        if rng.u32(0..300) == 0 {
+            let server = rng.u64(1..7);
+            let state = [State::Up, State::Draining, State::Gone][rng.usize(0..3)];
+            let up_since_us = if rng.bool() { g.now } else { 0 };
+            down[server as usize] = (state != State::Up).then_some(g.now);
+            acts.extend(
+                g.list(ListKind::Changes, &[Entry { state, up_since_us, zone: 0, cell: 0, ..up(server) }]),
+            );
+        }
+        acts.extend(g.tell(Event::Timer { token: 0 }));
+        if rng.u32(0..10) == 0 {
+            let left_us = rng.u64(10..3000) * MS;
+            open.insert(step, g.now + left_us);
+            acts.extend(g.ask(NewRequest { customer: rng.u64(0..12), left_us, ..request(step) }));
+        }
+        let mut turn = 0;
+        loop {
+            for act in acts.drain(..) {
+                match act {
+                    Action::Send { id, server, timeout_us } => {
+                        assert!(open.contains_key(&id), "sent after its end: {id}");
+                        assert!(down[server as usize].is_none(), "sent to {server} that drains");
+                        let n = tries.entry(id).or_default();
+                        let takes = rng.u64(1..1200) * MS;
+                        out.push((id, *n, server, g.now + takes.min(timeout_us)));
+                        *n += 1;
+                    }
+                    Action::Refuse { id, .. } | Action::Fail { id } => {
+                        let until = open.remove(&id).unwrap_or_else(|| panic!("{id} answered twice"));
+                        assert!(g.now <= until + 16 * MS, "{id} answered late");
+                    }
+                    _ => {}
+                }
+            }
+            let Some(at) = out.iter().position(|o| o.3 <= g.now) else { break };
+            let (id, attempt, server, _) = out.swap_remove(at);
+            let kinds =
+                [Outcome::Ok, Outcome::Ok, Outcome::Error, Outcome::TimedOut, Outcome::Full, Outcome::Reset];
+            let outcome = kinds[rng.usize(0..kinds.len())];
+            let closed = outcome == Outcome::Ok || !open.contains_key(&id);
+            if outcome == Outcome::Ok {
+                open.remove(&id);
+            }
+            acts = g.back(Return { closed, ..answer(id, attempt, server, outcome) });
+            turn += 1;
+            assert!(turn < 1000);
+        }
+        open.retain(|id, until| {
+            assert!(g.now <= *until + 16 * MS, "{id} never answered");
+            true
+        });
+    }
+    g.log
+}
+
+#[test]
+fn one_answer_in_time_and_nothing_after_it_whatever_happens() {
+    let keyed = |group| Effect::ByKey { group, window_us: SEC };
+    for (n, effect) in
+        [Effect::Repeatable, Effect::Once, keyed(Group::All), keyed(Group::Cell)].into_iter().enumerate()
+    {
+        for seed in 0..6 {
+            let log = storm(seed * 7 + n as u64, effect);
+            assert!(log.iter().filter(|(_, a)| matches!(a, Action::Send { .. })).count() > 100);
+        }
+    }
+}
+
+#[test]
+fn equal_events_give_equal_actions() {
+    assert_eq!(storm(5, Effect::Repeatable), storm(5, Effect::Repeatable));
+}
