Refuse later tries whose aim is lost already

Told from other causes by 'late' answers while attempts took less than the aim, and by the time left on the wire: all first tries have one value, later ones the rest of the deadline.

--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -177,6 +177,7 @@
                 units: v.get(7).map_or(Ok(1.0), |_| v.number(7))?,
                 spread: v.get(8).map_or(Ok(1), |_| v.small(8))?,
                 first: v.get(9).map_or(Ok(0), |_| v.small(9))?,
+                repeat: v.truth_or_false(10)?,
             }),
             "underWay" => Event::Started { id: v.whole(2)?, attempt: v.small(3)? },
             "returned" => Event::Returned(Return {
@@ -312,6 +313,7 @@
         meter_us: family.whole("meterUs")?,
         trued_up: family.truth("truedUp")?,
         tick_us: f.whole("granularityUs")?,
+        marks_retry: f.inner("clients")?.truth("marksRetry")?,
         may_cancel: allow.truth("mayCancel")?,
         may_probe: allow.truth("mayProbe")?,
         second_copies: allow.truth("secondCopies")?,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -33,6 +33,8 @@
 const EJECT_LONGEST: Micros = 8_000_000;
 /// Weight of one outcome in a server's moving averages; the fleet's move four times as slowly.
 const LEARN: f64 = 0.15;
+/// First tries, in excess of later ones, that make their usual time left known.
+const SURE: u32 = 20;
 /// Time over which what was learned of a server's speed fades, when nothing more is heard.
 const FORGET: f64 = 3e6;
 /// Work for a cold server, as a part of what its share of a warm one's would be.
@@ -141,6 +143,8 @@
     mean: f64,
     deviation: f64,
     asks_failed: u32,
+    /// For each class the time that first tries usually have left, and how sure that is.
+    usual_left: Vec<(Micros, u32)>,
 }
 
 impl Decider {
@@ -183,6 +187,7 @@
             mean: aim / 8.0,
             deviation: aim / 16.0,
             asks_failed: 0,
+            usual_left: vec![(0, 0); set.classes.len()],
             set,
         })
     }
@@ -313,12 +318,14 @@
         if self.requests.contains_key(&id) {
             return;
         }
-        let (Some(kind), Some(plan)) = (self.set.classes.get(class), self.set.plans.get(n.plan)) else {
+        if class >= self.set.classes.len() || n.plan >= self.set.plans.len() {
             return acts.push(Action::Refuse { id, retry_after_us: 0 });
-        };
+        }
+        let tried_for = self.tried_for(&n);
+        let (kind, plan) = (&self.set.classes[class], &self.set.plans[n.plan]);
         // Some slack, so that an answer at the last moment still reaches the client in time.
         let margin = 2 * self.set.tick_us + kind.aim_us / 100;
-        let aim = kind.aim_us.min(n.left_us).saturating_sub(margin);
+        let aim = kind.aim_us.saturating_sub(tried_for).min(n.left_us).saturating_sub(margin);
         let end = if kind.late_worth > 0.0 { n.left_us.saturating_sub(margin) } else { aim };
         let (best_by, end) = (self.now.saturating_add(aim), self.now.saturating_add(end));
         let units = if n.units.is_finite() { n.units.max(0.0) } else { 1.0 };
@@ -351,6 +358,25 @@
         self.agenda.insert((best_by.saturating_sub(self.needs()).max(self.now + 1), Task::Wait(id)));
     }
 
+    /// How long the client has been at this request. A later try has what is left of the deadline, while first
+    /// tries all have the same share of it; what it has lost of its aim cannot be won back, and work on it
+    /// would keep a jam going.
+    fn tried_for(&mut self, n: &NewRequest) -> Micros {
+        let deadline = self.set.classes[n.class].deadline_us;
+        let (usual, sure) = &mut self.usual_left[n.class];
+        let near = n.left_us.abs_diff(*usual) <= deadline / 100;
+        if near {
+            *sure = (*sure + 2).min(SURE * 4);
+        } else if !n.repeat {
+            *sure = sure.saturating_sub(1);
+            if *sure == 0 {
+                *usual = n.left_us;
+            }
+        }
+        let later = !near && if self.set.marks_retry { n.repeat } else { *sure >= SURE };
+        if later { deadline.saturating_sub(n.left_us) } else { 0 }
+    }
+
     /// The time that an attempt needs to be answered in all likelihood.
     fn needs(&self) -> Micros {
         (self.mean + WAIT_DEVIATIONS * self.deviation) as Micros
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -22,6 +22,8 @@
     pub trued_up: bool,
     /// Smallest gap between two moments at which events are handled.
     pub tick_us: Micros,
+    /// Clients tell which of their tries are repeats.
+    pub marks_retry: bool,
     pub may_cancel: bool,
     pub may_probe: bool,
     pub second_copies: bool,
@@ -155,6 +157,8 @@
     /// Number of gateways that this customer's requests come through, from number `first` on.
     pub spread: u32,
     pub first: u32,
+    /// The client has tried before, where clients tell.
+    pub repeat: bool,
 }
 
 /// How an attempt ended.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -22,6 +22,7 @@
         meter_us: SEC,
         trued_up: false,
         tick_us: 4 * MS,
+        marks_retry: false,
         may_cancel: true,
         may_probe: false,
         second_copies: true,
@@ -51,7 +52,17 @@
 }
 
 pub fn request(id: u64) -> NewRequest {
-    NewRequest { id, class: 0, plan: 0, customer: 7, left_us: 3 * SEC, units: 1.0, spread: 2, first: 0 }
+    NewRequest {
+        id,
+        class: 0,
+        plan: 0,
+        customer: 7,
+        left_us: 3 * SEC,
+        units: 1.0,
+        spread: 2,
+        first: 0,
+        repeat: false,
+    }
 }
 
 pub fn answer(id: u64, attempt: u32, server: u64, outcome: Outcome) -> Return {
