Believe no more later tries than were turned away

A guard for the defence before: where the time left misleads (clients with mixed patience), the refusals would hit first tries; now they end once as many came as were turned away here.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -35,6 +35,8 @@
 const LEARN: f64 = 0.15;
 /// First tries, in excess of later ones, that make their usual time left known.
 const SURE: u32 = 20;
+/// As many of those turned away are expected to come again at the most.
+const MOST_AWAY: u32 = 1000;
 /// Time over which what was learned of a server's speed fades, when nothing more is heard.
 const FORGET: f64 = 3e6;
 /// Work for a cold server, as a part of what its share of a warm one's would be.
@@ -145,6 +147,8 @@
     asks_failed: u32,
     /// For each class the time that first tries usually have left, and how sure that is.
     usual_left: Vec<(Micros, u32)>,
+    /// Requests that ended unserved and may come again.
+    turned_away: u32,
 }
 
 impl Decider {
@@ -187,6 +191,7 @@
             mean: aim / 8.0,
             deviation: aim / 16.0,
             asks_failed: 0,
+            turned_away: 0,
             usual_left: vec![(0, 0); set.classes.len()],
             set,
         })
@@ -223,7 +228,10 @@
                 self.learn(r.server, r.outcome, r.latency_us as f64);
                 self.returned(r, acts);
             }
-            Event::Withdrawn { id } => self.close(id, None, acts),
+            Event::Withdrawn { id } => {
+                self.turned_away = (self.turned_away + 1).min(MOST_AWAY);
+                self.close(id, None, acts);
+            }
             Event::Probed { .. } | Event::Timer { .. } => {}
         }
         while let Some((at, task)) = self.agenda.first().copied().filter(|(at, _)| *at <= self.now) {
@@ -341,6 +349,7 @@
         let level = self.refill(key);
         if rate > 0.0 && level < units.min(burst) {
             // Over its quota: the only refusal by customer, whatever the request is worth.
+            self.turned_away = (self.turned_away + 1).min(MOST_AWAY);
             let retry_after_us = self.advice((units - level) / rate * 1e6);
             return acts.push(Action::Refuse { id, retry_after_us });
         }
@@ -374,7 +383,11 @@
             }
         }
         let later = !near && if self.set.marks_retry { n.repeat } else { *sure >= SURE };
-        if later { deadline.saturating_sub(n.left_us) } else { 0 }
+        if !later || self.turned_away == 0 {
+            return 0; // nobody comes again who was not turned away: the sign misleads here
+        }
+        self.turned_away -= 1;
+        deadline.saturating_sub(n.left_us)
     }
 
     /// The time that an attempt needs to be answered in all likelihood.
@@ -758,6 +771,7 @@
         let Some(r) = self.requests.get_mut(&id) else { return };
         if !r.done {
             (r.done, r.waits) = (true, false);
+            self.turned_away = (self.turned_away + u32::from(answer.is_some())).min(MOST_AWAY);
             acts.extend(answer);
             // What is out may still be stopped; so near its own time-out that would only hide the time-out.
             let cancel = self.set.may_cancel && self.now + self.set.tick_us < r.end;
