Hold the target as permits for each server, so that it follows the fleet

Cause: the target stayed that of 14 servers. Told from a slow fleet by the list, and by times that rose with each server that left. Also catches a fleet that doubles or falls off the list for a while.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -8,8 +8,11 @@
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
-/// AIMD: permits for each server of the fleet, over all gateways: at the start, and gained each second.
+/// AIMD: permits for each server of the fleet, over all gateways: at the start, the least, and what is gained
+/// each second; and the least target of a gateway.
 const START_PER_SERVER: f64 = 8.0;
+const LEAST_PER_SERVER: f64 = 1.0;
+const LEAST_TARGET: f64 = 2.0;
 const GAIN_PER_SERVER: f64 = 0.25;
 /// AIMD: what a cut leaves of the target, and the part of the last second's outcomes that calls for one.
 const CUT_TO: f64 = 0.8;
@@ -134,7 +137,7 @@
     roster: VecDeque<u64>,
     agenda: BTreeSet<(Micros, Task)>,
     armed: Option<Micros>,
-    target: f64,
+    permits: f64,
     grown_at: Micros,
     cut_at: Option<Micros>,
     out: u32,
@@ -182,7 +185,7 @@
             roster: VecDeque::new(),
             agenda: BTreeSet::new(),
             armed: None,
-            target: 0.0,
+            permits: START_PER_SERVER,
             grown_at: 0,
             cut_at: None,
             out: 0,
@@ -197,11 +200,6 @@
         })
     }
 
-    /// The target concurrency as it stands.
-    pub fn target(&self) -> f64 {
-        self.target
-    }
-
     pub fn customers_known(&self) -> usize {
         self.customers.len()
     }
@@ -301,22 +299,16 @@
             s.weight = if e.weight.is_finite() && e.weight > 0.0 { e.weight } else { 1.0 };
         }
         self.servers.retain(|_, s| s.up || s.out > 0);
-        if self.target == 0.0 {
-            self.target = self.per_server(START_PER_SERVER);
-        }
-        self.target = self.target.max(self.floor());
     }
 
     fn up(&self) -> impl Iterator<Item = &Server> {
         self.servers.values().filter(|s| s.up)
     }
 
-    fn per_server(&self, permits: f64) -> f64 {
-        permits * self.up().count() as f64 / self.set.balancers as f64
-    }
-
-    fn floor(&self) -> f64 {
-        self.per_server(1.0).max(2.0)
+    /// The target concurrency here: it is held as permits for each server, so that it follows the size of a
+    /// fleet that shrinks, grows, or drops off the list and comes back.
+    pub fn target(&self) -> f64 {
+        (self.permits * self.up().count() as f64 / self.set.balancers as f64).max(LEAST_TARGET)
     }
 
     // ---- quotas ----
@@ -482,7 +474,7 @@
 
     /// Sends what waits, one of each customer in turn, while the target has room.
     fn pump(&mut self, acts: &mut Vec<Action>) {
-        while (self.out as f64) < self.target {
+        while (self.out as f64) < self.target() {
             let Some(key) = self.ring.pop_front() else { return };
             let Some(c) = self.customers.get_mut(&key) else { continue };
             c.in_ring = false;
@@ -609,7 +601,7 @@
         let Some(r) = self.requests.get(&id) else { return };
         let alone = r.attempts.len() == 1 && r.attempts[0].out && !r.done && !r.streaming;
         let room =
-            (self.out as f64) < self.target && self.under_cap(&self.customers[&r.customer], r.class, r.units);
+            (self.out as f64) < self.target() && self.under_cap(&self.customers[&r.customer], r.class, r.units);
         let in_time = self.now + self.mean as Micros <= r.best_by;
         let may = self.set.second_copies && self.set.attempts_cap > 1 && self.retries >= 1.0;
         if !(alone && room && in_time && may) {
@@ -661,7 +653,7 @@
             }
         }
         if bad && self.overloaded() {
-            self.target = (self.target * CUT_TO).max(self.floor());
+            self.permits = (self.permits * CUT_TO).max(LEAST_PER_SERVER);
             self.cut_at = Some(self.now);
         }
     }
@@ -684,8 +676,8 @@
         let dt = (self.now - self.grown_at) as f64 / 1e6;
         self.grown_at = self.now;
         // A target that is not in use says nothing of what the back end bears.
-        if self.out as f64 >= self.target / 2.0 {
-            self.target += self.per_server(GAIN_PER_SERVER) * dt;
+        if self.out as f64 >= self.target() / 2.0 {
+            self.permits += GAIN_PER_SERVER * dt;
         }
     }
 
