Count answers past the aim as time-outs for the target

Could harm where a class's aim lies under its plain service time: then the target sinks to its floor.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -223,7 +223,9 @@
             Event::Request(r) => self.admit(r, acts),
             Event::Started { id, attempt } => self.began(id, attempt, acts),
             Event::Returned(r) => {
-                self.learn(r.server, r.outcome, r.latency_us as f64);
+                // An answer past the aim is a time-out in all but name, also where it still earns something.
+                let late = self.requests.get(&r.id).is_some_and(|q| self.now > q.best_by);
+                self.learn(r.server, r.outcome, r.latency_us as f64, late);
                 self.returned(r, acts);
             }
             Event::Withdrawn { id } => {
@@ -600,8 +602,8 @@
     fn hedge(&mut self, id: u64, acts: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id) else { return };
         let alone = r.attempts.len() == 1 && r.attempts[0].out && !r.done && !r.streaming;
-        let room =
-            (self.out as f64) < self.target() && self.under_cap(&self.customers[&r.customer], r.class, r.units);
+        let room = (self.out as f64) < self.target()
+            && self.under_cap(&self.customers[&r.customer], r.class, r.units);
         let in_time = self.now + self.mean as Micros <= r.best_by;
         let may = self.set.second_copies && self.set.attempts_cap > 1 && self.retries >= 1.0;
         if !(alone && room && in_time && may) {
@@ -616,7 +618,7 @@
 
     // ---- outcomes ----
 
-    fn learn(&mut self, server: u64, outcome: Outcome, taken: f64) {
+    fn learn(&mut self, server: u64, outcome: Outcome, taken: f64, late: bool) {
         let fleet_bad = self.up().map(|s| s.bad).sum::<f64>() / self.up().count().max(1) as f64;
         let Some(s) = self.servers.get_mut(&server) else { return };
         let bad = !matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot);
@@ -644,6 +646,7 @@
             s.on_trial = true;
         }
         s.seen += 1;
+        let bad = bad || late;
         s.seen_bad += u32::from(bad);
         self.recent.push_back((self.now, server, bad));
         while let Some((_, key, bad)) = self.recent.pop_front_if(|(at, ..)| *at + WINDOW < self.now) {
