--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -201,3 +201,68 @@
         g.log.iter().filter(|(at, a)| matches!(a, Action::Refuse { .. }) && *at < T0 + 800 * MS).count();
     assert!(waited > 80, "{waited} refused with time left to try elsewhere");
 }
+
+#[test]
+fn the_target_follows_a_fleet_that_shrinks_or_drops_off_the_list_and_comes_back() {
+    let mut g = Gateway::with_servers(settings(free()), 12);
+    let start = g.decider.target();
+    g.list(ListKind::Full, &[up(1), up(2), up(3), up(4)]);
+    assert!((g.decider.target() - start / 3.0).abs() < 1e-9);
+    g.list(ListKind::Full, &[]);
+    g.list(ListKind::Full, &(1..=12).map(up).collect::<Vec<_>>());
+    assert_eq!(g.decider.target(), start);
+}
+
+#[test]
+fn answers_past_the_aim_cut_the_target_though_they_earn_something() {
+    let mut set = settings(free());
+    set.classes[0].late_worth = 0.2;
+    set.attempts_cap = 1;
+    let mut g = Gateway::with_servers(set, 8);
+    let start = g.decider.target();
+    let out = fill(&mut g, 0, 60);
+    g.pass(1200 * MS);
+    for (id, server) in out {
+        g.back(Return { latency_us: 1200 * MS, ..answer(id, 0, server, Outcome::Ok) });
+    }
+    assert!(g.decider.target() < start, "{}", g.decider.target());
+}
+
+/// Shows a gateway a hundred first tries, all with two seconds left, half of them refused for want of quota.
+fn gateway_that_knows_first_tries() -> Gateway {
+    let mut g = Gateway::with_servers(settings(rate(20.0, 20.0)), 8);
+    for id in 0..100 {
+        for server in sent(&g.ask(NewRequest { left_us: 2 * SEC, ..request(id) })) {
+            g.back(answer(id, 0, server, Outcome::Ok));
+        }
+        g.pass(50 * MS);
+    }
+    g
+}
+
+#[test]
+fn a_later_try_whose_aim_is_lost_is_refused_at_once() {
+    let mut g = gateway_that_knows_first_tries();
+    // 1.4 of 3 seconds left: the client has been at it for 1.6 s, and the aim is one second.
+    let late = g.ask(NewRequest { customer: 9, left_us: 1400 * MS, ..request(1000) });
+    assert_eq!((sent(&late).len(), refused(&late)), (0, 1));
+    // 2.9 left: it was refused elsewhere a moment ago and may still be in time.
+    let early = g.ask(NewRequest { customer: 9, left_us: 2900 * MS, ..request(1001) });
+    assert_eq!((sent(&early).len(), refused(&early)), (1, 0));
+}
+
+#[test]
+fn odd_times_left_do_no_harm_where_nobody_was_turned_away() {
+    let mut g = Gateway::with_servers(settings(free()), 8);
+    let mut through = 0;
+    for id in 0..200 {
+        // Two kinds of clients, most of them patient, the others not: none of them tries again.
+        let left_us = if id % 4 == 0 { 1400 * MS } else { 2 * SEC };
+        for server in sent(&g.ask(NewRequest { customer: id, left_us, ..request(id) })) {
+            through += 1;
+            g.back(answer(id, 0, server, Outcome::Ok));
+        }
+        g.pass(10 * MS);
+    }
+    assert_eq!(through, 200);
+}
