Send second copies only where a server has been silent since the first; start lower

A copy is now for a server that hangs: it has answered nothing since the first was sent. Harm: a server that answers some and swallows others gets no copies; time-outs eject it.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -10,7 +10,7 @@
 
 /// AIMD: permits for each server of the fleet, over all gateways: at the start, the least, and what is gained
 /// each second; and the least target of a gateway.
-const START_PER_SERVER: f64 = 8.0;
+const START_PER_SERVER: f64 = 6.0;
 const LEAST_PER_SERVER: f64 = 1.0;
 const LEAST_TARGET: f64 = 2.0;
 const GAIN_PER_SERVER: f64 = 0.25;
@@ -71,6 +71,7 @@
     latency: f64,
     bad: f64,
     heard_at: Micros,
+    answered_at: Micros,
     /// Outcomes of the last second.
     seen: u32,
     seen_bad: u32,
@@ -610,6 +611,9 @@
             return;
         }
         let first = r.attempts[0].server;
+        if self.servers.get(&first).is_some_and(|s| s.answered_at > r.attempts[0].sent_at) {
+            return; // it answers others: slow work is no faster elsewhere
+        }
         if let Some(server) = self.pick(id).filter(|s| *s != first) {
             self.retries -= 1.0;
             self.send(id, server, acts);
@@ -632,6 +636,7 @@
             return;
         }
         if !bad {
+            s.answered_at = self.now;
             self.deviation += ((taken - self.mean).abs() - self.deviation) * LEARN / 4.0;
             self.mean += (taken - self.mean) * LEARN / 4.0;
             if s.on_trial {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -97,6 +97,24 @@
     assert!(acts.contains(&Action::Cancel { id: 1, attempt: 0 }));
 }
 
+#[test]
+fn no_copy_goes_out_beside_a_server_that_answers_others() {
+    let mut g = Gateway::with_servers(settings(free()), 2);
+    let first = sent(&g.ask(request(1)))[0];
+    g.pass(20 * MS);
+    for id in 2..20 {
+        for server in sent(&g.ask(NewRequest { customer: id, ..request(id) })) {
+            g.back(answer(id, 0, server, Outcome::Ok));
+        }
+    }
+    let answered = g
+        .log
+        .iter()
+        .any(|(_, a)| matches!(a, Action::Send { id, server, .. } if *id > 1 && *server == first));
+    assert!(answered, "the test needs both servers in use");
+    assert_eq!(sent(&g.pass(900 * MS)).len(), 0);
+}
+
 #[test]
 fn a_stream_under_way_has_no_deadline_and_is_not_answered_again() {
     let mut g = gateway(Effect::Repeatable);
