Weigh the part that a server fails in the choice of server

Cause, from the wire: about half of all pairs of gateway and server could not connect for many seconds, the others always could. The choice now weighs time by what a server serves, squared, and what was learned of failures fades like the rest.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -70,6 +70,7 @@
     /// Moving averages: time taken, and part of the outcomes that failed.
     latency: f64,
     bad: f64,
+    /// When something was learned last, and when it last answered well.
     heard_at: Micros,
     answered_at: Micros,
     /// Outcomes of the last second.
@@ -562,7 +563,10 @@
             s.up && allowed(s) && (healthy || spread_on) && self.bears(s, warm)
         };
         let all = self.servers.iter().filter(|(_, s)| fits(s));
-        let cost = |s: &Server| (s.out as f64 + 1.0) * s.latency_now(self.now, self.mean);
+        let cost = |s: &Server| {
+            let served = 1.0 - s.known(self.now, s.bad, 0.0).min(0.9);
+            (s.out as f64 + 1.0) * s.known(self.now, s.latency, self.mean) / (served * served)
+        };
         let mut fit: Vec<(u64, f64)> = all.map(|(k, s)| (*k, cost(s))).collect();
         let tried = |k: u64| r.attempts.iter().any(|a| a.server == k);
         if fit.iter().any(|(k, _)| !tried(*k)) {
@@ -628,9 +632,8 @@
         let bad = !matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot);
         // A fast failure or a cancelled attempt says nothing of speed unless it took long.
         if outcome == Outcome::Ok || (outcome != Outcome::Moot && taken > s.latency) {
-            s.latency = s.latency_now(self.now, self.mean);
+            s.latency = s.known(self.now, s.latency, self.mean);
             s.latency += (taken - s.latency) * LEARN;
-            s.heard_at = self.now;
         }
         if matches!(outcome, Outcome::Cancelled | Outcome::Moot) {
             return;
@@ -643,7 +646,9 @@
                 (s.on_trial, s.bad) = (false, 0.0);
             }
         }
+        s.bad = s.known(self.now, s.bad, 0.0);
         s.bad += (f64::from(bad) - s.bad) * LEARN;
+        s.heard_at = self.now;
         let ill = s.on_trial || s.bad > EJECT_AT.max(EJECT_TIMES_FLEET * fleet_bad);
         if bad && ill && s.ejected_until <= self.now {
             s.ejected_until = self.now + s.eject_for;
@@ -794,10 +799,10 @@
 }
 
 impl Server {
-    /// The time this server takes, as far as it is still known. Not heard of, it is soon taken for one like
-    /// the rest; else one that was slow once would never be tried again.
-    fn latency_now(&self, now: Micros, usual: f64) -> f64 {
-        usual + (self.latency - usual) * (-((now - self.heard_at) as f64) / FORGET).exp()
+    /// What was learned of this server, as far as it still holds. Not heard of, it is soon taken for one like
+    /// the rest; else one that was slow or failed once would never be tried again.
+    fn known(&self, now: Micros, learned: f64, usual: f64) -> f64 {
+        usual + (learned - usual) * (-((now - self.heard_at) as f64) / FORGET).exp()
     }
 
     /// What was sent here in about the last `window`, as a moving sum.
