--- a/src/decide.rs
+++ b/src/decide.rs
@@ -133,7 +133,8 @@
     servers: BTreeMap<u64, Server>,
     customers: HashMap<u64, Customer>,
     requests: HashMap<u64, Request>,
-    /// Customers with a request that may be next, each at most once: round robin over customers.
+    /// Customers with a request that may be next, each at most once. Who comes new goes first, as most time is
+    /// left to it; who was served goes last. First come first served would send all of them too late in a jam.
     ring: VecDeque<u64>,
     /// All customers, looked through a few at a time for those that can be forgotten.
     roster: VecDeque<u64>,
@@ -355,7 +356,7 @@
         let c = self.customers.get_mut(&key).expect("just seen");
         c.level -= units;
         c.waiting.push_back(id);
-        self.line_up(key, false);
+        self.line_up(key, true);
         let (attempts, waits, streaming, done) = (Vec::new(), true, false, false);
         let r = Request { class, customer: key, units, best_by, end, attempts, waits, streaming, done };
         self.requests.insert(id, r);
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -266,3 +266,13 @@
     }
     assert_eq!(through, 200);
 }
+
+#[test]
+fn in_a_jam_the_newest_customer_goes_first_and_the_oldest_are_refused_in_time() {
+    let mut g = Gateway::with_servers(settings(free()), 1);
+    let out = fill(&mut g, 0, 10);
+    g.pass(300 * MS);
+    fill(&mut g, 100, 1);
+    let acts = g.back(answer(out[0].0, 0, 1, Outcome::Ok));
+    assert!(acts.iter().any(|a| matches!(a, Action::Send { id: 100, .. })), "{acts:?}");
+}
