--- a/src/decide.rs
+++ b/src/decide.rs
@@ -27,8 +27,6 @@
 const BELIEVE_OVER: f64 = 12.0;
 /// A request waits while this many usual deviations past the mean time of an answer are left to it.
 const WAIT_DEVIATIONS: f64 = 2.0;
-/// A second copy goes out once a first has taken so many times the usual deviation past the mean.
-const HEDGE_DEVIATIONS: f64 = 4.0;
 /// Ejection: part of a server's outcomes that failed, alone and as a multiple of the fleet's.
 const EJECT_AT: f64 = 0.3;
 const EJECT_TIMES_FLEET: f64 = 2.0;
@@ -51,8 +49,6 @@
     Wait(u64),
     /// A request's time is up.
     End(u64),
-    /// A second copy may be due.
-    Hedge(u64),
     /// A customer that was held up may be tried again.
     Ready(u64),
     /// Discovery is to be asked.
@@ -70,9 +66,7 @@
     /// Moving averages: time taken, and part of the outcomes that failed.
     latency: f64,
     bad: f64,
-    /// When something was learned last, and when it last answered well.
     heard_at: Micros,
-    answered_at: Micros,
     /// Outcomes of the last second.
     seen: u32,
     seen_bad: u32,
@@ -224,7 +218,7 @@
         match event {
             Event::List { kind, entries } => self.listed(kind, &entries),
             Event::Request(r) => self.admit(r, acts),
-            Event::Started { id, attempt } => self.began(id, attempt, acts),
+            Event::Started { id, .. } => self.began(id),
             Event::Returned(r) => {
                 // An answer past the aim is a time-out in all but name, also where it still earns something.
                 let late = self.requests.get(&r.id).is_some_and(|q| self.now > q.best_by);
@@ -266,7 +260,6 @@
                     self.give_up(id, acts);
                 }
             }
-            Task::Hedge(id) => self.hedge(id, acts),
             Task::Ready(key) => self.line_up(key, false),
             Task::Ask => acts.push(Action::Watch),
         }
@@ -524,8 +517,6 @@
                 c.ceiling -= r.units;
             }
             self.retries = (self.retries + RETRY_PART).min(RETRY_SAVED);
-            let wait = self.mean + HEDGE_DEVIATIONS * self.deviation;
-            self.agenda.insert((self.now + wait as Micros, Task::Hedge(id)));
         }
         r.waits = false;
         let (zone, cell, sent_at) = (s.zone, s.cell, self.now);
@@ -605,26 +596,6 @@
         })
     }
 
-    fn hedge(&mut self, id: u64, acts: &mut Vec<Action>) {
-        let Some(r) = self.requests.get(&id) else { return };
-        let alone = r.attempts.len() == 1 && r.attempts[0].out && !r.done && !r.streaming;
-        let room = (self.out as f64) < self.target()
-            && self.under_cap(&self.customers[&r.customer], r.class, r.units);
-        let in_time = self.now + self.mean as Micros <= r.best_by;
-        let may = self.set.second_copies && self.set.attempts_cap > 1 && self.retries >= 1.0;
-        if !(alone && room && in_time && may) {
-            return;
-        }
-        let first = r.attempts[0].server;
-        if self.servers.get(&first).is_some_and(|s| s.answered_at > r.attempts[0].sent_at) {
-            return; // it answers others: slow work is no faster elsewhere
-        }
-        if let Some(server) = self.pick(id).filter(|s| *s != first) {
-            self.retries -= 1.0;
-            self.send(id, server, acts);
-        }
-    }
-
     // ---- outcomes ----
 
     fn learn(&mut self, server: u64, outcome: Outcome, taken: f64, late: bool) {
@@ -640,7 +611,6 @@
             return;
         }
         if !bad {
-            s.answered_at = self.now;
             self.deviation += ((taken - self.mean).abs() - self.deviation) * LEARN / 4.0;
             self.mean += (taken - self.mean) * LEARN / 4.0;
             if s.on_trial {
@@ -746,14 +716,10 @@
         self.agenda.insert((self.now + self.mean as Micros, Task::Wait(id)));
     }
 
-    /// The answer has begun: the attempt is the client's now, other copies are of no use.
-    fn began(&mut self, id: u64, attempt: u32, acts: &mut Vec<Action>) {
-        let Some(r) = self.requests.get_mut(&id) else { return };
-        (r.streaming, r.waits) = (true, false);
-        for n in (0..r.attempts.len() as u32).filter(|n| *n != attempt && self.set.may_cancel) {
-            if r.attempts[n as usize].out {
-                acts.push(Action::Cancel { id, attempt: n });
-            }
+    /// The answer has begun: the attempt is the client's now.
+    fn began(&mut self, id: u64) {
+        if let Some(r) = self.requests.get_mut(&id) {
+            (r.streaming, r.waits) = (true, false);
         }
     }
 
@@ -768,7 +734,7 @@
             Effect::Repeatable | Effect::ByKey { group: Group::All, .. } => true,
             _ => !ran,
         };
-        let retry_after_us = self.advice(self.mean);
+        let retry_after_us = self.advice(self.mean * (1.0 + self.ring.len() as f64 / self.target()));
         let answer = if harmless { Action::Refuse { id, retry_after_us } } else { Action::Fail { id } };
         self.close(id, Some(answer), acts);
     }
