--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -276,3 +276,40 @@
     let acts = g.back(answer(out[0].0, 0, 1, Outcome::Ok));
     assert!(acts.iter().any(|a| matches!(a, Action::Send { id: 100, .. })), "{acts:?}");
 }
+
+#[test]
+fn a_pair_that_cannot_connect_is_avoided_though_half_the_fleet_is_like_it() {
+    let mut g = Gateway::with_servers(settings(free()), 8);
+    let (mut failed, mut all) = (0, 0);
+    for id in 0..600 {
+        let mut acts = g.ask(NewRequest { customer: id, ..request(id) });
+        let mut n = 0;
+        while let Some(server) = sent(&acts).first().copied() {
+            let outcome = if server <= 4 { Outcome::ConnectFailed } else { Outcome::Ok };
+            let latency_us = if server <= 4 { 2 * MS } else { (40 + id * 7 % 21) * MS };
+            failed += u32::from(server <= 4);
+            all += 1;
+            acts = g.back(Return { latency_us, ..answer(id, n, server, outcome) });
+            n += 1;
+        }
+        g.pass(10 * MS);
+    }
+    assert!(failed * 10 < all * 3, "{failed} of {all}: by chance alone it would be half");
+}
+
+#[test]
+fn the_retry_after_of_those_given_up_grows_with_the_line() {
+    let told = |waiting: u64| {
+        let mut set = settings(free());
+        set.max_retry_after_us = 100 * SEC;
+        let mut g = Gateway::with_servers(set, 1);
+        fill(&mut g, 0, waiting);
+        let acts = g.pass(SEC);
+        let first = acts.iter().find_map(|a| match a {
+            Action::Refuse { retry_after_us, .. } => Some(*retry_after_us),
+            _ => None,
+        });
+        first.expect("somebody is refused")
+    };
+    assert!(told(400) > 2 * told(20));
+}
--- a/tests/quotas.rs
+++ b/tests/quotas.rs
@@ -235,3 +235,24 @@
     assert!(g.decider.customers_known() < 5_000, "{}", g.decider.customers_known());
     assert_eq!(g.decider.requests_known(), 0);
 }
+
+#[test]
+fn a_meter_that_falls_silent_gives_the_even_share_back() {
+    let mut g = Gateway::with_servers(settings(rate(10.0, 10.0)), 8);
+    let mut through = [0, 0];
+    for id in 0..4000 {
+        let phase = usize::from(id >= 2000);
+        // The second half comes after a pause longer than two periods of the meter, and the meter stays silent.
+        if id == 2000 {
+            g.pass(3 * SEC);
+        }
+        for server in sent(&g.ask(request(id))) {
+            through[phase] += 1;
+            let used = (phase == 0).then_some(0.1);
+            g.back(Return { used, ..answer(id, 0, server, Outcome::Ok) });
+        }
+        g.pass(10 * MS);
+    }
+    assert!(through[0] > 125, "{through:?}");
+    assert!(through[1] <= 106, "{through:?}");
+}
