Take what no decision uses out of the interface

Load reports, probes and copies go; the adapter still checks the form of what the wire says of them. The part of work for a cold server now scales with the multiple at which it falls.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -40,8 +40,8 @@
 const MOST_AWAY: u32 = 1000;
 /// Time over which what was learned of a server's speed fades, when nothing more is heard.
 const FORGET: f64 = 3e6;
-/// Work for a cold server, as a part of what its share of a warm one's would be.
-const COLD_PART: f64 = 1.0;
+/// Work for a cold server, as a part of the multiple at which it would fall.
+const COLD_PART: f64 = 0.5;
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Task {
@@ -229,7 +229,7 @@
                 self.turned_away = (self.turned_away + 1).min(MOST_AWAY);
                 self.close(id, None, acts);
             }
-            Event::Probed { .. } | Event::Timer { .. } => {}
+            Event::Timer { .. } => {}
         }
         while let Some((at, task)) = self.agenda.first().copied().filter(|(at, _)| *at <= self.now) {
             self.agenda.remove(&(at, task));
@@ -590,10 +590,9 @@
             return true;
         }
         let age = self.now.saturating_sub(s.up_since) as f64 / self.set.cold_us as f64;
+        let part = (self.set.fall_multiple * COLD_PART).min(1.0);
         let ramp = self.set.cold_from + (1.0 - self.set.cold_from) * age;
-        warm.is_some_and(|w| {
-            s.lately_sent(self.now, self.set.fall_us) + 1.0 <= w * s.weight * ramp * COLD_PART
-        })
+        warm.is_some_and(|w| s.lately_sent(self.now, self.set.fall_us) + 1.0 <= w * s.weight * ramp * part)
     }
 
     // ---- outcomes ----
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -10,8 +10,6 @@
     pub balancers: u32,
     /// Number of this gateway among them, from 0.
     pub index: u32,
-    /// Zone that this gateway stands in.
-    pub zone: u32,
     pub classes: Vec<Class>,
     pub plans: Vec<Plan>,
     /// The list of servers comes only when asked for.
@@ -25,12 +23,9 @@
     /// Clients tell which of their tries are repeats.
     pub marks_retry: bool,
     pub may_cancel: bool,
-    pub may_probe: bool,
-    pub second_copies: bool,
     pub retry_after: bool,
     pub max_retry_after_us: Micros,
     pub attempts_cap: u32,
-    pub answer_slack_us: Micros,
     pub ask_within_us: Micros,
     pub cold_from: f64,
     pub cold_us: Micros,
@@ -135,15 +130,6 @@
     }
 }
 
-/// A load report; what was not told is absent.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Load {
-    pub inflight: Option<f64>,
-    pub queue: Option<f64>,
-    pub util: Option<f64>,
-    pub latency_ms: Option<f64>,
-}
-
 /// A request that a client has sent here.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct NewRequest {
@@ -175,7 +161,6 @@
     pub used: Option<f64>,
     /// The true units of the request.
     pub final_units: Option<f64>,
-    pub load: Load,
 }
 
 /// What a gateway is told.
@@ -196,12 +181,6 @@
     Withdrawn {
         id: u64,
     },
-    Probed {
-        server: u64,
-        outcome: Outcome,
-        latency_us: Micros,
-        load: Load,
-    },
     Timer {
         token: u64,
     },
@@ -228,9 +207,6 @@
         id: u64,
         attempt: u32,
     },
-    Probe {
-        server: u64,
-    },
     /// Subscribe to the list of servers.
     Watch,
     Timer {
