--- a/src/decide.rs
+++ b/src/decide.rs
@@ -127,8 +127,8 @@
     servers: BTreeMap<u64, Server>,
     customers: HashMap<u64, Customer>,
     requests: HashMap<u64, Request>,
-    /// Customers with a request that may be next, each at most once. Who comes new goes first, as most time is
-    /// left to it; who was served goes last. First come first served would send all of them too late in a jam.
+    /// Customers with a request that may be next, each at most once. Who comes new goes first, as most time
+    /// is left to it; who was served goes last. First come first served would send all too late in a jam.
     ring: VecDeque<u64>,
     /// All customers, looked through a few at a time for those that can be forgotten.
     roster: VecDeque<u64>,
@@ -357,9 +357,9 @@
         self.agenda.insert((best_by.saturating_sub(self.needs()).max(self.now + 1), Task::Wait(id)));
     }
 
-    /// How long the client has been at this request. A later try has what is left of the deadline, while first
-    /// tries all have the same share of it; what it has lost of its aim cannot be won back, and work on it
-    /// would keep a jam going.
+    /// How long the client has been at this request. A later try has what is left of the deadline, while
+    /// first tries all have the same share of it; what it has lost of its aim cannot be won back, and work
+    /// on it would keep a jam going.
     fn tried_for(&mut self, n: &NewRequest) -> Micros {
         let deadline = self.set.classes[n.class].deadline_us;
         let (usual, sure) = &mut self.usual_left[n.class];
