Start at 3 permits for each server and gain 0.15 a second

Cause, from the wire: servers that were given 6 to 7 at once did not recover. Told from load by three servers that kept their speed under more requests. Harm: servers with far more cores would fill slowly at first.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -10,10 +10,10 @@
 
 /// AIMD: permits for each server of the fleet, over all gateways: at the start, the least, and what is gained
 /// each second; and the least target of a gateway.
-const START_PER_SERVER: f64 = 6.0;
+const START_PER_SERVER: f64 = 3.0;
 const LEAST_PER_SERVER: f64 = 1.0;
 const LEAST_TARGET: f64 = 2.0;
-const GAIN_PER_SERVER: f64 = 0.25;
+const GAIN_PER_SERVER: f64 = 0.15;
 /// AIMD: what a cut leaves of the target, and the part of the last second's outcomes that calls for one.
 const CUT_TO: f64 = 0.8;
 const BAD_MARK: f64 = 0.1;
