Scale the gain and the floor with what a server was seen to bear with ease

Cause: a start of 3 permits fits servers of two and three cores. Harm: a fleet whose answers stay fast until it breaks.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -8,12 +8,15 @@
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
-/// AIMD: permits for each server of the fleet, over all gateways: at the start, the least, and what is gained
-/// each second; and the least target of a gateway.
+/// AIMD: permits for each server of the fleet, over all gateways, at the start; what is gained each second and
+/// the least, as parts of what a server was seen to bear with ease; and the least target of a gateway.
 const START_PER_SERVER: f64 = 3.0;
-const LEAST_PER_SERVER: f64 = 1.0;
+const GAIN: f64 = 0.05;
+const LEAST: f64 = 0.33;
 const LEAST_TARGET: f64 = 2.0;
-const GAIN_PER_SERVER: f64 = 0.15;
+/// While the usual time is under this multiple of its least, the gain is so many times as large.
+const IDLE_UNDER: f64 = 1.15;
+const IDLE_GAIN: f64 = 5.0;
 /// AIMD: what a cut leaves of the target, and the part of the last second's outcomes that calls for one.
 const CUT_TO: f64 = 0.8;
 const BAD_MARK: f64 = 0.1;
@@ -134,7 +137,9 @@
     roster: VecDeque<u64>,
     agenda: BTreeSet<(Micros, Task)>,
     armed: Option<Micros>,
+    /// Permits for each server, and what a server has been seen to bear with ease.
     permits: f64,
+    size: f64,
     grown_at: Micros,
     cut_at: Option<Micros>,
     out: u32,
@@ -143,6 +148,7 @@
     retries: f64,
     /// The fleet's usual time to an answer.
     mean: f64,
+    least_mean: f64,
     deviation: f64,
     asks_failed: u32,
     /// For each class the time that first tries usually have left, and how sure that is.
@@ -183,12 +189,14 @@
             agenda: BTreeSet::new(),
             armed: None,
             permits: START_PER_SERVER,
+            size: START_PER_SERVER,
             grown_at: 0,
             cut_at: None,
             out: 0,
             recent: VecDeque::new(),
             retries: RETRY_SAVED,
             mean: aim / 8.0,
+            least_mean: aim / 8.0,
             deviation: aim / 16.0,
             asks_failed: 0,
             turned_away: 0,
@@ -636,7 +644,7 @@
             }
         }
         if bad && self.overloaded() {
-            self.permits = (self.permits * CUT_TO).max(LEAST_PER_SERVER);
+            self.permits = (self.permits * CUT_TO).max(LEAST * self.size);
             self.cut_at = Some(self.now);
         }
     }
@@ -658,9 +666,15 @@
     fn grow(&mut self) {
         let dt = (self.now - self.grown_at) as f64 / 1e6;
         self.grown_at = self.now;
+        self.least_mean = (self.least_mean * (1.0 + 0.01 * dt)).min(self.mean);
         // A target that is not in use says nothing of what the back end bears.
         if self.out as f64 >= self.target() / 2.0 {
-            self.permits += GAIN_PER_SERVER * dt;
+            // While answers take no longer than they ever did, the servers are larger than the target.
+            let idle = self.mean < self.least_mean * IDLE_UNDER;
+            self.permits += GAIN * self.size * dt * if idle { IDLE_GAIN } else { 1.0 };
+            if idle {
+                self.size = self.size.max(self.permits);
+            }
         }
     }
 
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -219,9 +219,9 @@
     set.classes[0].late_worth = 0.2;
     set.attempts_cap = 1;
     let mut g = Gateway::with_servers(set, 8);
-    let start = g.decider.target();
     let out = fill(&mut g, 0, 60);
     g.pass(1200 * MS);
+    let start = g.decider.target();
     for (id, server) in out {
         g.back(Return { latency_us: 1200 * MS, ..answer(id, 0, server, Outcome::Ok) });
     }
@@ -313,3 +313,41 @@
     };
     assert!(told(400) > 2 * told(20));
 }
+
+/// Keeps the target full for two seconds with answers that take `first`, then `later`.
+fn grown(first: Micros, later: Micros) -> f64 {
+    let mut g = Gateway::with_servers(settings(free()), 8);
+    let mut out: Vec<(Micros, u64, u64, Micros)> = Vec::new();
+    for step in 0..4000 {
+        g.now += MS;
+        let takes = if step < 2000 { first } else { later };
+        let mut acts = if step % 5 == 0 {
+            (0..6)
+                .flat_map(|n| g.ask(NewRequest { customer: step * 6 + n, ..request(step * 6 + n) }))
+                .collect()
+        } else {
+            g.tell(Event::Timer { token: 0 })
+        };
+        while let Some(at) = {
+            for act in acts.drain(..) {
+                if let Action::Send { id, server, .. } = act {
+                    out.push((g.now + takes, id, server, takes));
+                }
+            }
+            out.iter().position(|o| o.0 <= g.now)
+        } {
+            let (_, id, server, latency_us) = out.swap_remove(at);
+            acts = g.back(Return { latency_us, ..answer(id, 0, server, Outcome::Ok) });
+        }
+    }
+    g.decider.target()
+}
+
+#[test]
+fn the_target_fills_large_servers_fast_while_answers_stay_as_fast_as_ever() {
+    let start = Gateway::with_servers(settings(free()), 8).decider.target();
+    let easy = grown(60 * MS, 60 * MS);
+    let pressed = grown(60 * MS, 400 * MS);
+    assert!(easy > 1.5 * start, "{easy} from {start}");
+    assert!(pressed < easy, "{pressed} against {easy}");
+}
