--- a/src/decide.rs
+++ b/src/decide.rs
@@ -8,7 +8,7 @@
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
-/// AIMD: permits for each server of the fleet, over all gateways, at the start; what is gained each second and
+/// AIMD: permits for each server of the fleet, over all gateways, at the start; what is gained a second and
 /// the least, as parts of what a server was seen to bear with ease; and the least target of a gateway.
 const START_PER_SERVER: f64 = 3.0;
 const GAIN: f64 = 0.05;
