--- a/src/decide.rs
+++ b/src/decide.rs
@@ -26,8 +26,10 @@
 /// Retry budget: further attempts for each first one, and how many may be saved up.
 const RETRY_PART: f64 = 0.1;
 const RETRY_SAVED: f64 = 10.0;
+/// A burst is split by this power of the number of gateways; 1 would be evenly.
+const BURST_SPLIT: f64 = 0.8;
 /// Periods of the meter over which a lower reading is believed.
-const BELIEVE_OVER: f64 = 12.0;
+const BELIEVE_OVER: f64 = 3.0;
 /// A request waits while this many usual deviations past the mean time of an answer are left to it.
 const WAIT_DEVIATIONS: f64 = 2.0;
 /// Ejection: part of a server's outcomes that failed, alone and as a multiple of the fleet's.
@@ -336,7 +338,7 @@
         let (best_by, end) = (self.now.saturating_add(aim), self.now.saturating_add(end));
         let units = if n.units.is_finite() { n.units.max(0.0) } else { 1.0 };
         let spread = n.spread.clamp(1, self.set.balancers);
-        let burst = plan.burst / spread as f64;
+        let burst = burst_here(plan, spread);
         let (rate, ceiling) = (plan.rate / spread as f64, self.fresh_ceiling(plan, spread));
         self.forget_some();
         let c = self.customers.entry(key).or_insert_with(|| {
@@ -423,7 +425,7 @@
         let Some(c) = self.customers.get(&key) else { return 0.0 };
         let (slice, plan, spread) = (self.slice(c), &self.set.plans[c.plan], c.spread as f64);
         let dt = (self.now - c.filled_at) as f64 / 1e6;
-        let level = (c.level + plan.rate * slice * dt).min(plan.burst / spread);
+        let level = (c.level + plan.rate * slice * dt).min(burst_here(plan, c.spread));
         let ceiling = (c.ceiling + plan.ceiling_rate / spread * dt).min(plan.ceiling_burst / spread);
         if let Some(c) = self.customers.get_mut(&key) {
             (c.level, c.ceiling, c.filled_at) = (level, ceiling, self.now);
@@ -441,7 +443,7 @@
             let plan = &self.set.plans[c.plan];
             let idle = c.waiting.is_empty() && c.attempts_out == 0 && !c.in_ring && !self.meter_speaks(c);
             let ceiling_full = c.ceiling >= self.fresh_ceiling(plan, c.spread) - 1e-9;
-            if idle && ceiling_full && level >= plan.burst / c.spread as f64 {
+            if idle && ceiling_full && level >= burst_here(plan, c.spread) {
                 self.customers.remove(&key);
             } else {
                 self.roster.push_back(key);
@@ -464,7 +466,7 @@
             return (c.attempts_out as f64) < whole.max(least);
         }
         let aim = self.set.classes[class].aim_us as f64 / 1e6;
-        let cap = plan.rate * slice * aim + plan.burst / c.spread as f64;
+        let cap = plan.rate * slice * aim + burst_here(plan, c.spread);
         c.attempts_out == 0 || plan.rate == 0.0 || c.units_out + units <= cap
     }
 
@@ -778,6 +780,11 @@
     }
 }
 
+/// The part of a plan's burst that one of `spread` gateways may use: they seldom need it all at once.
+fn burst_here(plan: &Plan, spread: u32) -> f64 {
+    plan.burst / (spread as f64).powf(BURST_SPLIT)
+}
+
 impl Server {
     /// What was learned of this server, as far as it still holds. Not heard of, it is soon taken for one like
     /// the rest; else one that was slow or failed once would never be tried again.
