--- a/src/decide.rs
+++ b/src/decide.rs
@@ -45,6 +45,8 @@
 const MOST_AWAY: u32 = 1000;
 /// Time over which what was learned of a server's speed fades, when nothing more is heard.
 const FORGET: f64 = 3e6;
+/// Our work out at one server, as a multiple of its part of the target, at the most.
+const MOST_HELD: f64 = 2.0;
 /// Work for a cold server, as a part of the multiple at which it would fall.
 const COLD_PART: f64 = 0.5;
 
@@ -562,7 +564,9 @@
         let warm = self.sent_to_warm();
         let fits = |s: &Server| {
             let healthy = s.ejected_until <= self.now && (!s.on_trial || s.out == 0);
-            s.up && allowed(s) && (healthy || spread_on) && self.bears(s, warm)
+            // A server that turned slow must not fill up with our work: it would stay slow.
+            let held = (s.out as f64) < (MOST_HELD * self.permits / self.set.balancers as f64).max(1.0);
+            s.up && allowed(s) && (healthy || spread_on) && held && self.bears(s, warm)
         };
         let all = self.servers.iter().filter(|(_, s)| fits(s));
         let cost = |s: &Server| {
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -351,3 +351,14 @@
     assert!(easy > 1.5 * start, "{easy} from {start}");
     assert!(pressed < easy, "{pressed} against {easy}");
 }
+
+#[test]
+fn no_server_holds_more_than_twice_its_part_of_the_target() {
+    let mut g = Gateway::with_servers(settings(free()), 8);
+    let part = g.decider.target() / 8.0;
+    let mut held = [0u32; 9];
+    for (_, server) in fill(&mut g, 0, 200) {
+        held[server as usize] += 1;
+    }
+    assert!(held.iter().all(|h| f64::from(*h) <= (2.0 * part).ceil()), "{held:?} with a part of {part}");
+}
