--- a/src/decide.rs
+++ b/src/decide.rs
@@ -209,10 +209,12 @@
         })
     }
 
+    /// How many customers are remembered.
     pub fn customers_known(&self) -> usize {
         self.customers.len()
     }
 
+    /// How many requests are open here, or still have an attempt out.
     pub fn requests_known(&self) -> usize {
         self.requests.len()
     }
