--- a/src/decide.rs
+++ b/src/decide.rs
@@ -240,7 +240,7 @@
                 self.returned(r, acts);
             }
             Event::Withdrawn { id } => {
-                self.turned_away = (self.turned_away + 1).min(MOST_AWAY);
+                self.turn_away();
                 self.close(id, None, acts);
             }
             Event::Timer { .. } => {}
@@ -353,7 +353,7 @@
         let level = self.refill(key);
         if rate > 0.0 && level < units.min(burst) {
             // Over its quota: the only refusal by customer, whatever the request is worth.
-            self.turned_away = (self.turned_away + 1).min(MOST_AWAY);
+            self.turn_away();
             let retry_after_us = self.advice((units - level) / rate * 1e6);
             return acts.push(Action::Refuse { id, retry_after_us });
         }
@@ -394,6 +394,11 @@
         deadline.saturating_sub(n.left_us)
     }
 
+    /// A client was sent off unserved, and may come again.
+    fn turn_away(&mut self) {
+        self.turned_away = (self.turned_away + 1).min(MOST_AWAY);
+    }
+
     /// The time that an attempt needs to be answered in all likelihood.
     fn needs(&self) -> Micros {
         (self.mean + WAIT_DEVIATIONS * self.deviation) as Micros
@@ -563,12 +568,11 @@
         // If most look ill, that says more of us or of the traffic than of them: spread on.
         let well = self.up().filter(|s| s.ejected_until <= self.now).count();
         let spread_on = well * 2 < self.up().count();
-        let warm = self.sent_to_warm();
         let fits = |s: &Server| {
             let healthy = s.ejected_until <= self.now && (!s.on_trial || s.out == 0);
             // A server that turned slow must not fill up with our work: it would stay slow.
             let held = (s.out as f64) < (MOST_HELD * self.permits / self.set.balancers as f64).max(1.0);
-            s.up && allowed(s) && (healthy || spread_on) && held && self.bears(s, warm)
+            s.up && allowed(s) && (healthy || spread_on) && held && self.bears(s)
         };
         let all = self.servers.iter().filter(|(_, s)| fits(s));
         let cost = |s: &Server| {
@@ -601,14 +605,15 @@
 
     /// Slow start: a cold server gets one request at a time, or its ramp's part of what a warm one gets. As
     /// every gateway keeps to its own share, all together stay well under what makes it fall.
-    fn bears(&self, s: &Server, warm: Option<f64>) -> bool {
+    fn bears(&self, s: &Server) -> bool {
         if !self.cold(s) || s.out == 0 {
             return true;
         }
         let age = self.now.saturating_sub(s.up_since) as f64 / self.set.cold_us as f64;
         let part = (self.set.fall_multiple * COLD_PART).min(1.0);
         let ramp = self.set.cold_from + (1.0 - self.set.cold_from) * age;
-        warm.is_some_and(|w| s.lately_sent(self.now, self.set.fall_us) + 1.0 <= w * s.weight * ramp * part)
+        self.sent_to_warm()
+            .is_some_and(|w| s.lately_sent(self.now, self.set.fall_us) + 1.0 <= w * s.weight * ramp * part)
     }
 
     // ---- outcomes ----
@@ -757,6 +762,7 @@
         };
         let retry_after_us = self.advice(self.mean * (1.0 + self.ring.len() as f64 / self.target()));
         let answer = if harmless { Action::Refuse { id, retry_after_us } } else { Action::Fail { id } };
+        self.turn_away();
         self.close(id, Some(answer), acts);
     }
 
@@ -764,7 +770,6 @@
         let Some(r) = self.requests.get_mut(&id) else { return };
         if !r.done {
             (r.done, r.waits) = (true, false);
-            self.turned_away = (self.turned_away + u32::from(answer.is_some())).min(MOST_AWAY);
             acts.extend(answer);
             // What is out may still be stopped; so near its own time-out that would only hide the time-out.
             let cancel = self.set.may_cancel && self.now + self.set.tick_us < r.end;
