Draw cold servers like others but keep only their ramp's part of the draws

Cause: bears() let each of 300 gateways have one request out at a cold server whatever its ramp said, and a gateway that had just started knew no warm rate.

Change: a server is drawn at random as before; a cold one is taken only with its ramp's part, once for each attempt, else a warm one is sought. No rate has to be known. Two candidates are sampled without ranking the fleet; the fleet's failed part is a moving average; the overload sign looks at the last 20 outcomes at least, and leaves out the worst quarter of the servers that were seen in them (before: of all servers, so that at 100 servers it never acted).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -21,6 +21,8 @@
 const CUT_TO: f64 = 0.8;
 const BAD_MARK: f64 = 0.1;
 const WINDOW: Micros = 1_000_000;
+/// So many outcomes are looked at though the last second had fewer: a tenth of five says nothing.
+const LEAST_SEEN: usize = 20;
 /// One server in so many may be at its worst without the fleet being blamed for it.
 const BLAME_SPARES: usize = 4;
 /// Retry budget: further attempts for each first one, and how many may be saved up.
@@ -41,13 +43,13 @@
 const LEARN: f64 = 0.15;
 /// First tries, in excess of later ones, that make their usual time left known.
 const SURE: u32 = 20;
-/// As many of those turned away are expected to come again at the most.
+/// At most so many of those turned away are expected back.
 const MOST_AWAY: u32 = 1000;
 /// Time over which what was learned of a server's speed fades, when nothing more is heard.
 const FORGET: f64 = 3e6;
 /// Our work out at one server, as a multiple of its part of the target, at the most.
 const MOST_HELD: f64 = 2.0;
-/// Work for a cold server, as a part of the multiple at which it would fall.
+/// Work for a cold server, as a part of what makes it fall.
 const COLD_PART: f64 = 0.5;
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -74,15 +76,10 @@
     latency: f64,
     bad: f64,
     heard_at: Micros,
-    /// Outcomes of the last second.
-    seen: u32,
-    seen_bad: u32,
     ejected_until: Micros,
     eject_for: Micros,
     /// Back from ejection: one request at a time until one is served.
     on_trial: bool,
-    sent: f64,
-    sent_at: Micros,
 }
 
 #[derive(Default)]
@@ -98,7 +95,7 @@
     attempts_out: u32,
     waiting: VecDeque<u64>,
     in_ring: bool,
-    /// What the meter says is used of the quota, and when it last said anything.
+    /// What the meter says is used of the quota, and when.
     used: f64,
     used_at: Option<Micros>,
 }
@@ -120,6 +117,8 @@
     best_by: Micros,
     end: Micros,
     attempts: Vec<Attempt>,
+    /// Lots drawn for a cold server, one for each attempt.
+    lots: usize,
     waits: bool,
     streaming: bool,
     done: bool,
@@ -132,6 +131,10 @@
     now: Micros,
     started: Option<Micros>,
     servers: BTreeMap<u64, Server>,
+    /// Those that are up, in an order that `pick` shuffles as it draws.
+    up: Vec<u64>,
+    /// Too many were ejected of late to blame them.
+    spread_on_until: Micros,
     customers: HashMap<u64, Customer>,
     requests: HashMap<u64, Request>,
     /// Customers with a request that may be next, each at most once. Who comes new goes first, as most time
@@ -147,13 +150,15 @@
     grown_at: Micros,
     cut_at: Option<Micros>,
     out: u32,
-    /// Outcomes of the last second: when, which server, failed or not.
+    /// Outcomes of the last second, or the last few: when, which server, failed or not.
     recent: VecDeque<(Micros, u64, bool)>,
     retries: f64,
     /// The fleet's usual time to an answer.
     mean: f64,
     least_mean: f64,
     deviation: f64,
+    /// The part of the fleet's outcomes that failed.
+    bad: f64,
     asks_failed: u32,
     /// For each class the time that first tries usually have left, and how sure that is.
     usual_left: Vec<(Micros, u32)>,
@@ -186,6 +191,8 @@
             now: 0,
             started: None,
             servers: BTreeMap::new(),
+            up: Vec::new(),
+            spread_on_until: 0,
             customers: HashMap::new(),
             requests: HashMap::new(),
             ring: VecDeque::new(),
@@ -202,6 +209,7 @@
             mean: aim / 8.0,
             least_mean: aim / 8.0,
             deviation: aim / 16.0,
+            bad: 0.0,
             asks_failed: 0,
             turned_away: 0,
             usual_left: vec![(0, 0); set.classes.len()],
@@ -209,12 +217,10 @@
         })
     }
 
-    /// How many customers are remembered.
     pub fn customers_known(&self) -> usize {
         self.customers.len()
     }
 
-    /// How many requests are open here, or still have an attempt out.
     pub fn requests_known(&self) -> usize {
         self.requests.len()
     }
@@ -297,30 +303,20 @@
             let s = self.servers.entry(e.server).or_default();
             if s.eject_for == 0 || e.up_since_us > s.up_since {
                 // New, or started anew: nothing learned of the process before it holds.
-                let (out, seen, seen_bad) = (s.out, s.seen, s.seen_bad);
-                *s = Server {
-                    out,
-                    seen,
-                    seen_bad,
-                    latency: self.mean,
-                    eject_for: EJECT_FOR,
-                    ..Server::default()
-                };
+                let (out, latency) = (s.out, self.mean);
+                *s = Server { out, latency, eject_for: EJECT_FOR, ..Server::default() };
             }
             (s.zone, s.cell, s.up, s.up_since) = (e.zone, e.cell, e.state == State::Up, e.up_since_us);
             s.weight = if e.weight.is_finite() && e.weight > 0.0 { e.weight } else { 1.0 };
         }
         self.servers.retain(|_, s| s.up || s.out > 0);
-    }
-
-    fn up(&self) -> impl Iterator<Item = &Server> {
-        self.servers.values().filter(|s| s.up)
+        self.up = self.servers.iter().filter(|(_, s)| s.up).map(|(k, _)| *k).collect();
     }
 
     /// The target concurrency here: it is held as permits for each server, so that it follows the size of a
     /// fleet that shrinks, grows, or drops off the list and comes back.
     pub fn target(&self) -> f64 {
-        (self.permits * self.up().count() as f64 / self.set.balancers as f64).max(LEAST_TARGET)
+        (self.permits * self.up.len() as f64 / self.set.balancers as f64).max(LEAST_TARGET)
     }
 
     // ---- quotas ----
@@ -335,7 +331,7 @@
         }
         let tried_for = self.tried_for(&n);
         let (kind, plan) = (&self.set.classes[class], &self.set.plans[n.plan]);
-        // Some slack, so that an answer at the last moment still reaches the client in time.
+        // Slack for an answer at the last moment.
         let margin = 2 * self.set.tick_us + kind.aim_us / 100;
         let aim = kind.aim_us.saturating_sub(tried_for).min(n.left_us).saturating_sub(margin);
         let end = if kind.late_worth > 0.0 { n.left_us.saturating_sub(margin) } else { aim };
@@ -364,8 +360,8 @@
         c.level -= units;
         c.waiting.push_back(id);
         self.line_up(key, true);
-        let (attempts, waits, streaming, done) = (Vec::new(), true, false, false);
-        let r = Request { class, customer: key, units, best_by, end, attempts, waits, streaming, done };
+        let (attempts, lots, waits, streaming, done) = (Vec::new(), 0, true, false, false);
+        let r = Request { class, customer: key, units, best_by, end, attempts, lots, waits, streaming, done };
         self.requests.insert(id, r);
         self.agenda.insert((end, Task::End(id)));
         self.agenda.insert((best_by.saturating_sub(self.needs()).max(self.now + 1), Task::Wait(id)));
@@ -482,11 +478,10 @@
     // ---- sending ----
 
     fn line_up(&mut self, key: u64, at_front: bool) {
-        let Some(c) = self.customers.get_mut(&key).filter(|c| !c.in_ring && !c.waiting.is_empty()) else {
-            return;
-        };
-        c.in_ring = true;
-        if at_front { self.ring.push_front(key) } else { self.ring.push_back(key) }
+        if let Some(c) = self.customers.get_mut(&key).filter(|c| !c.in_ring && !c.waiting.is_empty()) {
+            c.in_ring = true;
+            if at_front { self.ring.push_front(key) } else { self.ring.push_back(key) }
+        }
     }
 
     /// Sends what waits, one of each customer in turn, while the target has room.
@@ -542,15 +537,17 @@
         r.attempts.push(Attempt { server, zone, cell, sent_at, out: true, may_have_run: false });
         c.units_out += r.units;
         c.attempts_out += 1;
-        (s.sent, s.sent_at) = (s.lately_sent(self.now, self.set.fall_us) + 1.0, self.now);
         s.out += 1;
         self.out += 1;
         acts.push(Action::Send { id, server, timeout_us: r.end.saturating_sub(self.now).max(1) });
     }
 
-    /// Two random servers of those that may have the request, and of them the one with less work of ours for
-    /// its speed.
+    /// Of two random servers that may have the request the one with less work of ours for its speed. Slow
+    /// start: a cold server is drawn as often as any other, but takes only its ramp's part of its draws. So all
+    /// gateways together send it that part of what a server gets, however few requests each of them has.
     fn pick(&mut self, id: u64) -> Option<u64> {
+        let mut up = std::mem::take(&mut self.up);
+        let mut rng = self.rng.clone();
         let r = &self.requests[&id];
         let anchor = r.attempts.iter().find(|a| a.out || a.may_have_run);
         let allowed = |s: &Server| match (self.set.classes[r.class].effect, anchor) {
@@ -565,64 +562,62 @@
             }
             _ => true,
         };
-        // If most look ill, that says more of us or of the traffic than of them: spread on.
-        let well = self.up().filter(|s| s.ejected_until <= self.now).count();
-        let spread_on = well * 2 < self.up().count();
+        let spread_on = self.now < self.spread_on_until;
+        // A server that turned slow must not fill up with our work: it would stay slow.
+        let most_held = (MOST_HELD * self.permits / self.set.balancers as f64).max(1.0);
         let fits = |s: &Server| {
             let healthy = s.ejected_until <= self.now && (!s.on_trial || s.out == 0);
-            // A server that turned slow must not fill up with our work: it would stay slow.
-            let held = (s.out as f64) < (MOST_HELD * self.permits / self.set.balancers as f64).max(1.0);
-            s.up && allowed(s) && (healthy || spread_on) && held && self.bears(s)
+            (healthy || spread_on) && (s.out as f64) < most_held && allowed(s)
         };
-        let all = self.servers.iter().filter(|(_, s)| fits(s));
         let cost = |s: &Server| {
             let served = 1.0 - s.known(self.now, s.bad, 0.0).min(0.9);
             (s.out as f64 + 1.0) * s.known(self.now, s.latency, self.mean) / (served * served)
         };
-        let mut fit: Vec<(u64, f64)> = all.map(|(k, s)| (*k, cost(s))).collect();
-        let tried = |k: u64| r.attempts.iter().any(|a| a.server == k);
-        if fit.iter().any(|(k, _)| !tried(*k)) {
-            fit.retain(|(k, _)| !tried(*k));
-        }
-        if fit.is_empty() {
-            return None;
+        // Best so far and how many were found, of those not tried yet and of those that were.
+        let mut found = [(f64::INFINITY, 0, 0); 2];
+        let lots = r.attempts.len() + 1;
+        for n in 0..up.len() {
+            let other = rng.usize(n..up.len());
+            up.swap(n, other);
+            let s = &self.servers[&up[n]];
+            if !fits(s) {
+                continue;
+            }
+            if let Some(ramp) = self.ramp(s) {
+                if n == 0 && r.lots < lots && rng.f64() < ramp {
+                    found[0] = (0.0, up[0], 1);
+                    break;
+                }
+                continue;
+            }
+            let tried = r.attempts.iter().any(|a| a.server == up[n]);
+            let (least, best, many) = &mut found[usize::from(tried)];
+            *many += 1;
+            if cost(s) < *least {
+                (*least, *best) = (cost(s), up[n]);
+            }
+            if found[0].2 == 2 {
+                break;
+            }
         }
-        let (a, b) = (fit[self.rng.usize(0..fit.len())], fit[self.rng.usize(0..fit.len())]);
-        Some(if a.1 <= b.1 { a.0 } else { b.0 })
-    }
-
-    fn cold(&self, s: &Server) -> bool {
-        s.up_since > 0 && self.now < s.up_since.saturating_add(self.set.cold_us)
-    }
-
-    /// What a warm server is sent from here, for a weight of 1, over the time in which a cold one may fall.
-    fn sent_to_warm(&self) -> Option<f64> {
-        let warm = self.up().filter(|s| !self.cold(s));
-        let add = |(n, sum), s: &Server| (n + s.weight, sum + s.lately_sent(self.now, self.set.fall_us));
-        let (n, sum) = warm.fold((0.0, 0.0), add);
-        (n > 0.0).then(|| sum / n)
+        (self.up, self.rng) = (up, rng);
+        self.requests.get_mut(&id).expect("just seen").lots = lots;
+        found.iter().find(|f| f.2 > 0).map(|f| f.1)
     }
 
-    /// Slow start: a cold server gets one request at a time, or its ramp's part of what a warm one gets. As
-    /// every gateway keeps to its own share, all together stay well under what makes it fall.
-    fn bears(&self, s: &Server) -> bool {
-        if !self.cold(s) || s.out == 0 {
-            return true;
-        }
+    /// The part of a warm server's work that a cold one is given.
+    fn ramp(&self, s: &Server) -> Option<f64> {
+        let cold = s.up_since > 0 && self.now < s.up_since.saturating_add(self.set.cold_us);
         let age = self.now.saturating_sub(s.up_since) as f64 / self.set.cold_us as f64;
         let part = (self.set.fall_multiple * COLD_PART).min(1.0);
-        let ramp = self.set.cold_from + (1.0 - self.set.cold_from) * age;
-        self.sent_to_warm()
-            .is_some_and(|w| s.lately_sent(self.now, self.set.fall_us) + 1.0 <= w * s.weight * ramp * part)
+        cold.then_some(part * (self.set.cold_from + (1.0 - self.set.cold_from) * age))
     }
 
     // ---- outcomes ----
 
     fn learn(&mut self, server: u64, outcome: Outcome, taken: f64, late: bool) {
-        let fleet_bad = self.up().map(|s| s.bad).sum::<f64>() / self.up().count().max(1) as f64;
         let Some(s) = self.servers.get_mut(&server) else { return };
         let bad = !matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot);
-        // A fast failure or a cancelled attempt says nothing of speed unless it took long.
         if outcome == Outcome::Ok || (outcome != Outcome::Moot && taken > s.latency) {
             s.latency = s.known(self.now, s.latency, self.mean);
             s.latency += (taken - s.latency) * LEARN;
@@ -637,24 +632,25 @@
                 (s.on_trial, s.bad) = (false, 0.0);
             }
         }
+        self.bad += (f64::from(bad) - self.bad) * LEARN / 4.0;
         s.bad = s.known(self.now, s.bad, 0.0);
         s.bad += (f64::from(bad) - s.bad) * LEARN;
         s.heard_at = self.now;
-        let ill = s.on_trial || s.bad > EJECT_AT.max(EJECT_TIMES_FLEET * fleet_bad);
+        let ill = s.on_trial || s.bad > EJECT_AT.max(EJECT_TIMES_FLEET * self.bad);
         if bad && ill && s.ejected_until <= self.now {
             s.ejected_until = self.now + s.eject_for;
             s.eject_for = if s.on_trial { (s.eject_for * 2).min(EJECT_LONGEST) } else { EJECT_FOR };
             s.on_trial = true;
+            // If most look ill, that says more of us or of the traffic than of them: spread on.
+            let ill = self.up.iter().filter(|k| self.servers[*k].ejected_until > self.now).count();
+            if ill * 2 > self.up.len() {
+                self.spread_on_until = self.now + EJECT_FOR;
+            }
         }
-        s.seen += 1;
         let bad = bad || late;
-        s.seen_bad += u32::from(bad);
         self.recent.push_back((self.now, server, bad));
-        while let Some((_, key, bad)) = self.recent.pop_front_if(|(at, ..)| *at + WINDOW < self.now) {
-            if let Some(s) = self.servers.get_mut(&key) {
-                s.seen = s.seen.saturating_sub(1);
-                s.seen_bad = s.seen_bad.saturating_sub(u32::from(bad));
-            }
+        while self.recent.len() > LEAST_SEEN && self.recent[0].0 + WINDOW < self.now {
+            self.recent.pop_front();
         }
         if bad && self.overloaded() {
             self.permits = (self.permits * CUT_TO).max(LEAST * self.size);
@@ -669,8 +665,13 @@
         if self.cut_at.is_some_and(|at| self.now < at + aim) {
             return false;
         }
-        let mut seen: Vec<(u32, u32)> = self.up().map(|s| (s.seen_bad, s.seen)).collect();
-        seen.sort_unstable_by(|a, b| b.cmp(a));
+        let mut by_server: BTreeMap<u64, (u32, u32)> = BTreeMap::new();
+        for (_, server, bad) in &self.recent {
+            let seen = by_server.entry(*server).or_default();
+            *seen = (seen.0 + u32::from(*bad), seen.1 + 1);
+        }
+        let mut seen: Vec<_> = by_server.into_values().collect();
+        seen.sort_unstable_by(|a: &(u32, u32), b| b.cmp(a));
         let rest = &seen[seen.len() / BLAME_SPARES..];
         let (bad, all) = rest.iter().fold((0, 0), |(bad, all), s| (bad + s.0, all + s.1));
         bad > 1 && f64::from(bad) > BAD_MARK * f64::from(all)
@@ -791,20 +792,15 @@
     }
 }
 
-/// The part of a plan's burst that one of `spread` gateways may use: they seldom need it all at once.
+/// The part of a plan's burst for one of `spread` gateways: they seldom need it all at once.
 fn burst_here(plan: &Plan, spread: u32) -> f64 {
     plan.burst / (spread as f64).powf(BURST_SPLIT)
 }
 
 impl Server {
-    /// What was learned of this server, as far as it still holds. Not heard of, it is soon taken for one like
-    /// the rest; else one that was slow or failed once would never be tried again.
+    /// What was learned of this server and still holds. Not heard of, it is soon taken for one like the
+    /// rest; else one that was slow once would never be tried again.
     fn known(&self, now: Micros, learned: f64, usual: f64) -> f64 {
         usual + (learned - usual) * (-((now - self.heard_at) as f64) / FORGET).exp()
     }
-
-    /// What was sent here in about the last `window`, as a moving sum.
-    fn lately_sent(&self, now: Micros, window: Micros) -> f64 {
-        self.sent * (-((now - self.sent_at) as f64) / window.max(1) as f64).exp()
-    }
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -161,6 +161,52 @@
     assert!(late * 2 > warm, "{late} against {warm}");
 }
 
+/// What 60 gateways with two requests a second each, just started, send together to one of 20 servers that is
+/// cold, over the fall window, against what a warm one gets.
+#[test]
+fn many_gateways_together_spare_a_cold_server_though_each_has_seen_nothing() {
+    let mut set = settings(free());
+    (set.balancers, set.cold_from, set.fall_us) = (60, 0.3, 2 * SEC);
+    let (mut cold, mut warm, mut all) = (0, 0, 0);
+    for index in 0..60 {
+        let set = Settings { index, ..set.clone() };
+        let decider = Decider::new(set, 1000 + u64::from(index)).expect("good settings");
+        let mut g = Gateway { decider, now: T0, log: Vec::new() };
+        let list: Vec<Entry> =
+            (1..=20).map(|id| Entry { up_since_us: if id == 20 { T0 - MS } else { 0 }, ..up(id) }).collect();
+        g.list(ListKind::Saved, &list);
+        for n in 0..4 {
+            let id = u64::from(index) * 8 + n;
+            for server in sent(&g.ask(NewRequest { customer: id, ..request(id) })) {
+                all += 1;
+                cold += u32::from(server == 20);
+                warm += u32::from(server < 20);
+                g.back(answer(id, 0, server, Outcome::Ok));
+            }
+            g.pass(500 * MS);
+        }
+    }
+    assert_eq!(all, 240);
+    // Warm ones get 12 each; the cold one may bear 0.3 of that, and falls at twice as much.
+    assert!(cold * 19 <= warm * 6 / 10 + 19, "{cold} to the cold one, {warm} to 19 warm ones");
+}
+
+#[test]
+fn a_fleet_that_is_all_cold_still_gets_its_ramps_part() {
+    let mut g = Gateway::new(settings(free()));
+    let list: Vec<Entry> = (1..=4).map(|id| Entry { up_since_us: T0 - MS, ..up(id) }).collect();
+    g.list(ListKind::Saved, &list);
+    let mut through = 0;
+    for id in 0..400 {
+        for server in sent(&g.ask(NewRequest { customer: id, ..request(id) })) {
+            through += 1;
+            g.back(answer(id, 0, server, Outcome::Ok));
+        }
+        g.pass(5 * MS);
+    }
+    assert!((80..240).contains(&through), "{through} of 400 at three to four tenths");
+}
+
 #[test]
 fn discovery_on_request_is_asked_at_start_and_again_after_a_failure_in_time() {
     let set = Settings { ask_for_list: true, ..settings(free()) };
