Split room, readings and pauses by how seldom a gateway hears of a customer

Cause: with up to 135 gateways a customer, a gateway's even part is far under one request, a reading was silent after two periods almost always, and a first low reading was not believed at all.

Change: room is split by the 0.7th power of the gateways (traffic is uneven); a reading holds and is believed over a time that grows with the root of their number; a first reading is believed at once for rates; the burst here is the slice's part and the usual deviation from it; after a full reading of a told limit the least one pauses so that the part is kept on the average over time (Little's law), two periods at least. Settings are checked in interface.rs.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -28,10 +28,13 @@
 /// Retry budget: further attempts for each first one, and how many may be saved up.
 const RETRY_PART: f64 = 0.1;
 const RETRY_SAVED: f64 = 10.0;
-/// A burst is split by this power of the number of gateways; 1 would be evenly.
-const BURST_SPLIT: f64 = 0.8;
-/// Periods of the meter over which a lower reading is believed.
+/// Room is split by this power of the number of gateways; 1 would be evenly.
+const ROOM_SPLIT: f64 = 0.7;
+/// Periods of the meter for which a reading holds, and over which a lower one is believed, where a customer
+/// comes through no more than a few gateways.
+const HOLD: f64 = 2.0;
 const BELIEVE_OVER: f64 = 3.0;
+const FEW: f64 = 4.0;
 /// A request waits while this many usual deviations past the mean time of an answer are left to it.
 const WAIT_DEVIATIONS: f64 = 2.0;
 /// Ejection: part of a server's outcomes that failed, alone and as a multiple of the fleet's.
@@ -97,6 +100,7 @@
     in_ring: bool,
     /// What the meter says is used of the quota, and when.
     used: f64,
+    sent_at: Micros,
     used_at: Option<Micros>,
 }
 
@@ -168,23 +172,7 @@
 
 impl Decider {
     pub fn new(set: Settings, seed: u64) -> Result<Decider, SettingsError> {
-        let sane = |x: &f64| x.is_finite() && *x >= 0.0;
-        let plan_ok = |p: &Plan| [p.rate, p.burst, p.ceiling_rate, p.ceiling_burst].iter().all(sane);
-        let class_ok = |c: &Class| c.aim_us > 0 && c.deadline_us > 0 && sane(&c.late_worth);
-        if set.balancers == 0 || set.index >= set.balancers {
-            return Err(SettingsError("this gateway must be one of the gateways"));
-        }
-        if set.classes.is_empty() || !set.classes.iter().all(class_ok) {
-            return Err(SettingsError(
-                "there must be classes, each with an aim, a deadline and a late worth",
-            ));
-        }
-        if set.plans.is_empty() || !set.plans.iter().all(plan_ok) {
-            return Err(SettingsError("there must be plans, their rates and bursts finite and not negative"));
-        }
-        if ![set.cold_from, set.fall_multiple].iter().all(sane) {
-            return Err(SettingsError("the figures of a cold server must be finite and not negative"));
-        }
+        set.check()?;
         let aim = set.classes.iter().map(|c| c.aim_us).min().unwrap_or(1) as f64;
         Ok(Decider {
             rng: fastrand::Rng::with_seed(seed),
@@ -338,15 +326,15 @@
         let (best_by, end) = (self.now.saturating_add(aim), self.now.saturating_add(end));
         let units = if n.units.is_finite() { n.units.max(0.0) } else { 1.0 };
         let spread = n.spread.clamp(1, self.set.balancers);
-        let burst = burst_here(plan, spread);
         let (rate, ceiling) = (plan.rate / spread as f64, self.fresh_ceiling(plan, spread));
         self.forget_some();
         let c = self.customers.entry(key).or_insert_with(|| {
             self.roster.push_back(key);
-            Customer { level: burst, ceiling, filled_at: self.now, used: 1.0, ..Customer::default() }
+            Customer { level: f64::INFINITY, ceiling, filled_at: self.now, used: 1.0, ..Customer::default() }
         });
         (c.plan, c.spread, c.first) = (n.plan, spread, n.first);
         let level = self.refill(key);
+        let burst = self.burst_here(&self.customers[&key]);
         if rate > 0.0 && level < units.min(burst) {
             // Over its quota: the only refusal by customer, whatever the request is worth.
             self.turn_away();
@@ -408,15 +396,24 @@
 
     /// The meter is late, and silent for those who send nothing.
     fn meter_speaks(&self, c: &Customer) -> bool {
-        c.used_at.is_some_and(|at| self.now - at <= 2 * self.set.meter_us)
+        let hold = HOLD * rarely(c.spread) * self.set.meter_us as f64;
+        c.used_at.is_some_and(|at| (self.now - at) as f64 <= hold)
     }
 
-    /// The part of the customer's rate that is granted here: the even share, and as much again as the meter
-    /// says is left over. Silent meter, or a ceiling: the even share alone.
+    /// The part of the customer's quota that is granted here: the even share, and of the room that the meter
+    /// leaves as much as one of so many gateways may need whose traffic is uneven. Silent meter or a ceiling:
+    /// the even share alone.
     fn slice(&self, c: &Customer) -> f64 {
         let follows = self.meter_speaks(c) && self.set.plans[c.plan].ceiling_rate == 0.0;
         let room = if follows { (1.0 - c.used).max(0.0) } else { 0.0 };
-        (1.0 + room) / c.spread as f64
+        let split = if self.set.plans[c.plan].rate > 0.0 { ROOM_SPLIT } else { 1.0 };
+        (1.0 / c.spread as f64 + room / (c.spread as f64).powf(split)).min(1.0)
+    }
+
+    /// The part of its burst for this slice: the like part, and the usual deviation from it.
+    fn burst_here(&self, c: &Customer) -> f64 {
+        let (s, burst) = (self.slice(c), self.set.plans[c.plan].burst);
+        burst * s + (burst * s * (1.0 - s)).sqrt()
     }
 
     /// What a gateway may count on in a ceiling's store that it sees first now. One that starts again cannot
@@ -430,7 +427,7 @@
         let Some(c) = self.customers.get(&key) else { return 0.0 };
         let (slice, plan, spread) = (self.slice(c), &self.set.plans[c.plan], c.spread as f64);
         let dt = (self.now - c.filled_at) as f64 / 1e6;
-        let level = (c.level + plan.rate * slice * dt).min(burst_here(plan, c.spread));
+        let level = (c.level + plan.rate * slice * dt).min(self.burst_here(c));
         let ceiling = (c.ceiling + plan.ceiling_rate / spread * dt).min(plan.ceiling_burst / spread);
         if let Some(c) = self.customers.get_mut(&key) {
             (c.level, c.ceiling, c.filled_at) = (level, ceiling, self.now);
@@ -448,7 +445,7 @@
             let plan = &self.set.plans[c.plan];
             let idle = c.waiting.is_empty() && c.attempts_out == 0 && !c.in_ring && !self.meter_speaks(c);
             let ceiling_full = c.ceiling >= self.fresh_ceiling(plan, c.spread) - 1e-9;
-            if idle && ceiling_full && (plan.rate == 0.0 || level >= burst_here(plan, c.spread)) {
+            if idle && ceiling_full && (plan.rate == 0.0 || level >= self.burst_here(c)) {
                 self.customers.remove(&key);
             } else {
                 self.roster.push_back(key);
@@ -461,17 +458,20 @@
     fn under_cap(&self, c: &Customer, class: usize, units: f64) -> bool {
         let (plan, slice) = (&self.set.plans[c.plan], self.slice(c));
         if plan.at_once > 0 {
-            // Whole parts that add up to the limit. Where a gateway's part is none, even the least one gives
-            // way while the meter reads the limit full; one goes out again when it has fallen silent.
+            // Whole parts that add up to the limit. Where a gateway's part is none one goes out all the same;
+            // but once the meter has read the limit full, not more than the part on the average over time.
             let place =
                 (self.set.index + self.set.balancers - c.first % self.set.balancers) % self.set.balancers;
             let (place, part) = ((place % c.spread) as f64, plan.at_once as f64 * slice);
-            let least = if c.used >= 1.0 && self.meter_speaks(c) { 0.0 } else { 1.0 };
+            let pause = (self.mean * c.spread as f64 / plan.at_once as f64 * c.used * c.used)
+                .max(2.0 * self.set.meter_us as f64);
+            let full = plan.rate == 0.0 && c.used >= 1.0 && self.now < c.sent_at + pause as Micros;
+            let least = if full { 0.0 } else { 1.0 };
             let whole = ((place + 1.0) * part).floor() - (place * part).floor();
             return (c.attempts_out as f64) < whole.max(least);
         }
         let aim = self.set.classes[class].aim_us as f64 / 1e6;
-        let cap = plan.rate * slice * aim + burst_here(plan, c.spread);
+        let cap = plan.rate * slice * aim + self.burst_here(c);
         c.attempts_out == 0 || plan.rate == 0.0 || c.units_out + units <= cap
     }
 
@@ -536,6 +536,7 @@
         let (zone, cell, sent_at) = (s.zone, s.cell, self.now);
         r.attempts.push(Attempt { server, zone, cell, sent_at, out: true, may_have_run: false });
         c.units_out += r.units;
+        c.sent_at = self.now;
         c.attempts_out += 1;
         s.out += 1;
         self.out += 1;
@@ -543,7 +544,7 @@
     }
 
     /// Of two random servers that may have the request the one with less work of ours for its speed. Slow
-    /// start: a cold server is drawn as often as any other, but takes only its ramp's part of its draws. So all
+    /// start: a cold server is drawn as often as any other but takes only its ramp's part of them, so all
     /// gateways together send it that part of what a server gets, however few requests each of them has.
     fn pick(&mut self, id: u64) -> Option<u64> {
         let mut up = std::mem::take(&mut self.up);
@@ -563,7 +564,7 @@
             _ => true,
         };
         let spread_on = self.now < self.spread_on_until;
-        // A server that turned slow must not fill up with our work: it would stay slow.
+        // A server that turned slow must not fill up with our work.
         let most_held = (MOST_HELD * self.permits / self.set.balancers as f64).max(1.0);
         let fits = |s: &Server| {
             let healthy = s.ejected_until <= self.now && (!s.on_trial || s.out == 0);
@@ -573,9 +574,9 @@
             let served = 1.0 - s.known(self.now, s.bad, 0.0).min(0.9);
             (s.out as f64 + 1.0) * s.known(self.now, s.latency, self.mean) / (served * served)
         };
-        // Best so far and how many were found, of those not tried yet and of those that were.
-        let mut found = [(f64::INFINITY, 0, 0); 2];
+        let mut found: Option<(f64, u64)> = None;
         let lots = r.attempts.len() + 1;
+        let tried = |k: u64| r.attempts.iter().any(|a| a.server == k);
         for n in 0..up.len() {
             let other = rng.usize(n..up.len());
             up.swap(n, other);
@@ -585,24 +586,21 @@
             }
             if let Some(ramp) = self.ramp(s) {
                 if n == 0 && r.lots < lots && rng.f64() < ramp {
-                    found[0] = (0.0, up[0], 1);
+                    found = Some((0.0, up[0]));
                     break;
                 }
                 continue;
             }
-            let tried = r.attempts.iter().any(|a| a.server == up[n]);
-            let (least, best, many) = &mut found[usize::from(tried)];
-            *many += 1;
-            if cost(s) < *least {
-                (*least, *best) = (cost(s), up[n]);
-            }
-            if found[0].2 == 2 {
+            let next = (cost(s) * if tried(up[n]) { f64::MAX.sqrt() } else { 1.0 }, up[n]);
+            if let Some(one) = found {
+                found = Some(if next.0 < one.0 { next } else { one });
                 break;
             }
+            found = Some(next);
         }
         (self.up, self.rng) = (up, rng);
         self.requests.get_mut(&id).expect("just seen").lots = lots;
-        found.iter().find(|f| f.2 > 0).map(|f| f.1)
+        found.map(|f| f.1)
     }
 
     /// The part of a warm server's work that a cold one is given.
@@ -709,8 +707,11 @@
         if let Some(used) = n.used.filter(|u| u.is_finite() && *u >= 0.0) {
             // More use is believed at once, less over some periods: the reading is late, and room granted on
             // a calm past is what a flood spends first.
-            let since = self.now - c.used_at.unwrap_or(self.now);
-            let believe = (since as f64 / (BELIEVE_OVER * self.set.meter_us.max(1) as f64)).min(1.0);
+            let rated = self.set.plans[c.plan].rate > 0.0;
+            let over = BELIEVE_OVER * rarely(c.spread) * self.set.meter_us.max(1) as f64;
+            let believe = c
+                .used_at
+                .map_or(if rated { 1.0 } else { 0.0 }, |at| ((self.now - at) as f64 / over).min(1.0));
             c.used += (used - c.used) * if used > c.used { 1.0 } else { believe };
             c.used_at = Some(self.now);
         }
@@ -792,9 +793,9 @@
     }
 }
 
-/// The part of a plan's burst for one of `spread` gateways: they seldom need it all at once.
-fn burst_here(plan: &Plan, spread: u32) -> f64 {
-    plan.burst / (spread as f64).powf(BURST_SPLIT)
+/// How much more rarely than with a few gateways each hears of a customer that comes through so many.
+fn rarely(spread: u32) -> f64 {
+    (spread as f64 / FEW).sqrt().max(1.0)
 }
 
 impl Server {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -33,6 +33,30 @@
     pub fall_us: Micros,
 }
 
+impl Settings {
+    /// Whether these settings make sense; what to do under them is decided elsewhere.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        let sane = |x: &f64| x.is_finite() && *x >= 0.0;
+        let plan_ok = |p: &Plan| [p.rate, p.burst, p.ceiling_rate, p.ceiling_burst].iter().all(sane);
+        let class_ok = |c: &Class| c.aim_us > 0 && c.deadline_us > 0 && sane(&c.late_worth);
+        if self.balancers == 0 || self.index >= self.balancers {
+            return Err(SettingsError("this gateway must be one of the gateways"));
+        }
+        if self.classes.is_empty() || !self.classes.iter().all(class_ok) {
+            return Err(SettingsError(
+                "there must be classes, each with an aim, a deadline and a late worth",
+            ));
+        }
+        if self.plans.is_empty() || !self.plans.iter().all(plan_ok) {
+            return Err(SettingsError("there must be plans, their rates and bursts finite and not negative"));
+        }
+        if ![self.cold_from, self.fall_multiple].iter().all(sane) {
+            return Err(SettingsError("the figures of a cold server must be finite and not negative"));
+        }
+        Ok(())
+    }
+}
+
 /// A class of requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Class {
