--- a/src/decide.rs
+++ b/src/decide.rs
@@ -28,13 +28,13 @@
 /// Retry budget: further attempts for each first one, and how many may be saved up.
 const RETRY_PART: f64 = 0.1;
 const RETRY_SAVED: f64 = 10.0;
-/// Room is split by this power of the number of gateways; 1 would be evenly.
-const ROOM_SPLIT: f64 = 0.7;
 /// Periods of the meter for which a reading holds, and over which a lower one is believed, where a customer
 /// comes through no more than a few gateways.
 const HOLD: f64 = 2.0;
 const BELIEVE_OVER: f64 = 3.0;
 const FEW: f64 = 4.0;
+/// A burst is split by this power of the number of gateways at the most; 1 would be evenly.
+const BURST_SPLIT: f64 = 0.8;
 /// A request waits while this many usual deviations past the mean time of an answer are left to it.
 const WAIT_DEVIATIONS: f64 = 2.0;
 /// Ejection: part of a server's outcomes that failed, alone and as a multiple of the fleet's.
@@ -406,14 +406,13 @@
     fn slice(&self, c: &Customer) -> f64 {
         let follows = self.meter_speaks(c) && self.set.plans[c.plan].ceiling_rate == 0.0;
         let room = if follows { (1.0 - c.used).max(0.0) } else { 0.0 };
-        let split = if self.set.plans[c.plan].rate > 0.0 { ROOM_SPLIT } else { 1.0 };
-        (1.0 / c.spread as f64 + room / (c.spread as f64).powf(split)).min(1.0)
+        ((1.0 + room * rarely(c.spread)) / c.spread as f64).min(1.0)
     }
 
-    /// The part of its burst for this slice: the like part, and the usual deviation from it.
+    /// The part of its burst for this slice; more than the even one, as gateways seldom need it all at once.
     fn burst_here(&self, c: &Customer) -> f64 {
         let (s, burst) = (self.slice(c), self.set.plans[c.plan].burst);
-        burst * s + (burst * s * (1.0 - s)).sqrt()
+        burst * s.max((c.spread as f64).powf(-BURST_SPLIT))
     }
 
     /// What a gateway may count on in a ceiling's store that it sees first now. One that starts again cannot
