Keep to servers that are heard of often, part with ill ones; no ejection

Cause: at full size a gateway sends a few requests a second to a hundred servers and hears of each every 20 s; latency and ejection knew nothing, so every ill server kept its even part of the traffic.

Change: a gateway keeps to as many servers as it sends requests within the time in which what it learned fades, eight at least, drawn from the whole fleet at random. One that fails it or takes four times the usual gives its place to another. In small fleets that is the whole fleet, as before.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -37,11 +37,6 @@
 const BURST_SPLIT: f64 = 0.8;
 /// A request waits while this many usual deviations past the mean time of an answer are left to it.
 const WAIT_DEVIATIONS: f64 = 2.0;
-/// Ejection: part of a server's outcomes that failed, alone and as a multiple of the fleet's.
-const EJECT_AT: f64 = 0.3;
-const EJECT_TIMES_FLEET: f64 = 2.0;
-const EJECT_FOR: Micros = 1_000_000;
-const EJECT_LONGEST: Micros = 8_000_000;
 /// Weight of one outcome in a server's moving averages; the fleet's move four times as slowly.
 const LEARN: f64 = 0.15;
 /// First tries, in excess of later ones, that make their usual time left known.
@@ -50,6 +45,9 @@
 const MOST_AWAY: u32 = 1000;
 /// Time over which what was learned of a server's speed fades, when nothing more is heard.
 const FORGET: f64 = 3e6;
+/// Fewest servers that a gateway keeps to, and how slow an answer, as a multiple of the usual, ends that.
+const FEWEST: usize = 8;
+const SLOW_OVER: f64 = 4.0;
 /// Our work out at one server, as a multiple of its part of the target, at the most.
 const MOST_HELD: f64 = 2.0;
 /// Work for a cold server, as a part of what makes it fall.
@@ -72,17 +70,12 @@
     zone: u32,
     cell: u32,
     up: bool,
-    weight: f64,
     up_since: Micros,
     out: u32,
     /// Moving averages: time taken, and part of the outcomes that failed.
     latency: f64,
     bad: f64,
     heard_at: Micros,
-    ejected_until: Micros,
-    eject_for: Micros,
-    /// Back from ejection: one request at a time until one is served.
-    on_trial: bool,
 }
 
 #[derive(Default)]
@@ -137,8 +130,10 @@
     servers: BTreeMap<u64, Server>,
     /// Those that are up, in an order that `pick` shuffles as it draws.
     up: Vec<u64>,
-    /// Too many were ejected of late to blame them.
-    spread_on_until: Micros,
+    strength: f64,
+    counted_at: Micros,
+    sent: f64,
+    sent_at: Micros,
     customers: HashMap<u64, Customer>,
     requests: HashMap<u64, Request>,
     /// Customers with a request that may be next, each at most once. Who comes new goes first, as most time
@@ -161,8 +156,6 @@
     mean: f64,
     least_mean: f64,
     deviation: f64,
-    /// The part of the fleet's outcomes that failed.
-    bad: f64,
     asks_failed: u32,
     /// For each class the time that first tries usually have left, and how sure that is.
     usual_left: Vec<(Micros, u32)>,
@@ -180,7 +173,10 @@
             started: None,
             servers: BTreeMap::new(),
             up: Vec::new(),
-            spread_on_until: 0,
+            strength: 0.0,
+            counted_at: 0,
+            sent: 0.0,
+            sent_at: 0,
             customers: HashMap::new(),
             requests: HashMap::new(),
             ring: VecDeque::new(),
@@ -197,7 +193,6 @@
             mean: aim / 8.0,
             least_mean: aim / 8.0,
             deviation: aim / 16.0,
-            bad: 0.0,
             asks_failed: 0,
             turned_away: 0,
             usual_left: vec![(0, 0); set.classes.len()],
@@ -218,9 +213,7 @@
         self.now = self.now.max(now);
         if self.started.is_none() {
             (self.started, self.grown_at) = (Some(now), now);
-            if self.set.ask_for_list {
-                self.agenda.insert((now, Task::Ask));
-            }
+            self.agenda.extend(self.set.ask_for_list.then_some((now, Task::Ask)));
         }
         self.grow();
         match event {
@@ -289,22 +282,33 @@
         }
         for e in entries {
             let s = self.servers.entry(e.server).or_default();
-            if s.eject_for == 0 || e.up_since_us > s.up_since {
+            if s.latency == 0.0 || e.up_since_us > s.up_since {
                 // New, or started anew: nothing learned of the process before it holds.
                 let (out, latency) = (s.out, self.mean);
-                *s = Server { out, latency, eject_for: EJECT_FOR, ..Server::default() };
+                *s = Server { out, latency, ..Server::default() };
             }
             (s.zone, s.cell, s.up, s.up_since) = (e.zone, e.cell, e.state == State::Up, e.up_since_us);
-            s.weight = if e.weight.is_finite() && e.weight > 0.0 { e.weight } else { 1.0 };
         }
         self.servers.retain(|_, s| s.up || s.out > 0);
-        self.up = self.servers.iter().filter(|(_, s)| s.up).map(|(k, _)| *k).collect();
+        self.up.retain(|k| self.servers.get(k).is_some_and(|s| s.up));
+        for (k, _) in self.servers.iter().filter(|(_, s)| s.up) {
+            if !self.up.contains(k) {
+                self.up.insert(self.rng.usize(0..=self.up.len()), *k); // all places are as likely
+            }
+        }
+        self.count();
+    }
+
+    /// How many warm servers the fleet is worth: a cold one counts by its ramp.
+    fn count(&mut self) {
+        self.strength = self.up.iter().map(|k| self.ramp(&self.servers[k]).unwrap_or(1.0)).sum();
+        self.counted_at = self.now;
     }
 
     /// The target concurrency here: it is held as permits for each server, so that it follows the size of a
     /// fleet that shrinks, grows, or drops off the list and comes back.
     pub fn target(&self) -> f64 {
-        (self.permits * self.up.len() as f64 / self.set.balancers as f64).max(LEAST_TARGET)
+        (self.permits * self.strength / self.set.balancers as f64).max(LEAST_TARGET)
     }
 
     // ---- quotas ----
@@ -522,6 +526,7 @@
     }
 
     fn send(&mut self, id: u64, server: u64, acts: &mut Vec<Action>) {
+        (self.sent, self.sent_at) = (self.lately_sent() + 1.0, self.now);
         let r = self.requests.get_mut(&id).expect("picked for it");
         let c = self.customers.get_mut(&r.customer).expect("holds a request");
         let s = self.servers.get_mut(&server).expect("picked");
@@ -546,6 +551,7 @@
     /// start: a cold server is drawn as often as any other but takes only its ramp's part of them, so all
     /// gateways together send it that part of what a server gets, however few requests each of them has.
     fn pick(&mut self, id: u64) -> Option<u64> {
+        let (familiar, many) = (self.familiar(), self.up.len());
         let mut up = std::mem::take(&mut self.up);
         let mut rng = self.rng.clone();
         let r = &self.requests[&id];
@@ -562,35 +568,30 @@
             }
             _ => true,
         };
-        let spread_on = self.now < self.spread_on_until;
         // A server that turned slow must not fill up with our work.
         let most_held = (MOST_HELD * self.permits / self.set.balancers as f64).max(1.0);
-        let fits = |s: &Server| {
-            let healthy = s.ejected_until <= self.now && (!s.on_trial || s.out == 0);
-            (healthy || spread_on) && (s.out as f64) < most_held && allowed(s)
-        };
+        let fits = |s: &Server| (s.out as f64) < most_held && allowed(s);
         let cost = |s: &Server| {
             let served = 1.0 - s.known(self.now, s.bad, 0.0).min(0.9);
             (s.out as f64 + 1.0) * s.known(self.now, s.latency, self.mean) / (served * served)
         };
         let mut found: Option<(f64, u64)> = None;
         let lots = r.attempts.len() + 1;
-        let tried = |k: u64| r.attempts.iter().any(|a| a.server == k);
-        for n in 0..up.len() {
-            let other = rng.usize(n..up.len());
-            up.swap(n, other);
+        let lot = rng.usize(0..many.max(1));
+        let ramp = up.get(lot).map(|k| &self.servers[k]).filter(|s| fits(s)).and_then(|s| self.ramp(s));
+        if r.lots < lots && ramp.is_some_and(|ramp| rng.f64() < ramp) {
+            found = Some((0.0, up[lot]));
+        }
+        for n in 0..if found.is_none() { up.len() } else { 0 } {
+            up.swap(n, rng.usize(n..if n < familiar { familiar } else { many }));
             let s = &self.servers[&up[n]];
-            if !fits(s) {
-                continue;
-            }
-            if let Some(ramp) = self.ramp(s) {
-                if n == 0 && r.lots < lots && rng.f64() < ramp {
-                    found = Some((0.0, up[0]));
-                    break;
-                }
+            let cold = self.ramp(s).is_some();
+            if cold || !fits(s) {
+                up.swap(n, rng.usize(n..if cold { many } else { n + 1 }));
                 continue;
             }
-            let next = (cost(s) * if tried(up[n]) { f64::MAX.sqrt() } else { 1.0 }, up[n]);
+            let tried = r.attempts.iter().any(|a| a.server == up[n]);
+            let next = (cost(s) * if tried { f64::MAX.sqrt() } else { 1.0 }, up[n]);
             if let Some(one) = found {
                 found = Some(if next.0 < one.0 { next } else { one });
                 break;
@@ -602,6 +603,16 @@
         found.map(|f| f.1)
     }
 
+    /// A gateway keeps to so many servers, the first of `up`, that it hears of each before what it learned of
+    /// it fades. Who fails it or is slow gives its place to another, drawn from the whole fleet.
+    fn familiar(&self) -> usize {
+        (self.lately_sent() as usize).max(FEWEST).min(self.up.len())
+    }
+
+    fn lately_sent(&self) -> f64 {
+        self.sent * (-((self.now - self.sent_at) as f64) / FORGET).exp()
+    }
+
     /// The part of a warm server's work that a cold one is given.
     fn ramp(&self, s: &Server) -> Option<f64> {
         let cold = s.up_since > 0 && self.now < s.up_since.saturating_add(self.set.cold_us);
@@ -625,24 +636,17 @@
         if !bad {
             self.deviation += ((taken - self.mean).abs() - self.deviation) * LEARN / 4.0;
             self.mean += (taken - self.mean) * LEARN / 4.0;
-            if s.on_trial {
-                (s.on_trial, s.bad) = (false, 0.0);
-            }
         }
-        self.bad += (f64::from(bad) - self.bad) * LEARN / 4.0;
+        let unwell = bad || taken > SLOW_OVER * self.mean;
         s.bad = s.known(self.now, s.bad, 0.0);
         s.bad += (f64::from(bad) - s.bad) * LEARN;
         s.heard_at = self.now;
-        let ill = s.on_trial || s.bad > EJECT_AT.max(EJECT_TIMES_FLEET * self.bad);
-        if bad && ill && s.ejected_until <= self.now {
-            s.ejected_until = self.now + s.eject_for;
-            s.eject_for = if s.on_trial { (s.eject_for * 2).min(EJECT_LONGEST) } else { EJECT_FOR };
-            s.on_trial = true;
-            // If most look ill, that says more of us or of the traffic than of them: spread on.
-            let ill = self.up.iter().filter(|k| self.servers[*k].ejected_until > self.now).count();
-            if ill * 2 > self.up.len() {
-                self.spread_on_until = self.now + EJECT_FOR;
-            }
+        let (familiar, many) = (self.familiar(), self.up.len());
+        if unwell
+            && familiar < many
+            && let Some(n) = self.up[..familiar].iter().position(|k| *k == server)
+        {
+            self.up.swap(n, self.rng.usize(familiar..many));
         }
         let bad = bad || late;
         self.recent.push_back((self.now, server, bad));
@@ -677,8 +681,10 @@
     fn grow(&mut self) {
         let dt = (self.now - self.grown_at) as f64 / 1e6;
         self.grown_at = self.now;
+        if self.now >= self.counted_at + WINDOW / 4 {
+            self.count();
+        }
         self.least_mean = (self.least_mean * (1.0 + 0.01 * dt)).min(self.mean);
-        // A target that is not in use says nothing of what the back end bears.
         if self.out as f64 >= self.target() / 2.0 {
             // While answers take no longer than they ever did, the servers are larger than the target.
             let idle = self.mean < self.least_mean * IDLE_UNDER;
@@ -706,11 +712,9 @@
         if let Some(used) = n.used.filter(|u| u.is_finite() && *u >= 0.0) {
             // More use is believed at once, less over some periods: the reading is late, and room granted on
             // a calm past is what a flood spends first.
-            let rated = self.set.plans[c.plan].rate > 0.0;
+            let first = if self.set.plans[c.plan].rate > 0.0 { 1.0 } else { 0.0 };
             let over = BELIEVE_OVER * rarely(c.spread) * self.set.meter_us.max(1) as f64;
-            let believe = c
-                .used_at
-                .map_or(if rated { 1.0 } else { 0.0 }, |at| ((self.now - at) as f64 / over).min(1.0));
+            let believe = c.used_at.map_or(first, |at| ((self.now - at) as f64 / over).min(1.0));
             c.used += (used - c.used) * if used > c.used { 1.0 } else { believe };
             c.used_at = Some(self.now);
         }
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -362,3 +362,61 @@
     }
     assert!(held.iter().all(|h| f64::from(*h) <= (2.0 * part).ceil()), "{held:?} with a part of {part}");
 }
+
+/// What each of 100 servers is sent by one of 300 gateways with four requests a second, where every fifth
+/// server takes ten times as long, or answers with errors, from the first to the last minute.
+fn sends_at_size(index: u32, requests: u64, ill: Outcome) -> Vec<u32> {
+    let set = Settings { balancers: 300, index, ..settings(free()) };
+    let decider = Decider::new(set, 77 + u64::from(index)).expect("good settings");
+    let mut g = Gateway { decider, now: T0, log: Vec::new() };
+    g.list(ListKind::Saved, &(1..=100).map(up).collect::<Vec<_>>());
+    let mut hits = vec![0; 101];
+    for id in 0..requests {
+        for server in sent(&g.ask(NewRequest { customer: id, ..request(id) })) {
+            hits[server as usize] += 1;
+            let well = server % 5 > 0;
+            let latency_us = if well { 70 + id * 7 % 60 } else { 900 } * MS;
+            let outcome = if well { Outcome::Ok } else { ill };
+            g.back(Return { latency_us, closed: true, ..answer(id, 0, server, outcome) });
+        }
+        g.pass(250 * MS);
+    }
+    hits
+}
+
+#[test]
+fn a_gateway_with_few_requests_keeps_to_servers_that_serve_it_well() {
+    for ill in [Outcome::Ok, Outcome::Error, Outcome::TimedOut] {
+        let hits = sends_at_size(0, 400, ill);
+        let (bad, all) = (hits.iter().step_by(5).sum::<u32>(), hits.iter().sum::<u32>());
+        assert!(
+            all > 390 && bad * 100 < all * 8,
+            "{bad} of {all} to ill servers with {ill:?}, by chance 20%"
+        );
+    }
+}
+
+#[test]
+fn the_servers_that_gateways_keep_to_cover_the_fleet_evenly() {
+    let mut total = vec![0; 101];
+    for index in 0..60 {
+        for (sum, hits) in total.iter_mut().zip(sends_at_size(index, 40, Outcome::Ok)) {
+            *sum += hits;
+        }
+    }
+    // 24 each on the average, 30 to each of the 80 that are well.
+    let well: Vec<u32> = (1..=100).filter(|k| k % 5 > 0).map(|k| total[k]).collect();
+    assert!(well.iter().all(|n| (6..=70).contains(n)), "{well:?}");
+}
+
+#[test]
+fn cold_servers_count_in_the_target_by_what_they_can_bear() {
+    let warm = Gateway::with_servers(settings(free()), 8).decider.target();
+    let mut g = Gateway::new(settings(free()));
+    let entry = |id| Entry { up_since_us: if id > 4 { T0 - MS } else { 0 }, ..up(id) };
+    g.list(ListKind::Saved, &(1..=8).map(entry).collect::<Vec<_>>());
+    let cold = g.decider.target();
+    assert!(cold < 0.7 * warm && cold > 0.6 * warm, "{cold} against {warm}");
+    g.pass(20 * SEC);
+    assert!(g.decider.target() >= 0.99 * warm, "warm again: {}", g.decider.target());
+}
