--- a/src/decide.rs
+++ b/src/decide.rs
@@ -50,8 +50,9 @@
 const SLOW_OVER: f64 = 4.0;
 /// Our work out at one server, as a multiple of its part of the target, at the most.
 const MOST_HELD: f64 = 2.0;
-/// Work for a cold server, as a part of what makes it fall.
+/// Work for a cold server, as a part of what makes it fall, and how much more while many are cold.
 const COLD_PART: f64 = 0.5;
+const MOST_CROWDED: f64 = 1.5;
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Task {
@@ -393,9 +394,8 @@
     }
 
     fn advice(&self, wait: f64) -> Micros {
-        let wait =
-            (wait as Micros).clamp(self.set.tick_us, self.set.max_retry_after_us.max(self.set.tick_us));
-        if self.set.retry_after { wait } else { 0 }
+        let (least, most) = (self.set.tick_us, self.set.max_retry_after_us.max(self.set.tick_us));
+        if self.set.retry_after { (wait as Micros).clamp(least, most) } else { 0 }
     }
 
     /// The meter is late, and silent for those who send nothing.
@@ -500,6 +500,9 @@
             self.refill(key);
             let (c, r) = (&self.customers[&key], &self.requests[&id]);
             if !self.under_cap(c, r.class, r.units) {
+                if c.attempts_out == 0 {
+                    self.give_up(id, acts); // a full limit holds it back for longer than it can wait
+                }
                 continue; // lines up again when one of its attempts ends
             }
             let plan = &self.set.plans[c.plan];
@@ -539,8 +542,7 @@
         r.waits = false;
         let (zone, cell, sent_at) = (s.zone, s.cell, self.now);
         r.attempts.push(Attempt { server, zone, cell, sent_at, out: true, may_have_run: false });
-        c.units_out += r.units;
-        c.sent_at = self.now;
+        (c.sent_at, c.units_out) = (self.now, c.units_out + r.units);
         c.attempts_out += 1;
         s.out += 1;
         self.out += 1;
@@ -579,15 +581,14 @@
         let lots = r.attempts.len() + 1;
         let lot = rng.usize(0..many.max(1));
         let ramp = up.get(lot).map(|k| &self.servers[k]).filter(|s| fits(s)).and_then(|s| self.ramp(s));
-        if r.lots < lots && ramp.is_some_and(|ramp| rng.f64() < ramp) {
+        let crowded = (many as f64 / self.strength).min(MOST_CROWDED);
+        if r.lots < lots && ramp.is_some_and(|ramp| rng.f64() < ramp * crowded) {
             found = Some((0.0, up[lot]));
         }
         for n in 0..if found.is_none() { up.len() } else { 0 } {
             up.swap(n, rng.usize(n..if n < familiar { familiar } else { many }));
             let s = &self.servers[&up[n]];
-            let cold = self.ramp(s).is_some();
-            if cold || !fits(s) {
-                up.swap(n, rng.usize(n..if cold { many } else { n + 1 }));
+            if self.ramp(s).is_some() || !fits(s) {
                 continue;
             }
             let tried = r.attempts.iter().any(|a| a.server == up[n]);
@@ -789,8 +790,7 @@
             let key = r.customer;
             self.line_up(key, false); // `pump` clears the waiting line of what has ended
         }
-        let Some(r) = self.requests.get(&id) else { return };
-        if !r.attempts.iter().any(|a| a.out) {
+        if self.requests.get(&id).is_some_and(|r| !r.attempts.iter().any(|a| a.out)) {
             self.requests.remove(&id);
         }
     }
--- a/tests/quotas.rs
+++ b/tests/quotas.rs
@@ -137,6 +137,18 @@
     assert!((1..=10).contains(&over), "{over} of 60");
 }
 
+#[test]
+fn what_a_full_limit_holds_back_is_refused_at_once_and_told_when_to_come_again() {
+    let set = Settings { balancers: 90, ..settings(Plan { at_once: 2, ..Plan::default() }) };
+    let mut g = Gateway::with_servers(set, 8);
+    let server = sent(&g.ask(NewRequest { spread: 90, ..request(0) }))[0];
+    g.back(Return { used: Some(2.0), ..answer(0, 0, server, Outcome::Ok) });
+    let acts = g.ask(NewRequest { spread: 90, ..request(1) });
+    assert!(
+        acts.iter().any(|a| matches!(a, Action::Refuse { id: 1, retry_after_us } if *retry_after_us > 0))
+    );
+}
+
 #[test]
 fn under_a_ceiling_slices_stay_even() {
     let plan = Plan { ceiling_rate: 20.0, ceiling_burst: 20.0, ..rate(10.0, 10.0) };
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -207,6 +207,24 @@
     assert!((80..240).contains(&through), "{through} of 400 at three to four tenths");
 }
 
+#[test]
+fn a_zone_that_comes_back_cold_relieves_the_warm_servers_by_its_ramp() {
+    let mut g = Gateway::new(settings(free()));
+    let list: Vec<Entry> =
+        (1..=20).map(|id| Entry { up_since_us: if id > 10 { T0 - MS } else { 0 }, ..up(id) }).collect();
+    g.list(ListKind::Saved, &list);
+    let mut cold = 0;
+    for id in 0..1000 {
+        for server in sent(&g.ask(NewRequest { customer: id, ..request(id) })) {
+            cold += u32::from(server > 10);
+            g.back(answer(id, 0, server, Outcome::Ok));
+        }
+        g.pass(MS);
+    }
+    // Ten at a ramp of 0.3 beside ten warm ones: 230 of 1000 would use both alike, twice as much is the limit.
+    assert!((190..300).contains(&cold), "{cold} of 1000");
+}
+
 #[test]
 fn discovery_on_request_is_asked_at_start_and_again_after_a_failure_in_time() {
     let set = Settings { ask_for_list: true, ..settings(free()) };
