Keep a small part of a told limit over time beside a rate; wait for short pauses

And a pause of a quarter of a second made what it held back be refused, though there was time to wait.

Change: beside a rate, a part under one is kept over time whatever the meter reads; what a pause holds back waits for its end where it can still be in time, else it is refused at once.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -41,7 +41,6 @@
 const LEARN: f64 = 0.15;
 /// First tries, in excess of later ones, that make their usual time left known.
 const SURE: u32 = 20;
-/// At most so many of those turned away are expected back.
 const MOST_AWAY: u32 = 1000;
 /// Time over which what was learned of a server's speed fades, when nothing more is heard.
 const FORGET: f64 = 3e6;
@@ -80,7 +79,7 @@
 }
 
 #[derive(Default)]
-struct Customer {
+pub(crate) struct Customer {
     plan: usize,
     spread: u32,
     first: u32,
@@ -107,7 +106,7 @@
     may_have_run: bool,
 }
 
-struct Request {
+pub(crate) struct Request {
     class: usize,
     customer: u64,
     units: f64,
@@ -135,8 +134,8 @@
     counted_at: Micros,
     sent: f64,
     sent_at: Micros,
-    customers: HashMap<u64, Customer>,
-    requests: HashMap<u64, Request>,
+    pub(crate) customers: HashMap<u64, Customer>,
+    pub(crate) requests: HashMap<u64, Request>,
     /// Customers with a request that may be next, each at most once. Who comes new goes first, as most time
     /// is left to it; who was served goes last. First come first served would send all too late in a jam.
     ring: VecDeque<u64>,
@@ -201,14 +200,6 @@
         })
     }
 
-    pub fn customers_known(&self) -> usize {
-        self.customers.len()
-    }
-
-    pub fn requests_known(&self) -> usize {
-        self.requests.len()
-    }
-
     /// Takes one event and adds what is to be done about it to `acts`.
     pub fn handle(&mut self, now: Micros, event: Event, acts: &mut Vec<Action>) {
         self.now = self.now.max(now);
@@ -382,7 +373,6 @@
         deadline.saturating_sub(n.left_us)
     }
 
-    /// A client was sent off unserved, and may come again.
     fn turn_away(&mut self) {
         self.turned_away = (self.turned_away + 1).min(MOST_AWAY);
     }
@@ -455,20 +445,26 @@
         }
     }
 
+    /// How long after a send the next may go out, where the part of a told limit is under one, so that it is
+    /// kept over time: once the meter has read the limit full; beside a rate, which it tells instead, always.
+    fn pause(&self, c: &Customer) -> Micros {
+        let plan = &self.set.plans[c.plan];
+        let even = self.mean * c.spread as f64 / f64::from(plan.at_once.max(1));
+        let late =
+            if c.used >= 1.0 { (even * c.used * c.used).max(2.0 * self.set.meter_us as f64) } else { 0.0 };
+        (if plan.rate > 0.0 { even } else { late }) as Micros
+    }
+
     /// Whether the customer may have one more attempt out here: slice x aim + burst in units (Little's law),
     /// or its part of a told limit on attempts; one in any case.
     fn under_cap(&self, c: &Customer, class: usize, units: f64) -> bool {
         let (plan, slice) = (&self.set.plans[c.plan], self.slice(c));
         if plan.at_once > 0 {
-            // Whole parts that add up to the limit. Where a gateway's part is none one goes out all the same;
-            // but once the meter has read the limit full, not more than the part on the average over time.
+            // Whole parts that add up to the limit; where a gateway's part is none, one goes out at times.
             let place =
                 (self.set.index + self.set.balancers - c.first % self.set.balancers) % self.set.balancers;
             let (place, part) = ((place % c.spread) as f64, plan.at_once as f64 * slice);
-            let pause = (self.mean * c.spread as f64 / plan.at_once as f64 * c.used * c.used)
-                .max(2.0 * self.set.meter_us as f64);
-            let full = plan.rate == 0.0 && c.used >= 1.0 && self.now < c.sent_at + pause as Micros;
-            let least = if full { 0.0 } else { 1.0 };
+            let least = if self.now < c.sent_at + self.pause(c) { 0.0 } else { 1.0 };
             let whole = ((place + 1.0) * part).floor() - (place * part).floor();
             return (c.attempts_out as f64) < whole.max(least);
         }
@@ -499,15 +495,17 @@
             self.refill(key);
             let (c, r) = (&self.customers[&key], &self.requests[&id]);
             if !self.under_cap(c, r.class, r.units) {
-                if c.attempts_out == 0 {
-                    self.give_up(id, acts); // a full limit holds it back for longer than it can wait
+                let free_at = c.sent_at + self.pause(c);
+                if c.attempts_out == 0 && free_at + self.needs() > r.best_by {
+                    self.give_up(id, acts);
+                } else if c.attempts_out == 0 {
+                    self.agenda.insert((free_at, Task::Ready(key)));
                 }
                 continue; // lines up again when one of its attempts ends
             }
             let plan = &self.set.plans[c.plan];
-            let short =
-                if r.attempts.is_empty() && plan.ceiling_rate > 0.0 { r.units - c.ceiling } else { 0.0 };
-            if short > 0.0 {
+            let short = if r.attempts.is_empty() { r.units - c.ceiling } else { 0.0 };
+            if plan.ceiling_rate > 0.0 && short > 0.0 {
                 let wait = short * c.spread as f64 / plan.ceiling_rate * 1e6;
                 self.agenda.insert((self.now + wait as Micros + 1, Task::Ready(key)));
                 continue;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,3 +7,16 @@
 
 pub use decide::Decider;
 pub use interface::*;
+
+/// What is remembered, for those who watch a gateway's memory.
+impl Decider {
+    /// How many customers are remembered.
+    pub fn customers_known(&self) -> usize {
+        self.customers.len()
+    }
+
+    /// How many requests are open here, or still have an attempt out.
+    pub fn requests_known(&self) -> usize {
+        self.requests.len()
+    }
+}
