--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -132,7 +132,11 @@
     /// The actors of the servers on the list, by the decisions' numbers.
     peers: HashMap<u64, Sender<ToServer>>,
     servers: u64,
-    zones: Vec<String>,
+    /// Numbers of zones, by name: those of the configuration and of servers on the list. A number is never
+    /// given twice, so a name that leaves and comes back is a zone unlike any before, which can only forbid a
+    /// repeat within a zone, never allow one. Guards against a table that grows with every name a list brings.
+    zones: HashMap<String, u32>,
+    next_zone: u32,
     acts: Vec<Action>,
     /// Outcomes that came of carrying out an action.
     back: VecDeque<Ended>,
@@ -175,7 +179,8 @@
     fn new(gate: Arc<Gate>, decider: Decider) -> Module {
         let now = gate.clock.now();
         Module {
-            zones: gate.config.zones.clone(),
+            zones: gate.config.zones.iter().enumerate().map(|(n, z)| (z.clone(), n as u32)).collect(),
+            next_zone: gate.config.zones.len() as u32,
             gate,
             decider,
             lives: 0,
@@ -416,13 +421,18 @@
             let known = self.list.get(&m.id).map(|l| l.server);
             let server = known.unwrap_or(self.servers);
             self.servers += u64::from(known.is_none());
-            let place = self.zones.iter().position(|z| *z == m.zone).unwrap_or_else(|| {
-                self.zones.push(m.zone.clone());
-                self.zones.len() - 1
-            });
+            let zone = match self.zones.get(&m.zone) {
+                Some(zone) => *zone,
+                None => {
+                    let zone = self.next_zone;
+                    self.next_zone = self.next_zone.saturating_add(1);
+                    self.zones.insert(m.zone.clone(), zone);
+                    zone
+                }
+            };
             let entry = Entry {
                 server,
-                zone: place as u32,
+                zone,
                 cell: m.cell,
                 state: m.state,
                 weight: m.weight,
@@ -452,6 +462,9 @@
                 _ => {}
             }
         }
+        let (configured, listed) = (&self.gate.config.zones, self.list.values().map(|l| l.zone));
+        let listed: HashSet<u32> = listed.collect();
+        self.zones.retain(|name, zone| listed.contains(zone) || configured.contains(name));
         let up = self.list.values().filter(|l| l.state == State::Up).count();
         slog::info!(self.gate.log, "list of servers"; "kind" => ?kind, "version" => members.version,
             "changed" => entries.len(), "up" => up, "known" => self.list.len());
@@ -587,6 +600,34 @@
         assert!(client.pop().is_none());
     }
 
+    /// A list that brings ever new zone names must not grow the table of zones; a name that comes back is
+    /// given a number unlike its earlier one.
+    #[test]
+    fn zones_of_servers_gone_are_forgotten() {
+        let mut module = module();
+        let member = |zone: &str| curlewfront_config::Member {
+            id: format!("s-{zone}"),
+            addr: Some("127.0.0.1:9".parse().expect("an address")),
+            zone: zone.to_string(),
+            cell: 0,
+            state: State::Up,
+            weight: 1.0,
+            started_ms: 0,
+        };
+        let mut first = None;
+        for n in 0..200 {
+            let servers = vec![member("a"), member(&format!("z{}", n % 50))];
+            module.members(&Members { version: n, full: true, servers }, ListKind::Full);
+            assert!(module.zones.len() <= 3, "{} zones known", module.zones.len());
+            let number = module.list[&format!("s-z{}", n % 50)].zone;
+            if n == 0 {
+                first = Some(number);
+            } else if n == 50 {
+                assert_ne!(Some(number), first, "a zone that came back is a new one");
+            }
+        }
+    }
+
     #[test]
     fn an_attempt_has_one_outcome_and_a_request_one_answer() {
         let mut module = module();
