Add the lab: stand-in servers, discovery and clients against real gateways on loopback

Change: crates/lab (curlewfront-lab run | compare | check | baseline). One process holds the stand-in servers (slots, waiting room, log-normal service, slower when held beyond the slots, cold ramps and falls, faults: slow, fail fast, silent, resets, spoilt answers, dead), a discovery agent for each gateway with its own delay (versions, watches, stale and silent lists), open-loop clients of customers with plans and uneven sets, a front that notices dead gateways late; real gateway processes with their own files, killed, ended in tenths by SIGTERM, told of a new file by SIGHUP. Every try and attempt is recorded; the five rules are checked from the record alone (each kind of break planted in a unit test); summaries in CSV and JSON, histograms by class on hdrhistogram, charts on plotters. Two plain baselines run as gateway processes of the lab's own. The gateway answers GET /_stats (target, attempts out, open requests, connections) for the lab's samples.

Tests: five loopback scenarios (calm, replace and fail fast, a killed gateway, a baseline, bad scenarios) in 11 to 17 s.

--- a/crates/gateway/src/clients/connection.rs
+++ b/crates/gateway/src/clients/connection.rs
@@ -1,8 +1,8 @@
 //! One client's connection: reads requests, hands them to the module, writes the answers.
 
-use super::request::{self, HEALTH};
+use super::request::{self, HEALTH, STATS};
 use super::{Answer, Clients, Doing, Known, ToClient};
-use crate::gate::Fd;
+use crate::gate::{Fd, Side};
 use crate::http::{self, Bad, Body, Framing};
 use crate::module::{Asked, Told};
 use crate::ring::Ring;
@@ -295,7 +295,8 @@
         let mut slots = http::NO_HEADERS;
         let Some(head) = http::request(self.incoming.bytes(), &mut slots)? else { return Ok(false) };
         let (len, last, wants) = (head.len, head.close, head.wants_continue);
-        if head.target == HEALTH {
+        if head.target == HEALTH || head.target == STATS {
+            let stats = head.target == STATS;
             let body = Body::new(head.framing);
             if !body.done() {
                 return Err(Bad { status: 400, what: "a body where none belongs" });
@@ -304,7 +305,25 @@
             self.incoming.consume(len);
             self.last = last;
             self.known.asked.fetch_add(1, Ordering::Relaxed);
-            self.say(if ready { 200 } else { 503 }, "", if ready { b"ready\n" } else { b"no list yet\n" });
+            if stats {
+                let s = &gate.shown;
+                let stats = format!(
+                    "{{\"target\":{:.3},\"out\":{},\"open\":{},\"carried\":{},\"client_conns\":{},\"server_conns\":{}}}\n",
+                    s.target(),
+                    s.out.load(Ordering::Relaxed),
+                    s.open.load(Ordering::Relaxed),
+                    gate.carried.load(Ordering::Relaxed),
+                    gate.fds.open(Side::Clients),
+                    gate.fds.open(Side::Servers)
+                );
+                self.say(200, "", stats.as_bytes());
+            } else {
+                self.say(
+                    if ready { 200 } else { 503 },
+                    "",
+                    if ready { b"ready\n" } else { b"no list yet\n" },
+                );
+            }
             return Ok(true);
         }
         let mut asked = request::read(gate, &head)?;
--- a/crates/gateway/src/clients/request.rs
+++ b/crates/gateway/src/clients/request.rs
@@ -6,8 +6,9 @@
 use crate::servers::Passage;
 use curlewfront::{Micros, Plan};
 
-/// Answered here.
+/// Answered here: whether the list is known, and what the module last said of itself.
 pub const HEALTH: &str = "/_health";
+pub const STATS: &str = "/_stats";
 
 /// Reads the headers that a request must carry. `until` is the time allowed, yet to be counted from the
 /// request's last byte.
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -7,7 +7,7 @@
 use slog::Logger;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 
 pub struct Gate {
     pub config: Config,
@@ -27,6 +27,28 @@
     pub ready: AtomicBool,
     /// SIGTERM has come.
     pub draining: AtomicBool,
+    /// What the module last said of itself, for `/_stats`.
+    pub shown: Shown,
+}
+
+/// The module's state as `/_stats` tells it: written by the module's actor after each batch, read by connections.
+#[derive(Default)]
+pub struct Shown {
+    /// The target concurrency, as the bits of an `f64`.
+    target: AtomicU64,
+    /// Attempts that the decisions hold to be out, and requests open.
+    pub out: AtomicUsize,
+    pub open: AtomicUsize,
+}
+
+impl Shown {
+    pub fn set_target(&self, target: f64) {
+        self.target.store(target.to_bits(), Ordering::Relaxed);
+    }
+
+    pub fn target(&self) -> f64 {
+        f64::from_bits(self.target.load(Ordering::Relaxed))
+    }
 }
 
 impl Gate {
@@ -45,6 +67,7 @@
             log,
             ready: AtomicBool::new(false),
             draining: AtomicBool::new(false),
+            shown: Shown::default(),
         }
     }
 
--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -142,12 +142,14 @@
     back: VecDeque<Ended>,
     counts: Counts,
     report_at: Micros,
+    shown_at: Micros,
     error: Option<AttemptError>,
 }
 
 /// Messages taken before the connections get their turn again.
 const BATCH: usize = 64;
 const REPORT_US: Micros = 10_000_000;
+const SHOW_US: Micros = 100_000;
 
 pub fn start(gate: Arc<Gate>, decider: Decider, mut alarm: Alarm) {
     let mut module = Module::new(gate, decider);
@@ -165,6 +167,7 @@
                 module.guard(|m| m.take(told));
             }
             module.guard(Module::due);
+            module.show();
             let next = module.next_due();
             if more {
                 may::coroutine::yield_now();
@@ -196,6 +199,7 @@
             back: VecDeque::new(),
             counts: Counts::default(),
             report_at: now + REPORT_US,
+            shown_at: 0,
             error: None,
         }
     }
@@ -502,6 +506,19 @@
         let _ = catch_unwind(AssertUnwindSafe(|| self.decide(event)));
     }
 
+    /// What `/_stats` tells, at most ten times a second.
+    fn show(&mut self) {
+        if self.now < self.shown_at + SHOW_US {
+            return;
+        }
+        self.shown_at = self.now;
+        let shown = &self.gate.shown;
+        shown.set_target(self.decider.target());
+        let out = self.open.values().flat_map(|o| &o.tries).filter(|t| t.out).count();
+        shown.out.store(out, Ordering::Relaxed);
+        shown.open.store(self.open.len(), Ordering::Relaxed);
+    }
+
     fn report(&mut self) {
         let c = std::mem::take(&mut self.counts);
         if c.asked > 0 {
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,104 @@
+//! `curlewfront-lab`: plays scenarios against real gateways on loopback, compares builds, checks records again, and
+//! runs the lab's baseline policies as gateway processes.
+//!
+//! Exit codes: 0 done and every rule kept; 1 a rule was broken; 2 the command could not be carried out (a bad
+//! scenario, a program that would not start); the message names what is wrong.
+
+use clap::{Parser, Subcommand};
+use curlewfront_lab::{baseline, compare, report, run, scenario::Scenario};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+#[derive(Parser)]
+#[command(name = "curlewfront-lab", version, about = "The lab: real gateways against stand-ins on loopback")]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Plays a scenario once and writes its record, summary and charts.
+    Run {
+        /// The scenario, TOML.
+        scenario: PathBuf,
+        /// The program played as gateway: curlewfront, round-robin, token-bucket, or a path.
+        #[arg(long, default_value = "curlewfront")]
+        gateway: String,
+        /// Where the run's files go.
+        #[arg(long, default_value = "lab-out")]
+        out: PathBuf,
+        /// Replaces the scenario's seed.
+        #[arg(long)]
+        seed: Option<u64>,
+    },
+    /// Plays two programs on the same seeds, several times each, and prints medians with least and most.
+    Compare {
+        scenario: PathBuf,
+        #[arg(long)]
+        a: String,
+        #[arg(long)]
+        b: String,
+        #[arg(long, default_value_t = 3)]
+        runs: u32,
+        #[arg(long, default_value = "lab-out")]
+        out: PathBuf,
+    },
+    /// Reads a run's record again and judges the rules.
+    Check { dir: PathBuf },
+    /// Runs one of the lab's plain policies as a gateway (EDGE_CONFIG as a gateway has it).
+    Baseline {
+        #[arg(value_enum)]
+        policy: baseline::Policy,
+    },
+}
+
+fn runtime() -> tokio::runtime::Runtime {
+    tokio::runtime::Builder::new_multi_thread().enable_all().build().expect("a runtime")
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let done = match cli.command {
+        Command::Run { scenario, gateway, out, seed } => runtime().block_on(async {
+            let s = Scenario::load(&scenario)?;
+            let program = compare::program(&gateway)?;
+            let options = run::Options { program, out: out.clone(), seed };
+            let outcome = run::run(s, &options).await?;
+            let summary = report::summarize(&outcome, &gateway);
+            report::write(&out, &summary, &outcome)?;
+            for (k, v) in report::flat(&summary) {
+                println!("{k:28} {v}");
+            }
+            for b in outcome.verdict.breaks.iter().take(20) {
+                println!("BROKEN {} at {:.3} s: {}", b.rule, b.at_us as f64 / 1e6, b.what);
+            }
+            Ok(summary.rules_kept)
+        }),
+        Command::Compare { scenario, a, b, runs, out } => runtime().block_on(async {
+            let s = Scenario::load(&scenario)?;
+            let c = compare::compare(&s, &a, &b, runs, &out).await?;
+            print!("{}", compare::table(&c));
+            Ok(c.figures.iter().filter(|f| f.0 == "rules broken").all(|f| f.1.most == 0.0 && f.2.most == 0.0))
+        }),
+        Command::Check { dir } => run::check_again(&dir).map(|(_, record, verdict)| {
+            println!("{} tries, {} attempts", record.tries.len(), record.attempts.len());
+            for (rule, n) in verdict.by_rule() {
+                println!("{rule:16} {n} broken");
+            }
+            for b in verdict.breaks.iter().take(20) {
+                println!("BROKEN {} at {:.3} s: {}", b.rule, b.at_us as f64 / 1e6, b.what);
+            }
+            verdict.kept()
+        }),
+        Command::Baseline { policy } => runtime().block_on(baseline::serve(policy)).map(|()| true),
+    };
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(e) => {
+            eprintln!("curlewfront-lab: {e}");
+            ExitCode::from(2)
+        }
+    }
+}
