--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -31,6 +31,9 @@
         /// Replaces the scenario's seed.
         #[arg(long)]
         seed: Option<u64>,
+        /// Replaces the scenario's number of gateways.
+        #[arg(long)]
+        gateways: Option<usize>,
     },
     /// Plays two programs on the same seeds, several times each, and prints medians with least and most.
     Compare {
@@ -43,6 +46,9 @@
         runs: u32,
         #[arg(long, default_value = "lab-out")]
         out: PathBuf,
+        /// Replaces the scenario's number of gateways.
+        #[arg(long)]
+        gateways: Option<usize>,
     },
     /// Reads a run's record again and judges the rules.
     Check { dir: PathBuf },
@@ -53,6 +59,15 @@
     },
 }
 
+/// The scenario with another number of gateways, checked again.
+fn sized(mut s: Scenario, gateways: Option<usize>) -> Result<Scenario, String> {
+    if let Some(n) = gateways {
+        s.gateways = n;
+        s.check().map_err(|e| format!("--gateways: {e}"))?;
+    }
+    Ok(s)
+}
+
 fn runtime() -> tokio::runtime::Runtime {
     tokio::runtime::Builder::new_multi_thread().enable_all().build().expect("a runtime")
 }
@@ -60,8 +75,8 @@
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let done = match cli.command {
-        Command::Run { scenario, gateway, out, seed } => runtime().block_on(async {
-            let s = Scenario::load(&scenario)?;
+        Command::Run { scenario, gateway, out, seed, gateways } => runtime().block_on(async {
+            let s = sized(Scenario::load(&scenario)?, gateways)?;
             let program = compare::program(&gateway)?;
             let options = run::Options { program, out: out.clone(), seed };
             let outcome = run::run(s, &options).await?;
@@ -75,8 +90,8 @@
             }
             Ok(summary.rules_kept)
         }),
-        Command::Compare { scenario, a, b, runs, out } => runtime().block_on(async {
-            let s = Scenario::load(&scenario)?;
+        Command::Compare { scenario, a, b, runs, out, gateways } => runtime().block_on(async {
+            let s = sized(Scenario::load(&scenario)?, gateways)?;
             let c = compare::compare(&s, &a, &b, runs, &out).await?;
             print!("{}", compare::table(&c));
             Ok(c.figures.iter().filter(|f| f.0 == "rules broken").all(|f| f.1.most == 0.0 && f.2.most == 0.0))
