--- a/crates/lab/src/compare.rs
+++ b/crates/lab/src/compare.rs
@@ -119,3 +119,63 @@
     }
     out
 }
+
+/// A run's summary made anew from its record and scenario, with the processor times and length of its first.
+pub fn summary_again(dir: &Path) -> Result<Summary, String> {
+    let path = dir.join("summary.json");
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let old: serde_json::Value =
+        serde_json::from_str(&text).map_err(|e| format!("{}: {e}", path.display()))?;
+    let (scenario, record, verdict) = run::check_again(dir)?;
+    let tries = record.tries.len().max(1) as f64;
+    let per = |k: &str| old[k].as_f64().unwrap_or(0.0) * tries / 1e6;
+    let cpu = run::Cpu { lab_s: per("lab_cpu_us_per_try"), gateways_s: per("gateways_cpu_us_per_try") };
+    let start = record.tries.iter().map(|t| t.sent_us).min().unwrap_or(0);
+    let load_us = (start, start + (old["load_s"].as_f64().unwrap_or(0.0) * 1e6) as u64);
+    let outcome = run::Outcome { record, verdict, cpu, scenario, load_us };
+    Ok(report::summarize(&outcome, old["program"].as_str().unwrap_or("")))
+}
+
+/// Gathers the summaries of many runs into one table (`table.csv`, `table.md`) and a chart of requests served by
+/// scenario and size, one bar for each program (`served.svg`, `served.png`).
+pub fn gather(out: &Path, runs: &[PathBuf]) -> Result<String, String> {
+    let mut rows: Vec<serde_json::Value> = Vec::new();
+    for dir in runs {
+        rows.push(serde_json::to_value(summary_again(dir)?).expect("plain data"));
+    }
+    let cols = [
+        "scenario",
+        "gateways",
+        "program",
+        "requests",
+        "worth",
+        "requests_served",
+        "goodput_per_s",
+        "p50_ms",
+        "p99_ms",
+        "beyond_quota",
+        "refused_with_room",
+        "lost",
+        "rules_kept",
+        "lab_cpu_us_per_try",
+        "gateways_cpu_us_per_try",
+    ];
+    let cell = |r: &serde_json::Value, c: &str| match &r[c] {
+        serde_json::Value::Number(n) if n.is_f64() => format!("{:.3}", n.as_f64().unwrap_or(0.0)),
+        serde_json::Value::String(s) => s.clone(),
+        v => v.to_string(),
+    };
+    std::fs::create_dir_all(out).map_err(|e| format!("{}: {e}", out.display()))?;
+    let mut w = csv::Writer::from_path(out.join("table.csv")).map_err(|e| e.to_string())?;
+    w.write_record(cols).map_err(|e| e.to_string())?;
+    let mut md = format!("| {} |\n|{}\n", cols.join(" | "), " --- |".repeat(cols.len()));
+    for r in &rows {
+        let cells: Vec<String> = cols.iter().map(|c| cell(r, c)).collect();
+        w.write_record(&cells).map_err(|e| e.to_string())?;
+        md.push_str(&format!("| {} |\n", cells.join(" | ")));
+    }
+    w.flush().map_err(|e| e.to_string())?;
+    std::fs::write(out.join("table.md"), &md).map_err(|e| format!("{}: {e}", out.display()))?;
+    crate::report::bars(out, &rows)?;
+    Ok(md)
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -52,6 +52,12 @@
     },
     /// Reads a run's record again and judges the rules.
     Check { dir: PathBuf },
+    /// Gathers the summaries of runs into one table and chart.
+    Gather {
+        #[arg(long)]
+        out: PathBuf,
+        runs: Vec<PathBuf>,
+    },
     /// Runs one of the lab's plain policies as a gateway (EDGE_CONFIG as a gateway has it).
     Baseline {
         #[arg(value_enum)]
@@ -106,6 +112,10 @@
             }
             verdict.kept()
         }),
+        Command::Gather { out, runs } => compare::gather(&out, &runs).map(|table| {
+            print!("{table}");
+            true
+        }),
         Command::Baseline { policy } => runtime().block_on(baseline::serve(policy)).map(|()| true),
     };
     match done {
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -50,6 +50,9 @@
     pub status: u16,
     pub end: TryEnd,
     pub retry_after_ms: Option<f64>,
+    /// When it was sent once more on a new connection, its first having ended without a byte of an answer (the
+    /// close may have crossed the request, as PROTOCOL allows).
+    pub resent_us: Option<u64>,
 }
 
 /// How an attempt at a server ended.
@@ -140,6 +143,16 @@
     pub target: f64,
     pub out: u64,
     pub open: u64,
+    /// Resident memory of its process, in KiB, from `/proc`.
+    #[serde(default)]
+    pub rss_kb: u64,
+}
+
+impl GatewayRow {
+    /// A start, a kill, an end: no sample of its state.
+    pub fn event(at_us: u64, gateway: usize, what: impl Into<String>) -> GatewayRow {
+        GatewayRow { at_us, gateway, what: what.into(), target: 0.0, out: 0, open: 0, rss_kb: 0 }
+    }
 }
 
 /// The whole record.
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -50,6 +50,9 @@
     pub attempts_per_try: f64,
     /// Units sent on beyond the customer's quota, of all units sent on.
     pub beyond_quota: f64,
+    /// As the bench counts it: units served in time inside quotas, less half of the units sent on beyond them,
+    /// over what one gateway that saw all first tries would have let in.
+    pub worth: f64,
     /// Tries refused while half of the customer's store or more was unused, of all tries.
     pub refused_with_room: f64,
     pub p50_ms: f64,
@@ -59,6 +62,9 @@
     pub breaks: BTreeMap<&'static str, usize>,
     pub lab_cpu_us_per_try: f64,
     pub gateways_cpu_us_per_try: f64,
+    /// The most resident memory a gateway was seen to hold, and the last sample's most, in MiB.
+    pub gateway_rss_mb_most: f64,
+    pub gateway_rss_mb_last: f64,
 }
 
 fn histogram() -> Histogram<u64> {
@@ -112,6 +118,63 @@
     (if sent > 0.0 { beyond / sent } else { 0.0 }, with_room as f64 / tries)
 }
 
+/// Units served in time inside quotas, less half of those sent on beyond them, over the units of first tries that a
+/// store for each customer, seeing all of them, would let in.
+pub fn worth(s: &Scenario, record: &Record) -> f64 {
+    let store_of = |p: usize| (s.plans[p].rate, s.plans[p].burst);
+    let mut offered = 0.0;
+    let mut stores: HashMap<u64, (f64, u64)> = HashMap::new();
+    for t in record.tries.iter().filter(|t| t.try_no == 0) {
+        let (rate, burst) = store_of(t.plan);
+        let units = f64::from(t.units);
+        if rate <= 0.0 {
+            offered += units;
+            continue;
+        }
+        let (level, then) = stores.entry(t.customer).or_insert((burst, t.sent_us));
+        *level = (*level + rate * t.sent_us.saturating_sub(*then) as f64 / 1e6).min(burst);
+        *then = (*then).max(t.sent_us);
+        if *level >= units {
+            *level -= units;
+            offered += units;
+        }
+    }
+    // Which tries were inside their quota when first sent on, as the stores saw it.
+    let mut first_at: HashMap<&str, u64> = HashMap::new();
+    for a in &record.attempts {
+        first_at.entry(a.id.as_str()).or_insert(a.at_us);
+    }
+    let mut sends: Vec<(u64, usize)> = record
+        .tries
+        .iter()
+        .enumerate()
+        .filter_map(|(n, t)| first_at.get(t.id.as_str()).map(|at| (*at, n)))
+        .collect();
+    sends.sort_unstable();
+    let mut stores: HashMap<u64, (f64, u64)> = HashMap::new();
+    let (mut earned, mut beyond) = (0.0, 0.0);
+    for (at, n) in sends {
+        let t = &record.tries[n];
+        let (rate, burst) = store_of(t.plan);
+        let units = f64::from(t.units);
+        let served = t.end == TryEnd::Served && t.end_us <= t.sent_us + t.timeout_us;
+        if rate <= 0.0 {
+            earned += if served { units } else { 0.0 };
+            continue;
+        }
+        let (level, then) = stores.entry(t.customer).or_insert((burst, at));
+        *level = (*level + rate * (at - *then) as f64 / 1e6).min(burst);
+        *then = at;
+        if *level >= units {
+            *level -= units;
+            earned += if served { units } else { 0.0 };
+        } else {
+            beyond += units;
+        }
+    }
+    if offered > 0.0 { ((earned - 0.5 * beyond) / offered).min(1.0) } else { 0.0 }
+}
+
 /// The figures of a run.
 pub fn summarize(o: &Outcome, program: &str) -> Summary {
     let (s, r) = (&o.scenario, &o.record);
@@ -139,6 +202,7 @@
     let load_s = (o.load_us.1.saturating_sub(o.load_us.0) as f64 / 1e6).max(1e-3);
     let tries = r.tries.len().max(1) as f64;
     let (beyond_quota, refused_with_room) = quota_view(s, r);
+    let worth = worth(s, r);
     Summary {
         scenario: s.name.clone(),
         program: program.to_string(),
@@ -162,6 +226,7 @@
         goodput_per_s: in_time as f64 / load_s,
         attempts_per_try: r.attempts.len() as f64 / tries,
         beyond_quota,
+        worth,
         refused_with_room,
         p50_ms: ms(&all, 0.5),
         p99_ms: ms(&all, 0.99),
@@ -182,6 +247,13 @@
         breaks: o.verdict.by_rule(),
         lab_cpu_us_per_try: o.cpu.lab_s * 1e6 / tries,
         gateways_cpu_us_per_try: o.cpu.gateways_s * 1e6 / tries,
+        gateway_rss_mb_most: r.gateways.iter().map(|g| g.rss_kb).max().unwrap_or(0) as f64 / 1024.0,
+        gateway_rss_mb_last: {
+            let samples: Vec<_> = r.gateways.iter().filter(|g| g.what == "sample").collect();
+            let last = samples.last().map_or(0, |g| g.at_us);
+            let end = samples.iter().filter(|g| g.at_us + 2_000_000 >= last).map(|g| g.rss_kb).max();
+            end.unwrap_or(0) as f64 / 1024.0
+        },
     }
 }
 
@@ -452,6 +524,7 @@
 /// The figures compared in `lab compare`, by name.
 pub fn key_figures(s: &Summary) -> Vec<(&'static str, f64)> {
     vec![
+        ("worth", s.worth),
         ("requests served", s.requests_served),
         ("goodput a second", s.goodput_per_s),
         ("p50 ms", s.p50_ms),
@@ -475,3 +548,91 @@
     let per = |s: f64| s * 1e6 / tries.max(1) as f64;
     format!("lab {:.0} us a try, gateways {:.0} us a try", per(cpu.lab_s), per(cpu.gateways_s))
 }
+
+/// Requests served by scenario and size, a bar for each program, from gathered summaries.
+pub fn bars(dir: &Path, rows: &[serde_json::Value]) -> Result<(), String> {
+    if !font() || rows.is_empty() {
+        return Ok(());
+    }
+    let text = |r: &serde_json::Value, k: &str| {
+        r[k].as_str().map(str::to_string).unwrap_or_else(|| r[k].to_string())
+    };
+    let mut groups: Vec<String> = Vec::new();
+    let mut programs: Vec<String> = Vec::new();
+    for r in rows {
+        let g = format!("{} x{}", text(r, "scenario"), text(r, "gateways"));
+        if !groups.contains(&g) {
+            groups.push(g);
+        }
+        let p = text(r, "program");
+        if !programs.contains(&p) {
+            programs.push(p);
+        }
+    }
+    let palette = [BLUE, RED, GREEN, MAGENTA, CYAN, BLACK];
+    let width = 1.0 / (programs.len() as f64 + 1.0);
+    for png in [false, true] {
+        macro_rules! plot {
+            ($root:expr) => {{
+                let root = $root.into_drawing_area();
+                root.fill(&WHITE).map_err(|e| e.to_string())?;
+                let mut chart = ChartBuilder::on(&root)
+                    .caption(
+                        "worth: served in time inside quotas, less half of what went beyond",
+                        ("sans-serif", 20),
+                    )
+                    .margin(10)
+                    .x_label_area_size(60)
+                    .y_label_area_size(50)
+                    .build_cartesian_2d(0.0..groups.len() as f64, 0.0..1.0)
+                    .map_err(|e| e.to_string())?;
+                let names = groups.clone();
+                chart
+                    .configure_mesh()
+                    .x_labels(groups.len() * 2 + 1)
+                    .x_label_formatter(&|x| {
+                        let k = x.floor() as usize;
+                        if (x - x.floor() - 0.5).abs() < 0.01 {
+                            names.get(k).cloned().unwrap_or_default()
+                        } else {
+                            String::new()
+                        }
+                    })
+                    .y_desc("worth")
+                    .draw()
+                    .map_err(|e| e.to_string())?;
+                for (n, p) in programs.iter().enumerate() {
+                    let color = palette[n % palette.len()];
+                    let bars = rows.iter().filter(|r| text(r, "program") == *p).filter_map(|r| {
+                        let g = groups.iter().position(|g| {
+                            *g == format!("{} x{}", text(r, "scenario"), text(r, "gateways"))
+                        })?;
+                        let x = g as f64 + width * (n as f64 + 0.5);
+                        let y = r["worth"].as_f64().unwrap_or(0.0).max(0.0);
+                        Some(Rectangle::new([(x, 0.0), (x + width, y)], color.filled()))
+                    });
+                    chart
+                        .draw_series(bars)
+                        .map_err(|e| e.to_string())?
+                        .label(p.as_str())
+                        .legend(move |(x, y)| Rectangle::new([(x, y - 5), (x + 10, y + 5)], color.filled()));
+                }
+                chart
+                    .configure_series_labels()
+                    .background_style(WHITE.mix(0.8))
+                    .border_style(BLACK)
+                    .draw()
+                    .map_err(|e| e.to_string())?;
+                root.present().map_err(|e| e.to_string())?;
+            }};
+        }
+        let (svg, bitmap) = (dir.join("served.svg"), dir.join("served.png"));
+        let size = (160 * groups.len().max(4) as u32, 480);
+        if png {
+            plot!(BitMapBackend::new(&bitmap, size));
+        } else {
+            plot!(SVGBackend::new(&svg, size));
+        }
+    }
+    Ok(())
+}
