--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -82,6 +82,11 @@
         self.asked.load(Ordering::Relaxed)
     }
 
+    /// Its first request is still to be expected.
+    fn expected(&self, now: Micros) -> bool {
+        self.asked() == 0 && now < self.born + FIRST_US
+    }
+
     /// What it is to be ended for by `now`, if its descriptor is wanted or not. A client that sends nothing, or
     /// half a request, is told so in time: it may be waiting for that. Who asked once and stays would fill the
     /// descriptors in the course of a long day; who comes often is the last to go.
--- a/crates/gateway/src/clients/connection.rs
+++ b/crates/gateway/src/clients/connection.rs
@@ -99,6 +99,8 @@
 const AHEAD: usize = 4096;
 
 const NO_ROOM: Bad = Bad { status: 503, what: "no room" };
+/// What a connection is told that is ended before it has brought a request.
+const UNHEARD: Bad = Bad { status: 503, what: "ended before a request came" };
 
 impl Client {
     fn run(&mut self) {
@@ -109,16 +111,28 @@
                     ToClient::Answer { id, answer } => self.answer(id, answer),
                     ToClient::GoOn => (self.streak, self.paused) = (0, false),
                     ToClient::Close(chosen_for) => {
-                        // Nothing is owed to an idle one: a request that crosses the close is sent again by its
-                        // client. But one that has come by now, or an answer to it, is owed.
+                        // Nothing is owed to one that is idle between requests: a request that crosses the close is
+                        // sent again by its client. But one that has come by now, or an answer to it, is owed.
                         self.more = true;
                         self.read();
-                        if self.doing() == chosen_for && chosen_for == Doing::Reading {
-                            self.refuse(&Bad { status: 408, what: "request not whole in time" });
-                        } else if self.doing() == chosen_for {
-                            // At once: what comes between this look and the end is lost to its client.
-                            let _ = self.io.inner().shutdown(Shutdown::Both);
-                            return;
+                        if self.doing() != chosen_for {
+                            continue;
+                        }
+                        match chosen_for {
+                            Doing::Reading => {
+                                self.refuse(&Bad { status: 408, what: "request not whole in time" })
+                            }
+                            // Its first request may be on its way, and a client whose new connection ends in silence
+                            // cannot tell whether it was heard: told first, it reads that as the answer to what
+                            // crosses. Could harm a client that takes bytes it never asked for as an error.
+                            Doing::Idle if self.known.expected(self.all.gate.clock.now()) => {
+                                self.refuse(&UNHEARD)
+                            }
+                            _ => {
+                                // At once: what comes between this look and the end is lost to its client.
+                                let _ = self.io.inner().shutdown(Shutdown::Both);
+                                return;
+                            }
                         }
                     }
                 }
