Keep the ports of the gateway's tests for their tests alone

Cause: beside 6 busy loops and other test programs a_refused_connection_never_ran_and_another_server_serves failed once in 24 runs: the address of its server that is gone was a port let go before, free for any socket of the tests beside it. The same held for the ports that gateways are started on (tried again up to five times) and for a discovery that comes later.

Change: such ports stay bound, not listening, with SO_REUSEADDR, until the test ends; a gateway that ends at its start fails the test at once with its exit status; a missing answer says after how long.

--- a/crates/gateway/tests/attempts.rs
+++ b/crates/gateway/tests/attempts.rs
@@ -3,7 +3,6 @@
 mod common;
 
 use common::*;
-use std::net::TcpListener;
 use std::time::{Duration, Instant};
 
 fn pair() -> (Server, Discovery, Setup) {
@@ -117,7 +116,7 @@
 
 #[test]
 fn a_refused_connection_never_ran_and_another_server_serves() {
-    let gone = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+    let (_kept, gone) = keep_port();
     let (server, discovery, mut setup) = pair();
     (setup.effect, setup.attempts_cap) = ("once", 5);
     setup.known = list(1, true, &[("s-gone", gone, "Ready"), ("s-0", server.addr, "Ready")]);
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -257,13 +257,19 @@
     child: Child,
     folder: std::path::PathBuf,
     config: String,
+    _port: socket2::Socket,
 }
 
 static COUNT: AtomicUsize = AtomicUsize::new(0);
 
-/// A port that was free a moment ago.
-fn free_port() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
+/// A port at which nobody listens, and that nobody else gets, until the socket is dropped: it is bound and does not
+/// listen. A gateway, which binds with SO_REUSEADDR, may listen there meanwhile.
+pub fn keep_port() -> (socket2::Socket, SocketAddr) {
+    let kept = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    kept.set_reuse_address(true).expect("set");
+    kept.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("bound");
+    let addr = kept.local_addr().expect("bound").as_socket().expect("an address");
+    (kept, addr)
 }
 
 pub fn settings(setup: &Setup) -> String {
@@ -285,17 +291,7 @@
 
 impl Gateway {
     pub fn start(setup: &Setup, discovery: &Discovery) -> Gateway {
-        for _ in 0..5 {
-            if let Some(gateway) = Gateway::try_start(setup, discovery) {
-                return gateway;
-            }
-        }
-        panic!("the gateway did not start");
-    }
-
-    /// None if another process took the port in between.
-    fn try_start(setup: &Setup, discovery: &Discovery) -> Option<Gateway> {
-        let addr = free_port();
+        let (port, addr) = keep_port();
         let number = COUNT.fetch_add(1, Ordering::SeqCst);
         let folder = std::env::temp_dir().join(format!("curlewfront-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
@@ -323,20 +319,19 @@
             .stderr(if std::env::var_os("SHOW_LOG").is_some() { Stdio::inherit() } else { Stdio::null() })
             .spawn()
             .expect("the gateway starts");
-        let mut gateway = Gateway { addr, child, folder, config: text };
+        let mut gateway = Gateway { addr, child, folder, config: text, _port: port };
         let from = Instant::now();
         while from.elapsed() < WAIT {
             if let Ok(mut c) = Client::try_connect(addr)
                 && c.get("/_health").is_some_and(|m| m.status() == 200)
             {
-                return Some(gateway);
-            }
-            if gateway.child.try_wait().expect("a child").is_some() {
-                return None;
+                return gateway;
             }
+            let ended = gateway.child.try_wait().expect("a child");
+            assert!(ended.is_none(), "the gateway ended at its start: {ended:?}");
             std::thread::sleep(Duration::from_millis(5));
         }
-        None
+        panic!("the gateway did not start within {WAIT:?}");
     }
 
     pub fn client(&self) -> Client {
@@ -447,8 +442,11 @@
     }
 
     pub fn ask(&mut self, request: &str) -> Message {
+        let from = Instant::now();
         self.send(request);
-        self.read().expect("an answer")
+        self.read().unwrap_or_else(|| {
+            panic!("no answer after {:?}, the connection ended or is silent", from.elapsed())
+        })
     }
 
     pub fn get(&mut self, path: &str) -> Option<Message> {
--- a/crates/gateway/tests/reload.rs
+++ b/crates/gateway/tests/reload.rs
@@ -84,9 +84,7 @@
 fn a_new_discovery_that_is_not_there_yet_is_found_soon() {
     let server = Server::start();
     let (_old, gateway) = setup_of(&[&server]);
-    let place = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-    let addr = place.local_addr().expect("bound");
-    drop(place);
+    let (_kept, addr) = keep_port();
     let text = gateway.config_with(&Discovery::start());
     let (front, rest) = text.split_once(r#""discovery":""#).expect("it names one");
     let (_, rest) = rest.split_once('"').expect("whole");
