Play scenarios of the fleet group in the lab, with drawn faults, named points and a judge

Change: lab run takes scenarios of kind group: written faults and drawn ones, at times or when a frame of a kind crosses a link; the judge checks linearizability, one leader a term, one holder, equal states, and that life goes on, and catches a violation planted for each.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod documents;
 pub mod fleet;
 pub mod gateways;
+pub mod group;
 pub mod http;
 pub mod load;
 pub mod record;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,7 +5,7 @@
 //! scenario, a program that would not start); the message names what is wrong.
 
 use clap::{Parser, Subcommand};
-use curlewfront_lab::{baseline, compare, report, run, scenario::Scenario};
+use curlewfront_lab::{baseline, compare, group, report, run, scenario::Scenario};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -74,6 +74,27 @@
     Ok(s)
 }
 
+fn is_group(path: &std::path::Path) -> bool {
+    std::fs::read_to_string(path).is_ok_and(|text| group::Scenario::is_one(&text))
+}
+
+/// A scenario of the fleet group: its own processes, faults and judge.
+fn play_group(
+    path: &std::path::Path,
+    gateway: &str,
+    out: &std::path::Path,
+    seed: Option<u64>,
+) -> Result<bool, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let s = group::Scenario::parse(&text).map_err(|e| format!("{}: {e}", path.display()))?;
+    let (summary, _) = group::run(&s, compare::program(gateway)?.path, out, seed)?;
+    println!("{}", serde_json::to_string_pretty(&summary).expect("plain data"));
+    for b in summary.breaks.iter().take(20) {
+        println!("BROKEN {}: {}", b.invariant, b.what);
+    }
+    Ok(summary.breaks.is_empty())
+}
+
 fn runtime() -> tokio::runtime::Runtime {
     tokio::runtime::Builder::new_multi_thread().enable_all().build().expect("a runtime")
 }
@@ -81,6 +102,9 @@
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let done = match cli.command {
+        Command::Run { scenario, gateway, out, seed, .. } if is_group(&scenario) => {
+            play_group(&scenario, &gateway, &out, seed)
+        }
         Command::Run { scenario, gateway, out, seed, gateways } => runtime().block_on(async {
             let s = sized(Scenario::load(&scenario)?, gateways)?;
             let program = compare::program(&gateway)?;
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -4,7 +4,7 @@
 
 use crate::gateways::keep_port;
 use curlewfront_fleet::control::{Control, Failed};
-use curlewfront_fleet::wire::NodeStatus;
+use curlewfront_fleet::wire::{Frame, NodeStatus, Reader};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use serde_json::{Value, json};
@@ -99,6 +99,23 @@
     breaking: AtomicBool,
 }
 
+/// How often frames of each kind have crossed any link, for faults that wait for a point in the course of things.
+#[derive(Debug, Default)]
+struct Points(Mutex<BTreeMap<&'static str, u64>>);
+
+impl Points {
+    fn seen(&self, frame: &Frame) {
+        let name = match frame {
+            Frame::Peer(m) if m.name() == "append" && m.carries_entries() => "entries",
+            Frame::Peer(m) => m.name(),
+            Frame::Piece { .. } => "snapshot_part",
+            Frame::Call { .. } => "call",
+            _ => return,
+        };
+        *lock(&self.0).entry(name).or_default() += 1;
+    }
+}
+
 struct Process {
     http: SocketAddr,
     control: SocketAddr,
@@ -113,6 +130,7 @@
     setup: Setup,
     processes: Mutex<Vec<Process>>,
     links: BTreeMap<(usize, usize), Arc<Link>>,
+    points: Arc<Points>,
     rows: Mutex<Vec<Row>>,
     started: Instant,
     runtime: tokio::runtime::Runtime,
@@ -144,6 +162,7 @@
         let mut rig = Rig {
             processes: Mutex::new(Vec::new()),
             links: BTreeMap::new(),
+            points: Arc::default(),
             rows: Mutex::new(Vec::new()),
             started: Instant::now(),
             runtime,
@@ -157,7 +176,7 @@
                 let listener = rig.runtime.block_on(TcpListener::bind("127.0.0.1:0"));
                 let listener = listener.map_err(|e| cannot("listen for a relay", e))?;
                 relays.insert((from, to), listener.local_addr().map_err(|e| cannot("read its address", e))?);
-                rig.runtime.spawn(relay(listener, target, link.clone()));
+                rig.runtime.spawn(relay(listener, target, link.clone(), rig.points.clone()));
                 rig.links.insert((from, to), link);
             }
         }
@@ -386,6 +405,25 @@
         }
     }
 
+    /// Waits until a frame of this kind has crossed a link: `entries` (an append that carries some), `append`,
+    /// `append_answer`, `vote`, `vote_answer`, `heartbeat`, `snapshot_part`, `call`. False if none did in time.
+    pub fn at_point(&self, kind: &str, within: Duration) -> bool {
+        let count = || lock(&self.points.0).get(kind).copied().unwrap_or(0);
+        let (before, until) = (count(), Instant::now() + within);
+        while count() == before {
+            if Instant::now() >= until {
+                return false;
+            }
+            std::thread::sleep(Duration::from_micros(200));
+        }
+        true
+    }
+
+    /// How often frames of each kind have crossed links so far.
+    pub fn crossed(&self) -> BTreeMap<&'static str, u64> {
+        lock(&self.points.0).clone()
+    }
+
     /// Begins a fault.
     pub fn inject(&self, fault: &Fault) -> Result<(), String> {
         self.note(format!("begin {fault:?}"));
@@ -532,13 +570,13 @@
     Ok(())
 }
 
-async fn relay(listener: TcpListener, target: SocketAddr, link: Arc<Link>) {
+async fn relay(listener: TcpListener, target: SocketAddr, link: Arc<Link>, points: Arc<Points>) {
     loop {
         let Ok((near, _)) = listener.accept().await else {
             tokio::time::sleep(LOOK).await;
             continue;
         };
-        tokio::spawn(through(near, target, link.clone()));
+        tokio::spawn(through(near, target, link.clone(), points.clone()));
     }
 }
 
@@ -547,7 +585,7 @@
     let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
 
-async fn through(near: TcpStream, target: SocketAddr, link: Arc<Link>) {
+async fn through(near: TcpStream, target: SocketAddr, link: Arc<Link>, points: Arc<Points>) {
     let number = link.reset.load(Ordering::Relaxed);
     while link.blocked[0].load(Ordering::Relaxed) || link.blocked[1].load(Ordering::Relaxed) {
         // The connection does not come up as far as its other end is concerned.
@@ -568,8 +606,8 @@
         }
     };
     tokio::select! {
-        () = carry(near_in, far_out, &link, 0) => {}
-        () = carry(far_in, near_out, &link, 1) => {}
+        () = carry(near_in, far_out, &link, 0, Some(&points)) => {}
+        () = carry(far_in, near_out, &link, 1, None) => {}
         () = broken => {}
     }
 }
@@ -579,7 +617,9 @@
     mut to: tokio::net::tcp::OwnedWriteHalf,
     link: &Link,
     direction: usize,
+    points: Option<&Points>,
 ) {
+    let mut frames = Reader::default();
     // Delayed bytes keep their order and do not hold each other up: each goes on when its own time has come.
     let (queue, mut due) = tokio::sync::mpsc::channel::<(tokio::time::Instant, Vec<u8>)>(256);
     let reading = async {
@@ -611,6 +651,12 @@
             if to.write_all(&bytes).await.is_err() {
                 return;
             }
+            if let Some(points) = points {
+                frames.push(&bytes);
+                while let Ok(Some(frame)) = frames.frame() {
+                    points.seen(&frame);
+                }
+            }
         }
     };
     tokio::select! { () = reading => {}, () = writing => {} }
