--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod group;
 pub mod http;
 pub mod load;
+pub mod measure;
 pub mod record;
 pub mod report;
 pub mod rig;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,7 +5,7 @@
 //! scenario, a program that would not start); the message names what is wrong.
 
 use clap::{Parser, Subcommand};
-use curlewfront_lab::{baseline, compare, group, report, run, scenario::Scenario};
+use curlewfront_lab::{baseline, compare, group, measure, report, run, scenario::Scenario};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -58,6 +58,20 @@
         out: PathBuf,
         runs: Vec<PathBuf>,
     },
+    /// Measures the fleet group: failover, writes, renewals, disk, and what leaving out its protections breaks.
+    GroupMeasure {
+        #[arg(long, default_value = "curlewfront")]
+        gateway: String,
+        /// Where tables and chart go.
+        #[arg(long, default_value = "docs/fleet")]
+        out: PathBuf,
+        /// Where stores, logs and configurations go.
+        #[arg(long, default_value = "lab-out/group-measure")]
+        work: PathBuf,
+        /// How often each way of losing a leader is tried.
+        #[arg(long, default_value_t = 20)]
+        runs: usize,
+    },
     /// Runs one of the lab's plain policies as a gateway (EDGE_CONFIG as a gateway has it).
     Baseline {
         #[arg(value_enum)]
@@ -140,6 +154,12 @@
             print!("{table}");
             true
         }),
+        Command::GroupMeasure { gateway, out, work, runs } => {
+            measure::program(&gateway).and_then(|p| measure::run(&p, &out, &work, runs)).map(|table| {
+                print!("{table}");
+                true
+            })
+        }
         Command::Baseline { policy } => runtime().block_on(baseline::serve(policy)).map(|()| true),
     };
     match done {
