Give the gateway's actors one file of messages, and its limits one of their own

Change: messages.rs holds what actors tell each other, limits.rs the counts of descriptors and memory; a test's gate moved to gate.rs. Nothing but places changed.

Measured: no file of crates/gateway reaches itself through its imports any more (a walk over all of them); its 84 tests pass.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -6,9 +6,10 @@
 mod request;
 
 use crate::clock::Alarm;
-use crate::gate::{Fd, Gate, Side};
+use crate::gate::Gate;
+use crate::limits::{Fd, Side};
 use crate::mailbox::{Bell, Mailbox};
-use crate::module::Told;
+use crate::messages::{Doing, ToClient, Told};
 use curlewfront::Micros;
 use may::io::{CoIo, WaitIo};
 use socket2::{Domain, Type};
@@ -18,31 +19,6 @@
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-/// What a client's connection is told.
-pub enum ToClient {
-    Answer {
-        id: u64,
-        answer: Answer,
-    },
-    /// Close if this is still all that it does.
-    Close(Doing),
-    /// After a break: it may read on.
-    GoOn,
-}
-
-pub enum Answer {
-    /// Headers, blank line and body of a server's answer, as they go to the client.
-    Served(Vec<u8>),
-    Refused {
-        retry_after_us: Micros,
-    },
-    /// The request itself is at fault.
-    Rejected {
-        status: u16,
-    },
-    Failed,
-}
-
 /// A connection as the others know it.
 struct Known {
     inbox: Arc<Mailbox<ToClient>>,
@@ -53,20 +29,6 @@
     asked: AtomicU32,
 }
 
-/// What a connection is doing, as far as it matters to the others.
-#[derive(Clone, Copy, PartialEq, Eq)]
-pub enum Doing {
-    Idle,
-    /// The module has its request.
-    Waiting,
-    /// A part of a request has come.
-    Reading,
-    /// An answer is not yet taken.
-    Writing,
-    /// It ends; nothing more is owed.
-    Parting,
-}
-
 impl Known {
     fn doing(&self) -> Doing {
         let shown = self.doing.load(Ordering::Relaxed);
--- a/crates/gateway/src/clients/connection.rs
+++ b/crates/gateway/src/clients/connection.rs
@@ -1,10 +1,10 @@
 //! One client's connection: reads requests, hands them to the module, writes the answers.
 
 use super::request::{self, HEALTH, STATS};
-use super::{Answer, Clients, Doing, Known, ToClient};
-use crate::gate::Fd;
+use super::{Clients, Known};
 use crate::http::{self, Bad, Body, Framing};
-use crate::module::{Asked, Told};
+use crate::limits::Fd;
+use crate::messages::{Answer, Asked, Doing, ToClient, Told};
 use crate::ring::Ring;
 use crate::servers::events;
 use curlewfront::Micros;
--- a/crates/gateway/src/clients/request.rs
+++ b/crates/gateway/src/clients/request.rs
@@ -2,8 +2,7 @@
 
 use crate::gate::Gate;
 use crate::http::{self, Bad};
-use crate::module::Asked;
-use crate::servers::Passage;
+use crate::messages::{Asked, Passage};
 use curlewfront::{Micros, Plan};
 
 /// Answered here: whether the list is known, and what the module last said of itself.
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -7,7 +7,7 @@
 use crate::gate::Gate;
 use crate::http::{self, Body};
 use crate::mailbox::Bell;
-use crate::module::Told;
+use crate::messages::Told;
 use crate::ring::Ring;
 use crate::servers::{connect, events};
 use curlewfront::Micros;
--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -1,12 +1,13 @@
 //! The module's actor: owns the decisions and the table of open requests. It hands events to the decisions,
 //! one clock reading for each batch, and carries out what they answer. It decides nothing itself.
 
-use crate::clients::{Answer, ToClient};
 use crate::clock::Alarm;
 use crate::errors::AttemptError;
-use crate::gate::{Gate, Side};
+use crate::gate::Gate;
+use crate::limits::Side;
 use crate::mailbox::Mailbox;
-use crate::servers::{self, Carried, Job, Passage, ToServer};
+use crate::messages::{Answer, Asked, Carried, Ended, Job, Passage, ToClient, ToServer, Told};
+use crate::servers;
 use curlewfront::{Action, Decider, Entry, Event, ListKind, Micros, NewRequest, Outcome, Return, State};
 use curlewfront_config::Members;
 use may::sync::mpsc::Sender;
@@ -17,61 +18,6 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-/// What the module's actor is told.
-pub enum Told {
-    Asked(Box<Asked>),
-    Withdrawn {
-        id: u64,
-    },
-    Ended(Ended),
-    Members(Members),
-    /// No descriptor is left: idle connections to servers are to give way.
-    Crowded,
-}
-
-/// A client's request, whole and well formed.
-pub struct Asked {
-    pub id: u64,
-    /// What its client calls it.
-    pub name: Arc<[u8]>,
-    pub client: Option<Arc<Mailbox<ToClient>>>,
-    pub class: usize,
-    pub plan: usize,
-    pub customer: u64,
-    /// When the client stops waiting.
-    pub until: Micros,
-    pub units: f64,
-    /// More than this no request of its plan can draw.
-    pub most_units: f64,
-    pub spread: u32,
-    pub first: u32,
-    pub repeat: bool,
-    pub passage: Passage,
-}
-
-/// What became of an attempt.
-pub struct Ended {
-    pub id: u64,
-    pub attempt: u32,
-    pub outcome: Outcome,
-    pub used: Option<f64>,
-    pub units: Option<f64>,
-    pub answer: Option<Answer>,
-    pub error: Option<AttemptError>,
-}
-
-impl Ended {
-    pub fn failed(job: &Job, error: AttemptError) -> Ended {
-        let outcome = error.outcome();
-        Ended { error: Some(error), ..Ended::bare(job.id, job.attempt, outcome) }
-    }
-
-    /// An outcome that no answer came with.
-    fn bare(id: u64, attempt: u32, outcome: Outcome) -> Ended {
-        Ended { id, attempt, outcome, used: None, units: None, answer: None, error: None }
-    }
-}
-
 struct Open {
     name: Arc<[u8]>,
     client: Option<Arc<Mailbox<ToClient>>>,
@@ -542,23 +488,9 @@
 }
 
 #[cfg(test)]
-pub mod tests {
+mod tests {
     use super::*;
-    use crate::clock::{Alarms, Clock};
-
-    const CONFIG: &str = r#"{"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","known":{"version":1,"full":true,
-"servers":[{"id":"s","addr":"127.0.0.1:9","zone":"a","state":"Ready"}]},
-"settings":{"balancers":1,"classes":[{"name":"v","aimUs":1000000,"deadlineUs":2000000,"effect":"repeatable"}],
-"tiersOfService":[{"name":"t","unitsPerS":100.0,"depth":100.0}],"permissions":{"attemptsCap":2,"mayCancel":true}}}"#;
-
-    pub fn gate() -> Arc<Gate> {
-        let config = curlewfront_config::Config::read(CONFIG, |_| None).expect("it is good");
-        let clock = Clock::start();
-        let alarm = Alarm::new(clock).expect("a timer");
-        let alarms = Alarms::start(clock).expect("a timer");
-        let log = slog::Logger::root(slog::Discard, slog::o!());
-        Arc::new(Gate::new(config, clock, alarms, log, alarm.bell(), alarm.bell()))
-    }
+    use crate::gate::tests::gate;
 
     fn module() -> Module {
         let gate = gate();
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -7,9 +7,10 @@
 mod connection;
 
 use crate::errors::{AttemptError, Cause, Progress};
-use crate::gate::{Gate, Lease, Side};
+use crate::gate::Gate;
+use crate::limits::Side;
 use crate::mailbox::{Bell, Mailbox};
-use crate::module::{Ended, Told};
+use crate::messages::{Ended, Job, ToServer, Told};
 use curlewfront::Micros;
 use may::io::CoIo;
 use may::sync::mpsc::{Receiver, Sender, channel};
@@ -17,75 +18,6 @@
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
-
-/// A request as it goes to a server, but for the time that is left.
-pub struct Passage {
-    /// Request line and headers, without the blank line that ends them.
-    pub head: Vec<u8>,
-    pub body: Vec<u8>,
-    /// Leave to hold the body.
-    pub lease: Option<Lease>,
-}
-
-pub struct Job {
-    pub id: u64,
-    pub attempt: u32,
-    pub passage: Arc<Passage>,
-    /// When the gateway stops waiting.
-    pub until: Micros,
-    pub _carried: Carried,
-}
-
-/// Counts the attempts that are on connections or on their way to one, as long as it lives with its attempt.
-pub struct Carried(Arc<AtomicUsize>);
-
-impl Carried {
-    pub fn one_more(count: &Arc<AtomicUsize>) -> Carried {
-        count.fetch_add(1, Ordering::Relaxed);
-        Carried(count.clone())
-    }
-}
-
-impl Drop for Carried {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-/// What a server's actor is told.
-pub enum ToServer {
-    Send(Job),
-    /// `late`: its time was up, and this is when it was sent.
-    GiveUp {
-        id: u64,
-        attempt: u32,
-        late: Option<Micros>,
-    },
-    Listed {
-        addr: SocketAddr,
-        up: bool,
-    },
-    /// Off the list for good.
-    Gone,
-    CloseIdle,
-    /// By one of its connections: ready for the next attempt.
-    Free {
-        conn: u64,
-    },
-    Connected {
-        conn: u64,
-    },
-    /// By one of its connections: it has ended; of this attempt nothing was written.
-    Ended {
-        conn: u64,
-        unsent: Option<Job>,
-    },
-    DialTimeout {
-        conn: u64,
-    },
-    Sweep,
-}
 
 enum ToConn {
     Carry(Job),
@@ -347,7 +279,8 @@
 mod tests {
     use super::*;
     use crate::clock::Alarm;
-    use crate::module::tests::gate;
+    use crate::gate::tests::gate;
+    use crate::messages::{Carried, Passage};
     use std::net::TcpListener;
 
     /// A server's actor with one connection that has just ended, an attempt in its mailbox.
--- a/crates/gateway/src/servers/connection.rs
+++ b/crates/gateway/src/servers/connection.rs
@@ -1,12 +1,12 @@
 //! One connection to a server: carries one attempt at a time.
 
 use super::{Job, ToConn, ToServer, events};
-use crate::clients::Answer;
 use crate::errors::{AttemptError, Cause, Progress};
-use crate::gate::{Fd, Gate};
+use crate::gate::Gate;
 use crate::http::{self, Body};
+use crate::limits::Fd;
 use crate::mailbox::Mailbox;
-use crate::module::{Ended, Told};
+use crate::messages::{Answer, Ended, Told};
 use crate::ring::Ring;
 use curlewfront::{Micros, Outcome};
 use may::io::{CoIo, WaitIo};
