Start the rig's processes by one piece of code

Need: members and a second process of a name were started by the same eleven lines twice. Behaviour as it was.

--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -266,8 +266,15 @@
         }
         let log = std::fs::OpenOptions::new().create(true).append(true).open(&p.log);
         let log = log.map_err(|e| format!("{}: {e}", p.log.display()))?;
-        let child = Command::new(&self.setup.program)
-            .env("EDGE_CONFIG", &p.config)
+        p.child = Some(self.spawn(&p.config, log)?);
+        drop(processes);
+        self.note(format!("start {n}"));
+        Ok(())
+    }
+
+    fn spawn(&self, config: &Path, log: std::fs::File) -> Result<Child, String> {
+        Command::new(&self.setup.program)
+            .env("EDGE_CONFIG", config)
             .env_remove("EDGE_LISTEN")
             .env_remove("EDGE_NAME")
             .env_remove("EDGE_DISCOVERY")
@@ -275,11 +282,7 @@
             .stdout(Stdio::null())
             .stderr(log)
             .spawn()
-            .map_err(|e| format!("cannot start {}: {e}", self.setup.program.display()))?;
-        p.child = Some(child);
-        drop(processes);
-        self.note(format!("start {n}"));
-        Ok(())
+            .map_err(|e| format!("cannot start {}: {e}", self.setup.program.display()))
     }
 
     /// A second process under the name of member `n`, with a store and ports of its own. The caller ends it.
@@ -300,16 +303,7 @@
         let path = config.with_extension("twin.json");
         std::fs::write(&path, value.to_string()).map_err(cannot)?;
         let log = std::fs::File::create(log).map_err(cannot)?;
-        let child = Command::new(&self.setup.program)
-            .env("EDGE_CONFIG", &path)
-            .env_remove("EDGE_LISTEN")
-            .env_remove("EDGE_NAME")
-            .env_remove("EDGE_DISCOVERY")
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log)
-            .spawn()
-            .map_err(cannot)?;
+        let child = self.spawn(&path, log)?;
         let control = ports[2].1;
         Ok(Twin { child, control, _ports: ports.into_iter().map(|(s, _)| s).collect() })
     }
