Renew the group's picture for /_stats without copying its documents; share lab pieces

Cause: read over, the group's thread copied the whole agreed state (up to 4,096 documents) ten times a second for /_stats, which shows seven figures of it, and its own hello after every step, though only its group ever changes, once.

Change: the picture holds just those figures; the hello is renewed at the birth. The lab counts leases by Rig::leased (three copies before) and makes single figures by Line::once (two). Behaviour as it was.

--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -47,24 +47,15 @@
 
 /// The gateway's end of it.
 pub struct Handle {
-    shown: Arc<Mutex<NodeStatus>>,
+    shown: Arc<Mutex<serde_json::Value>>,
     stop: Arc<Notify>,
     thread: Mutex<Option<std::thread::JoinHandle<()>>>,
 }
 
 impl Handle {
-    /// What the group's thread last said of itself.
-    pub fn shown(&self) -> NodeStatus {
-        lock(&self.shown).clone()
-    }
-
     /// What `/_stats` says under `fleet`.
     pub fn stats(&self) -> serde_json::Value {
-        let s = lock(&self.shown);
-        serde_json::json!({
-            "role": s.role, "leader": s.leader, "incarnation": s.incarnation, "lease_left_ms": s.lease_left_ms,
-            "revision": s.state.revision, "members": s.state.members.len(), "counts": s.counts,
-        })
+        lock(&self.shown).clone()
     }
 
     /// Gives the lease back and ends the thread; waits for it a bounded time.
@@ -98,7 +89,7 @@
         Ok(Some(listener))
     };
     let (peers, control) = (listen(fleet.listen, "listen")?, listen(fleet.control, "control")?);
-    let (shown, stop) = (Arc::new(Mutex::new(NodeStatus::default())), Arc::new(Notify::new()));
+    let (shown, stop) = (Arc::new(Mutex::new(serde_json::json!({}))), Arc::new(Notify::new()));
     let process = OsRng.next_u64() | 1;
     let log = log.new(slog::o!("fleet" => name.to_string()));
     slog::info!(log, "store opened"; "disk" => format!("{:x}", store.owner.disk),
@@ -122,7 +113,7 @@
             if guarded.is_err() {
                 // The gateway goes on without its part; its lease runs out by itself.
                 slog::crit!(log, "the group's thread failed, this gateway takes no more part");
-                lock(&seen).role = "failed".into();
+                lock(&seen)["role"] = "failed".into();
             }
         })
         .map_err(|e| format!("fleet: cannot start its thread: {e}"))?;
@@ -236,7 +227,7 @@
     group: Group,
     life: Life,
     log: Logger,
-    shown: Arc<Mutex<NodeStatus>>,
+    shown: Arc<Mutex<serde_json::Value>>,
     started: Instant,
     /// Added to the clock by tests.
     jump: Micros,
@@ -274,7 +265,7 @@
         saved: crate::mirror::Saved,
         process: u64,
         log: Logger,
-        shown: Arc<Mutex<NodeStatus>>,
+        shown: Arc<Mutex<serde_json::Value>>,
     ) -> Core {
         let (heard, incoming) = mpsc::channel(MOST_INCOMING);
         let life = Life { disk: store.owner.disk, process };
@@ -404,7 +395,10 @@
         let mut leaving: Option<Instant> = None;
         loop {
             self.step();
-            *lock(&me) = self.hello();
+            // Of what it says of itself only the group ever changes, once, at its birth.
+            if lock(&me).group.number != self.group.number {
+                *lock(&me) = self.hello();
+            }
             if leaving.is_some_and(|until| self.member.released() || Instant::now() >= until) {
                 slog::info!(self.log, "left the group"; "released" => self.member.released());
                 return;
@@ -933,26 +927,33 @@
         }
     }
 
+    fn leader_name(&self) -> String {
+        self.voter.as_ref().and_then(Voter::leader_name).unwrap_or_default()
+    }
+
+    fn lease_left_ms(&self, now: Micros) -> u64 {
+        self.member.held(now).map_or(0, |_| (self.member.lease_until() - now) / 1000)
+    }
+
+    fn counts(&self) -> Counts {
+        let member = self.member.counts;
+        Counts { renewed: member.renewed, leases_lost: member.lost, ..self.counts }
+    }
+
     fn status(&self) -> NodeStatus {
         let now = self.now();
-        let voter = self.voter.as_ref().map(Voter::status);
-        let leader = self.voter.as_ref().and_then(Voter::leader_name).unwrap_or_default();
         NodeStatus {
             installation: self.fleet.installation.clone(),
             name: self.name.clone(),
             disk: self.life.disk,
             group: self.group.number,
             role: self.role().into(),
-            leader,
+            leader: self.leader_name(),
             incarnation: self.member.held(now).unwrap_or(0),
-            lease_left_ms: self.member.held(now).map_or(0, |_| (self.member.lease_until() - now) / 1000),
-            voter,
+            lease_left_ms: self.lease_left_ms(now),
+            voter: self.voter.as_ref().map(Voter::status),
             state: self.state().clone(),
-            counts: Counts {
-                renewed: self.member.counts.renewed,
-                leases_lost: self.member.counts.lost,
-                ..self.counts
-            },
+            counts: self.counts(),
             trouble: self.trouble.clone(),
         }
     }
@@ -960,8 +961,14 @@
     fn show(&mut self, now: Micros) {
         if now >= self.show_at {
             self.show_at = now + 100_000;
-            let status = self.status();
-            *lock(&self.shown) = status;
+            let held = self.member.held(now);
+            let (leader, state) = (self.leader_name(), self.state());
+            let picture = serde_json::json!({
+                "role": self.role(), "leader": leader, "incarnation": held.unwrap_or(0),
+                "lease_left_ms": self.lease_left_ms(now), "revision": state.revision,
+                "members": state.members.len(), "counts": self.counts(),
+            });
+            *lock(&self.shown) = picture;
         }
     }
 }
--- a/crates/lab/src/group.rs
+++ b/crates/lab/src/group.rs
@@ -312,8 +312,8 @@
     };
     let rig = Arc::new(Rig::new(setup)?);
     rig.start_all()?;
-    if !rig.until(Duration::from_secs(60), |r| leased(r) == r.members()) {
-        return Err(format!("{} of {} members are up after a minute", leased(&rig), rig.members()));
+    if !rig.until(Duration::from_secs(60), |r| r.leased() == r.members()) {
+        return Err(format!("{} of {} members are up after a minute", rig.leased(), rig.members()));
     }
     let clients = Clients::start(&rig, s.clients, s.keys, Duration::from_millis(s.pause_ms), seed);
     let begun = rig.now();
@@ -349,7 +349,7 @@
         std::thread::sleep(Duration::from_millis(5));
     }
     let well = Duration::from_secs(30);
-    let _ = rig.until(well, |r| leased(r) == r.members() && r.leader().is_some());
+    let _ = rig.until(well, |r| r.leased() == r.members() && r.leader().is_some());
     let _ = rig.until(well, |r| (0..r.voters()).all(|n| r.status(n).is_ok_and(|s| s.role == "voter")));
     let history = clients.finish();
     let goes_on = rig.until(well, agreed);
@@ -374,10 +374,6 @@
     }
 }
 
-fn leased(rig: &Rig) -> usize {
-    (0..rig.members()).filter(|n| rig.status(*n).is_ok_and(|s| s.incarnation > 0)).count()
-}
-
 fn agreed(rig: &Rig) -> bool {
     let Ok(mut control) = Control::open(rig.control(0), Duration::from_secs(6)) else { return false };
     let command = Command::Put { key: "lab/end".into(), value: Some(b"well".to_vec()), if_version: None };
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -28,6 +28,11 @@
 }
 
 impl Line {
+    /// A figure that was taken once.
+    fn once(what: &str, case: &str, figure: f64, unit: &'static str) -> Line {
+        Line { what: what.into(), case: case.into(), figures: [figure; 3], unit, runs: 1 }
+    }
+
     fn of(what: &str, case: &str, mut values: Vec<f64>, unit: &'static str) -> Option<Line> {
         values.sort_by(f64::total_cmp);
         let (first, last) = (*values.first()?, *values.last()?);
@@ -58,8 +63,11 @@
     };
     let rig = Arc::new(Rig::new(setup)?);
     rig.start_all()?;
-    let up = |r: &Rig| (0..r.members()).all(|n| r.status(n).is_ok_and(|s| s.incarnation > 0));
-    if rig.until(HANGS, up) { Ok(rig) } else { Err("not all members are up".into()) }
+    if rig.until(HANGS, |r| r.leased() == r.members()) {
+        Ok(rig)
+    } else {
+        Err("not all members are up".into())
+    }
 }
 
 /// Time from the loss of a leader to the next one, in ms, `runs` times for each way of losing it.
@@ -174,13 +182,7 @@
     let rate = (calls() - before) as f64 / seconds;
     let cpu = ((0..3).map(ticks).sum::<u64>() - busy) as f64 / seconds; // ticks are hundredths of a second
     let case = format!("3 voters, {watchers} watchers, lease 6 s");
-    let line = |what: &str, figure: f64, unit| Line {
-        what: what.into(),
-        case: case.clone(),
-        figures: [figure; 3],
-        unit,
-        runs: 1,
-    };
+    let line = |what: &str, figure: f64, unit| Line::once(what, &case, figure, unit);
     Ok(vec![
         line("calls at all voters, idle", rate, "/s"),
         line("processor time of all voters, idle", cpu, "% of a core"),
@@ -257,13 +259,7 @@
     }
     let bytes = std::fs::metadata(dir.join("fleet.redb")).map_err(|e| e.to_string())?.len();
     let case = format!("{writes} writes of 100 bytes on 100 documents");
-    let line = |what: &str, figure: f64, unit| Line {
-        what: what.into(),
-        case: case.clone(),
-        figures: [figure; 3],
-        unit,
-        runs: 1,
-    };
+    let line = |what: &str, figure: f64, unit| Line::once(what, &case, figure, unit);
     Ok(vec![
         line("store on disk", bytes as f64 / 1e6, "MB"),
         line("entries left in the log", voter.status().log_entries as f64, ""),
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -385,6 +385,11 @@
         (0..self.setup.voters).find(leads)
     }
 
+    /// How many members hold their lease, as they say themselves.
+    pub fn leased(&self) -> usize {
+        (0..self.members()).filter(|n| self.status(*n).is_ok_and(|s| s.incarnation > 0)).count()
+    }
+
     /// Waits until `holds`, for at most `within`. False if it never did.
     pub fn until(&self, within: Duration, mut holds: impl FnMut(&Rig) -> bool) -> bool {
         let until = Instant::now() + within;
--- a/crates/lab/tests/group.rs
+++ b/crates/lab/tests/group.rs
@@ -52,18 +52,13 @@
     let played = Played { rig: Arc::new(Rig::new(setup).expect("a rig")), dir };
     played.rig.start_all().expect("all start");
     assert!(
-        played.rig.until(HANGS, |r| held(r) == r.members()),
+        played.rig.until(HANGS, |r| r.leased() == r.members()),
         "{} of the members are up",
-        held(&played.rig)
+        played.rig.leased()
     );
     played
 }
 
-/// Members that hold their lease and know what the group has agreed on so far.
-fn held(rig: &Rig) -> usize {
-    (0..rig.members()).filter(|n| rig.status(*n).is_ok_and(|s| s.incarnation > 0)).count()
-}
-
 fn put(rig: &Rig, member: usize, key: &str, value: &str) -> Option<u64> {
     let mut control = Control::open(rig.control(member), Duration::from_secs(8)).ok()?;
     let command = Command::Put { key: key.into(), value: Some(value.into()), if_version: None };
@@ -112,7 +107,7 @@
     rig.heal(&fault).expect("healed");
     let before = clients.answered();
     assert!(rig.until(HANGS, |_| clients.answered() >= before + 10), "calls are answered after {fault:?}");
-    assert!(rig.until(HANGS, |r| held(r) == r.members()), "{} leases after {fault:?}", held(rig));
+    assert!(rig.until(HANGS, |r| r.leased() == r.members()), "{} leases after {fault:?}", rig.leased());
     judge(&clients.finish());
 }
 
@@ -201,7 +196,7 @@
         rig.inject(&Fault::PowerLoss).expect("killed");
         let history = writer.finish();
         rig.heal(&Fault::PowerLoss).expect("started");
-        assert!(rig.until(HANGS, |r| held(r) == r.members()), "{} are up again", held(rig));
+        assert!(rig.until(HANGS, |r| r.leased() == r.members()), "{} are up again", rig.leased());
         for (key, value) in &agreed {
             let got = get(rig, 0, key).and_then(|g| g.1);
             assert_eq!(got.as_deref(), Some(value.as_bytes()), "{key} after round {round}");
