Let the decisions be told of fleets, zones, distance, shares and cold rates

A gateway in front of several services needs one decision module for all of them: one bucket for each customer, a target for each fleet of servers.

The interface gets the words for it: a service for requests and servers, the zones and the reach of a request, how near a server is, what part of it is expected here, the rate while it is cold, a reading of the meter that comes by itself, and new settings at run time.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -30,6 +30,7 @@
         cold_us: rules.whole("coldUs")?,
         fall_multiple: rules.number("fallMultiple")?,
         fall_us: rules.whole("fallUs")?,
+        services: 1,
     })
 }
 
--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -202,7 +202,18 @@
         let passage = Arc::new(passage);
         let open = Open { name, client, passage, until, most_units, tries: Vec::new(), closed: false };
         self.open.insert(id, open);
-        let request = NewRequest { id, class, plan, customer, left_us, units, spread, first, repeat };
+        let request = NewRequest {
+            id,
+            class,
+            plan,
+            customer,
+            left_us,
+            units,
+            spread,
+            first,
+            repeat,
+            ..NewRequest::default()
+        };
         self.decide(Event::Request(request));
     }
 
@@ -387,6 +398,7 @@
                 state: m.state,
                 weight: m.weight,
                 up_since_us: m.started_ms.saturating_mul(1000),
+                ..Entry::default()
             };
             entries.push(entry);
             let up = m.state == State::Up;
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -162,6 +162,7 @@
                 spread: v.get(8).map_or(Ok(1), |_| v.small(8))?,
                 first: v.get(9).map_or(Ok(0), |_| v.small(9))?,
                 repeat: v.truth_or_false(10)?,
+                ..NewRequest::default()
             }),
             "underWay" => Event::Started { id: v.whole(2)?, attempt: v.small(3)? },
             "returned" => {
@@ -232,6 +233,7 @@
         },
         weight: e.get(5).map_or(Ok(1.0), |_| e.number(5))?,
         up_since_us: e.whole_or_none(6)?.unwrap_or(0),
+        ..Entry::default()
     })
 }
 
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -204,6 +204,18 @@
         })
     }
 
+    /// Takes new settings while requests are open. The numbers of their classes and plans must stay valid:
+    /// classes and plans are appended or changed in place.
+    pub fn reconfigure(&mut self, set: Settings) -> Result<(), SettingsError> {
+        set.check()?;
+        if set.classes.len() < self.set.classes.len() || set.plans.len() < self.set.plans.len() {
+            return Err(SettingsError("classes and plans may be appended or changed, not taken away"));
+        }
+        self.usual_left.resize(set.classes.len(), (0, 0));
+        self.set = set;
+        Ok(())
+    }
+
     /// Takes one event and adds what is to be done about it to `acts`.
     pub fn handle(&mut self, now: Micros, event: Event, acts: &mut Vec<Action>) {
         self.now = self.now.max(now);
@@ -226,6 +238,7 @@
                 self.turn_away();
                 self.close(id, None, acts);
             }
+            Event::Used { customer, used } => self.read(customer, used),
             Event::Timer { .. } => {}
         }
         while let Some(&(at, task)) = self.agenda.first()
@@ -725,15 +738,10 @@
         let c = self.customers.get_mut(&key).expect("holds a request");
         c.units_out = (c.units_out - units).max(0.0);
         c.attempts_out -= 1;
-        if let Some(used) = n.used.filter(|u| u.is_finite() && *u >= 0.0) {
-            // More use is believed at once, less over some periods: the reading is late, and room granted on
-            // a calm past is what a flood spends first.
-            let first = if self.set.plans[c.plan].rate > 0.0 { 1.0 - 1.0 / rarely(c.spread) } else { 0.0 };
-            let over = BELIEVE_OVER * rarely(c.spread) * self.set.meter_us.max(1) as f64;
-            let believe = c.used_at.map_or(first, |at| ((self.now - at) as f64 / over).min(1.0));
-            c.used += (used - c.used) * if used > c.used { 1.0 } else { believe };
-            c.used_at = Some(self.now);
+        if let Some(used) = n.used {
+            self.read(key, used);
         }
+        let c = self.customers.get_mut(&key).expect("holds a request");
         if let Some(f) = n.final_units.filter(|f| self.set.trued_up && f.is_finite() && *f > 0.0) {
             c.level -= f - units;
         }
@@ -746,6 +754,21 @@
         }
     }
 
+    /// A reading of the meter: the customer's use by all gateways, as a part of its quota.
+    fn read(&mut self, key: u64, used: f64) {
+        self.refill(key);
+        let Some(c) = self.customers.get_mut(&key).filter(|_| used.is_finite() && used >= 0.0) else {
+            return;
+        };
+        // More use is believed at once, less over some periods: the reading is late, and room granted on
+        // a calm past is what a flood spends first.
+        let first = if self.set.plans[c.plan].rate > 0.0 { 1.0 - 1.0 / rarely(c.spread) } else { 0.0 };
+        let over = BELIEVE_OVER * rarely(c.spread) * self.set.meter_us.max(1) as f64;
+        let believe = c.used_at.map_or(first, |at| ((self.now - at) as f64 / over).min(1.0));
+        c.used += (used - c.used) * if used > c.used { 1.0 } else { believe };
+        c.used_at = Some(self.now);
+    }
+
     /// After a failure: another attempt if in time, allowed and in the budget; free after no connection.
     fn again(&mut self, id: u64, last: Outcome, acts: &mut Vec<Action>) {
         let cost =
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -31,6 +31,8 @@
     pub cold_us: Micros,
     pub fall_multiple: f64,
     pub fall_us: Micros,
+    /// Separate fleets of servers, numbered from 0; 0 and 1 both mean one.
+    pub services: u32,
 }
 
 impl Settings {
@@ -116,6 +118,35 @@
     pub weight: f64,
     /// Time of the last start; 0: long ago.
     pub up_since_us: Micros,
+    /// The fleet that it belongs to.
+    pub service: u32,
+    /// How far it is: those of a lower number are tried before those of a higher one.
+    pub near: u32,
+    /// The part of its work that is expected through this gateway, as a multiple of the even part.
+    pub part: f64,
+    /// Requests a second that this gateway may send it while it is cold; 0: as its ramp says.
+    pub cold_rate: f64,
+    /// Cold until then; 0: for `cold_us` from its start.
+    pub cold_until_us: Micros,
+}
+
+impl Default for Entry {
+    /// A warm server of the first fleet, of which this gateway has an even part.
+    fn default() -> Entry {
+        Entry {
+            server: 0,
+            zone: 0,
+            cell: 0,
+            state: State::Up,
+            weight: 1.0,
+            up_since_us: 0,
+            service: 0,
+            near: 0,
+            part: 1.0,
+            cold_rate: 0.0,
+            cold_until_us: 0,
+        }
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -176,6 +207,35 @@
     pub first: u32,
     /// The client has tried before, where clients tell.
     pub repeat: bool,
+    /// The fleet that it is for.
+    pub service: u32,
+    /// Zones whose servers it may go to, a bit for each number under 64; 0, like all bits: any server.
+    pub zones: u64,
+    /// Attempts at the most; 0: as many as the settings allow.
+    pub attempts: u32,
+    /// It may go to no server whose `near` is above this.
+    pub reach: u32,
+}
+
+impl Default for NewRequest {
+    /// A request that may go to any server of the first fleet.
+    fn default() -> NewRequest {
+        NewRequest {
+            id: 0,
+            class: 0,
+            plan: 0,
+            customer: 0,
+            left_us: 0,
+            units: 1.0,
+            spread: 1,
+            first: 0,
+            repeat: false,
+            service: 0,
+            zones: u64::MAX,
+            attempts: 0,
+            reach: u32::MAX,
+        }
+    }
 }
 
 /// How an attempt ended.
@@ -215,6 +275,11 @@
     Timer {
         token: u64,
     },
+    /// A reading of the meter that comes by itself: the customer's use, as in `Return`.
+    Used {
+        customer: u64,
+        used: f64,
+    },
 }
 
 /// What a gateway does.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -31,6 +31,7 @@
         cold_us: 16 * SEC,
         fall_multiple: 2.0,
         fall_us: 2 * SEC,
+        services: 1,
     }
 }
 
@@ -44,21 +45,11 @@
 }
 
 pub fn up(server: u64) -> Entry {
-    Entry { server, zone: 0, cell: server as u32, state: State::Up, weight: 1.0, up_since_us: 0 }
+    Entry { server, cell: server as u32, ..Entry::default() }
 }
 
 pub fn request(id: u64) -> NewRequest {
-    NewRequest {
-        id,
-        class: 0,
-        plan: 0,
-        customer: 7,
-        left_us: 3 * SEC,
-        units: 1.0,
-        spread: 2,
-        first: 0,
-        repeat: false,
-    }
+    NewRequest { id, customer: 7, left_us: 3 * SEC, spread: 2, ..NewRequest::default() }
 }
 
 pub fn answer(id: u64, attempt: u32, server: u64, outcome: Outcome) -> Return {
