Read settings, configurations and calls by hand, and state the calls in OpenAPI

The whole system needs its settings file, the operators' configuration with its patches, and the calls of servers, operators and clients read in one place, with errors that name the key.

The new crate jig reads them over jzon values. A configuration keeps the text it came as, so it is read back as it was sent, with unknown fields and columns. docs/system/api/curlewfront.yaml states the calls; a test holds the code's table and readers to it.

--- /dev/null
+++ b/crates/jig/src/lib.rs
@@ -0,0 +1,11 @@
+//! What a process is told, and what operators configure: JSON read by hand, field by field. Fields that are
+//! not known are passed over. What is said of a bad value names the path of its key.
+
+pub mod api;
+pub mod config;
+pub mod facts;
+pub mod settings;
+
+pub use config::{Config, Index, Kind, Limits, Route, Service, Tenant};
+pub use facts::Trouble;
+pub use settings::Settings;
