--- /dev/null
+++ b/crates/pegboard/src/board.rs
@@ -0,0 +1,515 @@
+//! The registry as a state machine: calls of servers, operators and clients, links to its store, to the other
+//! registries and to the proxies come in; answers and messages go out. No I/O, no clock.
+
+use crate::calls::{self, Answer, Request};
+use crate::presence::Presence;
+use jig::api::{self, Beat, Call};
+use jig::config::if_match;
+use rack::copy::{Copy, Took};
+use rack::state::{Change, Command, Done, Node, NodeChange, Server, ServerChange};
+use rack::talk::{Down, FromStore, Gossip, News, ToStore, Unsure, Up};
+use rack::{Micros, Rev};
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+
+/// What this registry is told at its start.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub me: Ipv4Addr,
+    pub zone: String,
+    /// Zones and their regions.
+    pub zones: BTreeMap<String, String>,
+    /// How often servers call.
+    pub beat_us: Micros,
+    /// The longest time that a directory's answer may be kept.
+    pub ttl_s: f64,
+    /// Longest time a lost machine may need to catch up, before it is written off.
+    pub sync_us: Micros,
+}
+
+pub enum Input {
+    Tick,
+    Call(u64, Request),
+    CallGone(u64),
+    Store(FromStore),
+    StoreDown,
+    StoreUp,
+    Peer(Gossip),
+    Proxy(u64, Up),
+    ProxyDown(u64),
+}
+
+#[derive(Debug)]
+pub enum Output {
+    Answer(u64, Answer),
+    Store(ToStore),
+    Peer(Ipv4Addr, Gossip),
+    Proxy(u64, Down),
+}
+
+/// Beats between two messages of the registry's own, as a part of the servers' beat.
+const PARTS: Micros = 3;
+/// A call's caller moves on after a second of silence.
+const CALL_US: Micros = 900_000;
+/// A server is written off after so many beats unheard, a proxy after so many times the catching up.
+const BEATS_GONE: Micros = 4;
+const SYNCS_GONE: Micros = 5;
+
+/// What waits for its command to come back, or for the state to have come far enough.
+enum Wait {
+    /// A server's call: answered once the change of this number, or a later one, is in the state.
+    Batch(u64),
+    /// An operator's.
+    Command { ticket: u64, at: Option<Rev>, done: Option<Done> },
+    /// The configuration is read once the state has come so far.
+    Read { ticket: u64, at: Option<Rev> },
+}
+
+struct Waiting {
+    until: Micros,
+    wait: Wait,
+}
+
+/// A follower of the news.
+struct Follower {
+    node: Node,
+    /// How far it was sent the news.
+    rev: Rev,
+    /// It told to be behind that when it last reported.
+    behind: Option<Rev>,
+}
+
+pub struct Board {
+    terms: Terms,
+    now: Micros,
+    pub copy: Copy,
+    store_up: bool,
+    core: Vec<Ipv4Addr>,
+    /// Where the core's machines are, as far as they have said.
+    places: BTreeMap<Ipv4Addr, String>,
+    fresh: bool,
+    fresh_since: Micros,
+    leads: bool,
+    leads_since: Micros,
+    pub presence: Presence,
+    followers: BTreeMap<u64, Follower>,
+    waiting: BTreeMap<u64, Waiting>,
+    tickets: u64,
+    /// Changes of servers and proxies on their way into the log: those gathered for the next command, its number, and
+    /// the command under way (its ticket, when it was sent).
+    servers: Vec<ServerChange>,
+    nodes: Vec<NodeChange>,
+    batch: u64,
+    under_way: Option<(u64, Micros)>,
+    /// Numbers of the batches that are done, up to this one; the revision at which it is in the state.
+    landed: u64,
+    landed_at: Rev,
+    next_round: Micros,
+}
+
+impl Board {
+    pub fn new(terms: Terms, now: Micros) -> Board {
+        Board {
+            now,
+            copy: Copy::default(),
+            store_up: false,
+            core: Vec::new(),
+            places: BTreeMap::from([(terms.me, terms.zone.clone())]),
+            fresh: false,
+            fresh_since: now,
+            leads: false,
+            leads_since: now,
+            presence: Presence::new(now, terms.beat_us),
+            followers: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            tickets: 0,
+            servers: Vec::new(),
+            nodes: Vec::new(),
+            batch: 1,
+            under_way: None,
+            landed: 0,
+            landed_at: 0,
+            next_round: now,
+            terms,
+        }
+    }
+
+    /// When it wants to be called again, whatever comes.
+    pub fn wake_at(&self) -> Micros {
+        let calls = self.waiting.values().map(|w| w.until).min();
+        calls.unwrap_or(Micros::MAX).min(self.next_round)
+    }
+
+    pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
+        self.now = self.now.max(now);
+        match input {
+            Input::Tick => {}
+            Input::Call(id, request) => self.call(id, &request, out),
+            Input::CallGone(id) => {
+                self.waiting.remove(&id);
+            }
+            Input::Store(message) => self.store(message, out),
+            Input::StoreUp => {
+                self.store_up = true;
+                out.push(Output::Store(ToStore::Follow { rev: self.copy.rev() }));
+            }
+            Input::StoreDown => {
+                (self.store_up, self.fresh, self.leads, self.under_way) = (false, false, false, None);
+                // What was under way may be lost: it is gathered anew as its callers come again.
+                let unsure: Vec<u64> = self.waiting.keys().copied().collect();
+                for id in unsure {
+                    self.answer(id, Answer::unavailable("the store of this machine is away"), out);
+                }
+            }
+            Input::Peer(gossip) => {
+                self.places.insert(gossip.ip, gossip.zone.clone());
+                self.presence.told(self.now, &gossip);
+            }
+            Input::Proxy(link, up) => self.proxy(link, up, out),
+            Input::ProxyDown(link) => {
+                self.followers.remove(&link);
+            }
+        }
+        self.round(out);
+        self.propose(out);
+        self.settle(out);
+    }
+
+    // ---- calls from outside ----
+
+    fn call(&mut self, id: u64, request: &Request, out: &mut Vec<Output>) {
+        let (call, argument) = match Call::of(&request.method, &request.target) {
+            Some(found) => found,
+            None => return out.push(Output::Answer(id, Answer::error(404, "no such call"))),
+        };
+        let argument = argument.unwrap_or_default();
+        let answer = match call {
+            Call::Resolve => self.resolve(&request.target),
+            Call::Beat => match Beat::read(&request.body) {
+                Err(why) => Some(Answer::error(400, &why.to_string())),
+                Ok(beat) => self.beat(id, &argument, beat),
+            },
+            Call::Leave => self.leave(id, &argument),
+            Call::PutConfig | Call::PatchConfig => {
+                let base = request.if_match.as_deref().and_then(if_match);
+                match base {
+                    None => {
+                        let why = "If-Match: the version that this builds on is needed, 0 for the first";
+                        Some(Answer::error(400, why))
+                    }
+                    Some(base) => {
+                        let patch = call == Call::PatchConfig;
+                        let change = Change { base, patch, body: request.body.clone() };
+                        match self.copy.state.consider(&change) {
+                            // Whatever the version is, this can be taken at none.
+                            Err(Done::Invalid(why)) if !patch => Some(Answer::error(400, &why)),
+                            _ => self.command(id, Command::Configure(change), out),
+                        }
+                    }
+                }
+            }
+            Call::ReadConfig => {
+                let ticket = self.ticket();
+                out.push(Output::Store(ToStore::Read { ticket }));
+                self.wait(id, Wait::Read { ticket, at: None })
+            }
+            Call::Evacuate | Call::Restore => {
+                if self.terms.zones.contains_key(&argument) {
+                    let on = call == Call::Evacuate;
+                    self.command(id, Command::Evacuate { zone: argument, on }, out)
+                } else {
+                    Some(Answer::error(404, &format!("no zone {argument:?}")))
+                }
+            }
+            _ => Some(Answer::error(404, "not served here")),
+        };
+        if let Some(answer) = answer {
+            out.push(Output::Answer(id, answer));
+        }
+    }
+
+    fn ticket(&mut self) -> u64 {
+        self.tickets += 1;
+        self.tickets
+    }
+
+    fn wait(&mut self, id: u64, wait: Wait) -> Option<Answer> {
+        if !self.store_up {
+            return Some(Answer::unavailable("the store of this machine is away"));
+        }
+        self.waiting.insert(id, Waiting { until: self.now + CALL_US, wait });
+        None
+    }
+
+    fn command(&mut self, id: u64, command: Command, out: &mut Vec<Output>) -> Option<Answer> {
+        let ticket = self.ticket();
+        let refused = self.wait(id, Wait::Command { ticket, at: None, done: None });
+        if refused.is_none() {
+            out.push(Output::Store(ToStore::Propose { ticket, command }));
+        }
+        refused
+    }
+
+    /// A server tells of itself. Acknowledged once all that it tells is in the log; nearly always it is.
+    fn beat(&mut self, id: u64, server: &str, beat: Beat) -> Option<Answer> {
+        if self.copy.state.has_gone(server) || !self.presence.beat(self.now, server, beat.sequence) {
+            return Some(Answer::ok()); // a late call of a life that has ended, or that has said more since
+        }
+        let draining = beat.state == api::State::Draining;
+        let cold_ms = u32::try_from(beat.cold_left_ms).unwrap_or(u32::MAX);
+        let known = self.copy.state.servers.get(server);
+        let change = match (known, beat.information) {
+            (Some(s), _) if draining && !s.draining => ServerChange::Draining { id: server.into() },
+            // Told to be cold though it was taken for warm, or for warm again much sooner.
+            (Some(s), _) if !s.draining && calls::colder(s, self.now, cold_ms) => {
+                ServerChange::Cold { id: server.into(), left_ms: cold_ms }
+            }
+            (Some(_), _) => return Some(Answer::ok()),
+            (None, Some(about)) => ServerChange::Up(Server {
+                id: server.into(),
+                service: about.service,
+                addr: beat.address,
+                zone: about.zone,
+                slots: about.slots,
+                draining,
+                cold_ms,
+                noted_at: 0,
+            }),
+            (None, None) => return Some(Answer::error(400, "information: needed at first")),
+        };
+        if !self.servers.contains(&change) {
+            self.servers.push(change);
+        }
+        let batch = self.batch;
+        self.wait(id, Wait::Batch(batch))
+    }
+
+    fn leave(&mut self, id: u64, server: &str) -> Option<Answer> {
+        if self.copy.state.has_gone(server) {
+            return Some(Answer::ok());
+        }
+        self.servers.push(ServerChange::Gone { id: server.into(), said: true });
+        let batch = self.batch;
+        self.wait(id, Wait::Batch(batch))
+    }
+
+    fn resolve(&self, target: &str) -> Option<Answer> {
+        let query = match api::Resolution::read(target) {
+            Ok(query) => query,
+            Err(why) => return Some(Answer::error(400, &why.to_string())),
+        };
+        let region = query.region.or_else(|| self.terms.zones.get(query.zone.as_deref()?).cloned());
+        let nodes =
+            self.presence.choose(self.now, &self.copy.state, query.zone.as_deref(), region.as_deref());
+        if nodes.is_empty() {
+            return Some(Answer::unavailable("no proxy is known"));
+        }
+        Some(Answer::resolution(&nodes, self.terms.ttl_s))
+    }
+
+    fn answer(&mut self, id: u64, answer: Answer, out: &mut Vec<Output>) {
+        if self.waiting.remove(&id).is_some() {
+            out.push(Output::Answer(id, answer));
+        }
+    }
+
+    // ---- the store ----
+
+    fn store(&mut self, message: FromStore, out: &mut Vec<Output>) {
+        match message {
+            FromStore::News(news) => self.news(news, out),
+            FromStore::Standing { core, fresh, leads } => {
+                if fresh && !self.fresh {
+                    self.fresh_since = self.now;
+                }
+                if leads && !self.leads {
+                    self.leads_since = self.now;
+                }
+                (self.core, self.fresh, self.leads) = (core, fresh, leads);
+            }
+            FromStore::Proposed { ticket, result } => {
+                if self.under_way.is_some_and(|(t, _)| t == ticket) {
+                    self.under_way = None;
+                    if let Ok((rev, _)) = result {
+                        (self.landed, self.landed_at) = (self.batch - 1, rev);
+                    }
+                    // Else its callers are not answered, and come again.
+                    return;
+                }
+                let found = self.waiting.iter_mut().find_map(|(id, w)| match &mut w.wait {
+                    Wait::Command { ticket: t, at, done } if *t == ticket => Some((*id, at, done)),
+                    _ => None,
+                });
+                let Some((id, at, done)) = found else { return };
+                match result {
+                    Ok((rev, is)) => (*at, *done) = (Some(rev), Some(is)),
+                    Err(Unsure::Not) => self.answer(id, Answer::unavailable("no leader"), out),
+                    Err(Unsure::Perhaps) => {
+                        self.answer(id, Answer::unavailable("the leader was lost: perhaps taken"), out);
+                    }
+                }
+            }
+            FromStore::Reads { ticket, result } => {
+                let found = self.waiting.iter_mut().find_map(|(id, w)| match &mut w.wait {
+                    Wait::Read { ticket: t, at } if *t == ticket => Some((*id, at)),
+                    _ => None,
+                });
+                let Some((id, at)) = found else { return };
+                match result {
+                    Ok(rev) => *at = Some(rev),
+                    Err(_) => self.answer(id, Answer::unavailable("no leader"), out),
+                }
+            }
+        }
+    }
+
+    fn news(&mut self, news: News, out: &mut Vec<Output>) {
+        match self.copy.take(self.now, news) {
+            Took::Changed => {}
+            Took::Nothing => return,
+            // Begins anew from what is here.
+            Took::Gap | Took::Broken => {
+                return out.push(Output::Store(ToStore::Follow { rev: self.copy.rev() }));
+            }
+        }
+        self.presence.known(self.now, &self.copy.state);
+        let links: Vec<u64> = self.followers.keys().copied().collect();
+        for link in links {
+            self.feed(link, out);
+        }
+    }
+
+    /// Sends a follower what it does not have yet.
+    fn feed(&mut self, link: u64, out: &mut Vec<Output>) {
+        let Some(f) = self.followers.get_mut(&link) else { return };
+        if let Some(news) = self.copy.since(self.now, f.rev) {
+            f.rev = self.copy.rev();
+            out.push(Output::Proxy(link, Down::News(news)));
+        }
+    }
+
+    /// Hands what was gathered of servers and proxies to the store, one command at a time.
+    fn propose(&mut self, out: &mut Vec<Output>) {
+        if self.under_way.is_some_and(|(_, at)| self.now > at + 2 * CALL_US) {
+            self.under_way = None;
+        }
+        if !self.store_up || self.under_way.is_some() {
+            return;
+        }
+        let command = if !self.servers.is_empty() {
+            Command::Servers(std::mem::take(&mut self.servers))
+        } else if !self.nodes.is_empty() {
+            Command::Nodes(std::mem::take(&mut self.nodes))
+        } else {
+            return;
+        };
+        let ticket = self.ticket();
+        self.batch += 1;
+        self.under_way = Some((ticket, self.now));
+        out.push(Output::Store(ToStore::Propose { ticket, command }));
+    }
+
+    /// Answers those whose change has landed or whose time is up.
+    fn settle(&mut self, out: &mut Vec<Output>) {
+        let (rev, landed, landed_at) = (self.copy.rev(), self.landed, self.landed_at);
+        let mut answers = Vec::new();
+        for (id, w) in &self.waiting {
+            let answer = match &w.wait {
+                Wait::Batch(number) if *number <= landed && landed_at <= rev => Some(Answer::ok()),
+                Wait::Command { at: Some(at), done: Some(done), .. } if *at <= rev => {
+                    Some(Answer::done(done))
+                }
+                Wait::Read { at: Some(at), .. } if *at <= rev => Some(match &self.copy.state.config {
+                    Some(config) => Answer::json(200, config.write()),
+                    None => Answer::error(404, "no configuration yet"),
+                }),
+                _ if w.until <= self.now => Some(Answer::unavailable("not agreed in time")),
+                _ => None,
+            };
+            answers.extend(answer.map(|a| (*id, a)));
+        }
+        for (id, answer) in answers {
+            self.answer(id, answer, out);
+        }
+    }
+
+    // ---- proxies and the other registries ----
+
+    fn proxy(&mut self, link: u64, up: Up, out: &mut Vec<Output>) {
+        match up {
+            Up::Hello { node, rev } => {
+                if self.copy.state.nodes.get(&node.ip) != Some(&node) {
+                    self.nodes.push(NodeChange::Up(node.clone()));
+                }
+                // One that is ahead of this registry keeps what it has, and hears of news from there on.
+                self.followers.insert(link, Follower { node, rev, behind: None });
+                out.push(Output::Proxy(link, self.standing()));
+                self.feed(link, out);
+            }
+            Up::Report { rev, seen } => {
+                for s in seen {
+                    self.presence.seen(self.now, s);
+                }
+                let Some(f) = self.followers.get_mut(&link) else { return };
+                // A copy that stays behind what was sent is mended from where it is.
+                if rev > f.rev || (rev < f.rev && f.behind == Some(rev)) {
+                    f.rev = rev;
+                }
+                f.behind = (rev < f.rev).then_some(rev);
+                let node = f.node.clone();
+                let on_its_way = |n: &NodeChange| matches!(n, NodeChange::Up(n) if *n == node);
+                if self.copy.state.nodes.get(&node.ip) != Some(&node)
+                    && self.under_way.is_none()
+                    && !self.nodes.iter().any(on_its_way)
+                {
+                    self.nodes.push(NodeChange::Up(node));
+                }
+                self.feed(link, out);
+            }
+        }
+    }
+
+    fn standing(&self) -> Down {
+        let place = |ip: &Ipv4Addr| (*ip, self.places.get(ip).cloned().unwrap_or_default());
+        Down::Standing { core: self.core.iter().map(place).collect(), fresh: self.fresh && self.store_up }
+    }
+
+    /// What is done from time to time.
+    fn round(&mut self, out: &mut Vec<Output>) {
+        if self.now < self.next_round {
+            return;
+        }
+        self.next_round = self.now + self.terms.beat_us / PARTS;
+        for link in self.followers.keys() {
+            out.push(Output::Proxy(*link, self.standing()));
+        }
+        let (servers, nodes) = self.presence.news();
+        let others: Vec<Ipv4Addr> = self.core.iter().copied().filter(|c| *c != self.terms.me).collect();
+        for ip in others {
+            let (me, zone) = (self.terms.me, self.terms.zone.clone());
+            let gossip = Gossip { ip: me, zone, servers: servers.clone(), nodes: nodes.clone() };
+            out.push(Output::Peer(ip, gossip));
+        }
+        self.write_off();
+    }
+
+    /// Servers and proxies that nobody has heard of. Only beside a leader that has led long enough for all registries
+    /// to have told it what they hear: the others' silence would look the same.
+    fn write_off(&mut self) {
+        let (server_us, node_us) = (BEATS_GONE * self.terms.beat_us, SYNCS_GONE * self.terms.sync_us);
+        if !(self.leads && self.fresh) || self.under_way.is_some() {
+            return;
+        }
+        let since = self.fresh_since.max(self.leads_since);
+        if self.now > since + server_us {
+            let lost = self.presence.servers_unheard(self.now, server_us);
+            let lost = lost.into_iter().filter(|id| self.copy.state.servers.contains_key(id));
+            self.servers.extend(lost.map(|id| ServerChange::Gone { id, said: false }));
+        }
+        if self.now > since + node_us {
+            let lost = self.presence.nodes_unseen(self.now, node_us);
+            let lost = lost.into_iter().filter(|ip| self.copy.state.nodes.contains_key(ip));
+            self.nodes.extend(lost.map(|ip| NodeChange::Gone { ip }));
+        }
+    }
+}
--- /dev/null
+++ b/crates/pegboard/src/lib.rs
@@ -0,0 +1,5 @@
+//! The registry. Its decisions stand in [`board`]; `main.rs` is the shell around them.
+
+pub mod board;
+pub mod calls;
+pub mod presence;
--- /dev/null
+++ b/crates/rack/src/state.rs
@@ -0,0 +1,308 @@
+//! The agreed state and the commands that change it.
+
+use crate::{Micros, Rev};
+use jig::config::{Config, show_version};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// The form of a state on disk and between processes. Another one is refused.
+pub const FORMAT: u32 = 1;
+/// Servers that have left are remembered, so that a late call of theirs does not bring them back.
+const MOST_GONE: usize = 2048;
+/// Versions whose exact call is remembered, so that its repeat gets its answer.
+const MOST_TAKEN: usize = 256;
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Command {
+    Configure(Change),
+    /// A zone's servers get nothing more, or again something.
+    Evacuate {
+        zone: String,
+        on: bool,
+    },
+    Servers(Vec<ServerChange>),
+    Nodes(Vec<NodeChange>),
+}
+
+/// A configuration as an operator sent it: whole, or the items that change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// The version that it builds on; 0: none.
+    pub base: u32,
+    pub patch: bool,
+    pub body: Vec<u8>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ServerChange {
+    Up(Server),
+    Draining {
+        id: String,
+    },
+    /// Cold (again) for so long.
+    Cold {
+        id: String,
+        left_ms: u32,
+    },
+    /// `said`: by the server itself, so for good; else it was not heard of, and may be again.
+    Gone {
+        id: String,
+        said: bool,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Server {
+    pub id: String,
+    pub service: String,
+    pub addr: SocketAddr,
+    pub zone: String,
+    pub slots: u32,
+    pub draining: bool,
+    /// How long it stays cold, from when this was noted.
+    pub cold_ms: u32,
+    /// When this process learned that, on its own clock.
+    #[serde(skip)]
+    pub noted_at: Micros,
+}
+
+impl Server {
+    pub fn cold_until(&self) -> Micros {
+        if self.cold_ms == 0 { 0 } else { self.noted_at + Micros::from(self.cold_ms) * 1000 }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum NodeChange {
+    Up(Node),
+    Gone { ip: Ipv4Addr },
+}
+
+/// A proxy.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Node {
+    pub ip: Ipv4Addr,
+    pub name: String,
+    pub zone: String,
+    pub region: String,
+    /// Where clients reach it.
+    pub front: SocketAddr,
+}
+
+/// What became of a command.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Done {
+    /// It holds, or held already.
+    Taken,
+    /// Another version is current.
+    Conflict { current: u32 },
+    /// It can never be taken; why.
+    Invalid(String),
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct State {
+    pub rev: Rev,
+    pub config: Option<Arc<Config>>,
+    /// The calls that were taken, by the version that they made: their check sums.
+    taken: VecDeque<(u32, u64)>,
+    pub evacuated: BTreeSet<String>,
+    /// Zones whose evacuation was taken back, and when this process learned it: their servers may be cold.
+    pub returned: BTreeMap<String, Micros>,
+    pub servers: BTreeMap<String, Server>,
+    gone: VecDeque<String>,
+    pub nodes: BTreeMap<Ipv4Addr, Node>,
+}
+
+/// A state as it is written down.
+#[derive(Serialize, Deserialize)]
+struct Written {
+    format: u32,
+    rev: Rev,
+    config: Option<Vec<u8>>,
+    taken: Vec<(u32, u64)>,
+    evacuated: Vec<String>,
+    servers: Vec<Server>,
+    gone: Vec<String>,
+    nodes: Vec<Node>,
+}
+
+impl State {
+    pub fn version(&self) -> u32 {
+        self.config.as_ref().map_or(0, |c| c.version)
+    }
+
+    /// Whether this change could be taken now; what `apply` would say of it.
+    pub fn consider(&self, change: &Change) -> Result<Option<Config>, Done> {
+        let sum = sum(change);
+        if self.taken.iter().any(|t| t.1 == sum) {
+            return Ok(None);
+        }
+        let made = match (&self.config, change.patch) {
+            (_, false) => Config::read(&change.body),
+            (Some(config), true) if config.version == change.base => config.patch(&change.body),
+            (_, true) => return Err(Done::Conflict { current: self.version() }),
+        };
+        let made = made.map_err(|e| Done::Invalid(e.to_string()))?;
+        if change.base != self.version() {
+            return Err(Done::Conflict { current: self.version() });
+        }
+        if made.version <= change.base {
+            let why = format!(
+                "config_version: {} is not above the current one, {}",
+                show_version(made.version),
+                show_version(self.version())
+            );
+            return Err(Done::Invalid(why));
+        }
+        Ok(Some(made))
+    }
+
+    /// Carries out the command at `rev`. Commands at or below the state's own are passed over.
+    pub fn apply(&mut self, now: Micros, rev: Rev, command: &Command) -> Done {
+        if rev <= self.rev {
+            return Done::Taken;
+        }
+        self.rev = rev;
+        match command {
+            Command::Configure(change) => match self.consider(change) {
+                Ok(None) => Done::Taken,
+                Ok(Some(config)) => {
+                    self.taken.push_back((config.version, sum(change)));
+                    if self.taken.len() > MOST_TAKEN {
+                        self.taken.pop_front();
+                    }
+                    self.config = Some(Arc::new(config));
+                    Done::Taken
+                }
+                Err(done) => done,
+            },
+            Command::Evacuate { zone, on } => {
+                if *on {
+                    self.evacuated.insert(zone.clone());
+                    self.returned.remove(zone);
+                } else if self.evacuated.remove(zone) {
+                    self.returned.insert(zone.clone(), now);
+                }
+                Done::Taken
+            }
+            Command::Servers(changes) => {
+                changes.iter().for_each(|c| self.server(now, c));
+                Done::Taken
+            }
+            Command::Nodes(changes) => {
+                for change in changes {
+                    match change {
+                        NodeChange::Up(node) => {
+                            self.nodes.insert(node.ip, node.clone());
+                        }
+                        NodeChange::Gone { ip } => {
+                            self.nodes.remove(ip);
+                        }
+                    }
+                }
+                Done::Taken
+            }
+        }
+    }
+
+    fn server(&mut self, now: Micros, change: &ServerChange) {
+        match change {
+            ServerChange::Up(server) => {
+                if self.has_gone(&server.id) {
+                    return;
+                }
+                // An address belongs to whoever came last: an older life there has ended, told or not.
+                let others = self.servers.values().filter(|s| s.addr == server.addr && s.id != server.id);
+                let old: Vec<String> = others.map(|s| s.id.clone()).collect();
+                old.iter().for_each(|id| self.forget(id));
+                let draining = self.servers.get(&server.id).is_some_and(|s| s.draining);
+                let server =
+                    Server { draining: draining || server.draining, noted_at: now, ..server.clone() };
+                self.servers.insert(server.id.clone(), server);
+            }
+            ServerChange::Draining { id } => {
+                if let Some(s) = self.servers.get_mut(id) {
+                    s.draining = true;
+                }
+            }
+            ServerChange::Cold { id, left_ms } => {
+                if let Some(s) = self.servers.get_mut(id) {
+                    (s.cold_ms, s.noted_at) = (*left_ms, now);
+                }
+            }
+            ServerChange::Gone { id, said: true } => self.forget(id),
+            ServerChange::Gone { id, said: false } => {
+                self.servers.remove(id);
+            }
+        }
+    }
+
+    fn forget(&mut self, id: &str) {
+        self.servers.remove(id);
+        if !self.has_gone(id) {
+            self.gone.push_back(id.to_string());
+            if self.gone.len() > MOST_GONE {
+                self.gone.pop_front();
+            }
+        }
+    }
+
+    /// It has left for good.
+    pub fn has_gone(&self, id: &str) -> bool {
+        self.gone.iter().any(|g| g == id)
+    }
+
+    /// The state as bytes, for a disk or another process.
+    pub fn write(&self, now: Micros) -> Vec<u8> {
+        let left = |s: &Server| {
+            let ms = s.cold_until().saturating_sub(now).div_ceil(1000);
+            Server { cold_ms: u32::try_from(ms).unwrap_or(u32::MAX), ..s.clone() }
+        };
+        let written = Written {
+            format: FORMAT,
+            rev: self.rev,
+            config: self.config.as_ref().map(|c| c.write().into_bytes()),
+            taken: self.taken.iter().copied().collect(),
+            evacuated: self.evacuated.iter().cloned().collect(),
+            servers: self.servers.values().map(left).collect(),
+            gone: self.gone.iter().cloned().collect(),
+            nodes: self.nodes.values().cloned().collect(),
+        };
+        postcard::to_stdvec(&written).expect("plain data")
+    }
+
+    pub fn read(now: Micros, bytes: &[u8]) -> Result<State, String> {
+        // The form comes first, so that a newer one is told from a broken one.
+        let format: u32 = postcard::take_from_bytes(bytes).map_err(|e| format!("state: {e}"))?.0;
+        if format != FORMAT {
+            return Err(format!("state in form {format}: this program reads form {FORMAT}"));
+        }
+        let w: Written = postcard::from_bytes(bytes).map_err(|e| format!("state: {e}"))?;
+        let config = match w.config {
+            Some(bytes) => {
+                Some(Arc::new(Config::read(&bytes).map_err(|e| format!("state: its configuration: {e}"))?))
+            }
+            None => None,
+        };
+        let servers = w.servers.into_iter().map(|s| (s.id.clone(), Server { noted_at: now, ..s })).collect();
+        Ok(State {
+            rev: w.rev,
+            config,
+            taken: w.taken.into(),
+            evacuated: w.evacuated.into_iter().collect(),
+            returned: BTreeMap::new(),
+            servers,
+            gone: w.gone.into(),
+            nodes: w.nodes.into_iter().map(|n| (n.ip, n)).collect(),
+        })
+    }
+}
+
+/// By this an unclear call that is repeated unchanged is known.
+fn sum(change: &Change) -> u64 {
+    xxh3_64_with_seed(&change.body, u64::from(change.base) << 1 | u64::from(change.patch))
+}
--- /dev/null
+++ b/crates/rack/src/talk.rs
@@ -0,0 +1,145 @@
+//! What curlewfront's processes say to each other. Links are TCP; a message is a frame of postcard.
+//!
+//! | from | to | messages |
+//! | --- | --- | --- |
+//! | registry | store on its machine | [`ToStore`], answered by [`FromStore`] |
+//! | registry | registry | [`Gossip`] |
+//! | proxy | registry, or a proxy nearer to it | [`Up`], answered by [`Down`] |
+//!
+//! Stores speak the messages of the agreement among themselves, with [`StorePeer`] around them.
+
+use crate::Rev;
+use crate::state::{Command, Done, Node};
+use serde::{Deserialize, Serialize};
+use std::net::Ipv4Addr;
+
+/// Where on each machine's internal ports, from the first, the programs listen.
+pub const STORE_PEERS: u16 = 0;
+pub const STORE_LOCAL: u16 = 1;
+pub const REGISTRY_PEERS: u16 = 2;
+pub const REGISTRY_NEWS: u16 = 3;
+pub const PROXY_NEWS: u16 = 4;
+
+/// Runs of commands, or a whole state where the run is no longer kept.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum News {
+    /// The state as [`crate::state::State::write`] makes it.
+    Whole(Vec<u8>),
+    /// The commands after `from` up to `to`; entries without a command are left out.
+    Run { from: Rev, to: Rev, commands: Vec<(Rev, Command)> },
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum ToStore {
+    /// First: from where on news is wanted.
+    Follow {
+        rev: Rev,
+    },
+    Propose {
+        ticket: u64,
+        command: Command,
+    },
+    /// Up to where must a state have come that shows all that is acknowledged by now?
+    Read {
+        ticket: u64,
+    },
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum FromStore {
+    News(News),
+    /// About every beat: the core machines, whether this store heard lately from a leader that a majority follows, and
+    /// whether it is that leader.
+    Standing {
+        core: Vec<Ipv4Addr>,
+        fresh: bool,
+        leads: bool,
+    },
+    Proposed {
+        ticket: u64,
+        result: Result<(Rev, Done), Unsure>,
+    },
+    Reads {
+        ticket: u64,
+        result: Result<Rev, Unsure>,
+    },
+}
+
+/// Whether a command without an answer may have been carried out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Unsure {
+    /// It was not, and will not be.
+    Not,
+    Perhaps,
+}
+
+/// Between stores.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum StorePeer<M> {
+    /// First on each connection.
+    Iam {
+        ip: Ipv4Addr,
+        disk: u64,
+    },
+    Agree {
+        from_disk: u64,
+        message: M,
+    },
+    /// To the leader, for a registry elsewhere.
+    Propose {
+        ticket: u64,
+        command: Command,
+    },
+    Proposed {
+        ticket: u64,
+        result: Result<(Rev, Done), Unsure>,
+    },
+    Read {
+        ticket: u64,
+    },
+    Reads {
+        ticket: u64,
+        result: Result<Rev, Unsure>,
+    },
+}
+
+/// Between registries, about every half beat.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Gossip {
+    pub ip: Ipv4Addr,
+    pub zone: String,
+    /// Servers heard of since the last, with the number of their call and whether they are cold.
+    pub servers: Vec<(String, u64)>,
+    /// Proxies heard of since the last, and what they said of themselves.
+    pub nodes: Vec<Seen>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seen {
+    pub ip: Ipv4Addr,
+    /// Drawn at the start of each process.
+    pub life: u64,
+    /// Grows with each report of that life.
+    pub count: u64,
+    pub ready: bool,
+}
+
+/// Up the tree of news.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Up {
+    /// First: who asks, and from where on news is wanted.
+    Hello { node: Node, rev: Rev },
+    /// About every half beat: this proxy, and those below it.
+    Report { rev: Rev, seen: Vec<Seen> },
+}
+
+/// Down the tree of news.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Down {
+    News(News),
+    /// About every third of a beat: the core's machines and their zones. `fresh`: whoever is up there holds all that was acknowledged until lately.
+    Standing {
+        core: Vec<(Ipv4Addr, String)>,
+        fresh: bool,
+    },
+}
--- /dev/null
+++ b/crates/shuttle/src/book.rs
@@ -0,0 +1,286 @@
+//! From the agreed state to what the decisions are told: routes become classes, tenants become plans, services become
+//! fleets, servers become entries of the list. Numbers are given once and never to another name, so that what is under
+//! way when a new configuration comes keeps its meaning.
+
+use curlewfront::{Class, Effect, Entry, Micros, Plan, Settings, State as Standing};
+use jig::config::{Config, Service};
+use rack::state::{Node, Server, State};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::{Ipv4Addr, SocketAddr};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Who this proxy is.
+#[derive(Clone, Debug)]
+pub struct Place {
+    pub ip: Ipv4Addr,
+    pub zone: String,
+    pub region: String,
+    /// Zones and their regions.
+    pub zones: BTreeMap<String, String>,
+}
+
+/// What an answer past the aim is taken to be worth: enough that it is waited for.
+const LATE_WORTH: f64 = 0.2;
+/// So many proxies of its zone share what a cold server bears; the others leave it alone until it is warm.
+const COLD_SHARERS: usize = 3;
+/// What is expected to come through here of the work of servers elsewhere, while this zone has some of its own: a part
+/// of the even one in this region, and in another.
+const ELSEWHERE: [f64; 2] = [0.5, 0.25];
+const TICK_US: Micros = 1_000;
+const RETRY_AFTER_US: Micros = 1_000_000;
+
+#[derive(Default)]
+struct Numbers(HashMap<String, u32>);
+
+impl Numbers {
+    fn of(&mut self, name: &str) -> u32 {
+        if let Some(n) = self.0.get(name) {
+            return *n;
+        }
+        let n = self.0.len() as u32;
+        self.0.insert(name.to_string(), n);
+        n
+    }
+
+    fn known(&self, name: &str) -> Option<u32> {
+        self.0.get(name).copied()
+    }
+}
+
+pub struct Book {
+    place: Place,
+    classes: Vec<Class>,
+    class_of: Numbers,
+    plans: Vec<Plan>,
+    plan_of: Numbers,
+    services: Numbers,
+    zones: Numbers,
+    servers: HashMap<String, u64>,
+    next_server: u64,
+    /// Servers that said they are another one: not to be used under the old name.
+    misled: BTreeSet<u64>,
+}
+
+/// A server as a shell needs to know it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    pub id: String,
+    pub addr: SocketAddr,
+    pub service: String,
+}
+
+/// The list as it is now, and when it will be another one though nothing new is heard.
+pub struct List {
+    pub entries: Vec<Entry>,
+    pub peers: BTreeMap<u64, Peer>,
+    pub changes_at: Option<Micros>,
+}
+
+impl Book {
+    pub fn new(place: Place) -> Book {
+        let mut zones = Numbers::default();
+        place.zones.keys().for_each(|z| {
+            zones.of(z);
+        });
+        // The first class and plan are nobody's: there must be one of each before a configuration comes.
+        let class = Class {
+            aim_us: 1_000_000,
+            deadline_us: 3_000_000,
+            late_worth: LATE_WORTH,
+            effect: Effect::Repeatable,
+        };
+        let (mut class_of, mut plan_of) = (Numbers::default(), Numbers::default());
+        class_of.of("");
+        plan_of.of("");
+        Book {
+            place,
+            classes: vec![class],
+            class_of,
+            plans: vec![Plan::default()],
+            plan_of,
+            services: Numbers::default(),
+            zones,
+            servers: HashMap::new(),
+            next_server: 0,
+            misled: BTreeSet::new(),
+        }
+    }
+
+    pub fn class(&self, route: &str) -> usize {
+        self.class_of.known(route).unwrap_or(0) as usize
+    }
+
+    /// The number of a tenant's plan, and of the tenant as a customer; 0 is nobody's.
+    pub fn plan(&self, tenant: &str) -> usize {
+        self.plan_of.known(tenant).unwrap_or(0) as usize
+    }
+
+    pub fn service(&self, name: &str) -> Option<u32> {
+        self.services.known(name)
+    }
+
+    /// The zones in these regions, as a set of bits; none named: all zones.
+    pub fn within(&self, regions: &[String]) -> u64 {
+        if regions.is_empty() {
+            return u64::MAX;
+        }
+        let inside = self.place.zones.iter().filter(|(_, r)| regions.contains(r));
+        inside.filter_map(|(z, _)| self.zones.known(z)).filter(|n| *n < 64).fold(0, |set, n| set | 1 << n)
+    }
+
+    /// Takes a configuration over.
+    pub fn learn(&mut self, config: &Config) {
+        for route in &config.routes {
+            let class = Class {
+                aim_us: (route.target_ms * 1000).max(1),
+                deadline_us: (route.deadline_ms * 1000).max(1),
+                late_worth: LATE_WORTH,
+                effect: if route.kind.repeatable() { Effect::Repeatable } else { Effect::Once },
+            };
+            put(&mut self.classes, self.class_of.of(&route.name) as usize, class);
+        }
+        for tenant in config.tenants.iter().flatten() {
+            let plan = Plan { rate: tenant.rate, burst: tenant.burst, ..Plan::default() };
+            put(&mut self.plans, self.plan_of.of(&tenant.name) as usize, plan);
+        }
+        for service in &config.services {
+            self.services.of(&service.name);
+        }
+    }
+
+    pub fn settings(&self, balancers: u32, index: u32, beat_us: Micros) -> Settings {
+        Settings {
+            balancers,
+            index,
+            classes: self.classes.clone(),
+            plans: self.plans.clone(),
+            meter_us: beat_us,
+            tick_us: TICK_US,
+            may_cancel: true,
+            retry_after: true,
+            max_retry_after_us: RETRY_AFTER_US,
+            attempts_cap: 2,
+            cold_from: 0.25,
+            cold_us: 1,
+            fall_multiple: 1.0,
+            services: self.services.0.len().max(1) as u32,
+            ..Settings::default()
+        }
+    }
+
+    /// This server answered as another one: what is listed under its name is gone, told or not.
+    pub fn mislead(&mut self, server: u64) {
+        self.misled.insert(server);
+    }
+
+    /// The list of servers as the decisions are to see it.
+    pub fn list(&mut self, now: Micros, state: &State) -> List {
+        let config = state.config.clone();
+        let services: BTreeMap<&str, &Service> =
+            config.iter().flat_map(|c| &c.services).map(|s| (s.name.as_str(), s)).collect();
+        let mut list = List { entries: Vec::new(), peers: BTreeMap::new(), changes_at: None };
+        // Where each service has servers that may be used: the nearest place tells what part of them is ours.
+        let mut nearest: BTreeMap<&str, u32> = BTreeMap::new();
+        for s in state.servers.values().filter(|s| usable(s, state)) {
+            let near = self.near(&s.zone);
+            nearest.entry(&s.service).and_modify(|n| *n = near.min(*n)).or_insert(near);
+        }
+        let all = state.nodes.len().max(1) as f64;
+        for s in state.servers.values() {
+            // Services that no configuration names yet have servers nonetheless; they get nothing.
+            let number = match self.servers.get(&s.id) {
+                Some(n) => *n,
+                None => {
+                    self.next_server += 1;
+                    self.servers.insert(s.id.clone(), self.next_server);
+                    self.next_server
+                }
+            };
+            let near = self.near(&s.zone);
+            let sharers = self.sharers(state, &s.zone);
+            let part = match near.saturating_sub(*nearest.get(s.service.as_str()).unwrap_or(&0)) {
+                0 => all / self.as_near(state, near).max(1) as f64,
+                n => ELSEWHERE[(n as usize - 1).min(1)],
+            };
+            let cold_until = self.cold_until(s, services.get(s.service.as_str()).copied(), state);
+            let cold = now < cold_until;
+            let rate = services.get(s.service.as_str()).and_then(|c| c.cold_rate_s).unwrap_or(0.0);
+            let mut up = usable(s, state) && !self.misled.contains(&number);
+            let mut cold_rate = 0.0;
+            if cold {
+                list.changes_at = Some(list.changes_at.map_or(cold_until, |at| at.min(cold_until)));
+                let share = share(&sharers, &s.id, self.place.ip);
+                // Those that another zone's proxies bring up are theirs alone until they are warm.
+                up &= share.is_some();
+                cold_rate = rate / share.unwrap_or(1) as f64;
+            }
+            list.entries.push(Entry {
+                server: number,
+                zone: self.zones.of(&s.zone),
+                state: if up { Standing::Up } else { Standing::Draining },
+                service: self.services.of(&s.service),
+                near,
+                part,
+                cold_rate,
+                cold_until_us: if cold { cold_until } else { 0 },
+                ..Entry::default()
+            });
+            let (id, service) = (s.id.clone(), s.service.clone());
+            list.peers.insert(number, Peer { id, addr: s.addr, service });
+        }
+        self.servers.retain(|id, _| state.servers.contains_key(id));
+        self.misled.retain(|n| list.peers.contains_key(n));
+        list
+    }
+
+    fn near(&self, zone: &str) -> u32 {
+        match self.place.zones.get(zone) {
+            _ if zone == self.place.zone => 0,
+            Some(region) if *region == self.place.region => 1,
+            _ => 2,
+        }
+    }
+
+    /// How many proxies are as near to those servers as this one.
+    fn as_near(&self, state: &State, near: u32) -> usize {
+        match near {
+            0 => state.nodes.values().filter(|n| n.zone == self.place.zone).count(),
+            1 => state.nodes.values().filter(|n| n.region == self.place.region).count(),
+            _ => state.nodes.len(),
+        }
+    }
+
+    /// Who brings up a zone's cold servers: its own proxies, or all if it has none.
+    fn sharers<'s>(&self, state: &'s State, zone: &str) -> Vec<&'s Node> {
+        let own: Vec<&Node> = state.nodes.values().filter(|n| n.zone == zone).collect();
+        if own.is_empty() { state.nodes.values().collect() } else { own }
+    }
+
+    fn cold_until(&self, server: &Server, service: Option<&Service>, state: &State) -> Micros {
+        // The servers of a zone that comes back may have turned cold without having said so yet.
+        let period = service.map_or(0, |s| (s.cold_period_s * 1e6) as Micros);
+        let returned = state.returned.get(&server.zone).map_or(0, |at| at + period);
+        server.cold_until().max(returned)
+    }
+}
+
+fn usable(s: &Server, state: &State) -> bool {
+    !s.draining && !state.evacuated.contains(&s.zone)
+}
+
+/// Among how many proxies this one shares the server, if it does: the few that rendezvous hashing names.
+fn share(sharers: &[&Node], server: &str, me: Ipv4Addr) -> Option<usize> {
+    let weight = |ip: Ipv4Addr| xxh3_64(&[server.as_bytes(), &ip.octets()].concat());
+    let mine = weight(me);
+    let before = sharers.iter().filter(|n| n.ip != me && (weight(n.ip), n.ip) > (mine, me)).count();
+    let all = sharers.len().min(COLD_SHARERS);
+    (sharers.iter().any(|n| n.ip == me) && before < all).then_some(all)
+}
+
+fn put<T>(list: &mut Vec<T>, at: usize, value: T) {
+    if at < list.len() {
+        list[at] = value;
+    } else {
+        list.push(value); // numbers are given in order
+    }
+}
--- /dev/null
+++ b/crates/shuttle/src/front.rs
@@ -0,0 +1,544 @@
+//! The proxy's decisions on requests, as a state machine: requests, outcomes of attempts and news come in; attempts to
+//! send and answers go out.
+//!
+//! What a status says is kept apart from how it came about: 429 and 503 promise that a request has not run and will not
+//! ([`Promise`]), so they go out only where that is known or where the request may run more than once anyway.
+
+use crate::book::{Book, List, Peer, Place};
+use curlewfront::{Action, Decider, Event, ListKind, Micros, NewRequest, Outcome, Return};
+use jig::config::{Config, Index, Kind, Route, Tenant};
+use rack::copy::{Copy, Took};
+use rack::talk::News;
+use std::cmp::Reverse;
+use std::collections::hash_map::Entry::Occupied;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::sync::Arc;
+
+/// A client's request, whole.
+pub struct Ask {
+    pub id: u64,
+    pub method: String,
+    pub target: String,
+    pub host: String,
+    /// What its client calls this try.
+    pub name: Arc<[u8]>,
+    pub left_us: Option<Micros>,
+    pub key: Option<String>,
+    /// Header lines that are meant for the server.
+    pub head: Vec<u8>,
+    pub body: Arc<[u8]>,
+}
+
+/// How an attempt ended.
+pub enum End {
+    /// With a whole answer.
+    Answered(Served),
+    /// Without one.
+    Broken { reached: Reached },
+}
+
+/// How far an attempt without an answer had come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reached {
+    /// The server cannot have run it.
+    NeverRan,
+    MayHaveRun,
+}
+
+/// A server's answer.
+pub struct Served {
+    pub status: u16,
+    /// The server says that it did not run the request.
+    pub not_run: bool,
+    /// Header lines that are meant for the client.
+    pub headers: Vec<u8>,
+    pub body: Vec<u8>,
+}
+
+pub enum Input {
+    Tick,
+    Asked(Ask),
+    Withdrawn(u64),
+    Ended { id: u64, attempt: u32, end: End },
+    News(News),
+}
+
+#[derive(Debug)]
+pub enum Output {
+    Send(Job),
+    /// Stop waiting for an attempt; its connection is of no more use.
+    GiveUp {
+        id: u64,
+        attempt: u32,
+        server: u64,
+        late: Option<Micros>,
+    },
+    Answer(u64, Answer),
+    /// A server that is new, or that may or may not get more from now on.
+    Server {
+        server: u64,
+        peer: Peer,
+        up: bool,
+    },
+    Gone {
+        server: u64,
+    },
+}
+
+#[derive(Debug)]
+pub struct Job {
+    pub id: u64,
+    pub attempt: u32,
+    pub server: u64,
+    pub name: Arc<[u8]>,
+    /// Request line and headers.
+    pub head: Vec<u8>,
+    pub body: Arc<[u8]>,
+    pub until: Micros,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: Vec<u8>,
+    pub body: Vec<u8>,
+}
+
+impl Answer {
+    fn plain(status: u16, why: &str) -> Answer {
+        let headers = b"Content-Type: text/plain\r\n".to_vec();
+        Answer { status, headers, body: format!("{why}\n").into_bytes() }
+    }
+
+    /// Not run; when to come back.
+    fn later(status: u16, why: &str, after: Micros) -> Answer {
+        let mut answer = Answer::plain(status, why);
+        let seconds = after.max(1_000) as f64 / 1e6;
+        answer.headers.extend_from_slice(format!("Retry-After: {seconds:.3}\r\n").as_bytes());
+        answer
+    }
+}
+
+struct Try {
+    server: u64,
+    sent_at: Micros,
+    out: bool,
+}
+
+struct Open {
+    name: Arc<[u8]>,
+    /// The request line and headers without what differs from server to server.
+    head: Vec<u8>,
+    body: Arc<[u8]>,
+    until: Micros,
+    tries: Vec<Try>,
+    /// The last answer that a server gave though it is no success.
+    spare: Option<Answer>,
+    timed_out: bool,
+    closed: bool,
+}
+
+/// Counts, for who watches.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    pub asked: u64,
+    pub served: u64,
+    pub refused: u64,
+    pub failed: u64,
+    pub sent: u64,
+    pub misled: u64,
+}
+
+pub struct Front {
+    now: Micros,
+    pub copy: Copy,
+    config: Option<(Arc<Config>, Index)>,
+    book: Book,
+    decider: Decider,
+    rng: fastrand::Rng,
+    beat_us: Micros,
+    place: Place,
+    open: HashMap<u64, Open>,
+    timeouts: BinaryHeap<Reverse<(Micros, u64, u32)>>,
+    timer: Option<Micros>,
+    peers: BTreeMap<u64, (Peer, bool)>,
+    relist_at: Option<Micros>,
+    acts: Vec<Action>,
+    back: VecDeque<(u64, u32, Outcome)>,
+    pub counts: Counts,
+}
+
+impl Front {
+    pub fn new(place: Place, beat_us: Micros, seed: u64, now: Micros) -> Front {
+        let book = Book::new(place.clone());
+        let settings = book.settings(1, 0, beat_us);
+        Front {
+            now,
+            copy: Copy::default(),
+            config: None,
+            decider: Decider::new(settings, seed).expect("the first settings are sane"),
+            book,
+            rng: fastrand::Rng::with_seed(seed ^ 1),
+            beat_us,
+            place,
+            open: HashMap::new(),
+            timeouts: BinaryHeap::new(),
+            timer: None,
+            peers: BTreeMap::new(),
+            relist_at: None,
+            acts: Vec::new(),
+            back: VecDeque::new(),
+            counts: Counts::default(),
+        }
+    }
+
+    /// It holds a configuration and knows servers.
+    pub fn ready(&self) -> bool {
+        self.config.is_some() && !self.peers.is_empty()
+    }
+
+    pub fn requests_open(&self) -> usize {
+        self.open.len()
+    }
+
+    pub fn limits(&self) -> Option<&jig::config::Limits> {
+        self.config.as_ref().map(|(c, _)| &c.limits)
+    }
+
+    pub fn wake_at(&mut self) -> Micros {
+        while let Some(Reverse((_, id, attempt))) = self.timeouts.peek().copied() {
+            let out = |o: &Open| o.tries.get(attempt as usize).is_some_and(|t| t.out);
+            if self.open.get(&id).is_some_and(out) {
+                break;
+            }
+            self.timeouts.pop();
+        }
+        let timeout = self.timeouts.peek().map(|t| t.0.0);
+        [timeout, self.timer, self.relist_at].into_iter().flatten().min().unwrap_or(Micros::MAX)
+    }
+
+    pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
+        self.now = self.now.max(now);
+        match input {
+            Input::Tick => {}
+            Input::Asked(ask) => self.asked(ask, out),
+            Input::Withdrawn(id) => {
+                if let Some(open) = self.open.get_mut(&id).filter(|o| !o.closed) {
+                    open.closed = true;
+                    self.decide(Event::Withdrawn { id }, out);
+                    self.forget(id);
+                }
+            }
+            Input::Ended { id, attempt, end } => self.ended(id, attempt, end, out),
+            Input::News(news) => self.news(news, out),
+        }
+        self.settle(out);
+        self.due(out);
+    }
+
+    // ---- requests ----
+
+    fn asked(&mut self, ask: Ask, out: &mut Vec<Output>) {
+        self.counts.asked += 1;
+        let id = ask.id;
+        match self.admit(ask) {
+            Err(answer) => out.push(Output::Answer(id, answer)),
+            Ok(request) => self.decide(Event::Request(request), out),
+        }
+    }
+
+    fn admit(&mut self, ask: Ask) -> Result<NewRequest, Answer> {
+        let Some((config, index)) = &self.config else {
+            return Err(Answer::later(503, "no configuration yet", 200_000));
+        };
+        let path = ask.target.split(['?', '#']).next().unwrap_or("");
+        let Some(route) = index.route(&ask.host, path).map(|n| &config.routes[n]) else {
+            return Err(Answer::plain(404, "no route"));
+        };
+        let mut tenant = None;
+        if index.needs_keys() && !route.keyless {
+            let found = ask.key.as_deref().and_then(|k| index.tenant_by_key(k));
+            let Some(found) = found else { return Err(Answer::plain(401, "no such key")) };
+            tenant = config.tenants.as_ref().map(|t| &t[found]);
+        }
+        let zones = self.book.within(&route.homes) & tenant.map_or(u64::MAX, |t| self.book.within(&t.homes));
+        if zones == 0 {
+            return Err(Answer::later(503, "no region may serve this", RETRY_US));
+        }
+        let Some(service) = pick_service(&self.book, &self.peers, &mut self.rng, route) else {
+            return Err(Answer::later(503, "no server is known", RETRY_US));
+        };
+        let left_us = ask.left_us.unwrap_or(Micros::MAX).min(route.deadline_ms * 1000);
+        let plan = tenant.map_or(0, |t| self.book.plan(&t.name));
+        let open = Open {
+            name: ask.name.clone(),
+            head: head(&ask, tenant),
+            body: ask.body,
+            until: self.now + left_us,
+            tries: Vec::new(),
+            spare: None,
+            timed_out: false,
+            closed: false,
+        };
+        let request = NewRequest {
+            id: ask.id,
+            class: self.book.class(&route.name),
+            plan,
+            customer: plan as u64,
+            left_us,
+            spread: (self.copy.state.nodes.len() as u32).max(1),
+            service,
+            zones,
+            attempts: route.attempts,
+            reach: self.reach(route, service),
+            ..NewRequest::default()
+        };
+        self.open.insert(ask.id, open);
+        Ok(request)
+    }
+
+    /// Large answers stay in their region while it has a server: carried far they cost more than they are worth.
+    fn reach(&self, route: &Route, service: u32) -> u32 {
+        let here = |(p, up): &(Peer, bool)| *up && self.book.service(&p.service) == Some(service);
+        let mine = |p: &Peer| {
+            let zone = self.copy.state.servers.get(&p.id).map(|s| &s.zone);
+            zone.and_then(|z| self.place.zones.get(z)) == Some(&self.place.region)
+        };
+        let near = route.kind == Kind::Download && self.peers.values().any(|p| here(p) && mine(&p.0));
+        if near { 1 } else { u32::MAX }
+    }
+
+    fn ended(&mut self, id: u64, attempt: u32, end: End, out: &mut Vec<Output>) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(one) = open.tries.get(attempt as usize).filter(|t| t.out) else { return };
+        let (server, wrong) = (one.server, matches!(&end, End::Answered(s) if s.status == 421));
+        let outcome = match end {
+            End::Broken { reached: Reached::NeverRan } => Outcome::ConnectFailed,
+            End::Broken { reached: Reached::MayHaveRun } => Outcome::Reset,
+            End::Answered(served) => match judge(&served) {
+                outcome @ (Outcome::Ok | Outcome::Rejected) => {
+                    if !open.closed {
+                        let Served { status, headers, body, .. } = served;
+                        self.counts.served += u64::from(outcome == Outcome::Ok);
+                        open.closed = true;
+                        out.push(Output::Answer(id, Answer { status, headers, body }));
+                    }
+                    outcome
+                }
+                outcome => {
+                    // Passed on if nothing better comes, but never as a promise that this server did not give.
+                    let promise = matches!(served.status, 408 | 421 | 429 | 503);
+                    if !promise {
+                        let Served { status, headers, body, .. } = served;
+                        open.spare = Some(Answer { status, headers, body });
+                    }
+                    outcome
+                }
+            },
+        };
+        if wrong {
+            self.counts.misled += 1;
+            self.book.mislead(server);
+            self.relist_at = Some(self.now);
+        }
+        self.back.push_back((id, attempt, outcome));
+    }
+
+    /// Hands outcomes to the decisions.
+    fn settle(&mut self, out: &mut Vec<Output>) {
+        while let Some((id, attempt, outcome)) = self.back.pop_front() {
+            let Some(open) = self.open.get_mut(&id) else { continue };
+            let closed = open.closed;
+            let Some(one) = open.tries.get_mut(attempt as usize).filter(|t| t.out) else { continue };
+            one.out = false;
+            let (server, latency_us) = (one.server, self.now.saturating_sub(one.sent_at));
+            let (used, final_units) = (None, None);
+            let back = Return { id, attempt, server, outcome, latency_us, closed, used, final_units };
+            self.decide(Event::Returned(back), out);
+            self.forget(id);
+        }
+    }
+
+    fn decide(&mut self, event: Event, out: &mut Vec<Output>) {
+        let mut acts = std::mem::take(&mut self.acts);
+        self.decider.handle(self.now, event, &mut acts);
+        for act in acts.drain(..) {
+            self.act(act, out);
+        }
+        self.acts = acts;
+    }
+
+    fn act(&mut self, act: Action, out: &mut Vec<Output>) {
+        match act {
+            Action::Send { id, server, timeout_us } => self.send(id, server, timeout_us, out),
+            Action::Refuse { id, retry_after_us } => {
+                self.counts.refused += 1;
+                self.answer(id, Answer::later(503, "not now", retry_after_us), out);
+            }
+            Action::Fail { id } => {
+                self.counts.failed += 1;
+                let Some(open) = self.open.get_mut(&id) else { return };
+                let (spare, status) = (open.spare.take(), if open.timed_out { 504 } else { 502 });
+                self.answer(id, spare.unwrap_or_else(|| Answer::plain(status, "no whole answer")), out);
+            }
+            Action::Cancel { id, attempt } => self.give_up(id, attempt, Outcome::Cancelled, out),
+            Action::Watch => {}
+            Action::Timer { at_us, .. } => self.timer = Some(at_us),
+        }
+    }
+
+    fn send(&mut self, id: u64, server: u64, timeout_us: Micros, out: &mut Vec<Output>) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let attempt = open.tries.len() as u32;
+        let until = self.now.saturating_add(timeout_us).min(open.until);
+        open.tries.push(Try { server, sent_at: self.now, out: true });
+        self.timeouts.push(Reverse((until, id, attempt)));
+        self.counts.sent += 1;
+        let Some((peer, _)) = self.peers.get(&server) else {
+            return self.back.push_back((id, attempt, Outcome::ConnectFailed));
+        };
+        let mut head = open.head.clone();
+        head.extend_from_slice(format!("X-Expected-Instance: {}\r\n", peer.id).as_bytes());
+        let (name, body) = (open.name.clone(), open.body.clone());
+        out.push(Output::Send(Job { id, attempt, server, name, head, body, until }));
+    }
+
+    fn answer(&mut self, id: u64, answer: Answer, out: &mut Vec<Output>) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        if !open.closed {
+            open.closed = true;
+            out.push(Output::Answer(id, answer));
+        }
+        self.forget(id);
+    }
+
+    fn give_up(&mut self, id: u64, attempt: u32, outcome: Outcome, out: &mut Vec<Output>) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(one) = open.tries.get(attempt as usize).filter(|t| t.out) else { return };
+        let late = (outcome == Outcome::TimedOut).then_some(one.sent_at);
+        open.timed_out |= late.is_some();
+        out.push(Output::GiveUp { id, attempt, server: one.server, late });
+        self.back.push_back((id, attempt, outcome));
+    }
+
+    fn forget(&mut self, id: u64) {
+        if let Occupied(open) = self.open.entry(id)
+            && open.get().closed
+            && !open.get().tries.iter().any(|t| t.out)
+        {
+            open.remove();
+        }
+    }
+
+    fn due(&mut self, out: &mut Vec<Output>) {
+        while let Some(Reverse((_, id, attempt))) =
+            self.timeouts.peek().copied().filter(|t| t.0.0 <= self.now)
+        {
+            self.timeouts.pop();
+            self.give_up(id, attempt, Outcome::TimedOut, out);
+            self.settle(out);
+        }
+        if self.timer.is_some_and(|at| at <= self.now) {
+            self.timer = None;
+            self.decide(Event::Timer { token: 0 }, out);
+            self.settle(out);
+        }
+        if self.relist_at.is_some_and(|at| at <= self.now) {
+            self.relist(out);
+        }
+    }
+
+    // ---- news ----
+
+    fn news(&mut self, news: News, out: &mut Vec<Output>) {
+        // A gap is mended by the next report, which tells how far this copy has come.
+        if self.copy.take(self.now, news) != Took::Changed {
+            return;
+        }
+        if let Some(config) = &self.copy.state.config
+            && self.config.as_ref().is_none_or(|(c, _)| !Arc::ptr_eq(c, config))
+        {
+            self.book.learn(config);
+            self.config = Some((config.clone(), config.index()));
+        }
+        let nodes = &self.copy.state.nodes;
+        let index = nodes.keys().position(|ip| *ip == self.place.ip).unwrap_or(0) as u32;
+        let settings = self.book.settings((nodes.len() as u32).max(index + 1), index, self.beat_us);
+        // What was sane before stays in force: a configuration that is taken makes sane settings.
+        let _ = self.decider.reconfigure(settings);
+        self.relist(out);
+    }
+
+    fn relist(&mut self, out: &mut Vec<Output>) {
+        let List { entries, peers, changes_at } = self.book.list(self.now, &self.copy.state);
+        self.relist_at = changes_at;
+        let gone: Vec<u64> = self.peers.keys().filter(|n| !peers.contains_key(n)).copied().collect();
+        for server in gone {
+            self.peers.remove(&server);
+            out.push(Output::Gone { server });
+        }
+        for (entry, (server, peer)) in entries.iter().zip(peers) {
+            let up = entry.state == curlewfront::State::Up;
+            debug_assert!(entry.server == server || entries.iter().any(|e| e.server == server));
+            let now = (peer, up);
+            if self.peers.get(&server) != Some(&now) {
+                out.push(Output::Server { server, peer: now.0.clone(), up });
+                self.peers.insert(server, now);
+            }
+        }
+        self.decide(Event::List { kind: ListKind::Full, entries }, out);
+    }
+}
+
+/// When there is nothing that could serve, it is worth asking again after so long.
+const RETRY_US: Micros = 500_000;
+
+/// What an answer says of its attempt.
+fn judge(served: &Served) -> Outcome {
+    match served.status {
+        // Another server's address by now: it did not run there, and says nothing of the load.
+        421 => Outcome::ConnectFailed,
+        _ if served.not_run => Outcome::Full,
+        200..400 => Outcome::Ok,
+        // Promises that nobody gave: the request may have run.
+        408 | 429 => Outcome::Error,
+        400..500 => Outcome::Rejected,
+        _ => Outcome::Error,
+    }
+}
+
+/// One of the route's services by weight, of those that have a server to be sent to.
+fn pick_service(
+    book: &Book,
+    peers: &BTreeMap<u64, (Peer, bool)>,
+    rng: &mut fastrand::Rng,
+    route: &Route,
+) -> Option<u32> {
+    if let [(only, _)] = route.to.as_slice() {
+        return book.service(only);
+    }
+    let lives = |name: &str| peers.values().any(|(p, up)| *up && p.service == name);
+    let alive: Vec<&(String, f64)> = route.to.iter().filter(|(name, w)| *w > 0.0 && lives(name)).collect();
+    let all: f64 = alive.iter().map(|(_, w)| w).sum();
+    let mut at = rng.f64() * all;
+    for (name, weight) in &alive {
+        at -= weight;
+        if at < 0.0 {
+            return book.service(name);
+        }
+    }
+    alive.first().or(route.to.iter().collect::<Vec<_>>().first()).and_then(|(name, _)| book.service(name))
+}
+
+/// Request line and headers for any server.
+fn head(ask: &Ask, tenant: Option<&Tenant>) -> Vec<u8> {
+    let mut head = Vec::with_capacity(ask.head.len() + ask.target.len() + 160);
+    for part in [&ask.method, " ", &ask.target, " HTTP/1.1\r\n"] {
+        head.extend_from_slice(part.as_bytes());
+    }
+    head.extend_from_slice(&ask.head);
+    if let Some(tenant) = tenant {
+        head.extend_from_slice(format!("X-Tenant-Name: {}\r\n", tenant.name).as_bytes());
+    }
+    head
+}
