Begin the shells of the three programs (in work)

Need: the state machines of store, registry and proxy need sockets, disk and time. Change: crates/vise (command line, settings, log ring, links, loop), mains of planchest, pegboard, shuttle, deploy/system.toml. They join the workspace with the next commits.

--- /dev/null
+++ b/crates/planchest/src/chest.rs
@@ -0,0 +1,350 @@
+//! The store as a state machine: the agreement, the state that its log makes, and those who follow it. No I/O, no clock.
+
+use rack::copy::Copy;
+use rack::state::{Command, Done, State};
+use rack::talk::{FromStore, StorePeer, ToStore, Unsure};
+use rack::{Micros, Rev};
+use ratchet::{Disk, Message, NotLeader, Payload, Ratchet, Role, Saved, Timing, Write};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::Ipv4Addr;
+
+pub type Peer = StorePeer<Message>;
+
+pub enum Input {
+    Tick,
+    Peer(Ipv4Addr, Peer),
+    /// By a registry that is linked to this store.
+    Local(u64, ToStore),
+    LocalDown(u64),
+    Written(u64),
+    WriteFailed,
+    /// The program is about to end.
+    Stop,
+}
+
+#[derive(Debug)]
+pub enum Output {
+    Peer(Ipv4Addr, Peer),
+    Local(u64, FromStore),
+    Write(Write),
+}
+
+/// How often followers are told how this store stands, if nothing changes.
+const STANDING_US: Micros = 250_000;
+/// A call handed to the leader is given up after so long.
+const HANDED_US: Micros = 1_000_000;
+/// Entries applied between two snapshots.
+const SNAPSHOT_EVERY: u64 = 256;
+/// Results kept until their callers are told.
+const RESULTS: usize = 1024;
+
+/// Who waits for an answer.
+#[derive(Clone, Copy, Debug)]
+enum Caller {
+    Local { link: u64, ticket: u64 },
+    Peer { ip: Ipv4Addr, ticket: u64 },
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Call {
+    Propose,
+    Read,
+}
+
+struct Handed {
+    caller: Caller,
+    call: Call,
+    until: Micros,
+}
+
+pub struct Chest {
+    me: Ipv4Addr,
+    disk: Disk,
+    now: Micros,
+    ratchet: Ratchet,
+    out: ratchet::Output,
+    pub copy: Copy,
+    seeds: Vec<Ipv4Addr>,
+    followers: BTreeMap<u64, Rev>,
+    /// Calls under way here, and those handed to the leader, by our ticket.
+    calls: BTreeMap<u64, (Caller, Call)>,
+    handed: BTreeMap<u64, Handed>,
+    tickets: u64,
+    /// What became of the last entries.
+    results: VecDeque<(Rev, Done)>,
+    /// Committed here, not applied yet.
+    settled: Vec<(Caller, Rev)>,
+    snapshot_at: Rev,
+    stood: Option<(Vec<Ipv4Addr>, bool, bool)>,
+    standing_at: Micros,
+}
+
+impl Chest {
+    /// `saved`: what is on disk number `disk`.
+    pub fn new(
+        me: Ipv4Addr,
+        disk: Disk,
+        saved: Saved,
+        seeds: Vec<Ipv4Addr>,
+        seed: u64,
+        now: Micros,
+    ) -> Result<Chest, String> {
+        let mut state = State::default();
+        if !saved.snapshot.data.is_empty() {
+            state = State::read(now, &saved.snapshot.data)?;
+        }
+        state.rev = state.rev.max(saved.snapshot.index);
+        let snapshot_at = state.rev;
+        let ratchet = Ratchet::new(me, disk, saved, seed, Timing::default(), now);
+        let mut chest = Chest {
+            me,
+            disk,
+            now,
+            ratchet,
+            out: ratchet::Output::default(),
+            copy: Copy::of(state),
+            seeds: seeds.clone(),
+            followers: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            handed: BTreeMap::new(),
+            tickets: 0,
+            results: VecDeque::new(),
+            settled: Vec::new(),
+            snapshot_at,
+            stood: None,
+            standing_at: now,
+        };
+        chest.ratchet.handle(now, ratchet::Input::Seeds(seeds), &mut chest.out);
+        Ok(chest)
+    }
+
+    pub fn disk(&self) -> Disk {
+        self.disk
+    }
+
+    /// The other stores that it speaks with.
+    pub fn fellows(&self) -> BTreeSet<Ipv4Addr> {
+        let members = self.ratchet.roster().members.keys().copied();
+        members.chain(self.seeds.iter().copied()).filter(|ip| *ip != self.me).collect()
+    }
+
+    pub fn wake_at(&self) -> Micros {
+        let handed = self.handed.values().map(|h| h.until).min().unwrap_or(Micros::MAX);
+        self.out.wake_at.min(handed).min(self.standing_at)
+    }
+
+    pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
+        self.now = self.now.max(now);
+        match input {
+            Input::Tick => self.agree(ratchet::Input::Tick, out),
+            Input::Written(number) => self.agree(ratchet::Input::Written { number }, out),
+            Input::WriteFailed => self.agree(ratchet::Input::WriteFailed, out),
+            Input::Stop => self.agree(ratchet::Input::Yield, out),
+            Input::Peer(ip, peer) => self.peer(ip, peer, out),
+            Input::Local(link, ToStore::Follow { rev }) => {
+                self.followers.insert(link, rev);
+                self.stood = None;
+                self.feed(link, out);
+            }
+            Input::Local(link, ToStore::Propose { ticket, command }) => {
+                self.propose(Caller::Local { link, ticket }, command, true, out);
+            }
+            Input::Local(link, ToStore::Read { ticket }) => {
+                self.read(Caller::Local { link, ticket }, true, out);
+            }
+            Input::LocalDown(link) => {
+                self.followers.remove(&link);
+            }
+        }
+        self.give_up(out);
+        self.stand(out);
+    }
+
+    // ---- calls ----
+
+    fn ticket(&mut self) -> u64 {
+        self.tickets += 1;
+        self.tickets
+    }
+
+    /// Here if this store leads, else by who does; `hand_on`: it has not been handed on before.
+    fn propose(&mut self, caller: Caller, command: Command, hand_on: bool, out: &mut Vec<Output>) {
+        let ticket = self.ticket();
+        match self.ratchet.leader() {
+            Some(leader) if leader == self.me => {
+                self.calls.insert(ticket, (caller, Call::Propose));
+                let data = postcard::to_stdvec(&command).expect("plain data");
+                self.agree(ratchet::Input::Propose { ticket, data }, out);
+            }
+            Some(leader) if hand_on => {
+                let until = self.now + HANDED_US;
+                self.handed.insert(ticket, Handed { caller, call: Call::Propose, until });
+                out.push(Output::Peer(leader, Peer::Propose { ticket, command }));
+            }
+            _ => self.tell(caller, Call::Propose, Err(Unsure::Not), out),
+        }
+    }
+
+    fn read(&mut self, caller: Caller, hand_on: bool, out: &mut Vec<Output>) {
+        let ticket = self.ticket();
+        match self.ratchet.leader() {
+            Some(leader) if leader == self.me => {
+                self.calls.insert(ticket, (caller, Call::Read));
+                self.agree(ratchet::Input::Read { ticket }, out);
+            }
+            Some(leader) if hand_on => {
+                let until = self.now + HANDED_US;
+                self.handed.insert(ticket, Handed { caller, call: Call::Read, until });
+                out.push(Output::Peer(leader, Peer::Read { ticket }));
+            }
+            _ => self.tell(caller, Call::Read, Err(Unsure::Not), out),
+        }
+    }
+
+    fn tell(&self, caller: Caller, call: Call, result: Result<(Rev, Done), Unsure>, out: &mut Vec<Output>) {
+        let reads = result.as_ref().map(|(rev, _)| *rev).map_err(|e| *e);
+        out.push(match (caller, call) {
+            (Caller::Local { link, ticket }, Call::Propose) => {
+                Output::Local(link, FromStore::Proposed { ticket, result })
+            }
+            (Caller::Local { link, ticket }, Call::Read) => {
+                Output::Local(link, FromStore::Reads { ticket, result: reads })
+            }
+            (Caller::Peer { ip, ticket }, Call::Propose) => {
+                Output::Peer(ip, Peer::Proposed { ticket, result })
+            }
+            (Caller::Peer { ip, ticket }, Call::Read) => {
+                Output::Peer(ip, Peer::Reads { ticket, result: reads })
+            }
+        });
+    }
+
+    fn peer(&mut self, ip: Ipv4Addr, peer: Peer, out: &mut Vec<Output>) {
+        match peer {
+            Peer::Iam { .. } => {}
+            Peer::Agree { from_disk, message } => {
+                self.agree(ratchet::Input::Message { from: ip, from_disk, message }, out);
+            }
+            Peer::Propose { ticket, command } => {
+                self.propose(Caller::Peer { ip, ticket }, command, false, out);
+            }
+            Peer::Read { ticket } => self.read(Caller::Peer { ip, ticket }, false, out),
+            Peer::Proposed { ticket, result } => {
+                if let Some(h) = self.handed.remove(&ticket) {
+                    self.tell(h.caller, h.call, result, out);
+                }
+            }
+            Peer::Reads { ticket, result } => {
+                if let Some(h) = self.handed.remove(&ticket) {
+                    self.tell(h.caller, h.call, result.map(|rev| (rev, Done::Taken)), out);
+                }
+            }
+        }
+    }
+
+    fn give_up(&mut self, out: &mut Vec<Output>) {
+        while let Some(ticket) = self.handed.iter().find(|(_, h)| h.until <= self.now).map(|(t, _)| *t) {
+            if let Some(h) = self.handed.remove(&ticket) {
+                self.tell(h.caller, h.call, Err(Unsure::Perhaps), out);
+            }
+        }
+    }
+
+    // ---- the agreement ----
+
+    fn agree(&mut self, input: ratchet::Input, out: &mut Vec<Output>) {
+        self.ratchet.handle(self.now, input, &mut self.out);
+        let rev = self.copy.rev();
+        let mut done = std::mem::take(&mut self.out);
+        self.out.wake_at = done.wake_at;
+        if let Some(snapshot) = done.installed.take() {
+            // What cannot be read is not agreed by this program's form: the host's word goes on from the log alone.
+            if let Ok(mut state) = State::read(self.now, &snapshot.data) {
+                state.rev = state.rev.max(snapshot.index);
+                self.copy = Copy::of(state);
+                self.snapshot_at = self.copy.rev();
+            }
+        }
+        for entry in done.committed.drain(..) {
+            let command = match entry.payload {
+                Payload::Data(data) => postcard::from_bytes::<Command>(&data).ok(),
+                Payload::Nothing | Payload::Roster(_) => None,
+            };
+            let result = self.copy.apply(self.now, entry.index, command);
+            self.results.push_back((entry.index, result));
+            if self.results.len() > RESULTS {
+                self.results.pop_front();
+            }
+        }
+        for (to, message) in done.send.drain(..) {
+            out.push(Output::Peer(to, Peer::Agree { from_disk: self.disk, message }));
+        }
+        if let Some(write) = done.write.take() {
+            out.push(Output::Write(write));
+        }
+        let results = done.proposed.drain(..).chain(done.read.drain(..));
+        for (ticket, result) in results {
+            let Some((caller, call)) = self.calls.remove(&ticket) else { continue };
+            match (call, result) {
+                (_, Err(NotLeader(_))) => self.tell(caller, call, Err(Unsure::Not), out),
+                (Call::Read, Ok(rev)) => self.tell(caller, call, Ok((rev, Done::Taken)), out),
+                (Call::Propose, Ok(rev)) => self.settled.push((caller, rev)),
+            }
+        }
+        for ticket in done.lost.drain(..) {
+            if let Some((caller, call)) = self.calls.remove(&ticket) {
+                self.tell(caller, call, Err(Unsure::Perhaps), out);
+            }
+        }
+        let here = self.copy.rev();
+        let (ready, wait) = self.settled.drain(..).partition(|(_, rev)| *rev <= here);
+        self.settled = wait;
+        let ready: Vec<(Caller, Rev)> = ready;
+        for (caller, rev) in ready {
+            let found = self.results.iter().rev().find(|(at, _)| *at == rev).map(|(_, done)| done.clone());
+            self.tell(caller, Call::Propose, found.map(|d| (rev, d)).ok_or(Unsure::Perhaps), out);
+        }
+        if here > rev {
+            let links: Vec<u64> = self.followers.keys().copied().collect();
+            links.into_iter().for_each(|link| self.feed(link, out));
+        }
+        if here >= self.snapshot_at + SNAPSHOT_EVERY {
+            self.snapshot_at = here;
+            let data = self.copy.state.write(self.now);
+            self.agree(ratchet::Input::Snapshot { index: here, data }, out);
+        }
+    }
+
+    // ---- those who follow ----
+
+    fn feed(&mut self, link: u64, out: &mut Vec<Output>) {
+        let Some(rev) = self.followers.get_mut(&link) else { return };
+        if let Some(news) = self.copy.since(self.now, *rev) {
+            *rev = self.copy.rev();
+            out.push(Output::Local(link, FromStore::News(news)));
+        }
+    }
+
+    /// Whether this store holds all that was acknowledged until lately.
+    pub fn fresh(&self) -> bool {
+        self.ratchet.leader().is_some() && self.ratchet.standing() && self.copy.rev() >= self.ratchet.commit()
+    }
+
+    pub fn leads(&self) -> bool {
+        self.ratchet.role() == Role::Leader
+    }
+
+    fn stand(&mut self, out: &mut Vec<Output>) {
+        let core: Vec<Ipv4Addr> = self.ratchet.roster().members.keys().copied().collect();
+        let stands = (core, self.fresh(), self.leads());
+        if self.now < self.standing_at && self.stood.as_ref() == Some(&stands) {
+            return;
+        }
+        self.standing_at = self.now + STANDING_US;
+        for link in self.followers.keys() {
+            let (core, fresh, leads) = stands.clone();
+            out.push(Output::Local(*link, FromStore::Standing { core, fresh, leads }));
+        }
+        self.stood = Some(stands);
+    }
+}
--- /dev/null
+++ b/crates/planchest/src/main.rs
@@ -0,0 +1,229 @@
+//! The shell of the store of configuration: links, disk and time around `planchest::chest`.
+
+use miette::{Result, miette};
+use planchest::chest::{Chest, Input, Output, Peer};
+use rack::talk::{STORE_LOCAL, STORE_PEERS, ToStore};
+use ratchet::disk::Store;
+use ratchet::{Saved, Write};
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::Duration;
+use tongs::Micros;
+use tongs::clock::{Alarm, Clock};
+use vise::link::{self, Event, Line, Tie};
+use vise::turn::{Inbox, Machine};
+use vise::{Asked, Start, turn};
+
+/// What was sent and not acknowledged for so long ends a link.
+const SILENCE: Duration = Duration::from_millis(1000);
+/// Between tries of a write that the disk refused.
+const REFUSED: Duration = Duration::from_millis(250);
+/// A leader that is asked to end waits so long for another to take over.
+const HAND_OVER_US: Micros = 400_000;
+
+enum Told {
+    FellowLink(Ipv4Addr, u64, Event<Peer>),
+    FellowTaken(Line),
+    FellowSays(u64, Event<Peer>),
+    LocalTaken(Line),
+    LocalSays(u64, Event<ToStore>),
+    Written(u64),
+    Asked(Asked),
+}
+
+fn main() -> ExitCode {
+    vise::run("curlewfront-planchest", "Keeps what curlewfront's machines agree on", work)
+}
+
+fn work(mut start: Start) -> Result<()> {
+    tongs::set_up();
+    let clock = Clock::start();
+    let alarm = Alarm::new(clock).map_err(|e| miette!("cannot set up timers: {e}"))?;
+    let inbox: Inbox<Told> = turn::inbox(&alarm);
+    let (me, seeds) = (start.settings.ip, start.seeds());
+    let dir = start.settings.data_directory.clone();
+    let dir = dir.ok_or_else(|| miette!("self_node.data_directory: the store needs a disk"))?;
+    let founds = start.settings.initial_start && seeds.contains(&me);
+    let (life, founders) = (start.life, seeds.clone());
+    let fresh = move || match founds {
+        true => (0, Saved::founding(founders.clone())),
+        false => (life, Saved::blank()),
+    };
+    let (store, saved) = Store::open(&dir, me, fresh).map_err(|e| miette!("{e}"))?;
+    let chest = Chest::new(me, store.disk(), saved, seeds, start.life, clock.now());
+    let chest = chest.map_err(|e| miette!("{}: {e}", dir.display()))?;
+    log::info!("disk {} at revision {}", chest.disk(), chest.copy.rev());
+
+    let (writes, to_write) = channel();
+    write(store, dir, me, to_write, inbox.clone())?;
+    let (posts, listen) = (inbox.clone(), start.internal(STORE_PEERS)?);
+    link::listen(listen, SILENCE, move |line, _| {
+        posts.post(Told::FellowTaken(line));
+        let posts = posts.clone();
+        move |link, event| posts.post(Told::FellowSays(link, event))
+    })
+    .map_err(|e| miette!("cannot listen on {listen}: {e}"))?;
+    let (posts, listen) = (inbox.clone(), start.internal(STORE_LOCAL)?);
+    link::listen(listen, SILENCE, move |line, _| {
+        posts.post(Told::LocalTaken(line));
+        let posts = posts.clone();
+        move |link, event| posts.post(Told::LocalSays(link, event))
+    })
+    .map_err(|e| miette!("cannot listen on {listen}: {e}"))?;
+    let posts = inbox.clone();
+    start.watch(move |asked| posts.post(Told::Asked(asked)))?;
+
+    let (over, ended) = channel();
+    let peers_port = start.internal(STORE_PEERS)?.port();
+    let (fellows, taken, locals) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
+    let (inbox_here, out) = (inbox.clone(), Vec::new());
+    let shell =
+        Shell { chest, me, peers_port, fellows, taken, locals, writes, inbox: inbox_here, out, over, ends_at: None };
+    turn::turn(clock, alarm, inbox, shell);
+    let _ = ended.recv();
+    Ok(())
+}
+
+/// Writes on a thread of its own: a disk may take long. A write that is refused is tried again, on the store opened
+/// anew, until it is taken: what was acknowledged rests on it.
+fn write(
+    store: Store,
+    dir: PathBuf,
+    me: Ipv4Addr,
+    writes: Receiver<Write>,
+    inbox: Inbox<Told>,
+) -> Result<()> {
+    let thread = std::thread::Builder::new().name("disk".into()).stack_size(256 * 1024);
+    let started = thread.spawn(move || {
+        let mut store = Some(store);
+        for write in writes {
+            loop {
+                let done = match &store {
+                    Some(open) => open.write(&write),
+                    None => Err(ratchet::disk::DiskError {
+                        file: dir.clone(),
+                        what: "cannot be opened again".into(),
+                        full: false,
+                    }),
+                };
+                let Err(why) = done else { break };
+                log::error!("{why}");
+                vise::ring::write_out("the disk refuses a write");
+                std::thread::sleep(REFUSED);
+                drop(store.take());
+                // It was made long ago: there is nothing to begin with.
+                store = Store::open(&dir, me, || (0, Saved::blank())).ok().map(|(open, _)| open);
+            }
+            inbox.post(Told::Written(write.number));
+        }
+    });
+    started.map(|_| ()).map_err(|e| miette!("cannot start a thread: {e}"))
+}
+
+struct Shell {
+    chest: Chest,
+    me: Ipv4Addr,
+    peers_port: u16,
+    fellows: BTreeMap<Ipv4Addr, Tie>,
+    /// Links that fellows opened: who is at the other end, once told.
+    taken: BTreeMap<u64, (Line, Option<Ipv4Addr>)>,
+    locals: BTreeMap<u64, Line>,
+    writes: Sender<Write>,
+    inbox: Inbox<Told>,
+    out: Vec<Output>,
+    over: Sender<()>,
+    ends_at: Option<Micros>,
+}
+
+impl Machine for Shell {
+    type Told = Told;
+
+    fn take(&mut self, now: Micros, told: Option<Told>) {
+        let input = match told {
+            None => Some(Input::Tick),
+            Some(Told::FellowLink(ip, link, event)) => {
+                let iam = Peer::Iam { ip: self.me, disk: self.chest.disk() };
+                if let Some(tie) = self.fellows.get_mut(&ip) {
+                    match event {
+                        Event::Up if tie.rose(link) => tie.send(&iam),
+                        Event::Down => {
+                            tie.fell(now, link);
+                        }
+                        _ => {}
+                    }
+                }
+                None
+            }
+            Some(Told::FellowTaken(line)) => {
+                self.taken.insert(line.number, (line, None));
+                None
+            }
+            Some(Told::FellowSays(link, Event::Got(Peer::Iam { ip, .. }))) => {
+                if let Some(taken) = self.taken.get_mut(&link) {
+                    taken.1 = Some(ip);
+                }
+                None
+            }
+            Some(Told::FellowSays(link, Event::Got(peer))) => {
+                let from = self.taken.get(&link).and_then(|t| t.1);
+                from.map(|ip| Input::Peer(ip, peer))
+            }
+            Some(Told::FellowSays(link, Event::Down)) => {
+                self.taken.remove(&link);
+                None
+            }
+            Some(Told::LocalTaken(line)) => {
+                self.locals.insert(line.number, line);
+                None
+            }
+            Some(Told::LocalSays(link, Event::Got(message))) => Some(Input::Local(link, message)),
+            Some(Told::LocalSays(link, Event::Down)) => {
+                self.locals.remove(&link);
+                Some(Input::LocalDown(link))
+            }
+            Some(Told::FellowSays(_, Event::Up) | Told::LocalSays(_, Event::Up)) => None,
+            Some(Told::Written(number)) => Some(Input::Written(number)),
+            Some(Told::Asked(Asked::Stop)) => {
+                self.ends_at.get_or_insert(now + HAND_OVER_US);
+                Some(Input::Stop)
+            }
+            Some(Told::Asked(Asked::Settings(_))) => None,
+        };
+        if let Some(input) = input {
+            self.chest.handle(now, input, &mut self.out);
+        }
+        for output in std::mem::take(&mut self.out) {
+            match output {
+                Output::Peer(ip, peer) => {
+                    let port = self.peers_port;
+                    let tie = self.fellows.entry(ip).or_insert_with(|| Tie::new((ip, port).into()));
+                    tie.send(&peer);
+                }
+                Output::Local(link, message) => {
+                    if let Some(line) = self.locals.get(&link) {
+                        line.send(&message);
+                    }
+                }
+                // The thread lives as long as the program.
+                Output::Write(write) => drop(self.writes.send(write)),
+            }
+        }
+        for ip in self.chest.fellows() {
+            let port = self.peers_port;
+            let tie = self.fellows.entry(ip).or_insert_with(|| Tie::new((ip, port).into()));
+            let inbox = self.inbox.clone();
+            tie.tend(now, SILENCE, move |link, event| inbox.post(Told::FellowLink(ip, link, event)));
+        }
+        if self.ends_at.is_some_and(|at| now >= at) {
+            let _ = self.over.send(());
+        }
+    }
+
+    fn wake_at(&mut self) -> Micros {
+        let ties = self.fellows.values().map(Tie::wake_at).min().unwrap_or(Micros::MAX);
+        self.chest.wake_at().min(ties).min(self.ends_at.unwrap_or(Micros::MAX))
+    }
+}
--- a/crates/shuttle/src/book.rs
+++ b/crates/shuttle/src/book.rs
@@ -7,6 +7,7 @@
 use rack::state::{Node, Server, State};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Who this proxy is.
@@ -64,7 +65,7 @@
 /// A server as a shell needs to know it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Peer {
-    pub id: String,
+    pub id: Arc<str>,
     pub addr: SocketAddr,
     pub service: String,
 }
@@ -225,7 +226,7 @@
                 cold_until_us: if cold { cold_until } else { 0 },
                 ..Entry::default()
             });
-            let (id, service) = (s.id.clone(), s.service.clone());
+            let (id, service) = (s.id.as_str().into(), s.service.clone());
             list.peers.insert(number, Peer { id, addr: s.addr, service });
         }
         self.servers.retain(|id, _| state.servers.contains_key(id));
--- a/crates/shuttle/src/front.rs
+++ b/crates/shuttle/src/front.rs
@@ -13,6 +13,8 @@
 use std::collections::hash_map::Entry::Occupied;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
 use std::sync::Arc;
+use tongs::limits::Held;
+use tongs::pool::Passage;
 
 /// A client's request, whole.
 pub struct Ask {
@@ -26,7 +28,7 @@
     pub key: Option<String>,
     /// Header lines that are meant for the server.
     pub head: Vec<u8>,
-    pub body: Arc<[u8]>,
+    pub body: Held,
 }
 
 /// How an attempt ended.
@@ -63,7 +65,6 @@
     News(News),
 }
 
-#[derive(Debug)]
 pub enum Output {
     Send(Job),
     /// Stop waiting for an attempt; its connection is of no more use.
@@ -85,15 +86,14 @@
     },
 }
 
-#[derive(Debug)]
 pub struct Job {
     pub id: u64,
     pub attempt: u32,
     pub server: u64,
     pub name: Arc<[u8]>,
-    /// Request line and headers.
-    pub head: Vec<u8>,
-    pub body: Arc<[u8]>,
+    /// The one life of a server that may run it.
+    pub instance: Arc<str>,
+    pub passage: Arc<Passage>,
     pub until: Micros,
 }
 
@@ -127,9 +127,8 @@
 
 struct Open {
     name: Arc<[u8]>,
-    /// The request line and headers without what differs from server to server.
-    head: Vec<u8>,
-    body: Arc<[u8]>,
+    /// The request without what differs from server to server.
+    passage: Arc<Passage>,
     until: Micros,
     tries: Vec<Try>,
     /// The last answer that a server gave though it is no success.
@@ -272,8 +271,7 @@
         let plan = tenant.map_or(0, |t| self.book.plan(&t.name));
         let open = Open {
             name: ask.name.clone(),
-            head: head(&ask, tenant),
-            body: ask.body,
+            passage: Arc::new(Passage { head: head(&ask, tenant), body: ask.body }),
             until: self.now + left_us,
             tries: Vec::new(),
             spare: None,
@@ -301,7 +299,7 @@
     fn reach(&self, route: &Route, service: u32) -> u32 {
         let here = |(p, up): &(Peer, bool)| *up && self.book.service(&p.service) == Some(service);
         let mine = |p: &Peer| {
-            let zone = self.copy.state.servers.get(&p.id).map(|s| &s.zone);
+            let zone = self.copy.state.servers.get(&*p.id).map(|s| &s.zone);
             zone.and_then(|z| self.place.zones.get(z)) == Some(&self.place.region)
         };
         let near = route.kind == Kind::Download && self.peers.values().any(|p| here(p) && mine(&p.0));
@@ -397,10 +395,8 @@
         let Some((peer, _)) = self.peers.get(&server) else {
             return self.back.push_back((id, attempt, Outcome::ConnectFailed));
         };
-        let mut head = open.head.clone();
-        head.extend_from_slice(format!("X-Expected-Instance: {}\r\n", peer.id).as_bytes());
-        let (name, body) = (open.name.clone(), open.body.clone());
-        out.push(Output::Send(Job { id, attempt, server, name, head, body, until }));
+        let (name, instance, passage) = (open.name.clone(), peer.id.clone(), open.passage.clone());
+        out.push(Output::Send(Job { id, attempt, server, name, instance, passage, until }));
     }
 
     fn answer(&mut self, id: u64, answer: Answer, out: &mut Vec<Output>) {
--- /dev/null
+++ b/crates/shuttle/src/main.rs
@@ -0,0 +1,490 @@
+//! The shell of the proxy: listeners, connections to servers and the link to the news, around `shuttle::front` and
+//! `shuttle::feed`.
+
+use miette::{Result, miette};
+use rack::Micros;
+use rack::state::Node;
+use rack::talk::{Down, REGISTRY_NEWS};
+use shuttle::book::Place;
+use shuttle::feed::{self, Feed};
+use shuttle::front::{self, Ask, End, Front, Reached, Served};
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::mpsc::{Sender, channel};
+use std::sync::Arc;
+use std::time::Duration;
+use tongs::clock::{Alarm, Alarms, Clock};
+use tongs::door::{Answer, Desk, Door, Heard, Patience, Reply};
+use tongs::errors::AttemptError;
+use tongs::http::{self, Bad, Bounds};
+use tongs::limits::Held;
+use tongs::pool::{self, Ended, Job, Peer, Wire};
+use tongs::room::Room;
+use vise::link::{self, Event, Line};
+use vise::turn::{Inbox, Machine};
+use vise::{Asked, Start, turn};
+
+const SILENCE: Duration = Duration::from_millis(1000);
+/// For a server to take a connection.
+const DIAL_US: Micros = 600_000;
+/// For an answer that has begun to bring its next piece.
+const ANSWER_US: Micros = 2_000_000;
+/// An idle connection to a server is kept so long where the server names no time.
+const SERVER_IDLE_US: Micros = 8_000_000;
+/// The largest answer of a server that is carried.
+const ANSWER: Bounds = Bounds { head: 16 * 1024, body: 32 << 20 };
+/// Until a configuration says otherwise.
+const LIMITS: (usize, usize, u64, u64) = (16 * 1024, 1 << 20, 3_000_000, 15_000_000);
+const SOCKETS: u64 = 1024;
+const MEMORY_MB: u64 = 128;
+/// Descriptors for files, and other than connections.
+const KEPT: u64 = 232;
+/// New connections keep coming for a while after a signal to end; so long is left at least after the last look.
+const STILL_COMING_US: Micros = 1_500_000;
+/// What is left of the platform's patience when what still runs is given up.
+const SPARE_US: Micros = 500_000;
+const GRACE_S: f64 = 5.0;
+
+enum Told {
+    Asked(Ask, Reply),
+    Withdrawn(u64),
+    Ended(u64, u32, End),
+    Link(u64, Event<Down>),
+    Signal(Asked),
+}
+
+fn main() -> ExitCode {
+    vise::run("curlewfront-shuttle", "Carries requests between clients and servers", work)
+}
+
+fn work(mut start: Start) -> Result<()> {
+    tongs::set_up();
+    let cannot = |what: &'static str| move |e: std::io::Error| miette!("cannot {what}: {e}");
+    let clock = Clock::start();
+    let alarm = Alarm::new(clock).map_err(cannot("set up timers"))?;
+    let alarms = Alarms::start(clock).map_err(cannot("set up timers"))?;
+    let inbox: Inbox<Told> = turn::inbox(&alarm);
+    let s = &start.settings;
+    let sockets = s.limits.descriptor_limit.unwrap_or(SOCKETS).saturating_sub(KEPT) as usize;
+    let memory = s.limits.memory_size_mb.unwrap_or(MEMORY_MB);
+    let warn = Box::new(|what: std::fmt::Arguments| log::warn!("{what}"));
+    let room = Arc::new(Room::new(sockets, memory, clock, alarms, warn));
+    let shown = Arc::new(Shown::default());
+    let desk = Arc::new(Requests { inbox: inbox.clone(), shown: shown.clone() });
+    let listen = s.front_plain()?;
+    Door::start(listen, room.clone(), desk).map_err(|e| miette!("cannot listen on {listen}: {e}"))?;
+    if let Ok(listen) = s.readiness() {
+        let desk = Arc::new(Readiness { shown: shown.clone() });
+        Door::start(listen, room.clone(), desk).map_err(|e| miette!("cannot listen on {listen}: {e}"))?;
+    }
+    let posts = inbox.clone();
+    start.watch(move |asked| posts.post(Told::Signal(asked)))?;
+
+    let s = &start.settings;
+    let place = Place { ip: s.ip, zone: s.zone.clone(), region: s.region.clone(), zones: s.zones.clone() };
+    let node = Node {
+        ip: s.ip,
+        name: s.name.clone(),
+        zone: s.zone.clone(),
+        region: s.region.clone(),
+        front: s.front_plain()?,
+    };
+    let (beat_us, now) = (s.beat_period_ms * 1000, clock.now());
+    let (over, ended) = channel();
+    let grace_us = (s.bounds.grace_period_s.unwrap_or(GRACE_S) * 1e6) as Micros;
+    let shell = Shell {
+        front: Front::new(place, beat_us, start.life, now),
+        feed: Feed::new(node, s.zones.clone(), start.seeds(), beat_us, start.life, now),
+        news_port: start.internal(REGISTRY_NEWS)?.port(),
+        line: None,
+        wire: Arc::new(Servers { inbox: inbox.clone() }),
+        peers: HashMap::new(),
+        replies: HashMap::new(),
+        room,
+        shown,
+        inbox: inbox.clone(),
+        out: Vec::new(),
+        news: Vec::new(),
+        over,
+        grace_us,
+        asked_at: None,
+    };
+    turn::turn(clock, alarm, inbox, shell);
+    let _ = ended.recv();
+    Ok(())
+}
+
+/// What the connections see of the proxy.
+struct Shown {
+    ready: AtomicBool,
+    draining: AtomicBool,
+    head: AtomicUsize,
+    body: AtomicUsize,
+    header_wait_us: AtomicU64,
+    idle_us: AtomicU64,
+}
+
+impl Default for Shown {
+    fn default() -> Shown {
+        let (head, body, wait, idle) = LIMITS;
+        Shown {
+            ready: AtomicBool::new(false),
+            draining: AtomicBool::new(false),
+            head: AtomicUsize::new(head),
+            body: AtomicUsize::new(body),
+            header_wait_us: AtomicU64::new(wait),
+            idle_us: AtomicU64::new(idle),
+        }
+    }
+}
+
+fn refusal(bad: &Bad) -> Answer {
+    Answer::text(bad.status, format!("{}\n", bad.what))
+}
+
+/// The desk that clients come to.
+struct Requests {
+    inbox: Inbox<Told>,
+    shown: Arc<Shown>,
+}
+
+/// Headers of a client that no server sees.
+const HELD_BACK: [&str; 4] = ["X-Time-Left", "Authorization", "X-Tenant-Name", "X-Expected-Instance"];
+
+impl Desk for Requests {
+    type Ask = Ask;
+
+    fn bounds(&self) -> Bounds {
+        let get = |n: &AtomicUsize| n.load(Ordering::Relaxed);
+        Bounds { head: get(&self.shown.head), body: get(&self.shown.body) }
+    }
+
+    fn patience(&self) -> Patience {
+        let get = |n: &AtomicU64| n.load(Ordering::Relaxed);
+        let (wait, idle) = (get(&self.shown.header_wait_us), get(&self.shown.idle_us));
+        Patience { first_us: None, read_us: wait, write_us: idle, once_idle_us: idle, idle_us: idle }
+    }
+
+    fn head(&self, head: &http::Request) -> Result<Heard<Ask>, Bad> {
+        let text =
+            |name| http::header(head.headers, name).and_then(|v| std::str::from_utf8(v).ok()).map(str::trim);
+        let name = text("X-Attempt-Id").filter(|id| !id.is_empty());
+        let name = name.ok_or(Bad { status: 400, what: "no X-Attempt-Id" })?;
+        let left = text("X-Time-Left").map(|t| t.parse::<u64>());
+        let left_us = left.transpose().map_err(|_| Bad { status: 400, what: "malformed X-Time-Left" })?;
+        let key = text("Authorization").and_then(|v| v.split_once(' '));
+        let key = key.filter(|(kind, _)| kind.eq_ignore_ascii_case("Token"));
+        let mut lines = Vec::with_capacity(head.len);
+        http::pass_on(head.headers, &HELD_BACK, &mut lines);
+        Ok(Heard::Take(Ask {
+            id: 0,
+            method: head.method.to_string(),
+            target: head.target.to_string(),
+            host: text("Host").unwrap_or("").to_string(),
+            name: name.as_bytes().into(),
+            left_us: left_us.map(|ms| ms.saturating_mul(1000)),
+            key: key.map(|(_, key)| key.trim().to_string()),
+            head: lines,
+            body: Held::default(),
+        }))
+    }
+
+    fn asked(&self, id: u64, ask: Ask, body: Held, reply: Reply) {
+        self.inbox.post(Told::Asked(Ask { id, body, ..ask }, reply));
+    }
+
+    fn withdrawn(&self, id: u64) {
+        self.inbox.post(Told::Withdrawn(id));
+    }
+
+    fn draining(&self) -> bool {
+        self.shown.draining.load(Ordering::Relaxed)
+    }
+
+    fn refusal(&self, bad: &Bad) -> Answer {
+        refusal(bad)
+    }
+}
+
+/// The desk that the platform asks whether this proxy is ready.
+struct Readiness {
+    shown: Arc<Shown>,
+}
+
+impl Desk for Readiness {
+    type Ask = ();
+
+    fn bounds(&self) -> Bounds {
+        Bounds { head: LIMITS.0, body: 4096 }
+    }
+
+    fn patience(&self) -> Patience {
+        let (read_us, idle_us) = (LIMITS.2, LIMITS.3);
+        Patience { first_us: None, read_us, write_us: read_us, once_idle_us: idle_us, idle_us }
+    }
+
+    fn head(&self, head: &http::Request) -> Result<Heard<()>, Bad> {
+        Ok(Heard::Say(match jig::api::Call::of(head.method, head.target) {
+            Some((jig::api::Call::Ready, _)) if self.shown.ready.load(Ordering::Relaxed) => {
+                Answer::text(200, "ready\n")
+            }
+            Some((jig::api::Call::Ready, _)) => Answer::text(503, "not ready\n"),
+            _ => Answer::text(404, "no such call\n"),
+        }))
+    }
+
+    fn asked(&self, _: u64, (): (), _: Held, reply: Reply) {
+        reply.send(Answer::text(404, "no such call\n"));
+    }
+
+    fn withdrawn(&self, _: u64) {}
+
+    fn draining(&self) -> bool {
+        false
+    }
+
+    fn refusal(&self, bad: &Bad) -> Answer {
+        refusal(bad)
+    }
+}
+
+/// What is spoken with servers.
+struct Servers {
+    inbox: Inbox<Told>,
+}
+
+/// What goes with an attempt: the client's name for it and the life of a server that may run it.
+struct Note {
+    name: Arc<[u8]>,
+    instance: Arc<str>,
+}
+
+/// What is read out of an answer's head.
+struct Said {
+    not_run: bool,
+    headers: Vec<u8>,
+}
+
+impl Wire for Servers {
+    type Note = Note;
+    type Said = Said;
+
+    fn last_lines(&self, job: &Job<Note>, left_us: Micros, out: &mut Vec<u8>) {
+        let left_ms = (left_us / 1000).max(1);
+        out.extend_from_slice(
+            format!("X-Time-Left: {left_ms}\r\nX-Expected-Instance: {}\r\n", job.note.instance).as_bytes(),
+        );
+    }
+
+    fn heard(&self, job: &Job<Note>, head: &http::Response) -> pool::Heard<Said> {
+        let name = http::header(head.headers, "X-Attempt-Id");
+        if name.is_some_and(|n| n.trim_ascii() != &*job.note.name) {
+            return pool::Heard::Surplus;
+        }
+        let mut headers = Vec::new();
+        http::pass_on(head.headers, &["X-Not-Executed", "X-Instance-Id", "X-Cold-Time"], &mut headers);
+        let not_run = http::header(head.headers, "X-Not-Executed").is_some();
+        pool::Heard::Mine(Said { not_run, headers })
+    }
+
+    fn ended(&self, ended: Ended<Servers>) {
+        let end = match ended.outcome {
+            Ok(pool::Served { status, said, body }) => {
+                End::Answered(Served { status, not_run: said.not_run, headers: said.headers, body })
+            }
+            Err(why) => {
+                log::info!("{}.{}: {why}", ended.id, ended.attempt);
+                End::Broken { reached: reached(&why) }
+            }
+        };
+        self.inbox.post(Told::Ended(ended.id, ended.attempt, end));
+    }
+}
+
+fn reached(why: &AttemptError) -> Reached {
+    if why.never_ran() { Reached::NeverRan } else { Reached::MayHaveRun }
+}
+
+struct Shell {
+    front: Front,
+    feed: Feed,
+    news_port: u16,
+    line: Option<(Ipv4Addr, Option<Line>)>,
+    wire: Arc<Servers>,
+    peers: HashMap<u64, Peer<Servers>>,
+    replies: HashMap<u64, Reply>,
+    room: Arc<Room>,
+    shown: Arc<Shown>,
+    inbox: Inbox<Told>,
+    out: Vec<front::Output>,
+    news: Vec<feed::Output>,
+    over: Sender<()>,
+    grace_us: Micros,
+    asked_at: Option<Micros>,
+}
+
+impl Shell {
+    fn pool(&self) -> pool::Settings {
+        pool::Settings {
+            dial_us: DIAL_US,
+            answer_us: ANSWER_US,
+            idle_us: SERVER_IDLE_US,
+            most: usize::MAX,
+            silence: Some(SILENCE),
+            bounds: ANSWER,
+        }
+    }
+
+    fn front(&mut self, now: Micros, input: front::Input) {
+        self.front.handle(now, input, &mut self.out);
+        for output in std::mem::take(&mut self.out) {
+            match output {
+                front::Output::Send(job) => {
+                    let front::Job { id, attempt, server, name, instance, passage, until } = job;
+                    let note = Note { name, instance };
+                    let sent = self
+                        .peers
+                        .get(&server)
+                        .is_some_and(|p| p.send(Job { id, attempt, passage, until, note }));
+                    if !sent {
+                        let end = End::Broken { reached: Reached::NeverRan };
+                        self.inbox.post(Told::Ended(id, attempt, end));
+                    }
+                }
+                front::Output::GiveUp { id, attempt, server, late } => {
+                    if let Some(peer) = self.peers.get(&server) {
+                        peer.give_up(id, attempt, late);
+                    }
+                }
+                front::Output::Answer(id, answer) => {
+                    if let Some(reply) = self.replies.remove(&id) {
+                        let front::Answer { status, headers, body } = answer;
+                        reply.send(Answer::new(status, headers, body));
+                    }
+                }
+                front::Output::Server { server, peer, up } => {
+                    let settings = self.pool();
+                    let (room, wire) = (&self.room, &self.wire);
+                    let known = self.peers.entry(server).or_insert_with(|| {
+                        Peer::start(peer.addr, room.clone(), wire.clone(), settings)
+                    });
+                    known.listed(peer.addr, up);
+                }
+                front::Output::Gone { server } => {
+                    if let Some(peer) = self.peers.remove(&server) {
+                        peer.gone();
+                    }
+                }
+            }
+        }
+    }
+
+    fn feed(&mut self, now: Micros, input: feed::Input) {
+        self.feed.handle(now, input, &mut self.news);
+        for output in std::mem::take(&mut self.news) {
+            match output {
+                feed::Output::Link(ip) => {
+                    let inbox = self.inbox.clone();
+                    let addr = SocketAddr::from((ip, self.news_port));
+                    let told = move |link, event| inbox.post(Told::Link(link, event));
+                    let line = link::dial(addr, SILENCE, told);
+                    self.line = Some((ip, line.map_err(|e| log::info!("cannot link to {addr}: {e}")).ok()));
+                }
+                feed::Output::Say(up) => {
+                    if let Some((_, Some(line))) = &self.line {
+                        line.send(&up);
+                    }
+                }
+                feed::Output::News(news) => {
+                    self.front(now, front::Input::News(news));
+                    self.feed.at(self.front.copy.rev());
+                    self.show();
+                }
+            }
+        }
+    }
+
+    /// What has changed for the connections.
+    fn show(&mut self) {
+        if let Some(limits) = self.front.limits() {
+            let size = |n: u64| usize::try_from(n).unwrap_or(usize::MAX);
+            self.shown.head.store(size(limits.max_header_bytes), Ordering::Relaxed);
+            self.shown.body.store(size(limits.max_body_bytes), Ordering::Relaxed);
+            self.shown.header_wait_us.store(limits.header_wait_ms * 1000, Ordering::Relaxed);
+            self.shown.idle_us.store(limits.idle_limit_ms * 1000, Ordering::Relaxed);
+        }
+        let ready = self.front.ready() && self.feed.was_fresh && self.asked_at.is_none();
+        self.shown.ready.store(ready, Ordering::Relaxed);
+        if self.feed.ready != ready {
+            self.feed.ready = ready;
+            self.feed.hurry();
+        }
+    }
+
+    /// Whether all is answered after a signal to end, and nothing more will come.
+    fn over(&self, now: Micros) -> bool {
+        let Some(asked_at) = self.asked_at else { return false };
+        let late = now >= asked_at + self.grace_us.saturating_sub(SPARE_US);
+        let quiet = self.replies.is_empty() && now >= asked_at + STILL_COMING_US;
+        late || quiet
+    }
+}
+
+impl Machine for Shell {
+    type Told = Told;
+
+    fn take(&mut self, now: Micros, told: Option<Told>) {
+        match told {
+            None => {
+                self.front(now, front::Input::Tick);
+                self.feed(now, feed::Input::Tick);
+            }
+            Some(Told::Asked(ask, reply)) => {
+                self.replies.insert(ask.id, reply);
+                self.front(now, front::Input::Asked(ask));
+            }
+            Some(Told::Withdrawn(id)) => {
+                self.replies.remove(&id);
+                self.front(now, front::Input::Withdrawn(id));
+            }
+            Some(Told::Ended(id, attempt, end)) => {
+                self.front(now, front::Input::Ended { id, attempt, end });
+            }
+            Some(Told::Link(link, event)) => {
+                // What an earlier link says is no longer of interest.
+                let mine = matches!(&self.line, Some((_, Some(line))) if line.number == link);
+                if mine {
+                    if matches!(event, Event::Down) {
+                        self.line = None;
+                    }
+                    let input = match event {
+                        Event::Up => feed::Input::Linked,
+                        Event::Got(down) => feed::Input::Got(down),
+                        Event::Down => feed::Input::Broken,
+                    };
+                    self.feed(now, input);
+                }
+            }
+            Some(Told::Signal(Asked::Settings(settings))) => self.feed.reseed(vise::seeds(&settings)),
+            Some(Told::Signal(Asked::Stop)) => {
+                self.asked_at.get_or_insert(now);
+                self.shown.draining.store(true, Ordering::Relaxed);
+                self.show();
+                self.feed(now, feed::Input::Tick);
+            }
+        }
+        self.show();
+        if self.over(now) {
+            let _ = self.over.send(());
+        }
+    }
+
+    fn wake_at(&mut self) -> Micros {
+        // After a signal to end, whether all is over is looked at again and again.
+        const LOOK_US: Micros = 50_000;
+        let ends = self.asked_at.map_or(Micros::MAX, |_| self.room.clock.now() + LOOK_US);
+        self.front.wake_at().min(self.feed.wake_at()).min(ends)
+    }
+}
--- /dev/null
+++ b/crates/vise/src/lib.rs
@@ -0,0 +1,144 @@
+//! What holds each of curlewfront's programs while it works: its command line, settings, log and signals, the links to
+//! the others, and the loop that turns a state machine. No decision is made here.
+
+pub mod link;
+pub mod ring;
+pub mod turn;
+
+use jig::Settings;
+use miette::{Report, Result, miette};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// What a program is started with.
+pub struct Start {
+    pub settings: Settings,
+    file: Option<PathBuf>,
+    signals: Option<Signals>,
+    /// Drawn for this process.
+    pub life: u64,
+}
+
+/// What the platform asks of a running program.
+pub enum Asked {
+    /// End in order.
+    Stop,
+    /// The settings file has changed; this is it as it is now.
+    Settings(Box<Settings>),
+}
+
+/// Runs a program: reads its command line and settings, and says on standard error what is wrong with them.
+pub fn run(name: &'static str, about: &'static str, work: impl FnOnce(Start) -> Result<()>) -> ExitCode {
+    let command = clap::Command::new(name)
+        .about(about)
+        .version(env!("CARGO_PKG_VERSION"))
+        .arg(
+            clap::Arg::new("settings")
+                .long("settings")
+                .value_name("FILE")
+                .value_parser(clap::value_parser!(PathBuf))
+                .help(format!("The settings file; without it the variable {} names it", jig::settings::VARIABLE)),
+        )
+        .arg(
+            clap::Arg::new("chatty")
+                .long("chatty")
+                .action(clap::ArgAction::SetTrue)
+                .help("Writes each line of the log at once, instead of the last ones when something goes wrong"),
+        )
+        .arg(
+            clap::Arg::new("check")
+                .long("check")
+                .action(clap::ArgAction::SetTrue)
+                .help("Reads the settings, says what is wrong with them, and ends"),
+        );
+    let given = command.get_matches();
+    let file = given.get_one::<PathBuf>("settings").cloned();
+    let held = || -> Result<()> {
+        let settings = read(file.as_ref())?;
+        if given.get_flag("check") {
+            println!("{name}: settings of {} are good", settings.name);
+            return Ok(());
+        }
+        ring::start(name, &settings.name, given.get_flag("chatty"))?;
+        // From here on no signal ends the program by itself.
+        let signals = Signals::new([SIGTERM, SIGINT, SIGHUP]);
+        let signals = signals.map_err(|e| miette!("cannot watch for signals: {e}"))?;
+        work(Start { settings, file, signals: Some(signals), life: fastrand::u64(1..) })
+    };
+    match held() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            ring::write_out(&format!("ends: {why}"));
+            eprintln!("{name}: {}", line(&why));
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// An error and its causes in one line.
+fn line(why: &Report) -> String {
+    why.chain().map(ToString::to_string).collect::<Vec<_>>().join(": ")
+}
+
+fn read(file: Option<&PathBuf>) -> Result<Settings> {
+    match file {
+        None => Ok(Settings::load()?),
+        Some(file) => {
+            let text = std::fs::read_to_string(file).map_err(|e| miette!("{}: {e}", file.display()))?;
+            Ok(Settings::read(&text)?)
+        }
+    }
+}
+
+impl Start {
+    /// Calls `told` with each signal, on a thread of its own: it reads a file, which must not hold up the work. A file
+    /// that is no good changes nothing.
+    pub fn watch(&mut self, told: impl Fn(Asked) + Send + 'static) -> Result<()> {
+        let Some(mut signals) = self.signals.take() else { return Ok(()) };
+        let file = self.file.clone();
+        let thread = std::thread::Builder::new().name("signals".into()).stack_size(64 * 1024);
+        let started = thread.spawn(move || {
+            for signal in signals.forever() {
+                if signal != SIGHUP {
+                    told(Asked::Stop);
+                } else {
+                    match read(file.as_ref()) {
+                        Ok(settings) => told(Asked::Settings(Box::new(settings))),
+                        Err(why) => log::error!("new settings refused, the old ones stay: {}", line(&why)),
+                    }
+                }
+            }
+        });
+        started.map(|_| ()).map_err(|e| miette!("cannot start a thread: {e}"))
+    }
+
+    /// The address of one of this machine's internal ports.
+    pub fn internal(&self, port: u16) -> Result<SocketAddr> {
+        internal(&self.settings, self.settings.ip, port)
+    }
+
+    pub fn seeds(&self) -> Vec<Ipv4Addr> {
+        seeds(&self.settings)
+    }
+}
+
+/// Internal ports are alike on all machines.
+pub fn internal(settings: &Settings, ip: Ipv4Addr, port: u16) -> Result<SocketAddr> {
+    let ports = &settings.internal_ports;
+    let number = ports.start().checked_add(port).filter(|n| ports.contains(n));
+    let number = number.ok_or_else(|| {
+        miette!("network_terms.internal_ports: at least {} are needed, found {ports:?}", port + 1)
+    })?;
+    Ok(SocketAddr::V4(SocketAddrV4::new(ip, number)))
+}
+
+pub fn seeds(settings: &Settings) -> Vec<Ipv4Addr> {
+    let four = |s: &SocketAddr| match s.ip() {
+        IpAddr::V4(ip) => Some(ip),
+        IpAddr::V6(_) => None,
+    };
+    settings.seeds.iter().filter_map(four).collect()
+}
--- /dev/null
+++ b/crates/vise/src/turn.rs
@@ -0,0 +1,48 @@
+//! The loop that turns a state machine: what has come is handed in, what it answers is carried out, and it is called
+//! again when it wants to be.
+
+use tongs::Micros;
+use tongs::clock::{Alarm, Clock};
+use tongs::mailbox::Mailbox;
+use std::sync::Arc;
+
+/// Messages taken before the connections get their turn again.
+const BATCH: usize = 64;
+
+pub trait Machine: Send + 'static {
+    type Told: Send + 'static;
+
+    /// One message, or none where only time has passed.
+    fn take(&mut self, now: Micros, told: Option<Self::Told>);
+
+    fn wake_at(&mut self) -> Micros;
+}
+
+/// Where a machine's messages go.
+pub type Inbox<T> = Arc<Mailbox<T>>;
+
+pub fn inbox<T>(alarm: &Alarm) -> Inbox<T> {
+    Arc::new(Mailbox::new(alarm.bell()))
+}
+
+pub fn turn<M: Machine>(clock: Clock, mut alarm: Alarm, inbox: Inbox<M::Told>, mut machine: M) {
+    may::go!(move || {
+        let mut batch = Vec::with_capacity(BATCH);
+        loop {
+            inbox.take(BATCH, &mut batch);
+            let more = batch.len() == BATCH;
+            let now = clock.now();
+            for told in batch.drain(..) {
+                machine.take(now, Some(told));
+            }
+            if machine.wake_at() <= now {
+                machine.take(now, None);
+            }
+            if more {
+                may::coroutine::yield_now();
+            } else if let Err(e) = alarm.wait(Some(machine.wake_at())) {
+                log::error!("cannot set a timer: {e}");
+            }
+        }
+    });
+}
