Begin the network crate: its public interface, and the gateway's files moved to it

The gateway's network code is to serve other programs too. This moves the files and states the interface; the bodies follow, so this step does not build.

--- a/crates/gateway/src/clients.rs
+++ b/crates/tongs/src/door.rs
@@ -1,24 +1,173 @@
-//! The clients: the listener, and an actor with one coroutine for each connection. A connection carries one
-//! request at a time; a well-formed one is handed to the module, which answers it once. Malformed ones are
-//! answered here and reach neither the module nor a server.
+//! A listener and its clients: an actor with one coroutine for each connection. A connection carries one request at a
+//! time; a well-formed one is handed to the desk behind the listener, which answers it once. Malformed ones are
+//! answered here and never reach it.
 
 mod connection;
-mod request;
 
+use crate::Micros;
 use crate::clock::Alarm;
-use crate::gate::Gate;
-use crate::limits::{Fd, Side};
+use crate::http::{self, Bad, Bounds};
+use crate::limits::{Fd, Held, Side};
 use crate::mailbox::{Bell, Mailbox};
-use crate::messages::{Doing, ToClient, Told};
-use curlewfront::Micros;
+use crate::ring::Bytes;
+use crate::room::Room;
 use may::io::{CoIo, WaitIo};
 use socket2::{Domain, Type};
 use std::collections::HashMap;
 use std::io::{self, ErrorKind};
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+/// What stands behind a listener: reads its clients' requests its own way and answers them. All calls come on the
+/// coroutines' thread, so they are short; what takes long is answered later, by the `Reply`.
+pub trait Desk: Send + Sync + 'static {
+    /// A request's head as this desk read it.
+    type Ask: Send + 'static;
+
+    /// What a request may measure; asked for each, so it may change.
+    fn bounds(&self) -> Bounds;
+
+    /// How long clients may take; asked again and again, so it may change.
+    fn patience(&self) -> Patience;
+
+    /// The head is whole. An error is answered by `refusal`, and ends the connection.
+    fn head(&self, head: &http::Request) -> Result<Heard<Self::Ask>, Bad>;
+
+    /// The request is whole. `id` is its own among all requests of all listeners of one `Room`.
+    fn asked(&self, id: u64, ask: Self::Ask, body: Held, reply: Reply);
+
+    /// The client has gone before its answer.
+    fn withdrawn(&self, id: u64);
+
+    /// Answers from now on end their connections, and idle ones are closed after half a second.
+    fn draining(&self) -> bool;
+
+    /// The answer to a request that the listener itself turns away: malformed, too large, late (408), without room
+    /// for it (503), or left without an answer (500, 502).
+    fn refusal(&self, bad: &Bad) -> Answer;
+
+    /// What a client is told whose connection ends before it has brought any request; by default nothing.
+    fn unheard(&self) -> Option<Bad> {
+        None
+    }
+
+    /// No descriptor is left for clients: others are to give way.
+    fn crowded(&self) {}
+}
+
+/// What a desk makes of a request's head.
+pub enum Heard<Ask> {
+    /// The body is read, then `Desk::asked` is called.
+    Take(Ask),
+    /// Answered at once. A body that is small is read and dropped first; else the connection ends.
+    Say(Answer),
+}
+
+pub struct Answer {
+    pub status: u16,
+    /// Whole lines, "Name: value\r\n", without framing and `Connection`.
+    pub headers: Vec<u8>,
+    /// Held until it is written, never copied if it is large. Not sent to HEAD nor with 204 and 304.
+    pub body: Bytes,
+    /// The connection ends after it. So it does where the client asks for it, and while the desk is draining.
+    pub close: bool,
+}
+
+impl Answer {
+    pub fn new(status: u16, headers: Vec<u8>, body: impl Into<Bytes>) -> Answer {
+        Answer { status, headers, body: body.into(), close: false }
+    }
+
+    /// An answer in plain text.
+    pub fn text(status: u16, text: impl Into<Vec<u8>>) -> Answer {
+        let text = text.into();
+        let headers = if text.is_empty() { Vec::new() } else { b"Content-Type: text/plain\r\n".to_vec() };
+        Answer::new(status, headers, text)
+    }
+}
+
+/// Where the one answer to a request goes, from any thread. Dropped without one, the request is answered by
+/// `Desk::refusal` with 502.
+pub struct Reply {
+    id: u64,
+    to: To,
+}
+
+enum To {
+    Conn(Arc<Mailbox<ToClient>>),
+    Call(Box<dyn FnOnce(Answer) + Send + Sync>),
+    Nobody,
+}
+
+impl Reply {
+    /// Hands the answer to `call`: for a request that came by no listener.
+    pub fn call(id: u64, call: impl FnOnce(Answer) + Send + Sync + 'static) -> Reply {
+        Reply { id, to: To::Call(Box::new(call)) }
+    }
+
+    /// Passed over where the client has gone.
+    pub fn send(mut self, answer: Answer) {
+        match std::mem::replace(&mut self.to, To::Nobody) {
+            To::Conn(inbox) => inbox.post(ToClient::Answer { id: self.id, answer }),
+            To::Call(call) => call(answer),
+            To::Nobody => {}
+        }
+    }
+}
+
+impl Drop for Reply {
+    fn drop(&mut self) {
+        if let To::Conn(inbox) = &self.to {
+            inbox.post(ToClient::Lost { id: self.id });
+        }
+    }
+}
+
+/// How long clients may take. A request or an answer on its way has the time again with each 64 KB of it.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// Within so long a new connection must have brought its first whole request; None: it is as any other.
+    pub first_us: Option<Micros>,
+    /// For a request to be whole once a part of it has come.
+    pub read_us: Micros,
+    /// For an answer to be taken.
+    pub write_us: Micros,
+    /// A connection that has brought one request, or more, is closed when it has been idle so long.
+    pub once_idle_us: Micros,
+    pub idle_us: Micros,
+}
+
+/// What a client's connection is told.
+enum ToClient {
+    Answer {
+        id: u64,
+        answer: Answer,
+    },
+    /// Its desk has dropped the request.
+    Lost {
+        id: u64,
+    },
+    /// Close if this is still all that it does.
+    Close(Doing),
+    /// After a break: it may read on.
+    GoOn,
+}
+
+/// What a connection is doing, as far as it matters to the others.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Doing {
+    Idle,
+    /// The desk has its request.
+    Waiting,
+    /// A part of a request has come.
+    Reading,
+    /// An answer is not yet taken.
+    Writing,
+    /// It ends; nothing more is owed.
+    Parting,
+}
+
 /// A connection as the others know it.
 struct Known {
     inbox: Arc<Mailbox<ToClient>>,
--- a/crates/gateway/src/servers.rs
+++ b/crates/tongs/src/pool.rs
@@ -1,23 +1,192 @@
-//! The servers: an actor for each, which owns its idle connections and opens new ones, and a coroutine for each
-//! connection, which carries one attempt at a time. What becomes of an attempt is told to the module once.
+//! A server: an actor for its address, which owns its idle connections and opens new ones, and a coroutine for each
+//! connection, which carries one attempt at a time. What becomes of an attempt is told to the wire once.
 //!
 //! An attempt is never sent again from here. Only one of which no byte was written, on a connection that had
 //! died while idle, goes to another connection: no server can have seen any of it.
 
 mod connection;
 
+use crate::Micros;
 use crate::errors::{AttemptError, Cause, Progress};
-use crate::gate::Gate;
-use crate::limits::Side;
+use crate::http::{self, Bounds};
+use crate::limits::{Held, Side};
 use crate::mailbox::{Bell, Mailbox};
-use crate::messages::{Ended, Job, ToServer, Told};
-use curlewfront::Micros;
-use may::io::CoIo;
+use crate::net;
+use crate::room::Room;
 use may::sync::mpsc::{Receiver, Sender, channel};
 use std::collections::{HashMap, VecDeque};
-use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
+
+/// What is spoken with servers: writes the last lines of requests, reads the heads of answers, and is told what
+/// became of attempts. One for all servers that are spoken to alike. All calls come on the coroutines' thread.
+pub trait Wire: Send + Sync + Sized + 'static {
+    /// What an attempt carries along for this wire.
+    type Note: Send + 'static;
+    /// What is read out of an answer's head.
+    type Said: Send + 'static;
+
+    /// Whole lines, "Name: value\r\n", that end the head of this attempt; framing is not theirs. `left_us`, one at
+    /// the least, is what is left of its time as it is written.
+    fn last_lines(&self, job: &Job<Self::Note>, left_us: Micros, out: &mut Vec<u8>);
+
+    /// An answer's head is whole; interim ones (1xx) are not shown.
+    fn heard(&self, job: &Job<Self::Note>, head: &http::Response) -> Heard<Self::Said>;
+
+    /// An attempt has ended; told once, and not of one that was given up.
+    fn ended(&self, ended: Ended<Self>);
+
+    /// No descriptor is left: idle connections to servers are to give way.
+    fn crowded(&self) {}
+}
+
+/// What an answer's head is to the attempt that waits.
+pub enum Heard<Said> {
+    /// Its answer.
+    Mine(Said),
+    /// A further answer to an earlier request: it is read and dropped, the attempt's own is awaited behind it, and
+    /// then the connection ends.
+    Surplus,
+}
+
+/// A request as it goes to servers, but for the lines of the one attempt; shared by all of them and never copied.
+pub struct Passage {
+    /// Request line and headers, without framing and without the blank line that ends them.
+    pub head: Vec<u8>,
+    pub body: Held,
+}
+
+/// One attempt.
+pub struct Job<Note> {
+    pub id: u64,
+    pub attempt: u32,
+    pub passage: Arc<Passage>,
+    /// When nobody waits any more.
+    pub until: Micros,
+    pub note: Note,
+}
+
+/// What became of an attempt.
+pub struct Ended<W: Wire> {
+    pub id: u64,
+    pub attempt: u32,
+    pub note: W::Note,
+    /// When its connection began to write it; 0 if none did.
+    pub begun_at: Micros,
+    pub outcome: Result<Served<W::Said>, AttemptError>,
+}
+
+/// A whole answer.
+pub struct Served<Said> {
+    pub status: u16,
+    pub said: Said,
+    pub body: Vec<u8>,
+}
+
+/// Of one server's connections.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// For a connection to come up.
+    pub dial_us: Micros,
+    /// For an answer that has begun to be whole, or to bring its next 64 KB.
+    pub answer_us: Micros,
+    /// A connection idle for longer is not used again, where the server names no time (`Keep-Alive: timeout=N`).
+    pub idle_us: Micros,
+    /// Connections at the most.
+    pub most: usize,
+    /// Sent, and not acknowledged for so long, the connection has failed (`TCP_USER_TIMEOUT`).
+    pub silence: Option<Duration>,
+    /// Of an answer.
+    pub bounds: Bounds,
+}
+
+/// A server, for those who send to it. Dropping it does not end the server's actor: `gone` does.
+pub struct Peer<W: Wire>(Sender<ToServer<W>>);
+
+impl<W: Wire> Clone for Peer<W> {
+    fn clone(&self) -> Self {
+        Peer(self.0.clone())
+    }
+}
+
+impl<W: Wire> Peer<W> {
+    /// Starts the actor of a server; it dials once there is something to send.
+    pub fn start(addr: SocketAddr, room: Arc<Room>, wire: Arc<W>, settings: Settings) -> Peer<W> {
+        let (me, inbox) = channel();
+        let server = Server::new(addr, room, wire, settings, me.clone());
+        may::go!(move || server.run(&inbox));
+        Peer(me)
+    }
+
+    /// False where the server's actor has ended: nothing is told of the attempt then.
+    pub fn send(&self, job: Job<W::Note>) -> bool {
+        self.0.send(ToServer::Send(job)).is_ok()
+    }
+
+    /// Closes the attempt's connection; nothing more is told of it. `late`: its time was up, and this is when it was
+    /// sent.
+    pub fn give_up(&self, id: u64, attempt: u32, late: Option<Micros>) {
+        self.tell(ToServer::GiveUp { id, attempt, late });
+    }
+
+    /// Where it is from now on, and whether it takes requests.
+    pub fn listed(&self, addr: SocketAddr, up: bool) {
+        self.tell(ToServer::Listed { addr, up });
+    }
+
+    /// Off the list for good: its actor ends with its last attempt, unless it is listed again before.
+    pub fn gone(&self) {
+        self.tell(ToServer::Gone);
+    }
+
+    pub fn close_idle(&self) {
+        self.tell(ToServer::CloseIdle);
+    }
+
+    /// For connections opened from now on; the most and the idle time hold at once.
+    pub fn set(&self, settings: Settings) {
+        self.tell(ToServer::Set(settings));
+    }
+
+    fn tell(&self, told: ToServer<W>) {
+        let _ = self.0.send(told); // its actor may have ended
+    }
+}
+
+/// What a server's actor is told.
+enum ToServer<W: Wire> {
+    Send(Job<W::Note>),
+    GiveUp {
+        id: u64,
+        attempt: u32,
+        late: Option<Micros>,
+    },
+    Listed {
+        addr: SocketAddr,
+        up: bool,
+    },
+    Gone,
+    CloseIdle,
+    Set(Settings),
+    /// By one of its connections: ready for the next attempt; the server keeps it open for so long.
+    Free {
+        conn: u64,
+        keep_us: Option<Micros>,
+    },
+    Connected {
+        conn: u64,
+    },
+    /// By one of its connections: it has ended; of this attempt nothing was written.
+    Ended {
+        conn: u64,
+        unsent: Option<Job<W::Note>>,
+    },
+    DialTimeout {
+        conn: u64,
+    },
+    Sweep,
+}
 
 enum ToConn {
     Carry(Job),
