--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -3,19 +3,20 @@
 //! configuration names another discovery, the watch moves there at once.
 
 use crate::calls::Calls;
-use crate::clock::Alarm;
+use crate::clients::BOUNDS;
 use crate::gate::Gate;
-use crate::http::{self, Body};
-use crate::mailbox::Bell;
 use crate::messages::Told;
-use crate::ring::Ring;
-use crate::servers::{connect, events};
 use curlewfront::Micros;
 use curlewfront_config::Members;
 use may::io::{CoIo, WaitIo};
 use std::io::{self, ErrorKind, Read};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
+use tongs::clock::Alarm;
+use tongs::http::{self, Body};
+use tongs::mailbox::Bell;
+use tongs::net::{connect, events};
+use tongs::ring::{Outgoing, Ring};
 
 /// While nothing changes a line comes every 2 s: so long without one, and the watch is taken for dead. What
 /// discovery has to tell counts as told some seconds later whether it came or not, so the next watch must stand
@@ -45,13 +46,13 @@
                 calls.moved();
             }
             let before = version;
-            let (mut beats, called_at) = (0, gate.clock.now());
+            let (mut beats, called_at) = (0, gate.room.clock.now());
             let why = watch(&gate, host, &mut version, &mut beats).err();
             let why = why.map_or_else(|| "ended".to_string(), |e| e.to_string());
             slog::warn!(gate.log, "watch of the list ended"; "why" => why, "at" => %host, "version" => version,
                 "lines" => beats);
             // One that lasted no longer than a call may wait for its answer was turned away, whatever came before.
-            let served = version != before || gate.clock.now() >= called_at + ANSWER_US;
+            let served = version != before || gate.room.clock.now() >= called_at + ANSWER_US;
             wait = if served { calls.after_end() } else { calls.after_failure() };
         }
     };
@@ -69,9 +70,9 @@
 
 /// One watch, up to its end.
 fn watch(gate: &Arc<Gate>, host: SocketAddr, version: &mut u64, beats: &mut u64) -> io::Result<()> {
-    let io = connect(host)?;
+    let io = connect(host, None)?;
     gate.list.rehang(Bell::of(&io));
-    let mut patience = Patience { gate, io: &io, until: gate.clock.now() + CONNECT_US, armed: None };
+    let mut patience = Patience { gate, io: &io, until: gate.room.clock.now() + CONNECT_US, armed: None };
     let mut seen = 0;
     while seen & events::WRITABLE == 0 {
         if let Some(e) = io.inner().take_error()? {
@@ -80,21 +81,21 @@
         patience.check("connection never came up")?;
         seen = io.wait_io();
     }
-    patience.until = gate.clock.now() + ANSWER_US;
+    patience.until = gate.room.clock.now() + ANSWER_US;
     let ask = format!("GET /catalog/members?watch=1&after={version} HTTP/1.1\r\nHost: {host}\r\n\r\n");
-    let (mut incoming, mut outgoing) = (Ring::default(), Ring::default());
+    let (mut incoming, mut outgoing) = (Ring::default(), Outgoing::default());
     outgoing.push(ask.as_bytes());
     let (mut body, mut line) = (None, Vec::new());
     loop {
         let mut socket = io.inner();
         outgoing.flush(socket)?;
         loop {
-            match incoming.fill(http::MOST_HELD, |room| socket.read(room)) {
+            match incoming.fill(BOUNDS.held(), |room| socket.read(room)) {
                 Ok(Some(filled)) if filled.bytes == 0 => return Ok(()),
                 Ok(_) => {
                     digest(gate, &mut incoming, &mut body, &mut line, version, beats)?;
                     if body.is_some() {
-                        patience.until = gate.clock.now() + SILENCE_US;
+                        patience.until = gate.room.clock.now() + SILENCE_US;
                     }
                     if body.as_ref().is_some_and(Body::done) {
                         return Ok(());
@@ -121,7 +122,7 @@
 
 impl Patience<'_> {
     fn check(&mut self, what: &str) -> io::Result<()> {
-        let now = self.gate.clock.now();
+        let now = self.gate.room.clock.now();
         if !self.gate.list.is_empty() {
             return Err(io::Error::other("moved"));
         }
@@ -132,7 +133,7 @@
             let at = self.until + 1000;
             self.armed = Some(at);
             let bell = Bell::of(self.io);
-            self.gate.alarms.after(at - now, move || bell.ring());
+            self.gate.room.alarms.after(at - now, move || bell.ring());
         }
         Ok(())
     }
@@ -148,19 +149,20 @@
 ) -> io::Result<()> {
     if body.is_none() {
         let mut slots = http::NO_HEADERS;
-        let head = http::response(incoming.bytes(), &mut slots).map_err(|e| malformed(e.what))?;
+        let head =
+            http::response(incoming.bytes(), &mut slots, BOUNDS, false).map_err(|e| malformed(e.what))?;
         let Some(head) = head else { return Ok(()) };
         if head.status != 200 {
             return Err(malformed(format!("discovery answered {}", head.status)));
         }
         let (len, framing) = (head.len, head.framing);
         incoming.consume(len);
-        *body = Some(Body::new(framing));
+        *body = Some(Body::new(framing, BOUNDS));
     }
     while let Some(body) = body.as_mut().filter(|_| !incoming.is_empty()) {
         // In pieces, so that a long list never has to fit the limit of a message's body.
         let bytes = incoming.bytes();
-        let piece = bytes.len().min(http::MOST_BODY / 2);
+        let piece = bytes.len().min(BOUNDS.body / 2);
         let used = body.take(&bytes[..piece]).map_err(|e| malformed(e.what))?;
         incoming.consume(used);
         for part in std::mem::take(&mut body.content).split_inclusive(|b| *b == b'\n') {
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -1,8 +1,5 @@
 //! What all actors of one gateway share.
 
-use crate::clock::{Alarms, Clock};
-use crate::limits::{Fds, Memory, Side};
-use crate::mailbox::{Bell, Mailbox};
 use crate::messages::Told;
 use curlewfront_config::Config;
 use curlewfront_fleet::run::Handle;
@@ -10,19 +7,18 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use tongs::clock::{Alarms, Clock};
+use tongs::limits::Side;
+use tongs::mailbox::{Bell, Mailbox};
+use tongs::room::Room;
 
 pub struct Gate {
     pub config: Config,
-    pub clock: Clock,
-    pub alarms: Alarms,
+    pub room: Arc<Room>,
     pub log: Logger,
     pub module: Arc<Mailbox<Told>>,
     /// The list's actor: where discovery is from now on.
     pub list: Arc<Mailbox<SocketAddr>>,
-    pub fds: Arc<Fds>,
-    pub memory: Arc<Memory>,
-    /// Requests that were turned away for want of descriptors since the last report.
-    pub no_room: AtomicUsize,
     /// Attempts on connections to servers or on their way there, to be held against what the module has out.
     pub carried: Arc<AtomicUsize>,
     /// The module has its list of servers.
@@ -58,16 +54,14 @@
 impl Gate {
     /// `module` and `list` wake the actors of these names.
     pub fn new(config: Config, clock: Clock, alarms: Alarms, log: Logger, module: Bell, list: Bell) -> Gate {
+        let warnings = log.clone();
+        let warn = Box::new(move |what: std::fmt::Arguments| slog::warn!(warnings, "{what}"));
         Gate {
-            fds: Arc::new(Fds::new(config.sockets)),
-            memory: Arc::new(Memory::new(config.memory_mb)),
+            room: Arc::new(Room::new(config.sockets, config.memory_mb, clock, alarms, warn)),
             carried: Arc::default(),
-            no_room: AtomicUsize::new(0),
             module: Arc::new(Mailbox::new(module)),
             list: Arc::new(Mailbox::new(list)),
             config,
-            clock,
-            alarms,
             log,
             ready: AtomicBool::new(false),
             draining: AtomicBool::new(false),
@@ -83,8 +77,8 @@
             "out": self.shown.out.load(Ordering::Relaxed),
             "open": self.shown.open.load(Ordering::Relaxed),
             "carried": self.carried.load(Ordering::Relaxed),
-            "client_conns": self.fds.open(Side::Clients),
-            "server_conns": self.fds.open(Side::Servers),
+            "client_conns": self.room.fds.open(Side::Clients),
+            "server_conns": self.room.fds.open(Side::Servers),
         });
         if let Some(fleet) = &self.fleet {
             stats["fleet"] = fleet.stats();
@@ -104,7 +98,7 @@
 #[cfg(test)]
 pub mod tests {
     use super::*;
-    use crate::clock::Alarm;
+    use tongs::clock::Alarm;
 
     const CONFIG: &str = r#"{"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","known":{"version":1,"full":true,
 "servers":[{"id":"s","addr":"127.0.0.1:9","zone":"a","state":"Ready"}]},
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -1,23 +1,17 @@
 //! curlewfront-gateway: one gateway on sockets around the decisions. The peers have a file each: clients,
-//! servers, discovery; the module owns the decisions. All of it runs on one thread of coroutines.
+//! servers, discovery; the module owns the decisions. The sockets themselves are the work of `tongs`. All of it runs on one thread of coroutines.
 
 mod calls;
 mod clients;
-mod clock;
 mod discovery;
-mod errors;
 mod gate;
-mod http;
-mod limits;
 mod log;
-mod mailbox;
 mod messages;
 mod module;
-mod ring;
+mod request;
 mod servers;
 mod signals;
 
-use clock::{Alarm, Alarms, Clock};
 use curlewfront::Decider;
 use curlewfront_config::Config;
 use curlewfront_fleet::run::Handle;
@@ -27,11 +21,8 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::mpsc::Receiver;
-
-/// Stack of a coroutine in machine words.
-const STACK: usize = 0x2000;
-/// Stacks kept ready.
-const POOL: usize = 64;
+use tongs::clock::{Alarm, Alarms, Clock};
+use tongs::door::Door;
 
 fn main() -> ExitCode {
     let config = match Config::load(|name| std::env::var(name).ok()) {
@@ -74,10 +65,7 @@
     log: slog::Logger,
     signals: Signals,
 ) -> Result<(Receiver<()>, Option<Arc<Handle>>), String> {
-    // One worker, as a gateway has one core; not pinned, as several gateways may share a machine.
-    let coroutines = may::config();
-    coroutines.set_workers(1).set_pool_capacity(POOL).set_stack_size(STACK);
-    coroutines.set_worker_pin(false);
+    tongs::set_up();
     let cannot = |what: &str, e: std::io::Error| format!("cannot {what}: {e}");
     // Off, it is no thread, socket or file; on, what is wrong with its store is said before anything is served.
     let fleet = config.fleet.as_ref().map(|f| curlewfront_fleet::run::start(f, &config.name, &log));
@@ -91,8 +79,9 @@
     gate.fleet.clone_from(&fleet);
     let gate = Arc::new(gate);
     let listen = gate.config.listen;
-    let clients =
-        clients::Clients::start(gate.clone()).map_err(|e| cannot(&format!("listen on {listen}"), e))?;
+    let front = Arc::new(clients::Front(gate.clone()));
+    let clients = Door::start(listen, gate.room.clone(), front)
+        .map_err(|e| cannot(&format!("listen on {listen}"), e))?;
     let (over, ended) = std::sync::mpsc::channel();
     signals::start(gate.clone(), clients, signals, over).map_err(|e| cannot("watch for signals", e))?;
     module::start(gate.clone(), decider, alarm);
--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -1,26 +1,26 @@
 //! The module's actor: owns the decisions and the table of open requests. It hands events to the decisions,
 //! one clock reading for each batch, and carries out what they answer. It decides nothing itself.
 
-use crate::clock::Alarm;
-use crate::errors::AttemptError;
 use crate::gate::Gate;
-use crate::limits::Side;
-use crate::mailbox::Mailbox;
-use crate::messages::{Answer, Asked, Carried, Ended, Job, Passage, ToClient, ToServer, Told};
-use crate::servers;
+use crate::messages::{Asked, Carried, Ended, Told};
+use crate::servers::{self, Back};
 use curlewfront::{Action, Decider, Entry, Event, ListKind, Micros, NewRequest, Outcome, Return, State};
 use curlewfront_config::Members;
-use may::sync::mpsc::Sender;
 use std::cmp::Reverse;
 use std::collections::hash_map::Entry::Occupied;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use tongs::clock::Alarm;
+use tongs::door::{Answer, Reply};
+use tongs::errors::AttemptError;
+use tongs::limits::Side;
+use tongs::pool::{Job, Passage, Peer};
 
 struct Open {
     name: Arc<[u8]>,
-    client: Option<Arc<Mailbox<ToClient>>>,
+    client: Option<Reply>,
     passage: Arc<Passage>,
     until: Micros,
     most_units: f64,
@@ -31,18 +31,18 @@
 
 impl Open {
     /// The one final answer; nothing where the client has it or has gone.
-    fn answer(&mut self, id: u64, answer: Answer) {
+    fn answer(&mut self, answer: Answer) {
         let client = self.client.take().filter(|_| !self.closed);
         self.closed = true;
         if let Some(client) = client {
-            client.post(ToClient::Answer { id, answer });
+            client.send(answer);
         }
     }
 }
 
 struct Try {
     server: u64,
-    to: Option<Sender<ToServer>>,
+    to: Option<Peer<Back>>,
     sent_at: Micros,
     out: bool,
 }
@@ -64,6 +64,7 @@
 
 struct Module {
     gate: Arc<Gate>,
+    wire: Arc<Back>,
     decider: Decider,
     lives: u64,
     now: Micros,
@@ -76,7 +77,7 @@
     timer: Option<Micros>,
     list: HashMap<String, Entry>,
     /// The actors of the servers on the list, by the decisions' numbers.
-    peers: HashMap<u64, Sender<ToServer>>,
+    peers: HashMap<u64, Peer<Back>>,
     servers: u64,
     /// Numbers of zones, by name: those of the configuration and of servers on the list. A number is never
     /// given twice, so a name that leaves and comes back is a zone unlike any before, which can only forbid a
@@ -92,6 +93,12 @@
     error: Option<AttemptError>,
 }
 
+fn refused(retry_after_us: Micros) -> Answer {
+    let wait = retry_after_us as f64 / 1e6;
+    let line = if retry_after_us > 0 { format!("Retry-After: {wait:.3}\r\n") } else { String::new() };
+    Answer::new(429, line.into_bytes(), Vec::new())
+}
+
 /// Messages taken before the connections get their turn again.
 const BATCH: usize = 64;
 const REPORT_US: Micros = 10_000_000;
@@ -107,7 +114,7 @@
         loop {
             module.gate.module.take(BATCH, &mut batch);
             let more = batch.len() == BATCH;
-            module.now = module.gate.clock.now();
+            module.now = module.gate.room.clock.now();
             module.counts.batches += 1;
             for told in batch.drain(..) {
                 module.guard(|m| m.take(told));
@@ -126,10 +133,11 @@
 
 impl Module {
     fn new(gate: Arc<Gate>, decider: Decider) -> Module {
-        let now = gate.clock.now();
+        let now = gate.room.clock.now();
         Module {
             zones: gate.config.zones.iter().enumerate().map(|(n, z)| (z.clone(), n as u32)).collect(),
             next_zone: gate.config.zones.len() as u32,
+            wire: Arc::new(Back(gate.clone())),
             gate,
             decider,
             lives: 0,
@@ -179,7 +187,7 @@
             }
             Told::Crowded => {
                 for to in self.peers.values() {
-                    let _ = to.send(ToServer::CloseIdle);
+                    to.close_idle();
                 }
             }
         }
@@ -193,7 +201,7 @@
             // The owner goes on. Its name is free once nothing of it is out any more, its answer given or not.
             self.counts.rejected += 1;
             if let Some(client) = client {
-                client.post(ToClient::Answer { id, answer: Answer::Rejected { status: 409 } });
+                client.send(Answer::text(409, ""));
             }
             return;
         }
@@ -220,7 +228,7 @@
         if let Some(answer) = answer.filter(|_| final_one && !open.closed) {
             self.counts.served += u64::from(outcome == Outcome::Ok);
             self.counts.rejected += u64::from(outcome == Outcome::Rejected);
-            open.answer(id, answer);
+            open.answer(answer);
         }
         let (closed, most_units) = (open.closed, open.most_units);
         self.counts.outcomes[outcome as usize] += 1;
@@ -272,11 +280,11 @@
             Action::Send { id, server, timeout_us } => self.send(id, server, timeout_us),
             Action::Refuse { id, retry_after_us } => {
                 self.counts.refused += 1;
-                self.answer(id, Answer::Refused { retry_after_us });
+                self.answer(id, refused(retry_after_us));
             }
             Action::Fail { id } => {
                 self.counts.failed += 1;
-                self.answer(id, Answer::Failed);
+                self.answer(id, Answer::text(502, ""));
             }
             Action::Cancel { id, attempt } => self.give_up(id, attempt, Outcome::Cancelled),
             Action::Watch => {} // discovery is watched at all times
@@ -291,7 +299,7 @@
         let to = self.peers.get(&server).cloned();
         let sent = to.as_ref().is_some_and(|to| {
             let (passage, carried) = (open.passage.clone(), Carried::one_more(&self.gate.carried));
-            to.send(ToServer::Send(Job { id, attempt, passage, until, _carried: carried })).is_ok()
+            to.send(Job { id, attempt, passage, until, note: carried })
         });
         open.tries.push(Try { server, to, sent_at: self.now, out: true });
         self.counts.sent += 1;
@@ -303,7 +311,7 @@
 
     fn answer(&mut self, id: u64, answer: Answer) {
         let Some(open) = self.open.get_mut(&id) else { return };
-        open.answer(id, answer);
+        open.answer(answer);
         self.forget(id);
     }
 
@@ -313,7 +321,7 @@
         let Some(one) = open.tries.get(attempt as usize).filter(|t| t.out) else { return };
         if let Some(to) = &one.to {
             let late = (outcome == Outcome::TimedOut).then_some(one.sent_at);
-            let _ = to.send(ToServer::GiveUp { id, attempt, late });
+            to.give_up(id, attempt, late);
         }
         self.back.push_back(Ended::bare(id, attempt, outcome));
     }
@@ -361,7 +369,7 @@
             self.list.retain(|id, listed| {
                 let stays = named.contains(id.as_str());
                 if !stays && let Some(to) = self.peers.remove(&listed.server) {
-                    let _ = to.send(ToServer::Gone);
+                    to.gone();
                 }
                 stays
             });
@@ -393,7 +401,7 @@
             if m.state == State::Gone {
                 self.list.remove(&m.id);
                 if let Some(to) = self.peers.remove(&server) {
-                    let _ = to.send(ToServer::Gone);
+                    to.gone();
                 }
                 continue;
             }
@@ -402,12 +410,12 @@
                 (Some(to), Some(addr)) => {
                     // Connections to the process before it are dead, told or not.
                     if before.is_some_and(|b| b.up_since_us != entry.up_since_us) {
-                        let _ = to.send(ToServer::CloseIdle);
+                        to.close_idle();
                     }
-                    let _ = to.send(ToServer::Listed { addr, up });
+                    to.listed(addr, up);
                 }
                 (None, Some(addr)) if up => {
-                    self.peers.insert(server, servers::start(addr, self.gate.clone()));
+                    self.peers.insert(server, servers::start(addr, &self.wire));
                 }
                 _ => {}
             }
@@ -431,10 +439,10 @@
         slog::crit!(self.gate.log, "the module panicked and starts again"; "open" => self.open.len());
         self.names.clear();
         for (id, mut open) in std::mem::take(&mut self.open) {
-            open.answer(id, Answer::Failed);
+            open.answer(Answer::text(502, ""));
             for (n, one) in open.tries.iter().enumerate().filter(|(_, t)| t.out) {
                 if let Some(to) = &one.to {
-                    let _ = to.send(ToServer::GiveUp { id, attempt: n as u32, late: None });
+                    to.give_up(id, n as u32, None);
                 }
             }
         }
@@ -475,13 +483,13 @@
             let error = self.error.take().map_or_else(|| "none".to_string(), |e| e.to_string());
             slog::info!(self.gate.log, "last 10 s";
                 "asked" => c.asked, "served" => c.served, "refused" => c.refused, "failed" => c.failed,
-                "rejected" => c.rejected, "no_room" => self.gate.no_room.swap(0, Ordering::Relaxed), "withdrawn" => c.withdrawn, "sent" => c.sent,
+                "rejected" => c.rejected, "no_room" => self.gate.room.no_room.swap(0, Ordering::Relaxed), "withdrawn" => c.withdrawn, "sent" => c.sent,
                 "ok,error,full,timeout,connect,reset,cancelled,moot,rejected" => ?c.outcomes, "open" => self.open.len(),
                 "out" => self.out(),
                 "carried" => self.gate.carried.load(Ordering::Relaxed),
                 "target" => format!("{:.1}", self.decider.target()), "batches" => c.batches, "events" => c.events,
-                "timer_late_us" => c.latest_us, "client_conns" => self.gate.fds.open(Side::Clients),
-                "server_conns" => self.gate.fds.open(Side::Servers), "last_error" => error);
+                "timer_late_us" => c.latest_us, "client_conns" => self.gate.room.fds.open(Side::Clients),
+                "server_conns" => self.gate.room.fds.open(Side::Servers), "last_error" => error);
         }
         self.report_at = self.now + REPORT_US;
     }
@@ -491,6 +499,8 @@
 mod tests {
     use super::*;
     use crate::gate::tests::gate;
+    use std::sync::mpsc::{Sender, channel};
+    use tongs::limits::Held;
 
     fn module() -> Module {
         let gate = gate();
@@ -498,11 +508,12 @@
         Module::new(gate, decider)
     }
 
-    fn ask(module: &mut Module, id: u64, client: &Arc<Mailbox<ToClient>>) {
-        let passage = Passage { head: b"GET / HTTP/1.1\r\n".to_vec(), body: Vec::new(), lease: None };
-        let until = module.gate.clock.now() + 1_500_000;
+    fn ask(module: &mut Module, id: u64, client: &Sender<(u64, Answer)>) {
+        let passage = Passage { head: b"GET / HTTP/1.1\r\n".to_vec(), body: Held::default() };
+        let until = module.gate.room.clock.now() + 1_500_000;
         let (units, spread, first, repeat) = (1.0, 1, 0, false);
-        let client = Some(client.clone());
+        let client = client.clone();
+        let client = Some(Reply::call(id, move |answer| client.send((id, answer)).expect("heard")));
         let name = id.to_string().into_bytes().into();
         let asked = Asked {
             id,
@@ -519,7 +530,7 @@
             repeat,
             passage,
         };
-        module.now = module.gate.clock.now();
+        module.now = module.gate.room.clock.now();
         module.guard(|m| m.take(Told::Asked(Box::new(asked))));
     }
 
@@ -529,15 +540,15 @@
         let mut module = module();
         let known = module.gate.config.known.clone();
         module.members(&known, ListKind::Saved);
-        let client = Arc::new(Mailbox::new(Alarm::new(module.gate.clock).expect("a timer").bell()));
+        let (client, answers) = channel();
         ask(&mut module, 1, &client);
         ask(&mut module, 2, &client);
         assert_eq!(module.open.len(), 2);
-        assert!(client.pop().is_none(), "both are on their way");
+        assert!(answers.try_recv().is_err(), "both are on their way");
         module.guard(|_| panic!("as a fault would"));
         let mut answered = Vec::new();
-        while let Some(ToClient::Answer { id, answer }) = client.pop() {
-            assert!(matches!(answer, Answer::Failed));
+        while let Ok((id, answer)) = answers.try_recv() {
+            assert_eq!(answer.status, 502);
             answered.push(id);
         }
         answered.sort_unstable();
@@ -547,10 +558,10 @@
         assert_eq!(module.open[&3].tries.len(), 1, "sent on: the list is still known");
         // What comes late of the attempts before is passed over.
         let (outcome, used, units, error) = (Outcome::Ok, None, None, None);
-        let answer = Some(Answer::Served(Vec::new()));
+        let answer = Some(Answer::text(200, ""));
         let late = Ended { id: 1, attempt: 0, outcome, used, units, answer, error };
         module.guard(|m| m.take(Told::Ended(late)));
-        assert!(client.pop().is_none());
+        assert!(answers.try_recv().is_err());
     }
 
     /// A list that brings ever new zone names must not grow the table of zones; a name that comes back is
@@ -586,18 +597,18 @@
         let mut module = module();
         let known = module.gate.config.known.clone();
         module.members(&known, ListKind::Saved);
-        let client = Arc::new(Mailbox::new(Alarm::new(module.gate.clock).expect("a timer").bell()));
+        let (client, answers) = channel();
         ask(&mut module, 1, &client);
         let served = || {
             let (outcome, used, units, error) = (Outcome::Ok, None, None, None);
-            let answer = Some(Answer::Served(vec![1]));
+            let answer = Some(Answer::text(200, "1"));
             Told::Ended(Ended { id: 1, attempt: 0, outcome, used, units, answer, error })
         };
         module.guard(|m| m.take(served()));
         module.guard(|m| m.take(served()));
         module.guard(|m| m.take(Told::Withdrawn { id: 1 }));
-        assert!(matches!(client.pop(), Some(ToClient::Answer { id: 1, answer: Answer::Served(_) })));
-        assert!(client.pop().is_none());
+        assert!(matches!(answers.try_recv(), Ok((1, Answer { status: 200, .. }))));
+        assert!(answers.try_recv().is_err());
         assert!(module.open.is_empty());
     }
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,13 +1,11 @@
 //! The headers that a client's request must carry.
 
 use crate::gate::Gate;
-use crate::http::{self, Bad};
-use crate::messages::{Asked, Passage};
+use crate::messages::Asked;
 use curlewfront::{Micros, Plan};
-
-/// Answered here: whether the list is known, and what the module last said of itself.
-pub const HEALTH: &str = "/_health";
-pub const STATS: &str = "/_stats";
+use tongs::http::{self, Bad};
+use tongs::limits::Held;
+use tongs::pool::Passage;
 
 /// Reads the headers that a request must carry. `until` is the time allowed, yet to be counted from the
 /// request's last byte.
@@ -46,7 +44,7 @@
         line.extend_from_slice(part.as_bytes());
     }
     http::pass_on(head.headers, &["Request-Timeout"], &mut line);
-    let passage = Passage { head: line, body: Vec::new(), lease: None };
+    let passage = Passage { head: line, body: Held::default() };
     Ok(Asked {
         id: 0,
         name,
--- a/crates/gateway/src/signals.rs
+++ b/crates/gateway/src/signals.rs
@@ -2,8 +2,7 @@
 //! SIGTERM: the gateway serves on, closes each client's connection after its answer, and ends once all is answered
 //! and no new connections can come any more.
 
-use crate::clients::Clients;
-use crate::clock::Alarm;
+use crate::clients::Front;
 use crate::gate::Gate;
 use curlewfront::Micros;
 use curlewfront_config::Config;
@@ -13,20 +12,20 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::Sender;
+use tongs::clock::Alarm;
+use tongs::door::Door;
 
 /// New connections keep coming for a while after the signal.
 const STILL_COMING_US: Micros = 1_000_000;
-/// Connections that are used until then end with an answer; those idle all the while are closed.
-const CLOSE_IDLE_US: Micros = 500_000;
 const LOOK_EVERY_US: Micros = 50_000;
 
 pub fn start(
     gate: Arc<Gate>,
-    clients: Arc<Clients>,
+    clients: Arc<Door<Front>>,
     mut signals: Signals,
     over: Sender<()>,
 ) -> io::Result<()> {
-    let mut end = Some((Alarm::new(gate.clock)?, clients, over));
+    let mut end = Some((Alarm::new(gate.room.clock)?, clients, over));
     // A thread of its own: it waits for signals and reads a file, which must not hold up the coroutines.
     std::thread::Builder::new().name("signals".into()).spawn(move || {
         let mut discovery = gate.config.discovery;
@@ -64,17 +63,12 @@
     }
 }
 
-fn drain(gate: &Gate, mut alarm: Alarm, clients: &Clients, over: &Sender<()>) {
-    let asked_at = gate.clock.now();
+fn drain(gate: &Gate, mut alarm: Alarm, clients: &Door<Front>, over: &Sender<()>) {
+    let asked_at = gate.room.clock.now();
     slog::info!(gate.log, "asked to end: serving what comes, closing connections");
-    let mut idle_closed = false;
     loop {
         alarm.sleep(LOOK_EVERY_US);
-        if !idle_closed && gate.clock.now() >= asked_at + CLOSE_IDLE_US {
-            idle_closed = true;
-            clients.close_idle();
-        }
-        if gate.clock.now() >= asked_at + STILL_COMING_US && clients.busy() == 0 {
+        if gate.room.clock.now() >= asked_at + STILL_COMING_US && clients.busy() == 0 {
             break;
         }
     }
--- a/crates/tongs/src/clock.rs
+++ b/crates/tongs/src/clock.rs
@@ -2,7 +2,6 @@
 //! library's own timers run on a second thread and are not used.
 
 use crate::mailbox::{Bell, Mailbox};
-use curlewfront::Micros;
 use may::io::{CoIo, WaitIo};
 use nix::sys::time::TimeSpec;
 use nix::sys::timerfd::{ClockId, Expiration, TimerFd, TimerFlags, TimerSetTimeFlags};
@@ -12,6 +11,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+pub type Micros = u64;
+
 /// Unix time in microseconds as it was at the start, carried on by the monotonic clock: it compares with the
 /// times in the list of servers and never runs backwards.
 #[derive(Clone, Copy)]
--- a/crates/tongs/src/door.rs
+++ b/crates/tongs/src/door.rs
@@ -194,35 +194,39 @@
     }
 
     /// Its first request is still to be expected.
-    fn expected(&self, now: Micros) -> bool {
-        self.asked() == 0 && now < self.born + FIRST_US
+    fn expected(&self, now: Micros, patience: &Patience) -> bool {
+        self.asked() == 0 && now < self.born + patience.first_us.unwrap_or(patience.idle_us)
     }
 
     /// What it is to be ended for by `now`, if its descriptor is wanted or not. A client that sends nothing, or
     /// half a request, is told so in time: it may be waiting for that. Who asked once and stays would fill the
     /// descriptors in the course of a long day; who comes often is the last to go.
-    fn overdue(&self, now: Micros, short: bool) -> Option<Doing> {
-        let doing = self.doing();
+    fn overdue(&self, now: Micros, look: &Look) -> Option<Doing> {
+        let (doing, p) = (self.doing(), &look.patience);
+        let first = |other: Micros| p.first_us.map_or((self.since(), other), |first| (self.born, first));
         let (from, patience) = match (doing, self.asked()) {
-            (Doing::Idle, 0) => (self.born, if short { SILENT_US } else { FIRST_US }),
-            (Doing::Idle, 1) => (self.since(), ONCE_IDLE_US),
-            (Doing::Idle, _) => (self.since(), MOST_IDLE_US),
-            (Doing::Reading, 0) => (self.born, FIRST_US),
-            (Doing::Reading, _) => (self.since(), READ_PATIENCE_US),
-            (Doing::Writing, _) => (self.since(), WRITE_PATIENCE_US),
+            (Doing::Idle, 0) if look.short => (self.born, SILENT_US),
+            (Doing::Idle, 0) => first(p.idle_us),
+            (Doing::Idle, 1) => (self.since(), p.once_idle_us),
+            (Doing::Idle, _) => (self.since(), p.idle_us),
+            (Doing::Reading, 0) => first(p.read_us),
+            (Doing::Reading, _) => (self.since(), p.read_us),
+            (Doing::Writing, _) => (self.since(), p.write_us),
             (Doing::Waiting | Doing::Parting, _) => return None,
         };
-        (now >= from + patience).then_some(doing)
+        let parts = look.draining_since.filter(|_| doing == Doing::Idle);
+        let parts_at = parts.map_or(Micros::MAX, |at| at.max(self.since()) + DRAIN_IDLE_US);
+        (now >= from.saturating_add(patience).min(parts_at)).then_some(doing)
     }
 
     /// How well it can be done without, where descriptors are short: the greater, the better; None, not at all.
-    fn spare(&self, now: Micros, silent_us: Micros) -> Option<(u8, Micros)> {
+    fn spare(&self, now: Micros, silent_us: Micros, write_us: Micros) -> Option<(u8, Micros)> {
         let (rank, patience) = match (self.doing(), self.asked()) {
             (Doing::Idle, 0) => (4, silent_us),
             (Doing::Idle, 1) => (3, IDLE_PATIENCE_US),
             (Doing::Reading, _) => (2, READ_SHORT_US),
             (Doing::Idle, _) => (1, IDLE_PATIENCE_US),
-            (Doing::Writing, _) => (0, WRITE_PATIENCE_US),
+            (Doing::Writing, _) => (0, write_us),
             (Doing::Waiting | Doing::Parting, _) => return None,
         };
         let for_so_long = now.saturating_sub(self.since());
@@ -236,9 +240,18 @@
     }
 }
 
-/// All open connections of clients.
-pub struct Clients {
-    gate: Arc<Gate>,
+/// What a look at all connections goes by.
+struct Look {
+    patience: Patience,
+    short: bool,
+    draining_since: Option<Micros>,
+}
+
+/// A listener and all open connections that came by it.
+pub struct Door<D: Desk> {
+    room: Arc<Room>,
+    desk: Arc<D>,
+    addr: SocketAddr,
     open: Mutex<HashMap<u64, Arc<Known>>>,
     bell: Bell,
     paused: AtomicBool,
@@ -246,23 +259,16 @@
     sitting: AtomicUsize,
     /// When one that comes often was last made to give way.
     parted_at: AtomicU64,
-    ids: AtomicU64,
 }
 
-/// Within so long a connection must have brought its first whole request, and any later one once a part of it has
-/// come: a client is owed an error or a close within 3 s. Nor may an answer wait longer to be taken.
-const FIRST_US: Micros = 2_000_000;
-const READ_PATIENCE_US: Micros = 2_000_000;
-const WRITE_PATIENCE_US: Micros = 5_000_000;
-/// A connection that has brought one request, or more, is closed when it has been idle so long.
-const ONCE_IDLE_US: Micros = 2_100_000;
-const MOST_IDLE_US: Micros = 60_000_000;
 /// Where descriptors are short: after so long one that has brought nothing (its first request comes right behind
 /// it, if at all), one that is idle between requests (by the protocol no sooner), one with half a request.
 const SILENT_US: Micros = 100_000;
 const SILENT_SHORT_US: Micros = 20_000;
 const IDLE_PATIENCE_US: Micros = 2_000_000;
 const READ_SHORT_US: Micros = 1_000_000;
+/// While the desk drains: connections that are used until then end with an answer; those idle all the while are closed.
+const DRAIN_IDLE_US: Micros = 500_000;
 /// How often all connections are looked at.
 const LOOK_EVERY_US: Micros = 100_000;
 /// Connections that may wait to be taken.
@@ -270,47 +276,62 @@
 /// How long the listener waits when no descriptor is to be had.
 const PAUSE_US: Micros = 50_000;
 
-impl Clients {
+impl<D: Desk> Door<D> {
     /// Listens from the call on.
-    pub fn start(gate: Arc<Gate>) -> io::Result<Arc<Clients>> {
-        let socket = socket2::Socket::new(Domain::for_address(gate.config.listen), Type::STREAM, None)?;
+    pub fn start(listen: SocketAddr, room: Arc<Room>, desk: Arc<D>) -> io::Result<Arc<Door<D>>> {
+        let socket = socket2::Socket::new(Domain::for_address(listen), Type::STREAM, None)?;
         socket.set_reuse_address(true)?; // connections of an earlier life may still be closing
-        socket.bind(&gate.config.listen.into())?;
+        socket.bind(&listen.into())?;
         socket.listen(BACKLOG)?;
-        let listener = CoIo::new(TcpListener::from(socket)).map_err(io::Error::from)?;
-        let clients = Arc::new(Clients {
-            gate,
+        let listener = TcpListener::from(socket);
+        let addr = listener.local_addr()?;
+        let listener = CoIo::new(listener).map_err(io::Error::from)?;
+        let mut alarm = Alarm::new(room.clock)?;
+        let door = Arc::new(Door {
+            room,
+            desk,
+            addr,
             open: Mutex::default(),
             bell: Bell::of(&listener),
             paused: AtomicBool::new(false),
             sitting: AtomicUsize::new(0),
             parted_at: AtomicU64::new(0),
-            ids: AtomicU64::new(1),
         });
-        let all = clients.clone();
+        let all = door.clone();
         may::go!(move || {
             loop {
                 all.accept(&listener);
                 listener.wait_io();
             }
         });
-        let (all, mut alarm) = (clients.clone(), Alarm::new(clients.gate.clock)?);
+        let all = door.clone();
         may::go!(move || {
+            let mut draining_since = None;
             loop {
                 alarm.sleep(LOOK_EVERY_US);
-                all.close_overdue();
+                all.close_overdue(&mut draining_since);
             }
         });
-        Ok(clients)
+        Ok(door)
+    }
+
+    /// Where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
     }
 
-    fn close_overdue(&self) {
-        let (now, short) = (self.gate.clock.now(), self.gate.fds.short());
+    fn close_overdue(&self, draining_since: &mut Option<Micros>) {
+        let now = self.room.clock.now();
+        if self.desk.draining() {
+            draining_since.get_or_insert(now);
+        }
+        let (patience, short) = (self.desk.patience(), self.room.fds.short());
+        let look = Look { patience, short, draining_since: *draining_since };
         let open = self.open();
         let sitting = open.values().filter(|k| k.asked() == 1 && k.doing() == Doing::Idle).count();
         self.sitting.store(sitting, Ordering::Relaxed);
         for known in open.values() {
-            if let Some(doing) = known.overdue(now, short) {
+            if let Some(doing) = known.overdue(now, &look) {
                 known.close(doing);
             }
         }
@@ -323,18 +344,18 @@
     /// Takes all connections that wait, as long as there are descriptors for them.
     fn accept(self: &Arc<Self>, listener: &CoIo<TcpListener>) {
         loop {
-            let Some(fd) = self.gate.fds.take(Side::Clients) else {
+            let Some(fd) = self.room.fds.take(Side::Clients) else {
                 self.make_room(false);
-                self.gate.module.post(Told::Crowded); // idle connections to servers give way too
+                self.desk.crowded(); // idle connections to servers give way too
                 return self.pause();
             };
             match listener.inner().accept() {
                 Ok((stream, _)) => {
-                    if self.gate.fds.short() {
+                    if self.room.fds.short() {
                         self.make_room(false);
                     }
                     if let Err(e) = self.serve(stream, fd) {
-                        slog::warn!(self.gate.log, "cannot serve a connection"; "error" => %e);
+                        (self.room.warn)(format_args!("cannot serve a connection: {e}"));
                     }
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
@@ -343,7 +364,7 @@
                 Err(e) => {
                     // No descriptor or no memory, or something unforeseen that would come again at once.
                     self.make_room(false);
-                    slog::warn!(self.gate.log, "cannot take a connection, pausing"; "error" => %e);
+                    (self.room.warn)(format_args!("cannot take a connection, pausing: {e}"));
                     return self.pause();
                 }
             }
@@ -355,7 +376,7 @@
     fn pause(self: &Arc<Self>) {
         if !self.paused.swap(true, Ordering::Relaxed) {
             let all = self.clone();
-            self.gate.alarms.after(PAUSE_US, move || all.resume());
+            self.room.alarms.after(PAUSE_US, move || all.resume());
         }
     }
 
@@ -369,8 +390,8 @@
     /// is there, one that has said nothing yet gives way sooner than for a connection that may say nothing either.
     fn make_room(&self, asked: bool) -> bool {
         let silent_us = if asked { SILENT_SHORT_US } else { SILENT_US };
-        let (open, now) = (self.open(), self.gate.clock.now());
-        let spare = open.values().filter_map(|k| k.spare(now, silent_us).map(|rank| (rank, k)));
+        let (open, now, write_us) = (self.open(), self.room.clock.now(), self.desk.patience().write_us);
+        let spare = open.values().filter_map(|k| k.spare(now, silent_us, write_us).map(|rank| (rank, k)));
         let found = spare.max_by_key(|(rank, _)| *rank);
         if let Some((_, known)) = found {
             known.close(known.doing());
@@ -381,12 +402,12 @@
     /// Whether a connection may stay after its first answer. Some clients never ask again on one, yet keep it, and may
     /// hold only so many themselves: left open, these would keep them from asking at all.
     fn may_sit(&self) -> bool {
-        self.sitting.fetch_add(1, Ordering::Relaxed) < self.gate.fds.most_sitting()
+        self.sitting.fetch_add(1, Ordering::Relaxed) < self.room.fds.most_sitting()
     }
 
     /// Whether a connection that comes often may be ended by its answer to let others in.
     fn may_part(&self) -> bool {
-        let now = self.gate.clock.now();
+        let now = self.room.clock.now();
         let due = now >= self.parted_at.load(Ordering::Relaxed) + LOOK_EVERY_US;
         if due {
             self.parted_at.store(now, Ordering::Relaxed);
@@ -394,18 +415,13 @@
         due
     }
 
-    /// At the end: idle connections close, the others after their answer.
-    pub fn close_idle(&self) {
-        self.open().values().for_each(|k| k.inbox.post(ToClient::Close(Doing::Idle)));
-    }
-
     /// Connections with a request, or a part of one, or an answer that is not yet taken.
     pub fn busy(&self) -> usize {
-        let now = self.gate.clock.now();
+        let (now, patience) = (self.room.clock.now(), self.desk.patience());
         let busy = |k: &&Arc<Known>| match k.doing() {
             Doing::Waiting => true,
-            Doing::Reading => now < k.since() + READ_PATIENCE_US,
-            Doing::Writing => now < k.since() + WRITE_PATIENCE_US,
+            Doing::Reading => now < k.since() + patience.read_us,
+            Doing::Writing => now < k.since() + patience.write_us,
             Doing::Idle | Doing::Parting => false,
         };
         self.open().values().filter(busy).count()
@@ -415,8 +431,8 @@
         stream.set_nodelay(true)?;
         let io = CoIo::new(stream).map_err(io::Error::from)?;
         let inbox = Arc::new(Mailbox::new(Bell::of(&io)));
-        let number = self.ids.fetch_add(1, Ordering::Relaxed);
-        let born = self.gate.clock.now();
+        let number = self.room.ids.fetch_add(1, Ordering::Relaxed);
+        let born = self.room.clock.now();
         let (doing, since) = (AtomicU8::new(Doing::Idle as u8), AtomicU64::new(born));
         let known = Arc::new(Known { inbox, doing, since, born, asked: AtomicU32::new(0) });
         self.open().insert(number, known.clone());
--- a/crates/tongs/src/door/connection.rs
+++ b/crates/tongs/src/door/connection.rs
@@ -1,13 +1,11 @@
-//! One client's connection: reads requests, hands them to the module, writes the answers.
+//! One client's connection: reads requests, hands them to the desk, writes the answers.
 
-use super::request::{self, HEALTH, STATS};
-use super::{Clients, Known};
+use super::{Answer, Desk, Doing, Door, Heard, Known, Reply, To, ToClient};
+use crate::Micros;
 use crate::http::{self, Bad, Body, Framing};
-use crate::limits::Fd;
-use crate::messages::{Answer, Asked, Doing, ToClient, Told};
-use crate::ring::Ring;
-use crate::servers::events;
-use curlewfront::Micros;
+use crate::limits::{Fd, Held, Lease};
+use crate::net::events;
+use crate::ring::{Filled, Outgoing, Ring};
 use may::io::{CoIo, WaitIo};
 use std::io::{self, ErrorKind, Read};
 use std::net::{Shutdown, TcpStream};
@@ -16,15 +14,17 @@
 use std::sync::atomic::Ordering;
 
 /// Starts the actor of a connection that was just taken.
-pub(super) fn start(all: Arc<Clients>, known: Arc<Known>, number: u64, io: CoIo<TcpStream>, fd: Fd) {
+pub(super) fn start<D: Desk>(all: Arc<Door<D>>, known: Arc<Known>, number: u64, io: CoIo<TcpStream>, fd: Fd) {
     let mut client = Client {
         io,
         all,
         known,
         incoming: Ring::default(),
-        outgoing: Ring::default(),
+        outgoing: Outgoing::default(),
         part: None,
         waiting: None,
+        head_only: false,
+        moved: 0,
         more: false,
         held: false,
         streak: 0,
@@ -41,7 +41,7 @@
             let _ = catch_unwind(AssertUnwindSafe(|| client.fall()));
         }
         if let Some(id) = client.waiting.take() {
-            client.all.gate.module.post(Told::Withdrawn { id });
+            client.all.desk.withdrawn(id);
         }
         let all = client.all.clone();
         all.open().remove(&number);
@@ -51,20 +51,25 @@
 }
 
 /// A request of which the head is read and the body is on its way.
-struct Part {
-    asked: Asked,
+struct Part<Ask> {
+    heard: Heard<Ask>,
     body: Body,
+    lease: Option<Lease>,
 }
 
-struct Client {
+struct Client<D: Desk> {
     io: CoIo<TcpStream>,
-    all: Arc<Clients>,
+    all: Arc<Door<D>>,
     known: Arc<Known>,
     incoming: Ring,
-    outgoing: Ring,
-    part: Option<Part>,
-    /// The request that the module has.
+    outgoing: Outgoing,
+    part: Option<Part<D::Ask>>,
+    /// The request that the desk has.
     waiting: Option<u64>,
+    /// The request under way is HEAD.
+    head_only: bool,
+    /// Bytes read of a body or written of an answer since the connection last showed what it does.
+    moved: usize,
     /// There may be bytes to read that no event will tell of again.
     more: bool,
     /// What has come waits for answers to be taken.
@@ -85,7 +90,7 @@
 }
 
 /// After so many requests in a row a connection takes a break. The event loop is asked only when no coroutine is
-/// ready: one client that sends without end would otherwise be all that the gateway sees.
+/// ready: one client that sends without end would otherwise be all that the program sees.
 const MOST_STREAK: u32 = 32;
 const BREAK_US: Micros = 1_000;
 /// So many reads in a row, and a connection takes a break for the same reason.
@@ -98,17 +103,22 @@
 /// Read ahead of a request under way.
 const AHEAD: usize = 4096;
 
+/// Answers that are not taken hold up the next from here on: their sum must not grow.
+const MOST_OUT: usize = 64 * 1024;
+/// A body that nobody wants is read and dropped up to this.
+const MOST_DROPPED: usize = 64 * 1024;
+
 const NO_ROOM: Bad = Bad { status: 503, what: "no room" };
-/// What a connection is told that is ended before it has brought a request.
-const UNHEARD: Bad = Bad { status: 503, what: "ended before a request came" };
+const LOST: Bad = Bad { status: 502, what: "" };
 
-impl Client {
+impl<D: Desk> Client<D> {
     fn run(&mut self) {
         let mut seen = events::READABLE;
         loop {
             while let Some(told) = self.known.inbox.pop() {
                 match told {
                     ToClient::Answer { id, answer } => self.answer(id, answer),
+                    ToClient::Lost { id } => self.answer(id, self.all.desk.refusal(&LOST)),
                     ToClient::GoOn => (self.streak, self.paused) = (0, false),
                     ToClient::Close(chosen_for) => {
                         // Nothing is owed to one that is idle between requests: a request that crosses the close is
@@ -122,17 +132,14 @@
                             Doing::Reading => {
                                 self.refuse(&Bad { status: 408, what: "request not whole in time" })
                             }
-                            // Its first request may be on its way, and a client whose new connection ends in silence
-                            // cannot tell whether it was heard: told first, it reads that as the answer to what
-                            // crosses. Could harm a client that takes bytes it never asked for as an error.
-                            Doing::Idle if self.known.expected(self.all.gate.clock.now()) => {
-                                self.refuse(&UNHEARD)
-                            }
-                            _ => {
-                                // At once: what comes between this look and the end is lost to its client.
-                                let _ = self.io.inner().shutdown(Shutdown::Both);
-                                return;
-                            }
+                            _ => match self.unheard(chosen_for) {
+                                Some(bad) => self.refuse(&bad),
+                                None => {
+                                    // At once: what comes between this look and the end is lost to its client.
+                                    let _ = self.io.inner().shutdown(Shutdown::Both);
+                                    return;
+                                }
+                            },
                         }
                     }
                 }
@@ -147,7 +154,7 @@
             if self.write().is_err() || self.ended {
                 return; // gone; what waits is withdrawn
             }
-            if self.held && self.outgoing.len() < http::MOST_BODY {
+            if self.held && self.outgoing.len() < MOST_OUT {
                 (self.held, seen) = (false, 0);
                 continue;
             }
@@ -159,6 +166,15 @@
         }
     }
 
+    /// What it is told if it ends now. Its first request may be on its way, and a client whose new connection ends in
+    /// silence cannot tell whether it was heard: told first, it reads that as the answer to what crosses. Could harm a
+    /// client that takes bytes it never asked for as an error.
+    fn unheard(&self, doing: Doing) -> Option<Bad> {
+        let (now, patience) = (self.all.room.clock.now(), self.all.desk.patience());
+        let expected = doing == Doing::Idle && self.known.expected(now, &patience);
+        self.all.desk.unheard().filter(|_| expected)
+    }
+
     fn doing(&self) -> Doing {
         let nothing = self.part.is_none() && self.incoming.is_empty();
         match self.waiting {
@@ -172,9 +188,11 @@
     /// Shows the others what this connection is doing, and since when.
     fn show(&mut self) {
         let doing = self.doing();
-        if self.known.doing.swap(doing as u8, Ordering::Relaxed) != doing as u8 {
+        let more = self.moved >= http::PIECE;
+        self.moved %= http::PIECE;
+        if self.known.doing.swap(doing as u8, Ordering::Relaxed) != doing as u8 || more {
             // One reading of the clock for each request, where it ends.
-            let since = if doing == Doing::Waiting { 0 } else { self.all.gate.clock.now() };
+            let since = if doing == Doing::Waiting { 0 } else { self.all.room.clock.now() };
             self.known.since.store(since, Ordering::Relaxed);
         }
     }
@@ -188,7 +206,7 @@
         }
         self.known.doing.store(Doing::Parting as u8, Ordering::Relaxed);
         self.incoming = Ring::default();
-        let from = self.all.gate.clock.now();
+        let from = self.all.room.clock.now();
         let (mut heard, mut woken, mut scrap) = (from, 0, vec![0; SCRAP]);
         loop {
             let mut socket = self.io.inner();
@@ -196,7 +214,7 @@
             for _ in 0..MOST_READS {
                 match socket.read(&mut scrap) {
                     Ok(0) => return,
-                    Ok(_) => heard = self.all.gate.clock.now(),
+                    Ok(_) => heard = self.all.room.clock.now(),
                     Err(e) if e.kind() == ErrorKind::Interrupted => {}
                     Err(e) if e.kind() == ErrorKind::WouldBlock => {
                         all_read = true;
@@ -205,17 +223,17 @@
                     Err(_) => return,
                 }
             }
-            let now = self.all.gate.clock.now();
+            let now = self.all.room.clock.now();
             let until = (heard + LINGER_US).min(from + MOST_LINGER_US);
             // With all read that came, nothing is lost if the client heeds the end it was told of.
-            if now >= until || (all_read && self.all.gate.fds.short()) {
+            if now >= until || (all_read && self.all.room.fds.short()) {
                 return;
             }
             let wake_at = if all_read { until } else { now + BREAK_US };
             if woken <= now || wake_at < woken {
                 woken = wake_at;
                 let known = self.known.clone();
-                self.all.gate.alarms.after(wake_at - now, move || known.inbox.ring());
+                self.all.room.alarms.after(wake_at - now, move || known.inbox.ring());
             }
             self.io.wait_io();
         }
@@ -225,13 +243,13 @@
     fn refuse(&mut self, bad: &Bad) {
         self.closing = true;
         self.part = None;
-        self.say(bad.status, bad.what, b"");
+        self.respond(self.all.desk.refusal(bad));
     }
 
     /// After a panic: what waits gets an answer all the same, if none has begun.
     fn fall(&mut self) {
         if self.outgoing.is_empty() {
-            self.say(500, "", b"");
+            self.respond(self.all.desk.refusal(&Bad { status: 500, what: "" }));
             let _ = self.write();
         }
     }
@@ -242,14 +260,14 @@
             if !self.more || self.ended || self.closing || self.paused {
                 return;
             }
-            let most = if self.waiting.is_some() { AHEAD } else { http::MOST_HELD };
-            let mut socket = self.io.inner();
-            match self.incoming.fill(most, |room| socket.read(room)) {
+            let most = if self.waiting.is_some() { AHEAD } else { self.all.desk.bounds().held() };
+            match self.fill(most) {
                 Ok(None) => {
                     self.ended |= self.hung && self.waiting.is_some(); // its end stands behind more than we hold
                     return;
                 }
                 Ok(Some(filled)) => {
+                    self.moved += filled.bytes;
                     self.ended = filled.bytes == 0;
                     self.more = filled.full || self.hung;
                     self.digest();
@@ -263,16 +281,27 @@
         self.rest();
     }
 
+    /// One read: into a body of which much is still to come, or into the ring.
+    fn fill(&mut self, most: usize) -> io::Result<Option<Filled>> {
+        let mut socket = self.io.inner();
+        if self.incoming.is_empty()
+            && let Some(part) = &mut self.part
+            && let Some(filled) = part.body.fill(|room| socket.read(room))?
+        {
+            return Ok(Some(filled));
+        }
+        self.incoming.fill(most, |room| socket.read(room))
+    }
+
     fn rest(&self) {
         let known = self.known.clone();
-        self.all.gate.alarms.after(BREAK_US, move || known.inbox.post(ToClient::GoOn));
+        self.all.room.alarms.after(BREAK_US, move || known.inbox.post(ToClient::GoOn));
     }
 
     /// Makes what it can of the bytes at hand.
     fn digest(&mut self) {
         while self.waiting.is_none() && !self.closing && !self.ended {
-            // An answer that is not taken holds up the next: their sum must not grow.
-            self.held = self.outgoing.len() >= http::MOST_BODY;
+            self.held = self.outgoing.len() >= MOST_OUT;
             if self.held || self.streak > MOST_STREAK {
                 return;
             }
@@ -294,10 +323,13 @@
         if let Some(part) = &mut self.part {
             let used = part.body.take(self.incoming.bytes())?;
             self.incoming.consume(used);
+            if part.lease.as_mut().is_some_and(|lease| !lease.grow(part.body.content.len())) {
+                return Err(NO_ROOM);
+            }
             if part.body.done()
                 && let Some(part) = self.part.take()
             {
-                self.ask(part);
+                self.whole(part);
                 return Ok(true);
             }
             return Ok(false);
@@ -305,122 +337,102 @@
         if self.incoming.is_empty() {
             return Ok(false);
         }
-        let gate = &self.all.gate;
+        let (room, bounds) = (&self.all.room, self.all.desk.bounds());
         let mut slots = http::NO_HEADERS;
-        let Some(head) = http::request(self.incoming.bytes(), &mut slots)? else { return Ok(false) };
-        let (len, last, wants) = (head.len, head.close, head.wants_continue);
-        if head.target == HEALTH || head.target == STATS {
-            let asks_stats = head.target == STATS;
-            let body = Body::new(head.framing);
-            if !body.done() {
-                return Err(Bad { status: 400, what: "a body where none belongs" });
-            }
-            let ready = gate.ready();
-            self.incoming.consume(len);
-            self.last = last;
-            self.known.asked.fetch_add(1, Ordering::Relaxed);
-            if asks_stats {
-                let stats = gate.stats();
-                self.say(200, "", format!("{stats}\n").as_bytes());
-            } else if ready {
-                self.say(200, "", b"ready\n");
-            } else {
-                self.say(503, "", b"no list yet\n");
+        let Some(head) = http::request(self.incoming.bytes(), &mut slots, bounds)? else { return Ok(false) };
+        let mut heard = self.all.desk.head(&head)?;
+        let expected = match head.framing {
+            Framing::Length(n) => n,
+            // How much it brings is not known; the leave grows with it.
+            _ => http::PIECE.min(bounds.body),
+        };
+        let (mut body, mut lease) = (Body::new(head.framing, bounds), None);
+        match &mut heard {
+            Heard::Take(_) if expected > 0 => lease = Some(room.memory.take(expected).ok_or(NO_ROOM)?),
+            Heard::Take(_) => {}
+            Heard::Say(answer) => {
+                let dropped = matches!(head.framing, Framing::Length(0..=MOST_DROPPED));
+                if !dropped || (expected > 0 && head.wants_continue) {
+                    answer.close = true;
+                    body = Body::new(Framing::Length(0), bounds);
+                }
             }
-            return Ok(true);
         }
-        let mut asked = request::read(gate, &head)?;
-        asked.passage.lease = match head.framing {
-            Framing::Length(0) => None,
-            // Once here and once on its way out; how much a chunked one brings is not known.
-            Framing::Length(n) => Some(gate.memory.take(2 * n).ok_or(NO_ROOM)?),
-            _ => Some(gate.memory.take(2 * http::MOST_BODY).ok_or(NO_ROOM)?),
-        };
-        let body = Body::new(head.framing);
+        let (len, wants) = (head.len, head.wants_continue);
+        (self.last, self.head_only) = (head.close, head.method == "HEAD");
         self.incoming.consume(len);
-        self.last = last;
         if wants && self.incoming.is_empty() && !body.done() {
             self.outgoing.push(b"HTTP/1.1 100 Continue\r\n\r\n");
         }
-        self.part = Some(Part { asked, body });
+        self.part = Some(Part { heard, body, lease });
         Ok(true)
     }
 
-    /// The request is whole: over to the module.
-    fn ask(&mut self, part: Part) {
+    /// The request is whole: over to the desk, if it is not answered already.
+    fn whole(&mut self, part: Part<D::Ask>) {
         // One that has brought requests before takes nothing from the lane; nor does the first request on a new one
         // while others only sit there: hundreds that connect and stay silent must not keep out who has something to
         // ask.
         let first = self.known.asked.fetch_add(1, Ordering::Relaxed) == 0;
-        if first && self.all.gate.fds.full() && !self.all.make_room(true) {
+        let ask = match part.heard {
+            Heard::Say(answer) => return self.respond(answer),
+            Heard::Take(ask) => ask,
+        };
+        let all = self.all.clone();
+        if first && all.room.fds.full() && !all.make_room(true) {
             self.last = true;
-            self.all.gate.no_room.fetch_add(1, Ordering::Relaxed);
-            return self.say(NO_ROOM.status, NO_ROOM.what, b"");
+            all.room.no_room.fetch_add(1, Ordering::Relaxed);
+            return self.respond(all.desk.refusal(&NO_ROOM));
         }
-        let Part { mut asked, body } = part;
-        let gate = &self.all.gate;
-        // `until` holds the time allowed up to here; it counts from the last byte.
-        asked.until += gate.clock.now();
-        asked.id = self.all.ids.fetch_add(1, Ordering::Relaxed);
-        asked.client = Some(self.known.inbox.clone());
-        asked.passage.body = body.content;
-        self.waiting = Some(asked.id);
-        gate.module.post(Told::Asked(Box::new(asked)));
+        let id = all.room.ids.fetch_add(1, Ordering::Relaxed);
+        self.waiting = Some(id);
+        let body = Held { bytes: part.body.content, lease: part.lease };
+        all.desk.asked(id, ask, body, Reply { id, to: To::Conn(self.known.inbox.clone()) });
     }
 
     fn answer(&mut self, id: u64, answer: Answer) {
-        if self.waiting != Some(id) {
-            return;
-        }
-        self.waiting = None;
-        match answer {
-            Answer::Served(rest) => {
-                self.status(200);
-                self.outgoing.push(&rest);
-            }
-            Answer::Refused { retry_after_us } => {
-                self.status(429);
-                if retry_after_us > 0 {
-                    let wait = retry_after_us as f64 / 1e6;
-                    self.outgoing.push(format!("Retry-After: {wait:.3}\r\n").as_bytes());
-                }
-                self.outgoing.push(b"Content-Length: 0\r\n\r\n");
-            }
-            Answer::Rejected { status } => self.say(status, "", b""),
-            Answer::Failed => self.say(502, "", b""),
+        if self.waiting == Some(id) {
+            self.waiting = None;
+            self.respond(answer);
         }
     }
 
-    fn status(&mut self, status: u16) {
+    fn respond(&mut self, answer: Answer) {
         self.streak += 1;
-        let fds = &self.all.gate.fds;
+        let (fds, status) = (&self.all.room.fds, answer.status);
         // Who comes often is the last to give way, as it would only have to connect again: now and then one.
         let crowded = if self.known.asked() < 2 {
             fds.short() || !self.all.may_sit()
         } else {
             fds.full() && self.all.may_part()
         };
-        self.closing |= self.last || self.all.gate.draining() || crowded;
-        let close = if self.closing { "Connection: close\r\n" } else { "" };
-        let reason = http::reason(status);
+        self.closing |= self.last || answer.close || self.all.desk.draining() || crowded;
         if status == 200 && !self.closing {
             self.outgoing.push(b"HTTP/1.1 200 OK\r\n");
         } else {
+            let close = if self.closing { "Connection: close\r\n" } else { "" };
+            let reason = http::reason(status);
             self.outgoing.push(format!("HTTP/1.1 {status} {reason}\r\n{close}").as_bytes());
         }
-    }
-
-    /// An answer of our own.
-    fn say(&mut self, status: u16, why: &str, body: &[u8]) {
-        self.status(status);
-        let line = if why.is_empty() { "" } else { "\n" };
-        let length = why.len() + line.len() + body.len();
-        let kind = if length > 0 { "Content-Type: text/plain\r\n" } else { "" };
-        self.outgoing.push(format!("{kind}Content-Length: {length}\r\n\r\n{why}{line}").as_bytes());
-        self.outgoing.push(body);
+        self.outgoing.push(&answer.headers);
+        let length = answer.body.as_ref().len();
+        // To HEAD the length is that of the body that GET would have; where it is not known, none is told.
+        let unsaid = http::bodiless(status) || (self.head_only && length == 0);
+        if unsaid {
+            self.outgoing.push(b"\r\n");
+        } else {
+            self.outgoing.push(format!("Content-Length: {length}\r\n\r\n").as_bytes());
+        }
+        if !unsaid && !self.head_only {
+            self.outgoing.push_held(answer.body);
+        }
+        self.head_only = false;
     }
 
     fn write(&mut self) -> io::Result<()> {
-        self.outgoing.flush(self.io.inner())
+        let held = self.outgoing.len();
+        let done = self.outgoing.flush(self.io.inner());
+        self.moved += held - self.outgoing.len();
+        done
     }
 }
--- a/crates/tongs/src/errors.rs
+++ b/crates/tongs/src/errors.rs
@@ -1,6 +1,5 @@
 //! How an attempt failed, as a value that carries how far it had come.
 
-use curlewfront::Outcome;
 use std::fmt;
 use std::io;
 
@@ -28,6 +27,8 @@
     DialTimeout,
     /// No descriptor is left.
     NoDescriptor,
+    /// The server has as many connections as it may have.
+    MostConnections,
     /// The server left the list before anything was written to it.
     ServerGone,
     /// A panic in the connection's coroutine.
@@ -41,12 +42,9 @@
 }
 
 impl AttemptError {
-    /// What the decisions are told. Only what was not written whole is known not to have run.
-    pub fn outcome(&self) -> Outcome {
-        match self.progress {
-            Progress::Dialing | Progress::Writing => Outcome::ConnectFailed,
-            Progress::Written | Progress::Answering => Outcome::Reset,
-        }
+    /// Only what was not written whole is known not to have run.
+    pub fn never_ran(&self) -> bool {
+        self.progress < Progress::Written
     }
 }
 
@@ -63,6 +61,7 @@
             Cause::Ended => write!(f, "connection ended {at}"),
             Cause::Malformed(what) => write!(f, "{what} {at}"),
             Cause::DialTimeout => write!(f, "not up in time {at}"),
+            Cause::MostConnections => write!(f, "no connection left {at}"),
             Cause::NoDescriptor => write!(f, "no descriptor left {at}"),
             Cause::ServerGone => write!(f, "server left the list {at}"),
             Cause::Panic => write!(f, "panic {at}"),
@@ -79,10 +78,10 @@
     /// In doubt an attempt may have run: taken for one that did not, it could have its effect twice.
     #[test]
     fn only_what_was_not_written_whole_never_ran() {
-        let outcome = |progress| AttemptError { progress, cause: Cause::Ended }.outcome();
-        assert!(outcome(Progress::Dialing).never_ran());
-        assert!(outcome(Progress::Writing).never_ran());
-        assert!(!outcome(Progress::Written).never_ran());
-        assert!(!outcome(Progress::Answering).never_ran());
+        let never_ran = |progress| AttemptError { progress, cause: Cause::Ended }.never_ran();
+        assert!(never_ran(Progress::Dialing));
+        assert!(never_ran(Progress::Writing));
+        assert!(!never_ran(Progress::Written));
+        assert!(!never_ran(Progress::Answering));
     }
 }
--- a/crates/tongs/src/http.rs
+++ b/crates/tongs/src/http.rs
@@ -1,12 +1,26 @@
 //! HTTP/1.1 messages: pure, no I/O. Heads are read by httparse; bodies by length, in chunks, or to the end.
 
+use crate::ring::Filled;
 use httparse::{Header, Status};
+use std::io;
 
 pub const MOST_HEADERS: usize = 64;
-pub const MOST_HEAD: usize = 16 * 1024;
-pub const MOST_BODY: usize = 64 * 1024;
-/// A ring that holds so much can hold any message we take, chunk sizes included.
-pub const MOST_HELD: usize = MOST_HEAD + MOST_BODY;
+/// How much of a body is dealt with at a time; an amount that counts as progress.
+pub const PIECE: usize = 64 * 1024;
+
+/// What a message may measure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    pub head: usize,
+    pub body: usize,
+}
+
+impl Bounds {
+    /// A ring that holds so much can hold any head that is taken, and a piece of what follows.
+    pub fn held(&self) -> usize {
+        self.head + PIECE
+    }
+}
 
 /// What is wrong with a message, and the status that says so to a client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,11 +67,15 @@
 }
 
 /// The head of a request, once it is there whole.
-pub fn request<'h, 'b>(buf: &'b [u8], slots: &'h mut Slots<'b>) -> Result<Option<Request<'h, 'b>>, Bad> {
+pub fn request<'h, 'b>(
+    buf: &'b [u8],
+    slots: &'h mut Slots<'b>,
+    bounds: Bounds,
+) -> Result<Option<Request<'h, 'b>>, Bad> {
     let mut parsed = httparse::Request::new(slots);
     let len = match parsed.parse(buf) {
-        Ok(Status::Complete(len)) if len <= MOST_HEAD => len,
-        Ok(Status::Partial) if buf.len() <= MOST_HEAD => return Ok(None),
+        Ok(Status::Complete(len)) if len <= bounds.head => len,
+        Ok(Status::Partial) if buf.len() <= bounds.head => return Ok(None),
         Ok(_) => return Err(Bad { status: 431, what: "head too large" }),
         Err(httparse::Error::TooManyHeaders) => return Err(Bad { status: 431, what: "too many headers" }),
         Err(_) => return Err(bad("malformed request")),
@@ -70,7 +88,7 @@
     }
     let framing = common.framing.unwrap_or(Framing::Length(0));
     if let Framing::Length(n) = framing
-        && n > MOST_BODY
+        && n > bounds.body
     {
         return Err(TOO_LARGE);
     }
@@ -80,20 +98,25 @@
 
 const TOO_LARGE: Bad = Bad { status: 413, what: "body too large" };
 
-/// The head of an answer, once it is there whole.
-pub fn response<'h, 'b>(buf: &'b [u8], slots: &'h mut Slots<'b>) -> Result<Option<Response<'h, 'b>>, Bad> {
+/// The head of an answer, once it is there whole; one to HEAD has no body, whatever it says.
+pub fn response<'h, 'b>(
+    buf: &'b [u8],
+    slots: &'h mut Slots<'b>,
+    bounds: Bounds,
+    to_head: bool,
+) -> Result<Option<Response<'h, 'b>>, Bad> {
     let mut parsed = httparse::Response::new(slots);
     let len = match parsed.parse(buf) {
         Ok(Status::Complete(len)) => len,
-        Ok(Status::Partial) if buf.len() <= MOST_HEAD => return Ok(None),
+        Ok(Status::Partial) if buf.len() <= bounds.head => return Ok(None),
         _ => return Err(bad("malformed answer")),
     };
     let headers: &'h [Header<'b>] = parsed.headers;
     let status = parsed.code.unwrap_or(0);
     let common = common(headers, parsed.version == Some(0))?;
     let framing = match common.framing {
-        _ if status < 200 || status == 204 || status == 304 => Framing::Length(0),
-        Some(Framing::Length(n)) if n > MOST_BODY => return Err(TOO_LARGE),
+        _ if to_head || bodiless(status) => Framing::Length(0),
+        Some(Framing::Length(n)) if n > bounds.body => return Err(TOO_LARGE),
         Some(framing) => framing,
         // Connections stay open unless one side says otherwise: without that word it has no end that could be told.
         None if !common.close => return Err(bad("no length")),
@@ -102,6 +125,11 @@
     Ok(Some(Response { status, headers, len, framing, close: common.close }))
 }
 
+/// An answer with this status has no body.
+pub fn bodiless(status: u16) -> bool {
+    status < 200 || status == 204 || status == 304
+}
+
 struct Common {
     framing: Option<Framing>,
     close: bool,
@@ -155,6 +183,12 @@
     if plain { text.parse().ok() } else { None }
 }
 
+/// How long the other side says that it keeps an idle connection, in whole seconds.
+pub fn keep_alive(headers: &[Header]) -> Option<u64> {
+    let value = std::str::from_utf8(header(headers, "Keep-Alive")?).ok()?;
+    value.split(',').find_map(|part| part.trim().strip_prefix("timeout=")?.trim().parse().ok())
+}
+
 pub fn header<'b>(headers: &[Header<'b>], name: &str) -> Option<&'b [u8]> {
     headers.iter().find(|h| h.name.eq_ignore_ascii_case(name)).map(|h| h.value)
 }
@@ -193,6 +227,7 @@
 pub struct Body {
     state: Part,
     lines: usize,
+    most: usize,
     pub content: Vec<u8>,
 }
 
@@ -210,19 +245,21 @@
 /// The longest line between chunks that is read, and all such lines of a body together: a body that brings little
 /// and never ends must not be read for ever.
 const MOST_LINE: usize = 1024;
-const MOST_LINES: usize = 8 * MOST_BODY;
+const LINES_PART: usize = 8;
 /// Room made for a body before any of it has come: its claimed length may be a lie.
 const TRUSTED: usize = 4096;
+/// With so much to come it is read without a ring in between.
+const DIRECT: usize = 16 * 1024;
 
 impl Body {
-    pub fn new(framing: Framing) -> Body {
+    pub fn new(framing: Framing, bounds: Bounds) -> Body {
         let (state, room) = match framing {
             Framing::Length(0) => (Part::Done, 0),
             Framing::Length(n) => (Part::Left(n), n.min(TRUSTED)),
             Framing::Chunked => (Part::Size, 0),
             Framing::ToEnd => (Part::ToEnd, 0),
         };
-        Body { state, lines: 0, content: Vec::with_capacity(room) }
+        Body { state, lines: 0, most: bounds.body, content: Vec::with_capacity(room) }
     }
 
     pub fn done(&self) -> bool {
@@ -236,6 +273,26 @@
         }
     }
 
+    /// One call of `read` into the body itself, where much of it is still to come. None where it comes by `take`: then
+    /// nothing was read.
+    pub fn fill(&mut self, read: impl FnOnce(&mut [u8]) -> io::Result<usize>) -> io::Result<Option<Filled>> {
+        let Part::Left(left) = self.state else { return Ok(None) };
+        let (at, room) = (self.content.len(), left.min(PIECE));
+        if left < DIRECT || room > self.most.saturating_sub(at) {
+            return Ok(None);
+        }
+        if self.content.capacity() < at + room {
+            // Doubled, as its claimed length may be a lie, but never beyond that.
+            self.content.reserve_exact(left.min(at.max(room)));
+        }
+        self.content.resize(at + room, 0);
+        let got = read(&mut self.content[at..]);
+        let n = *got.as_ref().unwrap_or(&0);
+        self.content.truncate(at + n);
+        self.state = if n == left { Part::Done } else { Part::Left(left - n) };
+        got.map(|bytes| Some(Filled { bytes, full: bytes == room }))
+    }
+
     /// Takes what belongs to the body from the front of `input` and tells how much that was.
     pub fn take(&mut self, input: &[u8]) -> Result<usize, Bad> {
         let mut used = 0;
@@ -269,7 +326,7 @@
                     let line = rest[..end].trim_ascii();
                     used += end + 1;
                     self.lines += end + 1;
-                    if self.lines > MOST_LINES {
+                    if self.lines > self.most.saturating_mul(LINES_PART) {
                         return Err(bad("too many chunks"));
                     }
                     self.state = match self.state {
@@ -288,7 +345,7 @@
     }
 
     fn add(&mut self, bytes: &[u8]) -> Result<(), Bad> {
-        if self.content.len() + bytes.len() > MOST_BODY {
+        if bytes.len() > self.most.saturating_sub(self.content.len()) {
             return Err(TOO_LARGE);
         }
         self.content.extend_from_slice(bytes);
@@ -308,17 +365,28 @@
 pub fn reason(status: u16) -> &'static str {
     match status {
         200 => "OK",
+        201 => "Created",
+        204 => "No Content",
+        304 => "Not Modified",
+        307 => "Temporary Redirect",
         400 => "Bad Request",
+        401 => "Unauthorized",
+        403 => "Forbidden",
         404 => "Not Found",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
         409 => "Conflict",
+        412 => "Precondition Failed",
         413 => "Content Too Large",
+        421 => "Misdirected Request",
+        422 => "Unprocessable Content",
         429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
         501 => "Not Implemented",
         502 => "Bad Gateway",
         503 => "Service Unavailable",
+        504 => "Gateway Timeout",
         _ => "Error",
     }
 }
@@ -327,9 +395,11 @@
 mod tests {
     use super::*;
 
+    const BOUNDS: Bounds = Bounds { head: 16 * 1024, body: 64 * 1024 };
+
     fn framing(text: &[u8]) -> Result<Option<Framing>, Bad> {
         let mut slots = NO_HEADERS;
-        response(text, &mut slots).map(|head| head.map(|h| h.framing))
+        response(text, &mut slots, BOUNDS, false).map(|head| head.map(|h| h.framing))
     }
 
     #[test]
@@ -338,7 +408,7 @@
         let whole = text.len() - 3;
         for n in 0..text.len() {
             let mut slots = NO_HEADERS;
-            let head = request(&text[..n], &mut slots).expect("nothing is wrong");
+            let head = request(&text[..n], &mut slots, BOUNDS).expect("nothing is wrong");
             assert_eq!(head.is_some(), n >= whole, "{n}");
             if let Some(head) = head {
                 assert_eq!((head.method, head.target, head.len), ("POST", "/a/b?c=d", whole));
@@ -351,7 +421,7 @@
     fn a_chunked_body_is_read_wherever_it_is_split_and_what_follows_stays() {
         let text = b"4;ext=1\r\nabcd\r\n0a\r\n0123456789\r\n0\r\nTrailer: x\r\n\r\nnext";
         for n in 0..=text.len() {
-            let mut body = Body::new(Framing::Chunked);
+            let mut body = Body::new(Framing::Chunked, BOUNDS);
             let used = body.take(&text[..n]).expect("nothing is wrong");
             let rest = body.take(&text[used..]).expect("nothing is wrong");
             assert!(body.done(), "{n}");
@@ -389,7 +459,7 @@
     fn only_what_is_meant_for_the_other_end_is_passed_on() {
         let text = b"HTTP/1.1 200 OK\r\nConnection: X-Hop, close\r\nX-Hop: 1\r\nKeep-Alive: 5\r\nX-End: 2\r\nX-Skip: 3\r\nContent-Length: 0\r\n\r\n";
         let mut slots = NO_HEADERS;
-        let head = response(text, &mut slots).expect("good").expect("whole");
+        let head = response(text, &mut slots, BOUNDS, false).expect("good").expect("whole");
         let mut out = Vec::new();
         pass_on(head.headers, &["X-Skip"], &mut out);
         assert_eq!(out, b"X-End: 2\r\n");
@@ -398,16 +468,16 @@
 
     #[test]
     fn a_body_beyond_the_limit_is_refused_before_it_is_held() {
-        let mut body = Body::new(Framing::Chunked);
+        let mut body = Body::new(Framing::Chunked, BOUNDS);
         let chunk = [b"ffff\r\n".as_slice(), &[b'x'; 0xffff], b"\r\n"].concat();
         assert!(body.take(&chunk).is_ok());
         assert!(body.take(&chunk).is_err());
-        let mut endless = Body::new(Framing::Chunked);
+        let mut endless = Body::new(Framing::Chunked, BOUNDS);
         assert!(endless.take(&[b'1'; MOST_LINE + 1]).is_err());
-        let mut trailers = Body::new(Framing::Chunked);
+        let mut trailers = Body::new(Framing::Chunked, BOUNDS);
         assert!(trailers.take(b"0\r\n").is_ok());
         let lines = b"X-Trailer: more of it\r\n".repeat(1000);
         assert!((0..1000).any(|_| trailers.take(&lines).is_err()), "trailers without end");
-        assert!(Body::new(Framing::Length(usize::MAX)).content.capacity() <= TRUSTED);
+        assert!(Body::new(Framing::Length(usize::MAX), BOUNDS).content.capacity() <= TRUSTED);
     }
 }
--- a/crates/tongs/src/limits.rs
+++ b/crates/tongs/src/limits.rs
@@ -1,4 +1,4 @@
-//! What a gateway may hold: descriptors, and memory for bodies. Counts alone; who holds something gives it back by
+//! What a program may hold: descriptors, and memory for bodies. Counts alone; who holds something gives it back by
 //! dropping it.
 
 use std::sync::Arc;
@@ -109,6 +109,23 @@
     bytes: usize,
 }
 
+impl Lease {
+    /// Leave to hold so many bytes in all; false, and as before, if they are not to be had.
+    pub fn grow(&mut self, bytes: usize) -> bool {
+        let Some(more) = bytes.checked_sub(self.bytes).filter(|more| *more > 0) else { return true };
+        let Some(mut lease) = self.memory.take(more) else { return false };
+        self.bytes += std::mem::take(&mut lease.bytes);
+        true
+    }
+}
+
+/// A body, and the leave to hold it.
+#[derive(Default)]
+pub struct Held {
+    pub bytes: Vec<u8>,
+    pub lease: Option<Lease>,
+}
+
 impl Drop for Lease {
     fn drop(&mut self) {
         self.memory.held.fetch_sub(self.bytes, Ordering::Relaxed);
@@ -126,6 +143,10 @@
         assert_eq!(held.len(), 96, "12 of 32 MB");
         assert!(memory.take(1).is_none() && memory.take(usize::MAX).is_none());
         drop(held);
+        let mut grown = memory.take(1).expect("there is room");
+        assert!(!grown.grow(12 * 1024 * 1024 + 1) && grown.grow(12 * 1024 * 1024));
+        assert!(memory.take(1).is_none());
+        drop(grown);
         assert!(memory.take(1).is_some());
     }
 
--- a/crates/tongs/src/pool.rs
+++ b/crates/tongs/src/pool.rs
@@ -188,27 +188,38 @@
     Sweep,
 }
 
-enum ToConn {
-    Carry(Job),
+enum ToConn<Note> {
+    Carry(Job<Note>),
     /// End; if an attempt is still to be told of, this is why it failed.
     End(Option<Cause>),
 }
 
-struct Conn {
-    inbox: Arc<Mailbox<ToConn>>,
+struct Conn<Note> {
+    inbox: Arc<Mailbox<ToConn<Note>>>,
     connected: bool,
     job: Option<(u64, u32)>,
 }
 
-struct Server {
+/// A connection that waits for its next attempt.
+#[derive(Clone, Copy)]
+struct Idle {
+    conn: u64,
+    since: Micros,
+    /// Its server keeps it open up to then.
+    until: Option<Micros>,
+}
+
+struct Server<W: Wire> {
     addr: SocketAddr,
     up: bool,
     gone: bool,
-    gate: Arc<Gate>,
-    me: Sender<ToServer>,
-    conns: HashMap<u64, Conn>,
-    /// Idle connections, the newest last, and since when.
-    idle: VecDeque<(u64, Micros)>,
+    room: Arc<Room>,
+    wire: Arc<W>,
+    settings: Settings,
+    me: Sender<ToServer<W>>,
+    conns: HashMap<u64, Conn<W::Note>>,
+    /// The newest last.
+    idle: VecDeque<Idle>,
     busy: HashMap<(u64, u32), u64>,
     count: u64,
     sweeping: bool,
@@ -216,37 +227,45 @@
     heard_at: Micros,
 }
 
-pub fn start(addr: SocketAddr, gate: Arc<Gate>) -> Sender<ToServer> {
-    let (me, inbox) = channel();
-    let server = Server {
-        addr,
-        up: true,
-        gone: false,
-        gate,
-        me: me.clone(),
-        conns: HashMap::new(),
-        idle: VecDeque::new(),
-        busy: HashMap::new(),
-        count: 0,
-        sweeping: false,
-        heard_at: 0,
-    };
-    may::go!(move || server.run(&inbox));
-    me
-}
-
 /// How long a connection rests after an answer, while others are idle.
 const REST_US: Micros = 2_000;
 
-impl Server {
-    fn run(mut self, inbox: &Receiver<ToServer>) {
+/// A connection is not used in the last part of the time that its server keeps it: an attempt could cross its end.
+const KEEP_MARGIN_US: Micros = 1_000_000;
+
+impl<W: Wire> Server<W> {
+    fn new(
+        addr: SocketAddr,
+        room: Arc<Room>,
+        wire: Arc<W>,
+        settings: Settings,
+        me: Sender<ToServer<W>>,
+    ) -> Self {
+        Server {
+            addr,
+            up: true,
+            gone: false,
+            room,
+            wire,
+            settings,
+            me,
+            conns: HashMap::new(),
+            idle: VecDeque::new(),
+            busy: HashMap::new(),
+            count: 0,
+            sweeping: false,
+            heard_at: 0,
+        }
+    }
+
+    fn run(mut self, inbox: &Receiver<ToServer<W>>) {
         while !(self.gone && self.conns.is_empty()) {
             let Ok(told) = inbox.recv() else { return };
             self.take(told);
         }
     }
 
-    fn take(&mut self, told: ToServer) {
+    fn take(&mut self, told: ToServer<W>) {
         match told {
             ToServer::Send(job) => self.send(job),
             ToServer::GiveUp { id, attempt, late } => {
@@ -273,22 +292,28 @@
                 self.end_dials();
             }
             ToServer::CloseIdle => self.close_idle(),
-            ToServer::Free { conn } => {
+            ToServer::Set(settings) => {
+                self.settings = settings;
+                self.retire();
+            }
+            ToServer::Free { conn, keep_us } => {
                 let Some(c) = self.conns.get_mut(&conn) else { return };
                 if let Some(job) = c.job.take() {
                     self.busy.remove(&job);
                 }
-                self.heard_at = self.gate.clock.now();
+                self.heard_at = self.room.clock.now();
                 if !self.up {
                     return self.end(conn, None);
                 }
-                self.idle.push_back((conn, self.heard_at));
+                let since = self.heard_at;
+                let until = keep_us.map(|keep| since.saturating_add(keep - KEEP_MARGIN_US.min(keep / 2)));
+                self.idle.push_back(Idle { conn, since, until });
                 self.sweep_later();
             }
             ToServer::Connected { conn } => {
                 if let Some(c) = self.conns.get_mut(&conn) {
                     c.connected = true;
-                    self.heard_at = self.gate.clock.now();
+                    self.heard_at = self.room.clock.now();
                 }
             }
             ToServer::Ended { conn, unsent } => {
@@ -335,18 +360,22 @@
     }
 
     fn close_idle(&mut self) {
-        for (conn, _) in std::mem::take(&mut self.idle) {
-            self.end(conn, None);
+        for idle in std::mem::take(&mut self.idle) {
+            self.end(idle.conn, None);
         }
     }
 
     /// A connection that the server might close any moment is worth less than a new one: an attempt written to
     /// it would count as one that may have run.
     fn retire(&mut self) {
-        let oldest = self.gate.clock.now().saturating_sub(self.gate.config.conn_idle_us / 2);
-        while let Some((conn, _)) = self.idle.front().copied().filter(|(_, since)| *since < oldest) {
-            self.idle.pop_front();
-            self.end(conn, None);
+        let (now, idle_us) = (self.room.clock.now(), self.settings.idle_us);
+        let (stay, old) = std::mem::take(&mut self.idle)
+            .into_iter()
+            .partition(|i| i.until.unwrap_or(i.since.saturating_add(idle_us)) >= now);
+        self.idle = stay;
+        let old: VecDeque<Idle> = old;
+        for idle in old {
+            self.end(idle.conn, None);
         }
     }
 
@@ -354,15 +383,15 @@
         if !self.sweeping && !self.idle.is_empty() {
             self.sweeping = true;
             let me = self.me.clone();
-            self.gate.alarms.after(self.gate.config.conn_idle_us / 6 + 1, move || {
+            self.room.alarms.after(self.settings.idle_us / 3 + 1, move || {
                 let _ = me.send(ToServer::Sweep);
             });
         }
     }
 
-    fn send(&mut self, job: Job) {
+    fn send(&mut self, job: Job<W::Note>) {
         if !self.up {
-            return self.refuse(&job, Cause::ServerGone);
+            return self.refuse(job, Cause::ServerGone);
         }
         self.retire();
         while let Some(conn) = self.rested() {
@@ -378,30 +407,33 @@
     /// The newest idle connection, but one that has rested if there is any: bytes that a server sends unasked right
     /// behind an answer are seen by then, and cannot be taken for the answer to what is written next.
     fn rested(&mut self) -> Option<u64> {
-        let before = self.gate.clock.now().saturating_sub(REST_US);
-        let place = self.idle.iter().rposition(|(_, since)| *since <= before);
+        let before = self.room.clock.now().saturating_sub(REST_US);
+        let place = self.idle.iter().rposition(|idle| idle.since <= before);
         let place = place.or(self.idle.len().checked_sub(1))?;
-        self.idle.remove(place).map(|(conn, _)| conn)
+        self.idle.remove(place).map(|idle| idle.conn)
     }
 
-    fn refuse(&self, job: &Job, cause: Cause) {
+    fn refuse(&self, job: Job<W::Note>, cause: Cause) {
         let error = AttemptError { progress: Progress::Dialing, cause };
-        self.gate.module.post(Told::Ended(Ended::failed(job, error)));
+        self.wire.ended(Ended::failed(job, 0, error));
     }
 
-    fn dial(&mut self, job: Job) {
-        let Some(fd) = self.gate.fds.take(Side::Servers) else {
-            self.gate.module.post(Told::Crowded);
-            return self.refuse(&job, Cause::NoDescriptor);
+    fn dial(&mut self, job: Job<W::Note>) {
+        if self.conns.len() >= self.settings.most {
+            return self.refuse(job, Cause::MostConnections);
+        }
+        let Some(fd) = self.room.fds.take(Side::Servers) else {
+            self.wire.crowded();
+            return self.refuse(job, Cause::NoDescriptor);
         };
-        let io = match connect(self.addr) {
+        let io = match net::connect(self.addr, self.settings.silence) {
             Ok(io) => io,
             Err(e) => {
                 // Also where the system gives fewer descriptors than the configuration says.
                 if matches!(e.raw_os_error(), Some(EMFILE | ENFILE)) {
-                    self.gate.module.post(Told::Crowded);
+                    self.wire.crowded();
                 }
-                return self.refuse(&job, Cause::Io(e));
+                return self.refuse(job, Cause::Io(e));
             }
         };
         self.count += 1;
@@ -409,9 +441,16 @@
         let inbox = Arc::new(Mailbox::new(Bell::of(&io)));
         self.conns.insert(conn, Conn { inbox: inbox.clone(), connected: false, job: Some(key) });
         self.busy.insert(key, conn);
-        connection::start(conn, io, inbox, self.gate.clone(), self.me.clone(), job, fd);
+        let with = connection::With {
+            number: conn,
+            room: self.room.clone(),
+            wire: self.wire.clone(),
+            settings: self.settings.clone(),
+            server: self.me.clone(),
+        };
+        connection::start(with, io, inbox, job, fd);
         let me = self.me.clone();
-        self.gate.alarms.after(self.gate.config.dial_timeout_us, move || {
+        self.room.alarms.after(self.settings.dial_us, move || {
             let _ = me.send(ToServer::DialTimeout { conn });
         });
     }
@@ -420,61 +459,68 @@
 const EMFILE: i32 = nix::errno::Errno::EMFILE as i32;
 const ENFILE: i32 = nix::errno::Errno::ENFILE as i32;
 
-/// Begins to connect.
-pub fn connect(addr: SocketAddr) -> io::Result<CoIo<TcpStream>> {
-    let socket = socket2::Socket::new(socket2::Domain::for_address(addr), socket2::Type::STREAM, None)?;
-    socket.set_nonblocking(true)?;
-    socket.set_tcp_nodelay(true)?;
-    match socket.connect(&addr.into()) {
-        Ok(()) => {}
-        Err(e) if e.raw_os_error() == Some(nix::errno::Errno::EINPROGRESS as i32) => {}
-        Err(e) => return Err(e),
+impl<W: Wire> Ended<W> {
+    fn failed(job: Job<W::Note>, begun_at: Micros, error: AttemptError) -> Ended<W> {
+        Ended { id: job.id, attempt: job.attempt, note: job.note, begun_at, outcome: Err(error) }
     }
-    // Watched only from here on: before the call an idle socket reads as hung up.
-    CoIo::new(TcpStream::from(socket)).map_err(io::Error::from)
 }
 
-/// Events of a descriptor, as the event loop tells them.
-pub mod events {
-    pub const READABLE: usize = 0x1;
-    pub const WRITABLE: usize = 0x4;
-    pub const ERROR: usize = 0x8;
-    pub const HANG_UP: usize = 0x10;
-    pub const READ_END: usize = 0x2000;
-    pub const ENDED: usize = ERROR | HANG_UP | READ_END;
+/// A large body goes out from where it is, for all attempts.
+impl AsRef<[u8]> for Passage {
+    fn as_ref(&self) -> &[u8] {
+        &self.body.bytes
+    }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::clock::Alarm;
-    use crate::gate::tests::gate;
-    use crate::messages::{Carried, Passage};
+    use crate::clock::{Alarm, Alarms, Clock};
     use std::net::TcpListener;
 
-    /// A server's actor with one connection that has just ended, an attempt in its mailbox.
-    fn server(listener: &TcpListener) -> Server {
-        let gate = gate();
-        let bell = Alarm::new(gate.clock).expect("a timer").bell();
-        let inbox = Arc::new(Mailbox::new(bell));
-        let passage = Passage { head: b"GET / HTTP/1.1\r\n".to_vec(), body: Vec::new(), lease: None };
-        let passage = Arc::new(passage);
-        let until = gate.clock.now() + 1_000_000;
-        let carried = Carried::one_more(&gate.carried);
-        inbox.post(ToConn::Carry(Job { id: 5, attempt: 0, passage, until, _carried: carried }));
-        Server {
-            addr: listener.local_addr().expect("bound"),
-            up: true,
-            gone: false,
-            gate,
-            me: channel().0,
-            conns: HashMap::from([(1, Conn { inbox, connected: true, job: Some((5, 0)) })]),
-            idle: VecDeque::new(),
-            busy: HashMap::from([((5, 0), 1)]),
-            count: 1,
-            sweeping: false,
-            heard_at: 0,
+    struct Mute;
+
+    impl Wire for Mute {
+        type Note = ();
+        type Said = ();
+
+        fn last_lines(&self, _: &Job<()>, _: Micros, _: &mut Vec<u8>) {}
+
+        fn heard(&self, _: &Job<()>, _: &http::Response) -> Heard<()> {
+            Heard::Mine(())
         }
+
+        fn ended(&self, _: Ended<Mute>) {}
+    }
+
+    /// A server's actor with one connection that has just ended, an attempt in its mailbox.
+    fn server(listener: &TcpListener) -> Server<Mute> {
+        let clock = Clock::start();
+        let alarms = Alarms::start(clock).expect("a timer");
+        let room = Arc::new(Room::new(1000, 64, clock, alarms, Box::new(|_| {})));
+        let inbox = Arc::new(Mailbox::new(Alarm::new(clock).expect("a timer").bell()));
+        let passage = Arc::new(Passage { head: b"GET / HTTP/1.1\r\n".to_vec(), body: Held::default() });
+        inbox.post(ToConn::Carry(Job {
+            id: 5,
+            attempt: 0,
+            passage,
+            until: clock.now() + 1_000_000,
+            note: (),
+        }));
+        let settings = Settings {
+            dial_us: 100_000,
+            answer_us: 100_000,
+            idle_us: 1_000_000,
+            most: 1000,
+            silence: None,
+            bounds: Bounds { head: 4096, body: 4096 },
+        };
+        let addr = listener.local_addr().expect("bound");
+        let mut server = Server::new(addr, room, Arc::new(Mute), settings, channel().0);
+        server.conns.insert(1, Conn { inbox, connected: true, job: Some((5, 0)) });
+        server.busy.insert((5, 0), 1);
+        server.count = 1;
+        server
     }
 
     /// Else the attempt would be lost between the two, and its client wait to the end.
@@ -492,8 +538,9 @@
     fn a_connection_that_has_rested_goes_before_one_that_was_just_used() {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let mut server = server(&listener);
-        let now = server.gate.clock.now();
-        server.idle = [(1, now - 50_000), (2, now - 20_000), (3, now), (4, now)].into();
+        let now = server.room.clock.now();
+        let idle = |(conn, since)| Idle { conn, since, until: None };
+        server.idle = [(1, now - 50_000), (2, now - 20_000), (3, now), (4, now)].map(idle).into();
         let order: Vec<u64> = std::iter::from_fn(|| server.rested()).collect();
         assert_eq!(order, [2, 1, 4, 3]);
     }
@@ -507,4 +554,29 @@
         server.take(ToServer::Ended { conn: 1, unsent: None });
         assert!(server.busy.is_empty() && server.conns.is_empty());
     }
+
+    #[test]
+    fn a_connection_is_used_no_longer_than_its_server_keeps_it() {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let mut server = server(&listener);
+        server.settings.idle_us = 60_000_000;
+        let now = server.room.clock.now();
+        let idle = |(conn, until)| Idle { conn, since: now - 30_000_000, until };
+        server.idle = [(1, None), (2, Some(now - 1)), (3, Some(now + 9_000_000))].map(idle).into();
+        server.retire();
+        assert_eq!(server.idle.iter().map(|i| i.conn).collect::<Vec<u64>>(), [1, 3]);
+        server.take(ToServer::Set(Settings { idle_us: 1_000_000, ..server.settings.clone() }));
+        assert_eq!(server.idle.iter().map(|i| i.conn).collect::<Vec<u64>>(), [3], "what it says goes first");
+    }
+
+    #[test]
+    fn no_more_connections_are_opened_than_there_may_be() {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let mut server = server(&listener);
+        server.settings.most = 1;
+        let passage = Arc::new(Passage { head: b"GET / HTTP/1.1\r\n".to_vec(), body: Held::default() });
+        let until = server.room.clock.now() + 1_000_000;
+        server.take(ToServer::Send(Job { id: 6, attempt: 0, passage, until, note: () }));
+        assert!(!server.busy.contains_key(&(6, 0)) && server.conns.len() == 1);
+    }
 }
--- a/crates/tongs/src/pool/connection.rs
+++ b/crates/tongs/src/pool/connection.rs
@@ -1,45 +1,53 @@
 //! One connection to a server: carries one attempt at a time.
 
-use super::{Job, ToConn, ToServer, events};
+use super::{Ended, Heard, Job, Served, Settings, ToConn, ToServer, Wire};
+use crate::Micros;
 use crate::errors::{AttemptError, Cause, Progress};
-use crate::gate::Gate;
 use crate::http::{self, Body};
 use crate::limits::Fd;
 use crate::mailbox::Mailbox;
-use crate::messages::{Answer, Ended, Told};
-use crate::ring::Ring;
-use curlewfront::{Micros, Outcome};
+use crate::net::events;
+use crate::ring::{Bytes, Filled, Outgoing, Ring};
+use crate::room::Room;
 use may::io::{CoIo, WaitIo};
 use may::sync::mpsc::Sender;
-use std::io::{ErrorKind, Read};
+use std::io::{self, ErrorKind, Read};
 use std::net::TcpStream;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
 
+/// What a connection has of its server's actor.
+pub(super) struct With<W: Wire> {
+    pub number: u64,
+    pub room: Arc<Room>,
+    pub wire: Arc<W>,
+    pub settings: Settings,
+    pub server: Sender<ToServer<W>>,
+}
+
 /// Starts the actor of a connection that is being opened for `job`.
-pub(super) fn start(
-    number: u64,
+pub(super) fn start<W: Wire>(
+    with: With<W>,
     io: CoIo<TcpStream>,
-    inbox: Arc<Mailbox<ToConn>>,
-    gate: Arc<Gate>,
-    server: Sender<ToServer>,
-    job: Job,
+    inbox: Arc<Mailbox<ToConn<W::Note>>>,
+    job: Job<W::Note>,
     fd: Fd,
 ) {
     let mut link = Link {
-        number,
+        with,
         io,
         inbox,
-        gate,
-        server,
         incoming: Ring::default(),
-        outgoing: Ring::default(),
+        outgoing: Outgoing::default(),
         job: Some(job),
         progress: Progress::Dialing,
+        begun_at: 0,
         written: 0,
         used: false,
         ahead: 0,
+        surplus: false,
         whole_by: None,
+        moved: 0,
         answer: None,
         _fd: fd,
     };
@@ -50,68 +58,62 @@
             link.fail(Cause::Panic);
             None
         });
-        let (number, server) = (link.number, link.server.clone());
+        let (number, server) = (link.with.number, link.with.server.clone());
         drop(link);
         let _ = server.send(ToServer::Ended { conn: number, unsent });
     });
 }
 
 /// An answer on its way in.
-struct Reply {
+struct Reply<Said> {
     status: u16,
-    never_ran: bool,
     close: bool,
-    used: Option<f64>,
-    units: Option<f64>,
-    /// Headers that are passed on.
-    head: Vec<u8>,
+    keep_us: Option<Micros>,
+    /// None: it is no answer to this attempt.
+    said: Option<Said>,
     body: Body,
 }
 
-struct Link {
-    number: u64,
+struct Link<W: Wire> {
+    with: With<W>,
     io: CoIo<TcpStream>,
-    inbox: Arc<Mailbox<ToConn>>,
-    gate: Arc<Gate>,
-    server: Sender<ToServer>,
+    inbox: Arc<Mailbox<ToConn<W::Note>>>,
     incoming: Ring,
-    outgoing: Ring,
-    job: Option<Job>,
+    outgoing: Outgoing,
+    job: Option<Job<W::Note>>,
     progress: Progress,
+    /// When this attempt began to be written.
+    begun_at: Micros,
     /// Bytes written of this attempt.
     written: usize,
     /// It has carried an attempt before.
     used: bool,
     /// Heads read for this attempt.
     ahead: u32,
-    /// When the answer must be whole: begun, it comes in one go, or not at all.
+    /// An answer to an earlier attempt has come: whose the next one would be is not known well enough.
+    surplus: bool,
+    /// When the answer must be whole, or a further piece of it there: begun, it comes in one go, or not at all.
     whole_by: Option<Micros>,
-    answer: Option<Reply>,
+    /// Bytes read of the answer since that was set.
+    moved: usize,
+    answer: Option<Reply<W::Said>>,
     _fd: Fd,
 }
 
-/// Interim answers (1xx) before one is no answer.
+/// Heads before the answer's own: interim answers (1xx) before one is no answer, and surplus ones.
 const MOST_AHEAD: u32 = 16;
-/// The largest figure that is believed: a use of a hundred times the quota. A larger one is a mistake, as is one that
-/// is no number.
-const MOST_FIGURE: f64 = 1e4;
-
-/// A figure beside an answer: one that cannot be read is passed over, the answer holds all the same.
-fn figure(text: &str) -> Option<f64> {
-    http::decimal(text.trim()).filter(|n| *n <= MOST_FIGURE)
-}
 
-impl Link {
+impl<W: Wire> Link<W> {
     /// Carries attempts until the connection ends; gives back one of which nothing was written.
-    fn run(&mut self) -> Option<Job> {
+    fn run(&mut self) -> Option<Job<W::Note>> {
         let mut seen = 0;
         loop {
             while let Some(told) = self.inbox.pop() {
                 match told {
                     ToConn::Carry(job) => {
                         self.job = Some(job);
-                        (self.progress, self.written) = (Progress::Writing, 0);
-                        (self.ahead, self.whole_by) = (0, None);
+                        (self.progress, self.written, self.begun_at) = (Progress::Writing, 0, 0);
+                        (self.ahead, self.whole_by, self.moved) = (0, None, 0);
                         if !self.quiet() {
                             return self.job.take();
                         }
@@ -149,7 +151,7 @@
             if seen & events::WRITABLE == 0 || seen & events::HANG_UP != 0 {
                 return if seen & events::ENDED != 0 { Err(Cause::Ended) } else { Ok(false) };
             }
-            let _ = self.server.send(ToServer::Connected { conn: self.number });
+            let _ = self.with.server.send(ToServer::Connected { conn: self.with.number });
             self.progress = Progress::Writing;
             self.fill();
         }
@@ -162,16 +164,18 @@
     }
 
     /// An answer that has begun and stops, its length a lie or its server gone, must not hold the request until its
-    /// time is up: another attempt may still be in time. The limit is the one on connecting, after which a server
-    /// counts as out of reach. It could harm where bodies take longer than that to send.
+    /// time is up: another attempt may still be in time. It could harm where servers pause for longer within one.
     fn hurry(&mut self) -> Result<(), Cause> {
         if self.job.is_none() || (self.answer.is_none() && self.incoming.is_empty()) {
             return Ok(());
         }
-        let (now, patience) = (self.gate.clock.now(), self.gate.config.dial_timeout_us);
+        let (now, patience) = (self.with.room.clock.now(), self.with.settings.answer_us);
+        if self.moved >= http::PIECE {
+            (self.moved, self.whole_by) = (0, None);
+        }
         let whole_by = *self.whole_by.get_or_insert_with(|| {
             let inbox = self.inbox.clone();
-            self.gate.alarms.after(patience + 1, move || inbox.ring());
+            self.with.room.alarms.after(patience + 1, move || inbox.ring());
             now + patience
         });
         if now >= whole_by { Err(Cause::Malformed("answer not whole in time")) } else { Ok(()) }
@@ -187,16 +191,20 @@
     /// Makes the request ready to be written.
     fn fill(&mut self) {
         let Some(job) = &self.job else { return };
-        let left = job.until.saturating_sub(self.gate.clock.now()).max(1);
+        self.begun_at = self.with.room.clock.now();
+        let left = job.until.saturating_sub(self.begun_at).max(1);
         let (passage, out) = (&job.passage, &mut self.outgoing);
         out.push(&passage.head);
-        let length = passage.body.len();
-        if length == 0 && passage.head.starts_with(b"GET ") {
-            out.push(format!("Request-Timeout: {left}u\r\n\r\n").as_bytes());
-        } else {
-            out.push(format!("Request-Timeout: {left}u\r\nContent-Length: {length}\r\n\r\n").as_bytes());
+        let mut lines = Vec::with_capacity(64);
+        self.with.wire.last_lines(job, left, &mut lines);
+        let length = passage.body.bytes.len();
+        let bare = [b"GET ".as_slice(), b"HEAD "].iter().any(|method| passage.head.starts_with(method));
+        if length > 0 || !bare {
+            lines.extend_from_slice(format!("Content-Length: {length}\r\n").as_bytes());
         }
-        out.push(&passage.body);
+        lines.extend_from_slice(b"\r\n");
+        out.push(&lines);
+        out.push_held(Bytes::Shared(passage.clone()));
         self.written = 0;
     }
 
@@ -214,8 +222,7 @@
     /// Reads what is there; true when the connection is of no more use and nothing is owed for it.
     fn read(&mut self, ended: bool) -> Result<bool, Cause> {
         loop {
-            let mut socket = self.io.inner();
-            match self.incoming.fill(http::MOST_HELD, |room| socket.read(room)) {
+            match self.take_in() {
                 Ok(None) => {}
                 Ok(Some(filled)) if filled.bytes == 0 => {
                     if let Some(answer) = &mut self.answer {
@@ -227,6 +234,7 @@
                     if self.job.is_none() {
                         return Ok(true); // nothing was asked: whatever this is, it answers no request
                     }
+                    self.moved += filled.bytes;
                     if self.digest()? {
                         return Ok(true);
                     }
@@ -242,91 +250,98 @@
         }
     }
 
+    /// One read: into a body of which much is still to come, or into the ring.
+    fn take_in(&mut self) -> io::Result<Option<Filled>> {
+        let mut socket = self.io.inner();
+        if self.incoming.is_empty()
+            && let Some(answer) = &mut self.answer
+            && let Some(filled) = answer.body.fill(|room| socket.read(room))?
+        {
+            return Ok(Some(filled));
+        }
+        self.incoming.fill(self.with.settings.bounds.held(), |room| socket.read(room))
+    }
+
     /// Makes what it can of the bytes at hand; true when the connection has served its last attempt.
     fn digest(&mut self) -> Result<bool, Cause> {
         let malformed = |e: http::Bad| Cause::Malformed(e.what);
-        while self.answer.is_none() {
-            let mut slots = http::NO_HEADERS;
-            let bytes = self.incoming.bytes();
-            let Some(head) = http::response(bytes, &mut slots).map_err(malformed)? else {
+        loop {
+            if self.answer.is_none() && !self.head().map_err(malformed)? {
                 return Ok(false);
-            };
-            if head.status == 101 {
-                return Err(Cause::Malformed("protocol changed"));
             }
-            self.ahead += 1;
-            if self.ahead > MOST_AHEAD {
-                return Err(Cause::Malformed("no end of interim answers"));
+            let Some(answer) = &mut self.answer else { continue };
+            let used = answer.body.take(self.incoming.bytes()).map_err(malformed)?;
+            self.incoming.consume(used);
+            if !answer.body.done() {
+                return Ok(false);
             }
-            let len = head.len;
-            if head.status >= 200 {
-                let text = |name| http::header(head.headers, name).and_then(|v| std::str::from_utf8(v).ok());
-                let number = |name| text(name).and_then(figure);
-                let mut pass = Vec::new();
-                if head.status == 200 {
-                    http::pass_on(head.headers, &["X-Meter", "X-Settled", "Server-Load"], &mut pass);
+            let Some(answer) = self.answer.take() else { continue };
+            let (status, body) = (answer.status, answer.body.content);
+            match answer.said {
+                Some(said) => {
+                    let served = Served { status, said, body };
+                    return Ok(self.finish(served, answer.close, answer.keep_us));
                 }
-                self.answer = Some(Reply {
-                    status: head.status,
-                    never_ran: text("Not-Started").is_some_and(|v| v.trim() == "1"),
-                    close: head.close,
-                    used: number("X-Meter").map(|percent| percent / 100.0),
-                    units: number("X-Settled"),
-                    head: pass,
-                    body: Body::new(head.framing),
-                });
-                self.progress = self.progress.max(Progress::Answering);
+                // The attempt's own is awaited anew.
+                None => (self.surplus, self.moved, self.whole_by) = (true, 0, None),
             }
-            self.incoming.consume(len);
         }
-        if let Some(answer) = &mut self.answer {
-            let used = answer.body.take(self.incoming.bytes()).map_err(malformed)?;
-            self.incoming.consume(used);
-            if answer.body.done() {
-                return Ok(self.finish());
+    }
+
+    /// Reads one head, if it is there whole.
+    fn head(&mut self) -> Result<bool, http::Bad> {
+        let Some(job) = &self.job else { return Ok(false) };
+        let bounds = self.with.settings.bounds;
+        let mut slots = http::NO_HEADERS;
+        let to_head = job.passage.head.starts_with(b"HEAD ");
+        let head = http::response(self.incoming.bytes(), &mut slots, bounds, to_head)?;
+        let Some(head) = head else { return Ok(false) };
+        let bad = |what| Err(http::Bad { status: 502, what });
+        if head.status == 101 {
+            return bad("protocol changed");
+        }
+        self.ahead += 1;
+        if self.ahead > MOST_AHEAD {
+            return bad("no end of interim answers");
+        }
+        let len = head.len;
+        if head.status >= 200 {
+            let said = match self.with.wire.heard(job, &head) {
+                Heard::Mine(said) => Some(said),
+                Heard::Surplus => None,
+            };
+            if said.is_some() {
+                self.progress = self.progress.max(Progress::Answering);
             }
+            self.answer = Some(Reply {
+                status: head.status,
+                close: head.close,
+                keep_us: http::keep_alive(head.headers).map(|s| s.saturating_mul(1_000_000)),
+                said,
+                body: Body::new(head.framing, bounds),
+            });
         }
-        Ok(false)
+        self.incoming.consume(len);
+        Ok(true)
     }
 
-    /// The answer is whole: tells the module, and whether the connection can carry no more.
-    fn finish(&mut self) -> bool {
-        let (Some(answer), Some(job)) = (self.answer.take(), self.job.take()) else { return true };
-        let outcome = match answer.status {
-            200 => Outcome::Ok,
-            503 | 504 if answer.never_ran => Outcome::Full,
-            // Sent to others it would fare no better, and it says nothing of how the fleet is.
-            400..500 => Outcome::Rejected,
-            _ => Outcome::Error,
-        };
-        let reply = match outcome {
-            Outcome::Ok => {
-                let mut rest = answer.head;
-                let body = answer.body.content;
-                rest.extend_from_slice(format!("Content-Length: {}\r\n\r\n", body.len()).as_bytes());
-                rest.extend_from_slice(&body);
-                Some(Answer::Served(rest))
-            }
-            Outcome::Rejected => Some(Answer::Rejected { status: answer.status }),
-            _ => None,
-        };
-        let (id, attempt) = (job.id, job.attempt);
-        let (used, units) = (answer.used, answer.units);
-        let ended = Ended { id, attempt, outcome, used, units, answer: reply, error: None };
-        self.gate.module.post(Told::Ended(ended));
+    /// The answer is whole: tells the wire, and whether the connection can carry no more.
+    fn finish(&mut self, served: Served<W::Said>, close: bool, keep_us: Option<Micros>) -> bool {
+        let Some(Job { id, attempt, note, .. }) = self.job.take() else { return true };
+        self.with.wire.ended(Ended { id, attempt, note, begun_at: self.begun_at, outcome: Ok(served) });
         // An answer before the whole request was written, or bytes after it, leave no clear state behind.
-        if answer.close || !self.outgoing.is_empty() || !self.incoming.is_empty() {
+        if close || self.surplus || !self.outgoing.is_empty() || !self.incoming.is_empty() {
             return true;
         }
         self.used = true;
-        let _ = self.server.send(ToServer::Free { conn: self.number });
+        let _ = self.with.server.send(ToServer::Free { conn: self.with.number, keep_us });
         false
     }
 
     fn fail(&mut self, cause: Cause) {
         if let Some(job) = self.job.take() {
             let error = AttemptError { progress: self.progress, cause };
-            self.gate.module.post(Told::Ended(Ended::failed(&job, error)));
+            self.with.wire.ended(Ended::failed(job, self.begun_at, error));
         }
     }
 }
