--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -1,277 +1,95 @@
-//! The clients: the listener, and an actor with one coroutine for each connection. A connection carries one
-//! request at a time; a well-formed one is handed to the module, which answers it once. Malformed ones are
-//! answered here and reach neither the module nor a server.
+//! The gateway before its clients: reads the headers that its requests carry, and hands them to the module.
 
-mod connection;
-mod request;
-
-use crate::clock::Alarm;
 use crate::gate::Gate;
-use crate::limits::{Fd, Side};
-use crate::mailbox::{Bell, Mailbox};
-use crate::messages::{Doing, ToClient, Told};
-use curlewfront::Micros;
-use may::io::{CoIo, WaitIo};
-use socket2::{Domain, Type};
-use std::collections::HashMap;
-use std::io::{self, ErrorKind};
-use std::net::{TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU32, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-
-/// A connection as the others know it.
-struct Known {
-    inbox: Arc<Mailbox<ToClient>>,
-    doing: AtomicU8,
-    since: AtomicU64,
-    born: Micros,
-    /// Whole requests that it has brought.
-    asked: AtomicU32,
-}
-
-impl Known {
-    fn doing(&self) -> Doing {
-        let shown = self.doing.load(Ordering::Relaxed);
-        let all = [Doing::Idle, Doing::Waiting, Doing::Reading, Doing::Writing, Doing::Parting];
-        all.into_iter().find(|d| *d as u8 == shown).unwrap_or(Doing::Waiting)
-    }
-
-    fn since(&self) -> Micros {
-        self.since.load(Ordering::Relaxed)
-    }
-
-    fn asked(&self) -> u32 {
-        self.asked.load(Ordering::Relaxed)
-    }
-
-    /// Its first request is still to be expected.
-    fn expected(&self, now: Micros) -> bool {
-        self.asked() == 0 && now < self.born + FIRST_US
-    }
-
-    /// What it is to be ended for by `now`, if its descriptor is wanted or not. A client that sends nothing, or
-    /// half a request, is told so in time: it may be waiting for that. Who asked once and stays would fill the
-    /// descriptors in the course of a long day; who comes often is the last to go.
-    fn overdue(&self, now: Micros, short: bool) -> Option<Doing> {
-        let doing = self.doing();
-        let (from, patience) = match (doing, self.asked()) {
-            (Doing::Idle, 0) => (self.born, if short { SILENT_US } else { FIRST_US }),
-            (Doing::Idle, 1) => (self.since(), ONCE_IDLE_US),
-            (Doing::Idle, _) => (self.since(), MOST_IDLE_US),
-            (Doing::Reading, 0) => (self.born, FIRST_US),
-            (Doing::Reading, _) => (self.since(), READ_PATIENCE_US),
-            (Doing::Writing, _) => (self.since(), WRITE_PATIENCE_US),
-            (Doing::Waiting | Doing::Parting, _) => return None,
-        };
-        (now >= from + patience).then_some(doing)
-    }
-
-    /// How well it can be done without, where descriptors are short: the greater, the better; None, not at all.
-    fn spare(&self, now: Micros, silent_us: Micros) -> Option<(u8, Micros)> {
-        let (rank, patience) = match (self.doing(), self.asked()) {
-            (Doing::Idle, 0) => (4, silent_us),
-            (Doing::Idle, 1) => (3, IDLE_PATIENCE_US),
-            (Doing::Reading, _) => (2, READ_SHORT_US),
-            (Doing::Idle, _) => (1, IDLE_PATIENCE_US),
-            (Doing::Writing, _) => (0, WRITE_PATIENCE_US),
-            (Doing::Waiting | Doing::Parting, _) => return None,
-        };
-        let for_so_long = now.saturating_sub(self.since());
-        (for_so_long >= patience).then_some((rank, for_so_long))
-    }
-
-    /// Tells it to end, if it still does what it was chosen for; it is not chosen twice.
-    fn close(&self, doing: Doing) {
-        self.doing.store(Doing::Waiting as u8, Ordering::Relaxed);
-        self.inbox.post(ToClient::Close(doing));
-    }
-}
-
-/// All open connections of clients.
-pub struct Clients {
-    gate: Arc<Gate>,
-    open: Mutex<HashMap<u64, Arc<Known>>>,
-    bell: Bell,
-    paused: AtomicBool,
-    /// Idle connections that have asked once: as counted last, and those that have had their answer since.
-    sitting: AtomicUsize,
-    /// When one that comes often was last made to give way.
-    parted_at: AtomicU64,
-    ids: AtomicU64,
-}
-
-/// Within so long a connection must have brought its first whole request, and any later one once a part of it has
-/// come: a client is owed an error or a close within 3 s. Nor may an answer wait longer to be taken.
+use crate::messages::{Asked, Told};
+use crate::request;
+use std::sync::Arc;
+use tongs::Micros;
+use tongs::door::{Answer, Desk, Heard, Patience, Reply};
+use tongs::http::{self, Bad, Bounds, Framing};
+use tongs::limits::Held;
+use tongs::pool::Passage;
+
+/// Of a message, a client's or a server's.
+pub const BOUNDS: Bounds = Bounds { head: 16 * 1024, body: 64 * 1024 };
+
+/// Answered here: whether the list is known, and what the module last said of itself.
+const HEALTH: &str = "/_health";
+const STATS: &str = "/_stats";
+
+/// A client is owed an error or a close within 3 s.
 const FIRST_US: Micros = 2_000_000;
-const READ_PATIENCE_US: Micros = 2_000_000;
-const WRITE_PATIENCE_US: Micros = 5_000_000;
-/// A connection that has brought one request, or more, is closed when it has been idle so long.
+const READ_US: Micros = 2_000_000;
+const WRITE_US: Micros = 5_000_000;
 const ONCE_IDLE_US: Micros = 2_100_000;
-const MOST_IDLE_US: Micros = 60_000_000;
-/// Where descriptors are short: after so long one that has brought nothing (its first request comes right behind
-/// it, if at all), one that is idle between requests (by the protocol no sooner), one with half a request.
-const SILENT_US: Micros = 100_000;
-const SILENT_SHORT_US: Micros = 20_000;
-const IDLE_PATIENCE_US: Micros = 2_000_000;
-const READ_SHORT_US: Micros = 1_000_000;
-/// How often all connections are looked at.
-const LOOK_EVERY_US: Micros = 100_000;
-/// Connections that may wait to be taken.
-const BACKLOG: i32 = 1024;
-/// How long the listener waits when no descriptor is to be had.
-const PAUSE_US: Micros = 50_000;
+const IDLE_US: Micros = 60_000_000;
 
-impl Clients {
-    /// Listens from the call on.
-    pub fn start(gate: Arc<Gate>) -> io::Result<Arc<Clients>> {
-        let socket = socket2::Socket::new(Domain::for_address(gate.config.listen), Type::STREAM, None)?;
-        socket.set_reuse_address(true)?; // connections of an earlier life may still be closing
-        socket.bind(&gate.config.listen.into())?;
-        socket.listen(BACKLOG)?;
-        let listener = CoIo::new(TcpListener::from(socket)).map_err(io::Error::from)?;
-        let clients = Arc::new(Clients {
-            gate,
-            open: Mutex::default(),
-            bell: Bell::of(&listener),
-            paused: AtomicBool::new(false),
-            sitting: AtomicUsize::new(0),
-            parted_at: AtomicU64::new(0),
-            ids: AtomicU64::new(1),
-        });
-        let all = clients.clone();
-        may::go!(move || {
-            loop {
-                all.accept(&listener);
-                listener.wait_io();
-            }
-        });
-        let (all, mut alarm) = (clients.clone(), Alarm::new(clients.gate.clock)?);
-        may::go!(move || {
-            loop {
-                alarm.sleep(LOOK_EVERY_US);
-                all.close_overdue();
-            }
-        });
-        Ok(clients)
-    }
+/// What a connection is told that is ended before it has brought a request.
+const UNHEARD: Bad = Bad { status: 503, what: "ended before a request came" };
 
-    fn close_overdue(&self) {
-        let (now, short) = (self.gate.clock.now(), self.gate.fds.short());
-        let open = self.open();
-        let sitting = open.values().filter(|k| k.asked() == 1 && k.doing() == Doing::Idle).count();
-        self.sitting.store(sitting, Ordering::Relaxed);
-        for known in open.values() {
-            if let Some(doing) = known.overdue(now, short) {
-                known.close(doing);
-            }
-        }
-    }
+pub struct Front(pub Arc<Gate>);
 
-    fn open(&self) -> MutexGuard<'_, HashMap<u64, Arc<Known>>> {
-        self.open.lock().unwrap_or_else(PoisonError::into_inner)
-    }
+impl Desk for Front {
+    type Ask = Box<Asked>;
 
-    /// Takes all connections that wait, as long as there are descriptors for them.
-    fn accept(self: &Arc<Self>, listener: &CoIo<TcpListener>) {
-        loop {
-            let Some(fd) = self.gate.fds.take(Side::Clients) else {
-                self.make_room(false);
-                self.gate.module.post(Told::Crowded); // idle connections to servers give way too
-                return self.pause();
-            };
-            match listener.inner().accept() {
-                Ok((stream, _)) => {
-                    if self.gate.fds.short() {
-                        self.make_room(false);
-                    }
-                    if let Err(e) = self.serve(stream, fd) {
-                        slog::warn!(self.gate.log, "cannot serve a connection"; "error" => %e);
-                    }
-                }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                // A connection that was gone before it was taken.
-                Err(e) if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
-                Err(e) => {
-                    // No descriptor or no memory, or something unforeseen that would come again at once.
-                    self.make_room(false);
-                    slog::warn!(self.gate.log, "cannot take a connection, pausing"; "error" => %e);
-                    return self.pause();
-                }
-            }
-        }
+    fn bounds(&self) -> Bounds {
+        BOUNDS
     }
 
-    /// Stops taking connections until one ends, or for a short while. It must not spin: the event that says
-    /// that connections wait would be there each time.
-    fn pause(self: &Arc<Self>) {
-        if !self.paused.swap(true, Ordering::Relaxed) {
-            let all = self.clone();
-            self.gate.alarms.after(PAUSE_US, move || all.resume());
+    fn patience(&self) -> Patience {
+        Patience {
+            first_us: Some(FIRST_US),
+            read_us: READ_US,
+            write_us: WRITE_US,
+            once_idle_us: ONCE_IDLE_US,
+            idle_us: IDLE_US,
         }
     }
 
-    fn resume(&self) {
-        if self.paused.swap(false, Ordering::Relaxed) {
-            self.bell.ring();
+    fn head(&self, head: &http::Request) -> Result<Heard<Box<Asked>>, Bad> {
+        let gate = &self.0;
+        if head.target != HEALTH && head.target != STATS {
+            return request::read(gate, head).map(|asked| Heard::Take(Box::new(asked)));
         }
+        if head.framing != Framing::Length(0) {
+            return Err(Bad { status: 400, what: "a body where none belongs" });
+        }
+        Ok(Heard::Say(if head.target == STATS {
+            Answer::text(200, format!("{}\n", gate.stats()))
+        } else if gate.ready() {
+            Answer::text(200, "ready\n")
+        } else {
+            Answer::text(503, "no list yet\n")
+        }))
     }
 
-    /// Near the limit the connection that can best be done without makes room, if there is one. For a request that
-    /// is there, one that has said nothing yet gives way sooner than for a connection that may say nothing either.
-    fn make_room(&self, asked: bool) -> bool {
-        let silent_us = if asked { SILENT_SHORT_US } else { SILENT_US };
-        let (open, now) = (self.open(), self.gate.clock.now());
-        let spare = open.values().filter_map(|k| k.spare(now, silent_us).map(|rank| (rank, k)));
-        let found = spare.max_by_key(|(rank, _)| *rank);
-        if let Some((_, known)) = found {
-            known.close(known.doing());
-        }
-        found.is_some()
+    fn asked(&self, id: u64, mut asked: Box<Asked>, body: Held, reply: Reply) {
+        // `until` holds the time allowed up to here; it counts from the last byte.
+        asked.until += self.0.room.clock.now();
+        asked.id = id;
+        asked.client = Some(reply);
+        asked.passage = Passage { head: std::mem::take(&mut asked.passage.head), body };
+        self.0.module.post(Told::Asked(asked));
     }
 
-    /// Whether a connection may stay after its first answer. Some clients never ask again on one, yet keep it, and may
-    /// hold only so many themselves: left open, these would keep them from asking at all.
-    fn may_sit(&self) -> bool {
-        self.sitting.fetch_add(1, Ordering::Relaxed) < self.gate.fds.most_sitting()
+    fn withdrawn(&self, id: u64) {
+        self.0.module.post(Told::Withdrawn { id });
     }
 
-    /// Whether a connection that comes often may be ended by its answer to let others in.
-    fn may_part(&self) -> bool {
-        let now = self.gate.clock.now();
-        let due = now >= self.parted_at.load(Ordering::Relaxed) + LOOK_EVERY_US;
-        if due {
-            self.parted_at.store(now, Ordering::Relaxed);
-        }
-        due
+    fn draining(&self) -> bool {
+        self.0.draining()
     }
 
-    /// At the end: idle connections close, the others after their answer.
-    pub fn close_idle(&self) {
-        self.open().values().for_each(|k| k.inbox.post(ToClient::Close(Doing::Idle)));
+    fn refusal(&self, bad: &Bad) -> Answer {
+        let line = if bad.what.is_empty() { "" } else { "\n" };
+        Answer::text(bad.status, format!("{}{line}", bad.what))
     }
 
-    /// Connections with a request, or a part of one, or an answer that is not yet taken.
-    pub fn busy(&self) -> usize {
-        let now = self.gate.clock.now();
-        let busy = |k: &&Arc<Known>| match k.doing() {
-            Doing::Waiting => true,
-            Doing::Reading => now < k.since() + READ_PATIENCE_US,
-            Doing::Writing => now < k.since() + WRITE_PATIENCE_US,
-            Doing::Idle | Doing::Parting => false,
-        };
-        self.open().values().filter(busy).count()
+    fn unheard(&self) -> Option<Bad> {
+        Some(UNHEARD)
     }
 
-    fn serve(self: &Arc<Self>, stream: TcpStream, fd: Fd) -> io::Result<()> {
-        stream.set_nodelay(true)?;
-        let io = CoIo::new(stream).map_err(io::Error::from)?;
-        let inbox = Arc::new(Mailbox::new(Bell::of(&io)));
-        let number = self.ids.fetch_add(1, Ordering::Relaxed);
-        let born = self.gate.clock.now();
-        let (doing, since) = (AtomicU8::new(Doing::Idle as u8), AtomicU64::new(born));
-        let known = Arc::new(Known { inbox, doing, since, born, asked: AtomicU32::new(0) });
-        self.open().insert(number, known.clone());
-        connection::start(self.clone(), known, number, io, fd);
-        Ok(())
+    fn crowded(&self) {
+        self.0.module.post(Told::Crowded);
     }
 }
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -1,341 +1,103 @@
-//! The servers: an actor for each, which owns its idle connections and opens new ones, and a coroutine for each
-//! connection, which carries one attempt at a time. What becomes of an attempt is told to the module once.
-//!
-//! An attempt is never sent again from here. Only one of which no byte was written, on a connection that had
-//! died while idle, goes to another connection: no server can have seen any of it.
+//! What the gateway speaks with its servers, and what their answers mean to the decisions.
 
-mod connection;
-
-use crate::errors::{AttemptError, Cause, Progress};
+use crate::clients::BOUNDS;
 use crate::gate::Gate;
-use crate::limits::Side;
-use crate::mailbox::{Bell, Mailbox};
-use crate::messages::{Ended, Job, ToServer, Told};
-use curlewfront::Micros;
-use may::io::CoIo;
-use may::sync::mpsc::{Receiver, Sender, channel};
-use std::collections::{HashMap, VecDeque};
-use std::io;
-use std::net::{SocketAddr, TcpStream};
+use crate::messages::{self, Carried, Told};
+use curlewfront::Outcome;
+use std::net::SocketAddr;
 use std::sync::Arc;
-
-enum ToConn {
-    Carry(Job),
-    /// End; if an attempt is still to be told of, this is why it failed.
-    End(Option<Cause>),
-}
-
-struct Conn {
-    inbox: Arc<Mailbox<ToConn>>,
-    connected: bool,
-    job: Option<(u64, u32)>,
+use tongs::Micros;
+use tongs::door::Answer;
+use tongs::http;
+use tongs::pool::{Ended, Heard, Job, Peer, Settings, Wire};
+
+pub struct Back(pub Arc<Gate>);
+
+/// Read out of the head of an answer.
+pub struct Said {
+    never_ran: bool,
+    used: Option<f64>,
+    units: Option<f64>,
+    /// Headers that are passed on.
+    head: Vec<u8>,
 }
 
-struct Server {
-    addr: SocketAddr,
-    up: bool,
-    gone: bool,
-    gate: Arc<Gate>,
-    me: Sender<ToServer>,
-    conns: HashMap<u64, Conn>,
-    /// Idle connections, the newest last, and since when.
-    idle: VecDeque<(u64, Micros)>,
-    busy: HashMap<(u64, u32), u64>,
-    count: u64,
-    sweeping: bool,
-    /// When it last answered, or took a connection.
-    heard_at: Micros,
-}
-
-pub fn start(addr: SocketAddr, gate: Arc<Gate>) -> Sender<ToServer> {
-    let (me, inbox) = channel();
-    let server = Server {
-        addr,
-        up: true,
-        gone: false,
-        gate,
-        me: me.clone(),
-        conns: HashMap::new(),
-        idle: VecDeque::new(),
-        busy: HashMap::new(),
-        count: 0,
-        sweeping: false,
-        heard_at: 0,
+pub fn start(addr: SocketAddr, back: &Arc<Back>) -> Peer<Back> {
+    let config = &back.0.config;
+    let settings = Settings {
+        dial_us: config.dial_timeout_us,
+        // After that time a server counts as out of reach, whatever it has begun.
+        answer_us: config.dial_timeout_us,
+        // One that the server might close any moment is worth less than a new one: an attempt written to it would
+        // count as one that may have run.
+        idle_us: config.conn_idle_us / 2,
+        most: usize::MAX,
+        silence: None,
+        bounds: BOUNDS,
     };
-    may::go!(move || server.run(&inbox));
-    me
+    Peer::start(addr, back.0.room.clone(), back.clone(), settings)
 }
 
-/// How long a connection rests after an answer, while others are idle.
-const REST_US: Micros = 2_000;
-
-impl Server {
-    fn run(mut self, inbox: &Receiver<ToServer>) {
-        while !(self.gone && self.conns.is_empty()) {
-            let Ok(told) = inbox.recv() else { return };
-            self.take(told);
-        }
-    }
-
-    fn take(&mut self, told: ToServer) {
-        match told {
-            ToServer::Send(job) => self.send(job),
-            ToServer::GiveUp { id, attempt, late } => {
-                if let Some(conn) = self.busy.remove(&(id, attempt)) {
-                    self.end(conn, None);
-                }
-                // Not a word since that attempt was sent: its machine may be gone, which open connections never
-                // tell. A new connection does, soon, and proves that the attempt never ran. Should it only be
-                // slow, a few handshakes are lost.
-                if late.is_some_and(|sent_at| self.heard_at < sent_at) {
-                    self.close_idle();
-                }
-            }
-            ToServer::Listed { addr, up } => {
-                if addr != self.addr || !up {
-                    self.close_idle();
-                }
-                (self.addr, self.up, self.gone) = (addr, up, false);
-                self.end_dials();
-            }
-            ToServer::Gone => {
-                (self.up, self.gone) = (false, true);
-                self.close_idle();
-                self.end_dials();
-            }
-            ToServer::CloseIdle => self.close_idle(),
-            ToServer::Free { conn } => {
-                let Some(c) = self.conns.get_mut(&conn) else { return };
-                if let Some(job) = c.job.take() {
-                    self.busy.remove(&job);
-                }
-                self.heard_at = self.gate.clock.now();
-                if !self.up {
-                    return self.end(conn, None);
-                }
-                self.idle.push_back((conn, self.heard_at));
-                self.sweep_later();
-            }
-            ToServer::Connected { conn } => {
-                if let Some(c) = self.conns.get_mut(&conn) {
-                    c.connected = true;
-                    self.heard_at = self.gate.clock.now();
-                }
-            }
-            ToServer::Ended { conn, unsent } => {
-                let Some(c) = self.conns.remove(&conn) else { return };
-                // It may have ended while an attempt was on its way to it: that one was never touched either. One
-                // that was given up meanwhile must not go out any more.
-                let handed = std::iter::from_fn(|| c.inbox.pop()).find_map(|told| match told {
-                    ToConn::Carry(job) => Some(job),
-                    ToConn::End(_) => None,
-                });
-                let wanted = c.job.is_some_and(|key| self.busy.remove(&key).is_some());
-                if let Some(job) = unsent.or(handed).filter(|_| wanted) {
-                    self.send(job);
-                }
-            }
-            ToServer::DialTimeout { conn } => {
-                if self.conns.get(&conn).is_some_and(|c| !c.connected) {
-                    self.end(conn, Some(Cause::DialTimeout));
-                }
-            }
-            ToServer::Sweep => {
-                self.sweeping = false;
-                self.retire();
-                self.sweep_later();
-            }
-        }
-    }
-
-    /// An attempt that waits for a connection must not be sent late to a server that drains.
-    fn end_dials(&mut self) {
-        if self.up {
-            return;
-        }
-        let dialing: Vec<u64> = self.conns.iter().filter(|(_, c)| !c.connected).map(|(n, _)| *n).collect();
-        for conn in dialing {
-            self.end(conn, Some(Cause::ServerGone));
-        }
-    }
+/// The largest figure that is believed: a use of a hundred times the quota. A larger one is a mistake, as is one that
+/// is no number.
+const MOST_FIGURE: f64 = 1e4;
 
-    fn end(&mut self, conn: u64, why: Option<Cause>) {
-        if let Some(c) = self.conns.get(&conn) {
-            c.inbox.post(ToConn::End(why));
-        }
-    }
-
-    fn close_idle(&mut self) {
-        for (conn, _) in std::mem::take(&mut self.idle) {
-            self.end(conn, None);
-        }
-    }
+/// A figure beside an answer: one that cannot be read is passed over, the answer holds all the same.
+fn figure(text: &str) -> Option<f64> {
+    http::decimal(text.trim()).filter(|n| *n <= MOST_FIGURE)
+}
 
-    /// A connection that the server might close any moment is worth less than a new one: an attempt written to
-    /// it would count as one that may have run.
-    fn retire(&mut self) {
-        let oldest = self.gate.clock.now().saturating_sub(self.gate.config.conn_idle_us / 2);
-        while let Some((conn, _)) = self.idle.front().copied().filter(|(_, since)| *since < oldest) {
-            self.idle.pop_front();
-            self.end(conn, None);
-        }
-    }
+impl Wire for Back {
+    type Note = Carried;
+    type Said = Said;
 
-    fn sweep_later(&mut self) {
-        if !self.sweeping && !self.idle.is_empty() {
-            self.sweeping = true;
-            let me = self.me.clone();
-            self.gate.alarms.after(self.gate.config.conn_idle_us / 6 + 1, move || {
-                let _ = me.send(ToServer::Sweep);
-            });
-        }
+    fn last_lines(&self, _: &Job<Carried>, left_us: Micros, out: &mut Vec<u8>) {
+        out.extend_from_slice(format!("Request-Timeout: {left_us}u\r\n").as_bytes());
     }
 
-    fn send(&mut self, job: Job) {
-        if !self.up {
-            return self.refuse(&job, Cause::ServerGone);
+    fn heard(&self, _: &Job<Carried>, head: &http::Response) -> Heard<Said> {
+        let text = |name| http::header(head.headers, name).and_then(|v| std::str::from_utf8(v).ok());
+        let number = |name| text(name).and_then(figure);
+        let mut pass = Vec::new();
+        if head.status == 200 {
+            http::pass_on(head.headers, &["X-Meter", "X-Settled", "Server-Load"], &mut pass);
         }
-        self.retire();
-        while let Some(conn) = self.rested() {
-            if let Some(c) = self.conns.get_mut(&conn) {
-                c.job = Some((job.id, job.attempt));
-                self.busy.insert((job.id, job.attempt), conn);
-                return c.inbox.post(ToConn::Carry(job));
+        Heard::Mine(Said {
+            never_ran: text("Not-Started").is_some_and(|v| v.trim() == "1"),
+            used: number("X-Meter").map(|percent| percent / 100.0),
+            units: number("X-Settled"),
+            head: pass,
+        })
+    }
+
+    fn ended(&self, ended: Ended<Back>) {
+        let (id, attempt) = (ended.id, ended.attempt);
+        let told = match ended.outcome {
+            Ok(served) => {
+                let outcome = match served.status {
+                    200 => Outcome::Ok,
+                    503 | 504 if served.said.never_ran => Outcome::Full,
+                    // Sent to others it would fare no better, and it says nothing of how the fleet is.
+                    400..500 => Outcome::Rejected,
+                    _ => Outcome::Error,
+                };
+                let answer = match outcome {
+                    Outcome::Ok => Some(Answer::new(200, served.said.head, served.body)),
+                    Outcome::Rejected => Some(Answer::text(served.status, "")),
+                    _ => None,
+                };
+                let (used, units) = (served.said.used, served.said.units);
+                messages::Ended { id, attempt, outcome, used, units, answer, error: None }
             }
-        }
-        self.dial(job);
-    }
-
-    /// The newest idle connection, but one that has rested if there is any: bytes that a server sends unasked right
-    /// behind an answer are seen by then, and cannot be taken for the answer to what is written next.
-    fn rested(&mut self) -> Option<u64> {
-        let before = self.gate.clock.now().saturating_sub(REST_US);
-        let place = self.idle.iter().rposition(|(_, since)| *since <= before);
-        let place = place.or(self.idle.len().checked_sub(1))?;
-        self.idle.remove(place).map(|(conn, _)| conn)
-    }
-
-    fn refuse(&self, job: &Job, cause: Cause) {
-        let error = AttemptError { progress: Progress::Dialing, cause };
-        self.gate.module.post(Told::Ended(Ended::failed(job, error)));
-    }
-
-    fn dial(&mut self, job: Job) {
-        let Some(fd) = self.gate.fds.take(Side::Servers) else {
-            self.gate.module.post(Told::Crowded);
-            return self.refuse(&job, Cause::NoDescriptor);
-        };
-        let io = match connect(self.addr) {
-            Ok(io) => io,
-            Err(e) => {
-                // Also where the system gives fewer descriptors than the configuration says.
-                if matches!(e.raw_os_error(), Some(EMFILE | ENFILE)) {
-                    self.gate.module.post(Told::Crowded);
-                }
-                return self.refuse(&job, Cause::Io(e));
+            Err(error) => {
+                let outcome = if error.never_ran() { Outcome::ConnectFailed } else { Outcome::Reset };
+                messages::Ended { error: Some(error), ..messages::Ended::bare(id, attempt, outcome) }
             }
         };
-        self.count += 1;
-        let (conn, key) = (self.count, (job.id, job.attempt));
-        let inbox = Arc::new(Mailbox::new(Bell::of(&io)));
-        self.conns.insert(conn, Conn { inbox: inbox.clone(), connected: false, job: Some(key) });
-        self.busy.insert(key, conn);
-        connection::start(conn, io, inbox, self.gate.clone(), self.me.clone(), job, fd);
-        let me = self.me.clone();
-        self.gate.alarms.after(self.gate.config.dial_timeout_us, move || {
-            let _ = me.send(ToServer::DialTimeout { conn });
-        });
-    }
-}
-
-const EMFILE: i32 = nix::errno::Errno::EMFILE as i32;
-const ENFILE: i32 = nix::errno::Errno::ENFILE as i32;
-
-/// Begins to connect.
-pub fn connect(addr: SocketAddr) -> io::Result<CoIo<TcpStream>> {
-    let socket = socket2::Socket::new(socket2::Domain::for_address(addr), socket2::Type::STREAM, None)?;
-    socket.set_nonblocking(true)?;
-    socket.set_tcp_nodelay(true)?;
-    match socket.connect(&addr.into()) {
-        Ok(()) => {}
-        Err(e) if e.raw_os_error() == Some(nix::errno::Errno::EINPROGRESS as i32) => {}
-        Err(e) => return Err(e),
-    }
-    // Watched only from here on: before the call an idle socket reads as hung up.
-    CoIo::new(TcpStream::from(socket)).map_err(io::Error::from)
-}
-
-/// Events of a descriptor, as the event loop tells them.
-pub mod events {
-    pub const READABLE: usize = 0x1;
-    pub const WRITABLE: usize = 0x4;
-    pub const ERROR: usize = 0x8;
-    pub const HANG_UP: usize = 0x10;
-    pub const READ_END: usize = 0x2000;
-    pub const ENDED: usize = ERROR | HANG_UP | READ_END;
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::clock::Alarm;
-    use crate::gate::tests::gate;
-    use crate::messages::{Carried, Passage};
-    use std::net::TcpListener;
-
-    /// A server's actor with one connection that has just ended, an attempt in its mailbox.
-    fn server(listener: &TcpListener) -> Server {
-        let gate = gate();
-        let bell = Alarm::new(gate.clock).expect("a timer").bell();
-        let inbox = Arc::new(Mailbox::new(bell));
-        let passage = Passage { head: b"GET / HTTP/1.1\r\n".to_vec(), body: Vec::new(), lease: None };
-        let passage = Arc::new(passage);
-        let until = gate.clock.now() + 1_000_000;
-        let carried = Carried::one_more(&gate.carried);
-        inbox.post(ToConn::Carry(Job { id: 5, attempt: 0, passage, until, _carried: carried }));
-        Server {
-            addr: listener.local_addr().expect("bound"),
-            up: true,
-            gone: false,
-            gate,
-            me: channel().0,
-            conns: HashMap::from([(1, Conn { inbox, connected: true, job: Some((5, 0)) })]),
-            idle: VecDeque::new(),
-            busy: HashMap::from([((5, 0), 1)]),
-            count: 1,
-            sweeping: false,
-            heard_at: 0,
-        }
-    }
-
-    /// Else the attempt would be lost between the two, and its client wait to the end.
-    #[test]
-    fn an_attempt_handed_to_a_connection_that_has_ended_goes_to_another() {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let mut server = server(&listener);
-        server.take(ToServer::Ended { conn: 1, unsent: None });
-        assert_eq!(server.busy, HashMap::from([((5, 0), 2)]));
-        assert!(server.conns.contains_key(&2) && !server.conns.contains_key(&1));
-        assert!(listener.accept().is_ok());
-    }
-
-    #[test]
-    fn a_connection_that_has_rested_goes_before_one_that_was_just_used() {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let mut server = server(&listener);
-        let now = server.gate.clock.now();
-        server.idle = [(1, now - 50_000), (2, now - 20_000), (3, now), (4, now)].into();
-        let order: Vec<u64> = std::iter::from_fn(|| server.rested()).collect();
-        assert_eq!(order, [2, 1, 4, 3]);
+        self.0.module.post(Told::Ended(told));
     }
 
-    /// Its request has had its answer: sent now it would run for nobody, or twice.
-    #[test]
-    fn an_attempt_given_up_meanwhile_is_not_sent() {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let mut server = server(&listener);
-        server.take(ToServer::GiveUp { id: 5, attempt: 0, late: None });
-        server.take(ToServer::Ended { conn: 1, unsent: None });
-        assert!(server.busy.is_empty() && server.conns.is_empty());
+    fn crowded(&self) {
+        self.0.module.post(Told::Crowded);
     }
 }
