--- /dev/null
+++ b/crates/ratchet/src/core.rs
@@ -0,0 +1,1020 @@
+//! The decisions of one member.
+
+use crate::log::Log;
+use crate::{
+    Disk, Entry, Hard, Input, Member, Message, Micros, NotLeader, Output, Payload, Role, Roster, Saved,
+    Snapshot, Timing,
+};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// Entries sent to a member beyond what it has acknowledged.
+const WINDOW: u64 = 512;
+/// So many entries are sent without waiting for an answer to those before.
+const FULL: u64 = 32;
+/// Bytes of entries in one message, about.
+const BATCH_BYTES: usize = 128 << 10;
+const PART_BYTES: usize = if cfg!(test) { 1 << 10 } else { 256 << 10 };
+/// A learner this close to the end of the log is named in the roster.
+const CAUGHT_UP: u64 = 64;
+/// A learner that is silent for so long is forgotten.
+const LEARNER_SILENCE: Micros = 5_000_000;
+const MAX_MEMBERS: usize = 9;
+
+/// A fault planted for tests of the tests.
+#[cfg(test)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fault {
+    AckBeforeSync,
+    /// A wiped machine comes back as its old self; the simulator's part.
+    WipedVotes,
+    CountNewcomerEarly,
+    ForgetVote,
+}
+
+#[cfg(test)]
+macro_rules! fault {
+    ($self:ident, $fault:ident) => {
+        $self.fault == Some(Fault::$fault)
+    };
+}
+#[cfg(not(test))]
+macro_rules! fault {
+    ($self:ident, $fault:ident) => {
+        false
+    };
+}
+
+/// What a vote says and stands on: term, standing, vote.
+type Safe = (u64, bool, Option<Member>);
+
+/// A leader's picture of one disk.
+struct Peer {
+    disk: Disk,
+    next: u64,
+    matched: u64,
+    /// The latest round that it has answered.
+    round: u64,
+    /// When it last answered.
+    heard: Option<Micros>,
+    standing: bool,
+    /// Entries that do not fit are on their way to be found out: only one try at a time.
+    probing: bool,
+    /// A snapshot on its way: its index, how much has come, when a part was sent.
+    sending: Option<(u64, u64, Micros)>,
+    /// A learner counts as alive with answers from this round on.
+    since: u64,
+}
+
+impl Peer {
+    fn new(disk: Disk, next: u64, since: u64) -> Peer {
+        Peer {
+            disk,
+            next,
+            matched: 0,
+            round: 0,
+            heard: None,
+            standing: false,
+            probing: true,
+            sending: None,
+            since,
+        }
+    }
+}
+
+/// What only a leader has.
+struct Lead {
+    peers: BTreeMap<Member, Peer>,
+    learners: BTreeMap<Member, Peer>,
+    /// Its first entry.
+    first: u64,
+    round: u64,
+    beat: Micros,
+    since: Micros,
+    /// Proposals by entry.
+    tickets: BTreeMap<u64, u64>,
+    /// Reads, and the round that has to be confirmed for each.
+    reads: Vec<(u64, u64)>,
+}
+
+pub struct Ratchet {
+    me: Member,
+    disk: Disk,
+    timing: Timing,
+    chance: u64,
+    seeds: Vec<Member>,
+    log: Log,
+    hard: Hard,
+    hard_dirty: bool,
+    /// What is on disk of it.
+    safe: Safe,
+    /// The write under way: number, when it began, what is in it.
+    writing: Option<(u64, Micros, Safe)>,
+    writes: u64,
+    /// To be sent once the write of this number is on disk.
+    held: Vec<(u64, Member, Message)>,
+    role: Role,
+    leader: Option<Member>,
+    /// When a leader was last heard.
+    heard: Option<Micros>,
+    /// When to ask for votes, or to call again.
+    due: Micros,
+    votes: BTreeSet<Member>,
+    /// A leader has asked to be followed up.
+    urged: bool,
+    lead: Option<Box<Lead>>,
+    /// A follower's log agrees with the leader's up to here.
+    verified: u64,
+    round: u64,
+    owes: bool,
+    /// A snapshot that is coming in.
+    coming: Option<Snapshot>,
+    /// Entries up to here were handed to the host.
+    given: u64,
+    #[cfg(test)]
+    pub(crate) fault: Option<Fault>,
+}
+
+impl Ratchet {
+    /// `disk`: the number of this disk; `saved`: what is on it. The host has loaded `saved.snapshot` into its state.
+    pub fn new(me: Member, disk: Disk, saved: Saved, seed: u64, timing: Timing, now: Micros) -> Ratchet {
+        let mut hard = saved.hard.clone();
+        let given = saved.snapshot.index;
+        let log = Log::new(saved);
+        hard.commit = hard.commit.min(log.last()).max(given);
+        let safe = (hard.term, hard.standing, hard.vote);
+        let mut ratchet = Ratchet {
+            me,
+            disk,
+            timing,
+            chance: seed ^ 0x9e37_79b9_7f4a_7c15,
+            seeds: Vec::new(),
+            log,
+            hard,
+            hard_dirty: false,
+            safe,
+            writing: None,
+            writes: 0,
+            held: Vec::new(),
+            role: Role::Follower,
+            leader: None,
+            heard: None,
+            due: now,
+            votes: BTreeSet::new(),
+            urged: false,
+            lead: None,
+            verified: 0,
+            round: 0,
+            owes: false,
+            coming: None,
+            given,
+            #[cfg(test)]
+            fault: None,
+        };
+        if ratchet.hard.standing {
+            ratchet.due = now + ratchet.draw(timing.election);
+        }
+        ratchet
+    }
+
+    pub fn leader(&self) -> Option<Member> {
+        self.leader
+    }
+
+    pub fn role(&self) -> Role {
+        self.role
+    }
+
+    pub fn term(&self) -> u64 {
+        self.hard.term
+    }
+
+    pub fn commit(&self) -> u64 {
+        self.hard.commit
+    }
+
+    pub fn last(&self) -> u64 {
+        self.log.last()
+    }
+
+    pub fn disk(&self) -> Disk {
+        self.disk
+    }
+
+    /// Whether this disk votes and counts.
+    pub fn standing(&self) -> bool {
+        self.hard.standing
+    }
+
+    /// The latest roster in the log, committed or not.
+    pub fn roster(&self) -> &Roster {
+        self.log.roster().1
+    }
+
+    /// The first entry that is still kept: the host may hand a snapshot once this lies far back.
+    pub fn first(&self) -> u64 {
+        self.log.base() + 1
+    }
+
+    /// The snapshot on disk or on its way there.
+    pub fn snapshot(&self) -> &Arc<Snapshot> {
+        &self.log.snapshot
+    }
+
+    pub fn handle(&mut self, now: Micros, input: Input, out: &mut Output) {
+        if self.role == Role::Out {
+            match input {
+                Input::Propose { ticket, .. } => out.proposed.push((ticket, Err(NotLeader(None)))),
+                Input::Read { ticket } => out.read.push((ticket, Err(NotLeader(None)))),
+                _ => {}
+            }
+            out.wake_at = Micros::MAX;
+            return;
+        }
+        match input {
+            Input::Tick => {}
+            Input::Message { from, from_disk, message } if from != self.me => {
+                self.message(now, from, from_disk, message, out)
+            }
+            Input::Message { .. } => {}
+            Input::Written { number } => self.written(now, number, out),
+            Input::WriteFailed => {
+                self.follow(now, self.hard.term, None, out);
+                self.role = Role::Out;
+                self.held.clear();
+                out.wake_at = Micros::MAX;
+                return;
+            }
+            Input::Propose { ticket, data } => match self.lead.is_some() {
+                true => {
+                    let index = self.append(Payload::Data(data));
+                    self.lead.as_mut().expect("leads").tickets.insert(index, ticket);
+                }
+                false => out.proposed.push((ticket, Err(NotLeader(self.leader)))),
+            },
+            Input::Read { ticket } => match &mut self.lead {
+                Some(lead) => lead.reads.push((ticket, lead.round + 1)),
+                None => out.read.push((ticket, Err(NotLeader(self.leader)))),
+            },
+            Input::Snapshot { index, data } => {
+                if index <= self.given {
+                    self.log.compact(index, data, self.timing.tail);
+                }
+            }
+            Input::Seeds(seeds) => self.seeds = seeds,
+            Input::Yield => self.hand_over(now, out),
+        }
+        self.timers(now, out);
+        if self.lead.is_some() {
+            self.advance();
+            self.answer_reads(now, out);
+            self.serve(now, out);
+        }
+        self.give(out);
+        self.write(now, out);
+        self.wake(now, out);
+    }
+
+    fn draw(&mut self, (from, to): (Micros, Micros)) -> Micros {
+        self.chance = self.chance.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.chance;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        from + (z ^ (z >> 31)) % (to - from).max(1)
+    }
+
+    // Time
+
+    fn timers(&mut self, now: Micros, out: &mut Output) {
+        if self.lead.is_some() {
+            let slow = self.writing.is_some_and(|(_, began, _)| now >= began + self.timing.disk);
+            if slow {
+                self.hand_over(now, out);
+            } else if !self.hears_majority(now) {
+                self.follow(now, self.hard.term, None, out);
+            }
+            return;
+        }
+        if now < self.due {
+            return;
+        }
+        if self.hard.standing {
+            let busy = self.writing.is_some_and(|(_, began, _)| now >= began + self.timing.election.0 / 2);
+            if busy {
+                self.due = now + self.draw(self.timing.retry);
+            } else {
+                self.campaign(now, true, out);
+            }
+        } else {
+            self.due = now + self.timing.hello;
+            self.leader = None;
+            let mut to: BTreeSet<Member> = self.seeds.iter().copied().collect();
+            to.extend(self.log.roster().1.members.keys());
+            to.remove(&self.me);
+            out.send.extend(to.into_iter().map(|m| (m, Message::Hello)));
+        }
+    }
+
+    fn wake(&self, now: Micros, out: &mut Output) {
+        let mut at = match &self.lead {
+            Some(lead) => lead.beat,
+            None => self.due,
+        };
+        if let (Some(_), Some((_, began, _))) = (&self.lead, &self.writing) {
+            at = at.min(began + self.timing.disk);
+        }
+        out.wake_at = at.max(now);
+    }
+
+    // Who is a majority
+
+    /// The disks that elect and commit beside those of the latest roster, while that is not known to be committed.
+    fn before(&self) -> Option<Roster> {
+        let (index, roster) = self.log.roster();
+        if index <= self.hard.commit {
+            return None;
+        }
+        let mut before = self.log.before()?.clone();
+        for (member, disk) in &mut before.members {
+            if roster.members.get(member).is_some_and(|new| new != disk) {
+                // A number that no disk has: it is one of the old roster and never counts.
+                *disk = Disk::MAX;
+            }
+        }
+        Some(before)
+    }
+
+    /// The highest value that a majority of the roster's disks has.
+    fn majority(&self, roster: &Roster, of: impl Fn(Member, Disk) -> u64) -> u64 {
+        let mut values: Vec<u64> = roster.members.iter().map(|(m, d)| of(*m, *d)).collect();
+        values.sort_unstable();
+        if values.is_empty() { 0 } else { values[(values.len() - 1) / 2] }
+    }
+
+    /// Like [`Ratchet::majority`], of what a leader knows of its members, in the roster that commits now.
+    fn agreed(&self, mine: u64, of: impl Fn(&Peer) -> u64) -> u64 {
+        let Some(lead) = &self.lead else { return 0 };
+        let before = if fault!(self, CountNewcomerEarly) { None } else { self.before() };
+        let roster = before.as_ref().unwrap_or(self.log.roster().1);
+        self.majority(roster, |member, disk| {
+            if member == self.me {
+                return if disk == self.disk { mine } else { 0 };
+            }
+            match lead.peers.get(&member) {
+                Some(p) if p.disk == disk && (p.standing || fault!(self, CountNewcomerEarly)) => of(p),
+                _ => 0,
+            }
+        })
+    }
+
+    fn elected(&self) -> bool {
+        let voted = |m: Member, _| u64::from(self.votes.contains(&m));
+        self.majority(self.log.roster().1, voted) > 0
+            || self.before().is_some_and(|b| {
+                self.majority(&b, |m, d| u64::from(d != Disk::MAX && self.votes.contains(&m))) > 0
+            })
+    }
+
+    /// Whether a majority has answered within an election time.
+    fn hears_majority(&self, now: Micros) -> bool {
+        let Some(lead) = &self.lead else { return false };
+        let limit = self.timing.election.1;
+        let heard = |p: &Peer| u64::from(p.heard.unwrap_or(lead.since) + limit > now);
+        // A member that is not up to counting yet is no reason to give up while it is being waited for.
+        let live = |member: Member, _| match lead.peers.get(&member) {
+            Some(peer) => heard(peer),
+            None => u64::from(member == self.me),
+        };
+        self.majority(self.log.roster().1, live) > 0
+    }
+
+    // Roles
+
+    fn set_term(&mut self, term: u64) {
+        if term > self.hard.term {
+            (self.hard.term, self.hard.vote) = (term, None);
+            self.hard_dirty = true;
+        }
+    }
+
+    /// Becomes a follower in this term, if it is not one yet.
+    fn follow(&mut self, now: Micros, term: u64, leader: Option<Member>, out: &mut Output) {
+        let fresh = term > self.hard.term;
+        self.set_term(term);
+        if self.role != Role::Follower || fresh {
+            (self.verified, self.round, self.owes, self.coming) = (0, 0, false, None);
+            self.due = self.due.max(now + self.draw(self.timing.election));
+        }
+        self.role = Role::Follower;
+        self.leader = leader;
+        if let Some(lead) = self.lead.take() {
+            self.heard = None;
+            self.due = now + self.draw(self.timing.election);
+            out.lost.extend(lead.tickets.into_values());
+            out.read.extend(lead.reads.into_iter().map(|(t, _)| (t, Err(NotLeader(leader)))));
+        }
+    }
+
+    /// A leader of the current or a newer term has spoken.
+    fn hear_leader(&mut self, now: Micros, term: u64, leader: Member, out: &mut Output) {
+        if term > self.hard.term || self.role != Role::Follower || self.leader != Some(leader) {
+            self.follow(now, term, Some(leader), out);
+        }
+        if self.hard.vote.is_none() {
+            // No second vote in this term, not even by one that has just come to stand.
+            self.hard.vote = Some(leader);
+            self.hard_dirty = true;
+        }
+        self.heard = Some(now);
+        self.urged = false;
+        self.due = now + self.draw(self.timing.election);
+    }
+
+    fn campaign(&mut self, now: Micros, pre: bool, out: &mut Output) {
+        self.votes.clear();
+        self.leader = None;
+        self.due = now + self.draw(self.timing.retry);
+        let (last, last_term) = (self.log.last(), self.log.last_term());
+        let term = self.hard.term + 1;
+        let ask = Message::Ask { pre, urged: self.urged, term, last, last_term };
+        if pre {
+            self.role = Role::Asking;
+        } else {
+            self.role = Role::Candidate;
+            self.set_term(term);
+            self.hard.vote = Some(self.me);
+            self.hard_dirty = true;
+            // Counts and is asked for once it is on disk; elections on slow disks get the time they need.
+            self.due = now + self.draw(self.timing.election) / 2;
+        }
+        let mut to: BTreeSet<Member> = self.log.roster().1.members.keys().copied().collect();
+        to.extend(self.before().iter().flat_map(|b| b.members.keys().copied()));
+        to.remove(&self.me);
+        if pre {
+            out.send.extend(to.into_iter().map(|m| (m, ask.clone())));
+            self.voted(now, self.me, out);
+        } else {
+            let number = self.writes + 1;
+            self.held.extend(to.into_iter().map(|m| (number, m, ask.clone())));
+        }
+    }
+
+    fn voted(&mut self, now: Micros, by: Member, out: &mut Output) {
+        self.votes.insert(by);
+        if !self.elected() {
+            return;
+        }
+        match self.role {
+            Role::Asking => self.campaign(now, false, out),
+            Role::Candidate if self.votes.contains(&self.me) => self.win(now),
+            _ => {}
+        }
+    }
+
+    fn win(&mut self, now: Micros) {
+        self.role = Role::Leader;
+        self.leader = Some(self.me);
+        self.urged = false;
+        let next = self.log.last() + 1;
+        let others = self.log.roster().1.members.iter().filter(|(m, _)| **m != self.me);
+        let peers = others.map(|(m, d)| (*m, Peer::new(*d, next, 0))).collect();
+        self.lead = Some(Box::new(Lead {
+            peers,
+            learners: BTreeMap::new(),
+            first: next,
+            round: 0,
+            beat: now,
+            since: now,
+            tickets: BTreeMap::new(),
+            reads: Vec::new(),
+        }));
+        self.append(Payload::Nothing);
+    }
+
+    /// A leader goes, and asks the member that is furthest to take over.
+    fn hand_over(&mut self, now: Micros, out: &mut Output) {
+        let Some(lead) = &self.lead else { return };
+        let limit = now.saturating_sub(self.timing.election.0);
+        let able = lead.peers.iter().filter(|(_, p)| p.standing && p.heard.is_some_and(|at| at >= limit));
+        if let Some((member, _)) = able.max_by_key(|(_, p)| p.matched) {
+            out.send.push((*member, Message::Take { term: self.hard.term }));
+        }
+        self.follow(now, self.hard.term, None, out);
+    }
+
+    // Messages
+
+    fn message(&mut self, now: Micros, from: Member, disk: Disk, message: Message, out: &mut Output) {
+        match message {
+            Message::Hello => self.hello(now, from, disk, out),
+            Message::Leads(leader) => {
+                let lost = !self.hard.standing && self.leader.is_none();
+                if let Some(leader) = leader.filter(|l| lost && *l != self.me && *l != from) {
+                    out.send.push((leader, Message::Hello));
+                }
+            }
+            Message::Ask { pre, urged, term, last, last_term } => {
+                self.asked(now, from, (pre, urged), term, (last_term, last), out)
+            }
+            Message::Vote { pre, term, granted, commit } => {
+                if !granted && term > self.hard.term {
+                    self.follow(now, term, None, out);
+                    return;
+                }
+                let wanted = match self.role {
+                    Role::Asking => pre && term == self.hard.term + 1,
+                    Role::Candidate => !pre && term == self.hard.term,
+                    _ => false,
+                };
+                let (_, roster) = self.log.roster();
+                let named = roster.names(from, disk) || self.before().is_some_and(|b| b.names(from, disk));
+                if granted && wanted && named {
+                    self.voted(now, from, out);
+                    if self.lead.is_some() {
+                        self.learn_commit(commit);
+                    }
+                }
+            }
+            Message::Append { term, round, prev, prev_term, commit, entries } => {
+                if term < self.hard.term {
+                    self.refuse(from, round, out);
+                } else if self.lead.is_none() {
+                    self.hear_leader(now, term, from, out);
+                    self.appended(from, round, (prev, prev_term), commit, entries, out);
+                }
+            }
+            Message::Part { term, round, .. } if term < self.hard.term => self.refuse(from, round, out),
+            Message::Part { .. } if self.lead.is_some() => {}
+            Message::Part { term, round, index, index_term, roster, roster_index, total, offset, bytes } => {
+                self.hear_leader(now, term, from, out);
+                self.round = round;
+                let new = Snapshot { index, term: index_term, roster, roster_index, data: Vec::new() };
+                self.part(from, new, total, offset, &bytes, out);
+            }
+            Message::Ack { term, .. } | Message::Got { term, .. } if term > self.hard.term => {
+                self.follow(now, term, None, out)
+            }
+            Message::Ack { term, round, fits, matched, commit, standing } => {
+                if term == self.hard.term && self.lead.is_some() {
+                    self.acked(now, (from, disk), round, fits, matched, standing, out);
+                    self.learn_commit(commit);
+                }
+            }
+            Message::Got { term, round, index, offset } => {
+                if term == self.hard.term
+                    && let Some(peer) = self.peer(from, disk)
+                {
+                    peer.heard = Some(now);
+                    peer.round = peer.round.max(round);
+                    if let Some((i, at, sent)) = &mut peer.sending
+                        && *i == index
+                        && *at != offset
+                    {
+                        (*at, *sent) = (offset, 0);
+                    }
+                }
+            }
+            Message::Take { term } => {
+                if term == self.hard.term && self.leader == Some(from) && self.hard.standing {
+                    self.urged = true;
+                    self.campaign(now, true, out);
+                }
+            }
+        }
+    }
+
+    /// Tells one that leads in an old term of the new one, once that is on disk.
+    fn refuse(&mut self, from: Member, round: u64, out: &mut Output) {
+        let message = Message::Ack {
+            term: self.hard.term,
+            round,
+            fits: false,
+            matched: self.log.last(),
+            commit: self.hard.commit,
+            standing: false,
+        };
+        if self.safe.0 == self.hard.term {
+            out.send.push((from, message));
+        }
+    }
+
+    fn hello(&mut self, now: Micros, from: Member, disk: Disk, out: &mut Output) {
+        let (_, roster) = self.log.roster();
+        let (named, full) = (roster.names(from, disk), roster.members.len() >= MAX_MEMBERS);
+        let member = roster.members.contains_key(&from);
+        let next = self.log.last() + 1;
+        let Some(lead) = &mut self.lead else {
+            out.send.push((from, Message::Leads(self.leader)));
+            return;
+        };
+        let known = lead.learners.get(&from).is_some_and(|p| p.disk == disk);
+        if disk == 0 || named || known || (full && !member) {
+            return;
+        }
+        // Only answers to what is sent from now on show that the machine has this disk after the one in the roster.
+        let peer = Peer { heard: Some(now), ..Peer::new(disk, next, lead.round + 1) };
+        lead.learners.insert(from, peer);
+        lead.beat = now;
+    }
+
+    fn asked(
+        &mut self,
+        now: Micros,
+        from: Member,
+        (pre, urged): (bool, bool),
+        term: u64,
+        end: (u64, u64),
+        out: &mut Output,
+    ) {
+        if !self.hard.standing {
+            return;
+        }
+        let window = self.timing.election.0.saturating_sub(self.timing.heartbeat);
+        let live = self.lead.is_some() || self.heard.is_some_and(|at| now < at + window);
+        let live = live && !urged;
+        if !pre && !live && term > self.hard.term {
+            self.follow(now, term, None, out);
+        }
+        let new_enough = end >= (self.log.last_term(), self.log.last());
+        let free = match pre {
+            true => term > self.hard.term,
+            false => term == self.hard.term && self.hard.vote.is_none_or(|v| v == from) && self.lead.is_none(),
+        };
+        let granted = !live && new_enough && free;
+        let told = if granted { term } else { self.hard.term };
+        let answer = Message::Vote { pre, term: told, granted, commit: self.hard.commit };
+        if granted && !pre {
+            if self.hard.vote.is_none() {
+                self.hard.vote = Some(from);
+                self.hard_dirty = true;
+            }
+            self.due = now + self.draw(self.timing.election);
+        }
+        if self.safe_vote() || pre && self.safe.0 == self.hard.term {
+            out.send.push((from, answer));
+        } else {
+            self.held.push((self.writes + 1, from, answer));
+        }
+    }
+
+    /// Whether all that a vote says is on disk.
+    fn safe_vote(&self) -> bool {
+        !self.hard_dirty && self.writing.is_none_or(|(_, _, safe)| safe == self.safe) && self.held.is_empty()
+    }
+
+    fn appended(
+        &mut self,
+        from: Member,
+        round: u64,
+        (prev, prev_term): (u64, u64),
+        commit: u64,
+        entries: Vec<Entry>,
+        out: &mut Output,
+    ) {
+        self.round = self.round.max(round);
+        let known = prev <= self.hard.commit || self.log.term(prev) == Some(prev_term);
+        if !known {
+            // Where to try next: an entry whose term is not newer than the leader's at that place.
+            let mut hint = self.log.last().min(prev.saturating_sub(1));
+            while hint > self.hard.commit && self.log.term(hint).is_some_and(|t| t > prev_term) {
+                hint -= 1;
+            }
+            self.ack(from, false, hint, out);
+            return;
+        }
+        let end = prev + entries.len() as u64;
+        let carries = !entries.is_empty();
+        for entry in entries {
+            if entry.index <= self.hard.commit || self.log.term(entry.index) == Some(entry.term) {
+                continue;
+            }
+            if entry.index <= self.log.last() {
+                self.log.truncate(entry.index);
+            }
+            self.log.push(entry);
+        }
+        self.verified = self.verified.max(end).max(self.hard.commit);
+        self.learn_commit(commit.min(self.verified));
+        if carries && self.log.synced < self.verified && !fault!(self, AckBeforeSync) {
+            self.owes = true;
+        } else {
+            self.ack(from, true, 0, out);
+        }
+    }
+
+    /// Answers the leader, as far as it is on disk; later if not even the term is.
+    fn ack(&mut self, to: Member, fits: bool, hint: u64, out: &mut Output) {
+        if self.safe.0 != self.hard.term && !fault!(self, AckBeforeSync) {
+            self.owes = true;
+            return;
+        }
+        let synced = if fault!(self, AckBeforeSync) { self.log.last() } else { self.log.synced };
+        out.send.push((
+            to,
+            Message::Ack {
+                term: self.hard.term,
+                round: self.round,
+                fits,
+                matched: if fits { self.verified.min(synced) } else { hint },
+                commit: self.hard.commit,
+                standing: self.safe.1,
+            },
+        ));
+    }
+
+    fn part(
+        &mut self,
+        from: Member,
+        new: Snapshot,
+        total: u64,
+        offset: u64,
+        bytes: &[u8],
+        out: &mut Output,
+    ) {
+        let index = new.index;
+        if index <= self.hard.commit {
+            // It is known already: go on with entries.
+            self.verified = self.verified.max(index);
+            self.coming = None;
+            self.ack(from, true, 0, out);
+            return;
+        }
+        if self.coming.as_ref().is_none_or(|c| (c.index, c.term) != (new.index, new.term)) {
+            self.coming = Some(new);
+        }
+        let coming = self.coming.as_mut().expect("just made");
+        if coming.data.len() as u64 == offset {
+            coming.data.extend_from_slice(bytes);
+        }
+        let offset = coming.data.len() as u64;
+        if offset < total {
+            if self.safe.0 == self.hard.term {
+                let (term, round) = (self.hard.term, self.round);
+                out.send.push((from, Message::Got { term, round, index, offset }));
+            }
+            return;
+        }
+        let snapshot = Arc::new(self.coming.take().expect("whole"));
+        self.log.install(snapshot.clone());
+        self.verified = index;
+        self.given = index;
+        out.committed.clear();
+        out.installed = Some(snapshot);
+        self.learn_commit(index);
+        self.owes = true;
+    }
+
+    // The leader
+
+    fn append(&mut self, payload: Payload) -> u64 {
+        let index = self.log.last() + 1;
+        self.log.push(Entry { term: self.hard.term, index, payload });
+        index
+    }
+
+    fn peer(&mut self, member: Member, disk: Disk) -> Option<&mut Peer> {
+        let lead = self.lead.as_mut()?;
+        let learner = lead.learners.get_mut(&member).filter(|p| p.disk == disk);
+        learner.or_else(|| lead.peers.get_mut(&member).filter(|p| p.disk == disk))
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn acked(
+        &mut self,
+        now: Micros,
+        (from, disk): (Member, Disk),
+        round: u64,
+        fits: bool,
+        matched: u64,
+        standing: bool,
+        out: &mut Output,
+    ) {
+        let (last, base, commit) = (self.log.last(), self.log.base(), self.hard.commit);
+        let (roster_index, roster) = self.log.roster();
+        let mut roster = roster.clone();
+        let Some(peer) = self.peer(from, disk) else { return };
+        peer.heard = Some(now);
+        peer.round = peer.round.max(round);
+        peer.standing |= standing;
+        if !fits {
+            // An answer that was overtaken says nothing; the next message finds out.
+            if matched < peer.next && peer.sending.is_none() {
+                peer.next = matched.max(peer.matched) + 1;
+                peer.probing = true;
+                self.send_to(now, from, disk, true, out);
+            }
+            return;
+        }
+        peer.matched = peer.matched.max(matched.min(last));
+        peer.next = peer.next.max(peer.matched + 1);
+        peer.probing = false;
+        if peer.sending.is_some_and(|(index, ..)| peer.matched >= index) {
+            peer.sending = None;
+        }
+        let near = peer.matched >= base && peer.matched + CAUGHT_UP >= last && peer.round >= peer.since;
+        let lead = self.lead.as_mut().expect("leads");
+        let learner = lead.learners.contains_key(&from);
+        if learner && near && commit >= lead.first && roster_index <= commit {
+            let peer = lead.learners.remove(&from).expect("there");
+            lead.peers.insert(from, peer);
+            roster.members.insert(from, disk);
+            self.append(Payload::Roster(roster));
+        }
+    }
+
+    /// A leader commits what a majority has on disk.
+    fn advance(&mut self) {
+        loop {
+            let commit = self.hard.commit;
+            let mut to = self.agreed(self.log.synced, |p| p.matched);
+            if to <= commit || self.log.term(to) != Some(self.hard.term) {
+                return;
+            }
+            let (roster, _) = self.log.roster();
+            if roster > commit {
+                // What is after a roster needs that roster's majority.
+                to = to.min(roster);
+            }
+            self.learn_commit(to);
+        }
+    }
+
+    fn learn_commit(&mut self, to: u64) {
+        let to = to.min(self.log.last());
+        if to <= self.hard.commit {
+            return;
+        }
+        self.hard.commit = to;
+        let (index, roster) = self.log.roster();
+        // The latest roster may still be open; the one before it then is not, or this one would not be there.
+        let named = match index <= to {
+            true => roster.names(self.me, self.disk),
+            false => self.log.before().is_some_and(|b| b.names(self.me, self.disk)),
+        };
+        if named != self.hard.standing {
+            self.hard.standing = named;
+            self.hard_dirty = true;
+        }
+    }
+
+    fn answer_reads(&mut self, now: Micros, out: &mut Output) {
+        let confirmed = self.agreed(u64::MAX, |p| p.round);
+        let commit = self.hard.commit;
+        let Some(lead) = &mut self.lead else { return };
+        if lead.reads.is_empty() || commit < lead.first {
+            return;
+        }
+        lead.reads.retain(|(ticket, round)| {
+            let done = *round <= confirmed;
+            if done {
+                out.read.push((*ticket, Ok(commit)));
+            }
+            !done
+        });
+        // One round at a time: reads that come meanwhile share the next.
+        if !lead.reads.is_empty() && confirmed >= lead.round {
+            lead.beat = now;
+        }
+    }
+
+    fn serve(&mut self, now: Micros, out: &mut Output) {
+        let Some(lead) = &mut self.lead else { return };
+        lead.learners.retain(|_, p| p.heard.is_some_and(|at| now < at + LEARNER_SILENCE));
+        let beat = now >= lead.beat;
+        if beat {
+            lead.round += 1;
+            lead.beat = now + self.timing.heartbeat;
+        }
+        let peers = lead.peers.iter().chain(&lead.learners).map(|(m, p)| (*m, p.disk));
+        for (member, disk) in peers.collect::<Vec<_>>() {
+            self.send_to(now, member, disk, beat, out);
+        }
+    }
+
+    /// Sends what this disk lacks, and at a beat something in any case.
+    fn send_to(&mut self, now: Micros, member: Member, disk: Disk, beat: bool, out: &mut Output) {
+        let (term, commit, last) = (self.hard.term, self.hard.commit, self.log.last());
+        let Some(lead) = &mut self.lead else { return };
+        let round = lead.round;
+        let found = lead.learners.get_mut(&member).filter(|p| p.disk == disk);
+        let Some(peer) = found.or_else(|| lead.peers.get_mut(&member).filter(|p| p.disk == disk)) else {
+            return;
+        };
+        if peer.next <= self.log.base() {
+            let snapshot = self.log.snapshot.clone();
+            let (at, sent) = match peer.sending {
+                Some((index, at, sent)) if index == snapshot.index => (at, sent),
+                _ => (0, 0),
+            };
+            let total = snapshot.data.len() as u64;
+            // A part that got lost is sent again, but not while a slow link still carries it.
+            let there = peer.heard.is_some_and(|at| now < at + self.timing.election.1);
+            if there && (sent == 0 || beat && now >= sent + self.timing.election.0) {
+                let end = (at as usize + PART_BYTES).min(snapshot.data.len());
+                let bytes = snapshot.data.get(at as usize..end).unwrap_or_default().to_vec();
+                peer.sending = Some((snapshot.index, at, now));
+                let part = Message::Part {
+                    term,
+                    round,
+                    index: snapshot.index,
+                    index_term: snapshot.term,
+                    roster: snapshot.roster.clone(),
+                    roster_index: snapshot.roster_index,
+                    total,
+                    offset: at,
+                    bytes,
+                };
+                out.send.push((member, part));
+                return;
+            }
+            if !beat {
+                return;
+            }
+            // Keeps it from campaigning meanwhile; fits where its log does.
+            let prev = self.log.base();
+            let prev_term = self.log.term(prev).unwrap_or_default();
+            let entries = Vec::new();
+            out.send.push((member, Message::Append { term, round, prev, prev_term, commit, entries }));
+            return;
+        }
+        let mut entries = Vec::new();
+        let mut bytes = 0;
+        // What comes while a batch is on its way goes together with the next.
+        let under_way = !peer.probing && peer.next - 1 > peer.matched;
+        if under_way && !beat && last - (peer.next - 1) < FULL {
+            return;
+        }
+        let room = WINDOW.saturating_sub(peer.next - 1 - peer.matched.min(peer.next - 1));
+        if !peer.probing || beat {
+            let room = if peer.probing { room.min(1) } else { room };
+            while (entries.len() as u64) < room && bytes < BATCH_BYTES {
+                let Some(entry) = self.log.get(peer.next + entries.len() as u64) else { break };
+                bytes += 32 + if let Payload::Data(data) = &entry.payload { data.len() } else { 64 };
+                entries.push(entry.clone());
+            }
+        }
+        if entries.is_empty() && !beat {
+            return;
+        }
+        let prev = peer.next - 1;
+        let prev_term = self.log.term(prev).unwrap_or_default();
+        if !peer.probing {
+            peer.next += entries.len() as u64;
+        }
+        debug_assert!(peer.next <= last + 1);
+        out.send.push((member, Message::Append { term, round, prev, prev_term, commit, entries }));
+    }
+
+    // Out
+
+    fn give(&mut self, out: &mut Output) {
+        while self.given < self.hard.commit {
+            let Some(entry) = self.log.get(self.given + 1) else { break };
+            self.given += 1;
+            out.committed.push(entry.clone());
+        }
+        if let Some(lead) = &mut self.lead {
+            while let Some(first) = lead.tickets.first_entry() {
+                if *first.key() > self.given {
+                    break;
+                }
+                let (index, ticket) = first.remove_entry();
+                out.proposed.push((ticket, Ok(index)));
+            }
+        }
+    }
+
+    fn write(&mut self, now: Micros, out: &mut Output) {
+        if self.writing.is_some() || !(self.hard_dirty || self.log.is_dirty()) {
+            return;
+        }
+        self.writes += 1;
+        self.hard_dirty = false;
+        #[allow(unused_mut)]
+        let mut hard = self.hard.clone();
+        if fault!(self, ForgetVote) {
+            hard.vote = None;
+        }
+        self.writing = Some((self.writes, now, (hard.term, hard.standing, self.hard.vote)));
+        out.write = Some(self.log.write(self.writes, hard));
+    }
+
+    fn written(&mut self, now: Micros, number: u64, out: &mut Output) {
+        match self.writing {
+            Some((n, _, safe)) if n == number => self.safe = safe,
+            _ => return,
+        }
+        self.writing = None;
+        self.log.written();
+        for (_, to, message) in self.held.extract_if(.., |(n, ..)| *n <= number) {
+            out.send.push((to, message));
+        }
+        if self.role == Role::Candidate && self.safe.0 == self.hard.term && self.hard.vote == Some(self.me) {
+            self.voted(now, self.me, out);
+        }
+        if let (true, Role::Follower, Some(leader)) = (self.owes, self.role, self.leader) {
+            self.owes = self.log.synced < self.verified;
+            self.ack(leader, true, 0, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ratchet/src/disk.rs
@@ -0,0 +1,260 @@
+//! What a member keeps on disk, on `redb`: one write is one transaction, synced before it returns. It never starts
+//! afresh in place of a store that cannot be read: every such error names the file and what is wrong with it.
+
+use crate::{Disk, Entry, Hard, Member, Saved, Snapshot, Write};
+use redb::backends::FileBackend;
+use redb::{Builder, Database, Durability, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition};
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+/// The form of the tables below. A store of another one is refused.
+pub const FORMAT: u32 = 1;
+const FILE: &str = "ratchet.redb";
+const LOCK: &str = "ratchet.lock";
+const CACHE_BYTES: usize = 1 << 20;
+const META: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
+const LOG: TableDefinition<u64, &[u8]> = TableDefinition::new("log");
+
+/// Whose store it is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Owner {
+    format: u32,
+    member: Member,
+    disk: Disk,
+}
+
+/// What is wrong with a store: the file, and what of it.
+#[derive(Debug)]
+pub struct DiskError {
+    pub file: PathBuf,
+    pub what: String,
+    /// The system gives no more room: nothing is lost, and it may get better.
+    pub full: bool,
+}
+
+impl fmt::Display for DiskError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.file.display(), self.what)
+    }
+}
+
+impl std::error::Error for DiskError {}
+
+pub struct Store {
+    db: Database,
+    file: PathBuf,
+    disk: Disk,
+    /// Open in one process at a time; the system lets go of it when the process ends, however it ends.
+    _lock: Option<std::fs::File>,
+}
+
+impl Store {
+    /// Opens the store in `dir`. Where there is none, makes one of what `fresh` says: the disk's number and what is on
+    /// it at first ([`Saved::founding`] or [`Saved::blank`]).
+    pub fn open(
+        dir: &Path,
+        member: Member,
+        fresh: impl FnOnce() -> (Disk, Saved),
+    ) -> Result<(Store, Saved), DiskError> {
+        let file = dir.join(FILE);
+        let bad = |what: String| DiskError { file: file.clone(), what, full: false };
+        std::fs::create_dir_all(dir).map_err(|e| DiskError {
+            file: dir.to_path_buf(),
+            what: format!("cannot make the folder: {e}"),
+            full: false,
+        })?;
+        let lock = std::fs::File::create(dir.join(LOCK))
+            .map_err(|e| bad(format!("cannot make {LOCK} beside it: {e}")))?;
+        lock.try_lock().map_err(|_| bad("is in use by another process".into()))?;
+        let made = !file.exists();
+        let open =
+            std::fs::OpenOptions::new().read(true).write(true).create(true).truncate(false).open(&file);
+        let handle = open.map_err(|e| bad(format!("cannot open for writing: {e}")))?;
+        let length = handle.metadata().map_err(|e| bad(e.to_string()))?.len();
+        if !made && length == 0 {
+            return Err(
+                bad("is empty: its content was lost; move it away to come back as a new disk".into()),
+            );
+        }
+        let backend = FileBackend::new(handle).map_err(|e| bad(opening(&e)))?;
+        let (mut store, saved) = Store::on(backend, file.clone(), member, fresh, made)?;
+        if made {
+            // The file's name, too, has to outlive a loss of power.
+            let synced = std::fs::File::open(dir).and_then(|d| d.sync_all());
+            synced.map_err(|e| bad(format!("cannot sync its folder: {e}")))?;
+        }
+        store._lock = Some(lock);
+        Ok((store, saved))
+    }
+
+    /// On any backend, for tests that lose what was not synced.
+    pub fn on_backend(
+        backend: impl StorageBackend,
+        member: Member,
+        fresh: impl FnOnce() -> (Disk, Saved),
+    ) -> Result<(Store, Saved), DiskError> {
+        let made = backend.len().is_ok_and(|n| n == 0);
+        Store::on(backend, PathBuf::from("(memory)"), member, fresh, made)
+    }
+
+    fn on(
+        backend: impl StorageBackend,
+        file: PathBuf,
+        member: Member,
+        fresh: impl FnOnce() -> (Disk, Saved),
+        made: bool,
+    ) -> Result<(Store, Saved), DiskError> {
+        let db = Builder::new().set_cache_size(CACHE_BYTES).create_with_backend(backend);
+        let db = db.map_err(|e| DiskError { file: file.clone(), what: opening(&e), full: false })?;
+        let mut store = Store { db, file, disk: 0, _lock: None };
+        match store.meta::<Owner>("owner")? {
+            Some(found) if found.format != FORMAT => {
+                let what = format!("has form {}, this program reads form {FORMAT}", found.format);
+                return Err(store.bad(what));
+            }
+            Some(found) if found.member != member => {
+                return Err(store.bad(format!("belongs to {}, not to {member}", found.member)));
+            }
+            Some(found) => store.disk = found.disk,
+            // A process that died between making the file and its first sync left nothing that was promised.
+            None if made || store.nothing()? => {
+                let (disk, saved) = fresh();
+                store.disk = disk;
+                let owner = sealed(&Owner { format: FORMAT, member, disk });
+                store.transact(|t| {
+                    t.open_table(LOG)?;
+                    let mut meta = t.open_table(META)?;
+                    meta.insert("owner", owner.as_slice())?;
+                    meta.insert("hard", sealed(&saved.hard).as_slice())?;
+                    meta.insert("snapshot", sealed(&*saved.snapshot).as_slice())?;
+                    meta.insert("base", sealed(&saved.base).as_slice())?;
+                    Ok(())
+                })?;
+            }
+            None => return Err(store.bad("has no owner: not a store of this program".into())),
+        }
+        let saved = store.load()?;
+        Ok((store, saved))
+    }
+
+    /// The number of the disk, given when the store was made.
+    pub fn disk(&self) -> Disk {
+        self.disk
+    }
+
+    /// One write, synced when this returns. After an error the store is to be opened again.
+    pub fn write(&self, write: &Write) -> Result<(), DiskError> {
+        self.transact(|t| {
+            let mut meta = t.open_table(META)?;
+            meta.insert("hard", sealed::<Hard>(&write.hard).as_slice())?;
+            if let Some(snapshot) = &write.snapshot {
+                meta.insert("snapshot", sealed::<Snapshot>(snapshot).as_slice())?;
+            }
+            let mut log = t.open_table(LOG)?;
+            if let Some(from) = write.from {
+                log.retain_in(from.., |_, _| false)?;
+                for entry in &write.entries {
+                    log.insert(entry.index, sealed(entry).as_slice())?;
+                }
+            }
+            let first = log.first()?.map(|(index, _)| index.value());
+            if first.is_some_and(|first| first <= write.base.0) {
+                log.retain_in(..=write.base.0, |_, _| false)?;
+            }
+            meta.insert("base", sealed(&write.base).as_slice())?;
+            Ok(())
+        })
+    }
+
+    fn load(&self) -> Result<Saved, DiskError> {
+        let need = |what: &str| self.bad(format!("lacks its {what}"));
+        let hard = self.meta("hard")?.ok_or_else(|| need("votes"))?;
+        let snapshot: Snapshot = self.meta("snapshot")?.ok_or_else(|| need("snapshot"))?;
+        let base: (u64, u64) = self.meta("base")?.ok_or_else(|| need("base"))?;
+        let mut entries: Vec<Entry> = Vec::new();
+        let t = self.db.begin_read().map_err(|e| self.bad(e.to_string()))?;
+        let log = t.open_table(LOG).map_err(|e| self.bad(e.to_string()))?;
+        for row in log.iter().map_err(|e| self.bad(e.to_string()))? {
+            let (index, bytes) = row.map_err(|e| self.bad(e.to_string()))?;
+            let index = index.value();
+            let entry: Entry = unsealed(bytes.value())
+                .map_err(|e| self.bad(format!("entry {index} of the log cannot be read: {e}")))?;
+            if entry.index != index || index != base.0 + 1 + entries.len() as u64 {
+                return Err(self.bad(format!("the log has a gap before entry {index}")));
+            }
+            entries.push(entry);
+        }
+        if base.0 > snapshot.index || base.0 + (entries.len() as u64) < snapshot.index {
+            return Err(self.bad(format!("the log does not reach its snapshot {}", snapshot.index)));
+        }
+        Ok(Saved { hard, snapshot: Arc::new(snapshot), base, entries })
+    }
+
+    fn nothing(&self) -> Result<bool, DiskError> {
+        let t = self.db.begin_read().map_err(|e| self.bad(e.to_string()))?;
+        let tables = t.list_tables().map_err(|e| self.bad(e.to_string()))?;
+        Ok(tables.count() == 0)
+    }
+
+    fn bad(&self, what: String) -> DiskError {
+        DiskError { file: self.file.clone(), what, full: false }
+    }
+
+    fn meta<T: for<'a> Deserialize<'a>>(&self, key: &str) -> Result<Option<T>, DiskError> {
+        let t = self.db.begin_read().map_err(|e| self.bad(e.to_string()))?;
+        let table = match t.open_table(META) {
+            Ok(table) => table,
+            Err(redb::TableError::TableDoesNotExist(_)) => return Ok(None),
+            Err(e) => return Err(self.bad(e.to_string())),
+        };
+        let found = table.get(key).map_err(|e| self.bad(e.to_string()))?;
+        let read =
+            found.map(|v| unsealed(v.value()).map_err(|e| self.bad(format!("{key} cannot be read: {e}"))));
+        read.transpose()
+    }
+
+    fn transact(
+        &self,
+        work: impl FnOnce(&redb::WriteTransaction) -> Result<(), redb::Error>,
+    ) -> Result<(), DiskError> {
+        let run = || -> Result<(), redb::Error> {
+            let mut t = self.db.begin_write()?;
+            t.set_durability(Durability::Immediate)?;
+            work(&t)?;
+            t.commit()?;
+            Ok(())
+        };
+        run().map_err(|e| {
+            let full = matches!(&e, redb::Error::Io(io) if io.kind() == io::ErrorKind::StorageFull);
+            DiskError { file: self.file.clone(), what: format!("cannot write: {e}"), full }
+        })
+    }
+}
+
+/// The value with its check sum in front.
+fn sealed<T: Serialize>(value: &T) -> Vec<u8> {
+    let bytes = postcard::to_extend(value, vec![0; 4]).expect("plain data");
+    let mut bytes: Vec<u8> = bytes;
+    let sum = crc32fast::hash(&bytes[4..]);
+    bytes[..4].copy_from_slice(&sum.to_le_bytes());
+    bytes
+}
+
+fn unsealed<T: for<'a> Deserialize<'a>>(bytes: &[u8]) -> Result<T, String> {
+    let (sum, bytes) = bytes.split_first_chunk::<4>().ok_or("too short")?;
+    if crc32fast::hash(bytes).to_le_bytes() != *sum {
+        return Err("its check sum is wrong".into());
+    }
+    postcard::from_bytes(bytes).map_err(|e| e.to_string())
+}
+
+fn opening(e: &redb::DatabaseError) -> String {
+    match e {
+        redb::DatabaseError::DatabaseAlreadyOpen => "is in use by another process".into(),
+        redb::DatabaseError::UpgradeRequired(v) => format!("is in an older form ({v}) of the store"),
+        e => format!("cannot be read: {e}; restore it, or move it away to come back as a new disk"),
+    }
+}
--- /dev/null
+++ b/crates/ratchet/src/sim.rs
@@ -0,0 +1,612 @@
+//! A group of members in simulated time, with all that can go wrong, and a judge of what they do.
+
+use crate::core::Fault;
+use crate::{
+    Disk, Entry, Input, Member, Message, Micros, Output, Payload, Ratchet, Role, Saved, Timing, Write, decode,
+    encode,
+};
+use fastrand::Rng;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+
+const MS: Micros = 1000;
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Deliver { to: usize, from: usize, bytes: Vec<u8> },
+    Synced { node: usize, life: u64, number: u64 },
+    Wake { node: usize, life: u64 },
+    Start { node: usize, life: u64 },
+    Client,
+    Trouble,
+    Trap { leader: usize },
+    Thaw { node: usize },
+}
+
+struct Node {
+    /// Counts starts and ends, so that what was meant for an earlier run goes nowhere.
+    life: u64,
+    disk: Disk,
+    saved: Saved,
+    ratchet: Option<Ratchet>,
+    write: Option<(Write, bool)>,
+    hung: bool,
+    sync: (Micros, Micros),
+    applied: u64,
+    state: Vec<u64>,
+    wiped: bool,
+    wake: Micros,
+}
+
+struct Sim {
+    rng: Rng,
+    now: Micros,
+    seq: u64,
+    queue: BinaryHeap<Reverse<(Micros, u64, Event)>>,
+    nodes: Vec<Node>,
+    founders: usize,
+    cuts: BTreeSet<(usize, usize)>,
+    rough: bool,
+    calm: bool,
+    timing: Timing,
+    fault: Option<Fault>,
+    /// Sudden ends right after a vote.
+    jumpy: bool,
+    judge: Judge,
+    wrong: Option<String>,
+    ticket: u64,
+    /// Reads under way, and the highest entry that was acknowledged when each came.
+    reads: BTreeMap<(usize, u64), u64>,
+    seen: Seen,
+}
+
+#[derive(Default)]
+struct Judge {
+    leaders: BTreeMap<u64, usize>,
+    committed: BTreeMap<u64, Entry>,
+    acked: BTreeSet<u64>,
+    acked_to: u64,
+}
+
+/// That the schedules reach what they are for.
+#[derive(Clone, Copy, Debug, Default)]
+struct Seen {
+    leaders: usize,
+    committed: u64,
+    acked: usize,
+    reads: usize,
+    lost: usize,
+    wiped: usize,
+    installed: usize,
+    rosters: usize,
+}
+
+fn member(node: usize) -> Member {
+    Member::new(10, 0, 0, node as u8 + 1)
+}
+
+impl Sim {
+    fn new(seed: u64, fault: Option<Fault>) -> Sim {
+        let mut rng = Rng::with_seed(seed);
+        let (founders, extra) = [(3, 0), (3, 0), (3, 1), (5, 0), (3, 2)][rng.usize(..5)];
+        let timing = match rng.u8(..3) {
+            0 => Timing { tail: 8, ..Timing::default() },
+            1 => Timing { tail: 3, election: (300 * MS, 340 * MS), ..Timing::default() },
+            _ => Timing { tail: 20, election: (200 * MS, 210 * MS), heartbeat: 50 * MS, ..Timing::default() },
+        };
+        let jumpy = rng.bool();
+        let mut sim = Sim {
+            rng,
+            now: 0,
+            seq: 0,
+            queue: BinaryHeap::new(),
+            nodes: Vec::new(),
+            founders,
+            cuts: BTreeSet::new(),
+            rough: false,
+            calm: false,
+            timing,
+            fault,
+            jumpy,
+            judge: Judge::default(),
+            wrong: None,
+            ticket: 0,
+            reads: BTreeMap::new(),
+            seen: Seen::default(),
+        };
+        for node in 0..founders + extra {
+            let founder = node < founders;
+            let disk = if founder { 0 } else { 1000 + node as u64 };
+            let saved = if founder { sim.founding() } else { Saved::blank() };
+            sim.nodes.push(Node {
+                life: 0,
+                disk,
+                saved,
+                ratchet: None,
+                write: None,
+                hung: false,
+                sync: (MS, 3 * MS),
+                applied: 0,
+                state: Vec::new(),
+                wiped: !founder,
+                wake: Micros::MAX,
+            });
+            let at = sim.rng.u64(..if founder { 50 } else { 3000 }) * MS;
+            sim.at(at, Event::Start { node, life: 0 });
+        }
+        sim.at(100 * MS, Event::Client);
+        sim.at(900 * MS, Event::Trouble);
+        sim
+    }
+
+    fn founding(&self) -> Saved {
+        Saved::founding((0..self.founders).map(member))
+    }
+
+    fn at(&mut self, at: Micros, event: Event) {
+        self.seq += 1;
+        self.queue.push(Reverse((at, self.seq, event)));
+    }
+
+    fn run(&mut self, until: Micros) {
+        while self.wrong.is_none() {
+            match self.queue.peek() {
+                Some(Reverse((at, ..))) if *at <= until => {}
+                _ => break,
+            }
+            let Reverse((at, _, event)) = self.queue.pop().expect("seen");
+            self.now = at;
+            self.step(event);
+        }
+        self.now = until;
+    }
+
+    fn step(&mut self, event: Event) {
+        match event {
+            Event::Deliver { to, from, bytes } => {
+                if !self.cuts.contains(&(from, to)) {
+                    let (from_disk, message) = decode(&bytes).expect("as it was sent");
+                    self.input(to, Input::Message { from: member(from), from_disk, message });
+                }
+            }
+            Event::Synced { node, life, number } => {
+                let n = &mut self.nodes[node];
+                if n.life != life || n.write.as_ref().is_none_or(|(w, _)| w.number != number) {
+                    return;
+                }
+                if n.hung {
+                    n.write.as_mut().expect("there").1 = true;
+                    return;
+                }
+                let (write, _) = n.write.take().expect("there");
+                write.apply(&mut n.saved);
+                self.input(node, Input::Written { number });
+            }
+            Event::Wake { node, life } => {
+                if self.nodes[node].life == life && self.nodes[node].wake <= self.now {
+                    self.nodes[node].wake = Micros::MAX;
+                    self.input(node, Input::Tick);
+                }
+            }
+            Event::Start { node, life } => self.start(node, life),
+            Event::Client => self.client(),
+            Event::Trouble if self.calm => {}
+            Event::Trouble => self.trouble(),
+            Event::Trap { leader } => self.trap(leader),
+            Event::Thaw { node } => {
+                let n = &mut self.nodes[node];
+                (n.hung, n.sync) = (false, (MS, 3 * MS));
+                let life = n.life;
+                if let Some((write, true)) = &n.write {
+                    let number = write.number;
+                    self.at(self.now + MS, Event::Synced { node, life, number });
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, node: usize, life: u64) {
+        let founding = self.founding();
+        let seed = self.rng.u64(..);
+        let now = self.now;
+        let n = &mut self.nodes[node];
+        if n.life != life || n.ratchet.is_some() {
+            return;
+        }
+        if n.saved == Saved::blank() && self.fault == Some(Fault::WipedVotes) && node < self.founders {
+            (n.saved, n.disk) = (founding, 0);
+        }
+        n.life += 1;
+        n.wake = Micros::MAX;
+        n.applied = n.saved.snapshot.index;
+        n.state = unpack(&n.saved.snapshot.data);
+        let mut ratchet = Ratchet::new(member(node), n.disk, n.saved.clone(), seed, self.timing, now);
+        ratchet.fault = self.fault;
+        n.ratchet = Some(ratchet);
+        let seeds = (0..self.founders).map(member).collect();
+        self.input(node, Input::Seeds(seeds));
+    }
+
+    /// The process ends; a write under way is on disk as a whole or not at all.
+    fn end(&mut self, node: usize) {
+        let kept = self.rng.bool();
+        let n = &mut self.nodes[node];
+        n.life += 1;
+        n.ratchet = None;
+        if let Some((write, _)) = n.write.take()
+            && kept
+            && !n.hung
+        {
+            write.apply(&mut n.saved);
+        }
+        self.reads.retain(|(at, _), _| *at != node);
+    }
+
+    fn restart(&mut self, node: usize, from: Micros, to: Micros) {
+        self.end(node);
+        let at = self.now + self.rng.u64(from..=to);
+        let life = self.nodes[node].life;
+        self.at(at, Event::Start { node, life });
+    }
+
+    /// Loses a disk, if the group can bear that now.
+    fn wipe(&mut self, node: usize) {
+        let in_group = |n: &Node| !n.wiped || n.ratchet.as_ref().is_some_and(|r| r.standing());
+        let group = self.nodes.iter().filter(|n| !n.wiped || in_group(n)).count();
+        let others = (0..self.nodes.len()).filter(|o| *o != node);
+        let back = others.map(|o| &self.nodes[o]).all(|n| {
+            n.ratchet.as_ref().is_some_and(|r| r.role() != Role::Out && r.standing())
+                || (n.wiped && n.disk >= 1000 && n.disk < 2000)
+        });
+        if !back || group < 3 || !in_group(&self.nodes[node]) {
+            return;
+        }
+        self.restart(node, 0, 400 * MS);
+        self.seen.wiped += 1;
+        let disk = self.rng.u64(2000..);
+        let n = &mut self.nodes[node];
+        (n.saved, n.disk, n.wiped) = (Saved::blank(), disk, true);
+    }
+
+    fn input(&mut self, node: usize, input: Input) {
+        let now = self.now;
+        let tail = self.timing.tail;
+        let mut out = Output::default();
+        let n = &mut self.nodes[node];
+        let Some(ratchet) = &mut n.ratchet else { return };
+        ratchet.handle(now, input, &mut out);
+        if ratchet.standing() {
+            n.wiped = false;
+        }
+        if ratchet.role() == Role::Leader {
+            let (term, leads) = (ratchet.term(), &mut self.judge.leaders);
+            if *leads.entry(term).or_insert(node) != node {
+                self.wrong = Some(format!("two leaders of term {term}"));
+            }
+        }
+        if let Some(snapshot) = &out.installed {
+            self.seen.installed += 1;
+            let state = unpack(&snapshot.data);
+            let wanted = values(self.judge.committed.range(..=snapshot.index).map(|(_, e)| e));
+            if state != wanted {
+                self.wrong = Some(format!("snapshot {} of node {node} is not what was committed", snapshot.index));
+            }
+            (n.applied, n.state) = (snapshot.index, state);
+        }
+        let mut keep = false;
+        for entry in out.committed {
+            if entry.index != n.applied + 1 {
+                self.wrong = Some(format!("node {node} applies {} after {}", entry.index, n.applied));
+            }
+            n.applied = entry.index;
+            n.state.extend(values(std::iter::once(&entry)));
+            keep |= entry.index % (tail + 17) == 0;
+            self.seen.rosters += usize::from(matches!(entry.payload, Payload::Roster(_)));
+            let index = entry.index;
+            let first = self.judge.committed.entry(index).or_insert_with(|| entry.clone());
+            if *first != entry {
+                self.wrong = Some(format!("node {node} has another entry {index}: {entry:?}, was {first:?}"));
+            }
+        }
+        for (ticket, result) in out.proposed {
+            if let Ok(index) = result {
+                let found = self.judge.committed.get(&index).map(|e| &e.payload);
+                if found != Some(&Payload::Data(ticket.to_le_bytes().to_vec())) {
+                    self.wrong = Some(format!("{ticket} is acknowledged as {index}, where it is not"));
+                }
+                self.judge.acked.insert(ticket);
+                self.judge.acked_to = self.judge.acked_to.max(index);
+            }
+        }
+        for (ticket, result) in out.read {
+            let least = self.reads.remove(&(node, ticket)).expect("asked for");
+            if let Ok(index) = result {
+                self.seen.reads += 1;
+                if index < least {
+                    self.wrong = Some(format!("a read at {index}, {least} was acknowledged before"));
+                }
+            }
+        }
+        self.seen.lost += out.lost.len();
+        let life = n.life;
+        let disk = n.disk;
+        if let Some(write) = out.write {
+            assert!(n.write.is_none(), "one write at a time");
+            let number = write.number;
+            n.write = Some((write, false));
+            let at = now + self.rng.u64(n.sync.0..=n.sync.1);
+            self.at(at, Event::Synced { node, life, number });
+        }
+        let n = &mut self.nodes[node];
+        if out.wake_at < n.wake {
+            n.wake = out.wake_at.max(now + 1);
+            let at = n.wake;
+            self.at(at, Event::Wake { node, life });
+        }
+        let mut voted = false;
+        for (to, message) in out.send {
+            voted |= matches!(message, Message::Vote { pre: false, granted: true, .. });
+            self.send(node, to, disk, &message);
+        }
+        if voted && self.jumpy && !self.calm && self.rng.u8(..8) == 0 {
+            self.restart(node, MS, 5 * MS);
+        } else if keep {
+            let n = &self.nodes[node];
+            let (index, data) = (n.applied, pack(&n.state));
+            self.input(node, Input::Snapshot { index, data });
+        }
+    }
+
+    fn send(&mut self, from: usize, to: Member, disk: Disk, message: &Message) {
+        let to = to.octets()[3] as usize - 1;
+        if self.cuts.contains(&(from, to)) {
+            return;
+        }
+        let rough = self.rough && !self.calm;
+        if rough && self.rng.u8(..10) == 0 {
+            return;
+        }
+        let copies = if rough && self.rng.u8(..8) == 0 { 2 } else { 1 };
+        for _ in 0..copies {
+            let late = rough && self.rng.u8(..6) == 0;
+            let delay = self.rng.u64(if late { MS..=400 * MS } else { MS / 2..=3 * MS });
+            let bytes = encode(disk, message);
+            self.at(self.now + delay, Event::Deliver { to, from, bytes });
+        }
+    }
+
+    fn client(&mut self) {
+        let pause = self.rng.u64(5..60) * MS;
+        self.at(self.now + pause, Event::Client);
+        for _ in 0..self.rng.usize(1..4) {
+            let any = self.rng.usize(..self.nodes.len());
+            let leads = |n: &Node| n.ratchet.as_ref().is_some_and(|r| r.role() == Role::Leader);
+            let leading: Vec<usize> = (0..self.nodes.len()).filter(|n| leads(&self.nodes[*n])).collect();
+            let node = if leading.is_empty() { any } else { leading[self.rng.usize(..leading.len())] };
+            self.ticket += 1;
+            let ticket = self.ticket;
+            if self.nodes[node].ratchet.is_none() {
+                continue;
+            }
+            if self.rng.bool() {
+                self.input(node, Input::Propose { ticket, data: ticket.to_le_bytes().to_vec() });
+            } else {
+                self.reads.insert((node, ticket), self.judge.acked_to);
+                self.input(node, Input::Read { ticket });
+            }
+        }
+    }
+
+    fn leader(&self) -> Option<usize> {
+        let leads = |n: &Node| n.ratchet.as_ref().filter(|r| r.role() == Role::Leader).map(Ratchet::term);
+        (0..self.nodes.len()).filter(|n| leads(&self.nodes[*n]).is_some()).max_by_key(|n| leads(&self.nodes[*n]))
+    }
+
+    fn trouble(&mut self) {
+        let pause = self.rng.u64(50..700) * MS;
+        self.at(self.now + pause, Event::Trouble);
+        let count = self.nodes.len();
+        let node = match self.leader() {
+            Some(leader) if self.rng.bool() => leader,
+            _ => self.rng.usize(..count),
+        };
+        let other = self.rng.usize(..count);
+        match self.rng.u8(..14) {
+            0 if node != other => {
+                self.cuts.insert((node, other));
+            }
+            1 => self.isolate(node),
+            2 | 3 => self.cuts.clear(),
+            4 => self.restart(node, 10 * MS, 2000 * MS),
+            5 => (0..count).for_each(|n| self.restart(n, 5 * MS, 60 * MS)),
+            6 | 7 => self.wipe(node),
+            8 => {
+                self.nodes[node].hung = true;
+                let at = self.now + self.rng.u64(200..4000) * MS;
+                self.at(at, Event::Thaw { node });
+            }
+            9 => self.nodes[node].sync = (20 * MS, 200 * MS),
+            10 => self.rough = !self.rough,
+            11 => {
+                self.nodes[node].write = None;
+                self.input(node, Input::WriteFailed);
+                if self.nodes[node].ratchet.is_some() {
+                    self.restart(node, 100 * MS, 1000 * MS);
+                }
+            }
+            12 => self.input(node, Input::Yield),
+            13 => {
+                // A leader is cut off; while it does not know yet, one that elected its successor loses its disk.
+                if let Some(leader) = self.leader() {
+                    self.cuts.clear();
+                    self.isolate(leader);
+                    let after = self.timing.election;
+                    let at = self.now + self.rng.u64(after.0 * 9 / 10..after.1 + 100 * MS);
+                    self.at(at, Event::Trap { leader });
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn isolate(&mut self, node: usize) {
+        for other in (0..self.nodes.len()).filter(|o| *o != node) {
+            self.cuts.insert((node, other));
+            self.cuts.insert((other, node));
+        }
+    }
+
+    fn trap(&mut self, leader: usize) {
+        let term = |n: &Node| n.ratchet.as_ref().map_or(0, Ratchet::term);
+        let ahead: Vec<usize> = (0..self.nodes.len())
+            .filter(|n| *n != leader && term(&self.nodes[*n]) > term(&self.nodes[leader]))
+            .collect();
+        if ahead.is_empty() || self.calm {
+            return;
+        }
+        let node = ahead[self.rng.usize(..ahead.len())];
+        let life = self.nodes[node].life;
+        self.wipe(node);
+        if self.nodes[node].life == life {
+            return;
+        }
+        let life = self.nodes[node].life;
+        self.at(self.now + MS, Event::Start { node, life });
+        self.isolate(node);
+        self.cuts.remove(&(node, leader));
+        self.cuts.remove(&(leader, node));
+    }
+
+    /// All troubles end; everybody must come together, and agree on all that was acknowledged.
+    fn settle(&mut self) {
+        self.calm = true;
+        self.cuts.clear();
+        for node in 0..self.nodes.len() {
+            self.step(Event::Thaw { node });
+            let out = self.nodes[node].ratchet.as_ref().is_none_or(|r| r.role() == Role::Out);
+            if out {
+                self.restart(node, 0, 10 * MS);
+            }
+        }
+        self.run(self.now + 8000 * MS);
+        if self.wrong.is_some() {
+            return;
+        }
+        let before = self.judge.acked.len();
+        self.run(self.now + 1000 * MS);
+        // Nobody asks any more; what is under way comes to its end.
+        self.queue.retain(|Reverse((.., event))| *event != Event::Client);
+        self.run(self.now + 500 * MS);
+        if self.wrong.is_some() {
+            return;
+        }
+        let mut wrong = |what: String| self.wrong.get_or_insert(what).clone();
+        if self.judge.acked.len() <= before {
+            wrong("nothing is acknowledged after calm".into());
+        }
+        let state = &self.nodes[0].state;
+        for (at, node) in self.nodes.iter().enumerate() {
+            let ratchet = node.ratchet.as_ref().expect("all run");
+            if !ratchet.standing() || !ratchet.roster().names(member(at), node.disk) {
+                wrong(format!("node {at} does not stand"));
+            }
+            if node.state != *state {
+                wrong(format!("node {at} has another state"));
+            }
+        }
+        let there: BTreeSet<u64> = state.iter().copied().collect();
+        if let Some(gone) = self.judge.acked.iter().find(|ticket| !there.contains(ticket)) {
+            wrong(format!("{gone} was acknowledged and is gone"));
+        }
+    }
+}
+
+fn values<'a>(entries: impl Iterator<Item = &'a Entry>) -> Vec<u64> {
+    let data = entries.filter_map(|e| match &e.payload {
+        Payload::Data(data) => Some(u64::from_le_bytes(data[..].try_into().expect("a number"))),
+        _ => None,
+    });
+    data.collect()
+}
+
+fn pack(state: &[u64]) -> Vec<u8> {
+    state.iter().flat_map(|v| v.to_le_bytes()).collect()
+}
+
+fn unpack(data: &[u8]) -> Vec<u64> {
+    data.chunks(8).map(|c| u64::from_le_bytes(c.try_into().expect("numbers"))).collect()
+}
+
+fn play(seed: u64, fault: Option<Fault>) -> Result<Seen, String> {
+    let mut sim = Sim::new(seed, fault);
+    let until = sim.rng.u64(4000..10_000) * MS;
+    sim.run(until);
+    sim.settle();
+    if let Some(wrong) = sim.wrong {
+        return Err(wrong);
+    }
+    let (leaders, acked) = (sim.judge.leaders.len(), sim.judge.acked.len());
+    let committed = *sim.judge.committed.keys().last().expect("some");
+    Ok(Seen { leaders, acked, committed, ..sim.seen })
+}
+
+/// The seeds in parts, each on a thread of its own.
+fn play_all(seeds: std::ops::Range<u64>, fault: Option<Fault>) -> Vec<(u64, Result<Seen, String>)> {
+    let parts = 8;
+    std::thread::scope(|scope| {
+        let part = |p| seeds.clone().filter(move |s| s % parts == p).map(move |s| (s, play(s, fault)));
+        let threads: Vec<_> = (0..parts).map(|p| scope.spawn(move || part(p).collect::<Vec<_>>())).collect();
+        threads.into_iter().flat_map(|t| t.join().expect("no panic")).collect()
+    })
+}
+
+fn seeds(default: u64) -> std::ops::Range<u64> {
+    let count = std::env::var("RATCHET_SEEDS").ok().and_then(|n| n.parse().ok());
+    0..count.unwrap_or(default)
+}
+
+#[test]
+fn no_schedule_of_troubles_breaks_the_agreement_and_calm_brings_it_back() {
+    let played = play_all(seeds(300), None);
+    let mut sum = Seen::default();
+    let mut wrong = Vec::new();
+    for (seed, result) in played {
+        match result {
+            Ok(seen) => {
+                sum.leaders += seen.leaders;
+                sum.committed += seen.committed;
+                sum.acked += seen.acked;
+                sum.reads += seen.reads;
+                sum.lost += seen.lost;
+                sum.wiped += seen.wiped;
+                sum.installed += seen.installed;
+                sum.rosters += seen.rosters;
+            }
+            Err(e) => wrong.push((seed, e)),
+        }
+    }
+    wrong.sort();
+    assert!(wrong.is_empty(), "{} seeds: {:#?}", wrong.len(), &wrong[..wrong.len().min(12)]);
+    println!("{sum:?}");
+    for (what, count) in [
+        ("leaders", sum.leaders),
+        ("reads", sum.reads),
+        ("lost", sum.lost),
+        ("wiped", sum.wiped),
+        ("installed", sum.installed),
+        ("rosters", sum.rosters),
+    ] {
+        assert!(count > 100, "only {count} {what}");
+    }
+}
+
+/// The judge is worth its name only if it sees what is planted.
+#[test]
+fn planted_faults_are_seen() {
+    for fault in [Fault::AckBeforeSync, Fault::WipedVotes, Fault::CountNewcomerEarly, Fault::ForgetVote] {
+        let played = play_all(seeds(300), Some(fault));
+        let caught: Vec<&String> = played.iter().filter_map(|(_, r)| r.as_ref().err()).collect();
+        println!("{fault:?}: {} of {}, e.g. {:?}", caught.len(), played.len(), caught.first());
+        assert!(!caught.is_empty(), "{fault:?} is not seen in {} seeds", played.len());
+    }
+}
