--- a/crates/ratchet/src/core.rs
+++ b/crates/ratchet/src/core.rs
@@ -792,7 +792,10 @@
         let (last, base, commit) = (self.log.last(), self.log.base(), self.hard.commit);
         let (roster_index, roster) = self.log.roster();
         let mut roster = roster.clone();
-        let Some(peer) = self.peer(from, disk) else { return };
+        let Some(peer) = self.peer(from, disk) else {
+            // What was meant for the disk before it has reached a new one.
+            return self.hello(now, from, disk, out);
+        };
         peer.heard = Some(now);
         peer.round = peer.round.max(round);
         peer.standing |= standing;
@@ -1018,3 +1021,19 @@
         }
     }
 }
+
+#[cfg(test)]
+impl Ratchet {
+    pub(crate) fn debug(&self) -> String {
+        let peer = |(m, p): (&Member, &Peer)| {
+            format!("{m}: d{} next {} m {} r {} st {} pr {} se {:?} since {}", p.disk, p.next, p.matched, p.round, p.standing, p.probing, p.sending, p.since)
+        };
+        let lead = self.lead.as_ref().map(|l| {
+            (l.first, l.round, l.peers.iter().map(peer).collect::<Vec<_>>(), l.learners.iter().map(peer).collect::<Vec<_>>())
+        });
+        format!(
+            "{} {:?} term {} leader {:?} last {} base {} synced {} verified {} hard {:?} roster {:?} lead {:?}",
+            self.me, self.role, self.hard.term, self.leader, self.log.last(), self.log.base(), self.log.synced, self.verified, self.hard, self.log.roster(), lead
+        )
+    }
+}
--- a/crates/ratchet/src/sim.rs
+++ b/crates/ratchet/src/sim.rs
@@ -504,10 +504,16 @@
         if self.judge.acked.len() <= before {
             wrong("nothing is acknowledged after calm".into());
         }
+        if std::env::var("ONE").is_ok() {
+            for n in &self.nodes {
+                eprintln!("disk {} w {:?} hung {} {}", n.disk, n.write.is_some(), n.hung, n.ratchet.as_ref().unwrap().debug());
+            }
+        }
         let state = &self.nodes[0].state;
         for (at, node) in self.nodes.iter().enumerate() {
             let ratchet = node.ratchet.as_ref().expect("all run");
             if !ratchet.standing() || !ratchet.roster().names(member(at), node.disk) {
+                eprintln!("{:?}", ratchet.debug());
                 wrong(format!("node {at} does not stand"));
             }
             if node.state != *state {
@@ -565,6 +571,12 @@
     0..count.unwrap_or(default)
 }
 
+#[test]
+fn one() {
+    let seed = std::env::var("ONE").unwrap().parse().unwrap();
+    println!("{:?}", play(seed, None));
+}
+
 #[test]
 fn no_schedule_of_troubles_breaks_the_agreement_and_calm_brings_it_back() {
     let played = play_all(seeds(300), None);
