--- a/crates/pegboard/src/main.rs
+++ b/crates/pegboard/src/main.rs
@@ -110,8 +110,7 @@
         ends_at: None,
     };
     turn::turn(clock, alarm, inbox, shell);
-    let _ = ended.recv();
-    Ok(())
+    ended.recv().map_err(|_| miette!("the work has ended by a fault"))
 }
 
 const TTL_S: f64 = 5.0;
--- a/crates/planchest/src/main.rs
+++ b/crates/planchest/src/main.rs
@@ -83,8 +83,7 @@
     let shell =
         Shell { chest, me, peers_port, fellows, taken, locals, writes, inbox: inbox_here, out, over, ends_at: None };
     turn::turn(clock, alarm, inbox, shell);
-    let _ = ended.recv();
-    Ok(())
+    ended.recv().map_err(|_| miette!("the work has ended by a fault"))
 }
 
 /// Writes on a thread of its own: a disk may take long. A write that is refused is tried again, on the store opened
--- a/crates/shuttle/src/main.rs
+++ b/crates/shuttle/src/main.rs
@@ -112,8 +112,7 @@
         asked_at: None,
     };
     turn::turn(clock, alarm, inbox, shell);
-    let _ = ended.recv();
-    Ok(())
+    ended.recv().map_err(|_| miette!("the work has ended by a fault"))
 }
 
 /// What the connections see of the proxy.
