--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -1,10 +1,9 @@
 //! Quotas: whether a customer's request is let in, what part of its quota is granted here, and how much of
 //! its work may be out at once.
 
-use super::tries::Request;
-use super::{Decider, Task};
+use super::Decider;
+use super::records::{Customer, Request, Task};
 use crate::interface::*;
-use std::collections::VecDeque;
 
 /// Periods of the meter for which a reading holds, and over which a lower one is believed, where a customer
 /// comes through no more than a few gateways.
@@ -17,43 +16,6 @@
 const SURE: u32 = 20;
 const MOST_AWAY: u32 = 1000;
 
-#[derive(Default)]
-pub(crate) struct Customer {
-    pub(super) plan: usize,
-    pub(super) spread: u32,
-    first: u32,
-    /// Levels of its bucket and of its ceiling's store here.
-    pub(super) level: f64,
-    pub(super) ceiling: f64,
-    filled_at: Micros,
-    pub(super) units_out: f64,
-    pub(super) attempts_out: u32,
-    /// What waits for each fleet that it has asked of.
-    pub(super) lines: Vec<Line>,
-    pub(super) sent_at: Micros,
-    /// What the meter says is used of the quota, and when.
-    used: f64,
-    used_at: Option<Micros>,
-}
-
-/// A customer's requests that wait for one fleet, and whether the fleet's ring holds it.
-pub(super) struct Line {
-    pub fleet: usize,
-    pub waiting: VecDeque<u64>,
-    pub in_ring: bool,
-}
-
-impl Customer {
-    pub(super) fn line(&mut self, fleet: usize) -> &mut VecDeque<u64> {
-        let known = self.lines.iter().position(|l| l.fleet == fleet);
-        let place = known.unwrap_or_else(|| {
-            self.lines.push(Line { fleet, waiting: VecDeque::new(), in_ring: false });
-            self.lines.len() - 1
-        });
-        &mut self.lines[place].waiting
-    }
-}
-
 impl Decider {
     pub(super) fn admit(&mut self, n: NewRequest, acts: &mut Vec<Action>) {
         let NewRequest { id, class, customer: key, service, .. } = n;
--- a/src/decide/choice.rs
+++ b/src/decide/choice.rs
@@ -1,7 +1,6 @@
 //! Which server a request goes to, and what the answers tell of each server.
 
-use super::Decider;
-use super::fleet::Tier;
+use super::records::{Decider, Server, Tier};
 use super::target::LEARN;
 use crate::interface::*;
 
@@ -19,26 +18,6 @@
 /// How much more often a cold server is drawn while many are cold.
 const MOST_CROWDED: f64 = 1.5;
 
-#[derive(Default)]
-pub(super) struct Server {
-    pub fleet: usize,
-    pub zone: u32,
-    pub cell: u32,
-    pub near: u32,
-    pub part: f64,
-    pub up: bool,
-    pub up_since: Micros,
-    /// What was told of its being cold, and when it may be sent the next request then.
-    pub told_cold_until: Micros,
-    pub cold_rate: f64,
-    pub token_at: Micros,
-    pub out: u32,
-    /// Moving averages: time taken, and part of the outcomes that failed.
-    pub latency: f64,
-    pub bad: f64,
-    pub heard_at: Micros,
-}
-
 impl Server {
     /// What was learned of this server and still holds. Not heard of, it is soon taken for one like the
     /// rest; else one that was slow once would never be tried again.
@@ -81,7 +60,7 @@
         let most_held = MOST_HELD * fleet.load.permits / set.balancers as f64;
         let fits = |s: &Server| {
             let room = (s.out as f64) < (most_held * s.part).max(1.0);
-            room && s.has_token(now, set) && r.allows(s, effect, now)
+            room && (now >= s.token_at || !s.metered(now, set)) && r.allows(s, effect, now)
         };
         let cost = |s: &Server| {
             let served = 1.0 - s.known(now, s.bad, 0.0).min(0.9);
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -1,58 +1,15 @@
 //! The fleets: which servers each service has, as discovery lists them, and what stands for each fleet.
 
-use super::choice::Server;
-use super::target::{Target, WINDOW};
-use super::tries::RETRY_SAVED;
-use super::{Decider, Task};
+use super::records::{Decider, Fleet, Server, Task, Tier};
+use super::{target::Target, target::WINDOW, tries::RETRY_SAVED};
 use crate::interface::*;
-use std::collections::{BTreeMap, VecDeque};
-
-/// The servers of one service, and what was learned of them together.
-pub(super) struct Fleet {
-    /// Those that are up, the nearest first.
-    pub tiers: Vec<Tier>,
-    /// What they are worth in warm ones of which this gateway has an even part, as counted last.
-    strength: f64,
-    counted_at: Micros,
-    pub load: Target,
-    /// Customers with a request that may be next, each at most once. Who comes new goes first, as most time
-    /// is left to it; who was served goes last. First come first served would send all too late in a jam.
-    pub ring: VecDeque<u64>,
-    /// Further attempts that may be made.
-    pub retries: f64,
-    /// The longest aim of the requests that came for it.
-    pub aim: Micros,
-}
-
-/// Servers that are as near as each other.
-pub(super) struct Tier {
-    pub near: u32,
-    /// In an order that `pick` shuffles as it draws.
-    pub up: Vec<u64>,
-    /// What they are worth in warm ones, as counted last; what was sent lately, as a moving sum.
-    pub warm: f64,
-    pub sent: f64,
-    pub sent_at: Micros,
-}
-
-impl Tier {
-    fn new(near: u32) -> Tier {
-        Tier { near, up: Vec::new(), warm: 0.0, sent: 0.0, sent_at: 0 }
-    }
-}
+use std::collections::BTreeMap;
 
 impl Fleet {
-    pub fn new(set: &Settings, now: Micros) -> Fleet {
+    pub fn new(set: &Settings) -> Fleet {
         let aim = set.classes.iter().map(|c| c.aim_us).min().unwrap_or(1) as f64;
-        Fleet {
-            tiers: vec![Tier::new(0)],
-            strength: 0.0,
-            counted_at: 0,
-            load: Target::new(aim, now),
-            ring: VecDeque::new(),
-            retries: RETRY_SAVED,
-            aim: 0,
-        }
+        let (tiers, load) = (vec![Tier::default()], Target::new(aim));
+        Fleet { tiers, load, retries: RETRY_SAVED, ..Fleet::default() }
     }
 
     pub fn target(&self, set: &Settings) -> f64 {
@@ -62,7 +19,7 @@
     pub fn tier(&mut self, near: u32) -> &mut Tier {
         let place = self.tiers.partition_point(|t| t.near < near);
         if self.tiers.get(place).is_none_or(|t| t.near != near) {
-            self.tiers.insert(place, Tier::new(near));
+            self.tiers.insert(place, Tier { near, ..Tier::default() });
         }
         &mut self.tiers[place]
     }
@@ -113,7 +70,7 @@
             (s.near, s.cold_rate, s.told_cold_until) = (e.near, e.cold_rate, e.cold_until_us);
             if s.metered(self.now, &self.set) && !was_metered {
                 // All gateways learn of it at once, and are not to send it their first at once.
-                s.token_at = self.now + self.rng.u64(0..=s.token_gap());
+                s.token_at = self.now + self.rng.u64(0..=s.token_us());
             }
         }
         self.servers.retain(|_, s| s.up || s.out > 0);
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -10,70 +10,15 @@
 mod choice;
 mod cold;
 mod fleet;
+mod records;
 mod target;
 mod tries;
 
 use crate::interface::*;
-use admission::Customer;
-use choice::Server;
-use fleet::Fleet;
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
-use tries::Request;
-
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Task {
-    /// A waiting request can no longer be answered in time, or the time of another is up.
-    End(u64),
-    /// A customer that was held up may be tried again at a fleet.
-    Ready(u64, usize),
-    /// Discovery is to be asked.
-    Ask,
-}
-
-/// One gateway's decisions.
-pub struct Decider {
-    set: Settings,
-    rng: fastrand::Rng,
-    now: Micros,
-    started: Option<Micros>,
-    servers: BTreeMap<u64, Server>,
-    /// One for each service.
-    fleets: Vec<Fleet>,
-    pub(crate) customers: HashMap<u64, Customer>,
-    pub(crate) requests: HashMap<u64, Request>,
-    /// All customers, looked through a few at a time for those that can be forgotten.
-    roster: VecDeque<u64>,
-    agenda: BTreeSet<(Micros, Task)>,
-    armed: Option<Micros>,
-    asks_failed: u32,
-    /// For each class the time that first tries usually have left, and how sure that is.
-    usual_left: Vec<(Micros, u32)>,
-    /// Requests that ended unserved and may come again.
-    turned_away: u32,
-}
+pub use records::Decider;
+use records::{Fleet, Task};
 
 impl Decider {
-    pub fn new(set: Settings, seed: u64) -> Result<Decider, SettingsError> {
-        let mut new = Decider {
-            set: Settings::default(),
-            rng: fastrand::Rng::with_seed(seed),
-            now: 0,
-            started: None,
-            servers: BTreeMap::new(),
-            fleets: Vec::new(),
-            customers: HashMap::new(),
-            requests: HashMap::new(),
-            roster: VecDeque::new(),
-            agenda: BTreeSet::new(),
-            armed: None,
-            asks_failed: 0,
-            turned_away: 0,
-            usual_left: Vec::new(),
-        };
-        new.reconfigure(set)?;
-        Ok(new)
-    }
-
     /// Takes new settings while requests are open. Classes, plans and services keep their numbers: they are
     /// appended or changed in place.
     pub fn reconfigure(&mut self, set: Settings) -> Result<(), SettingsError> {
@@ -88,9 +33,8 @@
             c.level = f64::INFINITY; // what was used without a quota is held against nobody
         }
         self.usual_left.resize(set.classes.len(), (0, 0));
-        for _ in self.fleets.len()..set.services.max(1) as usize {
-            self.fleets.push(Fleet::new(&set, self.now));
-        }
+        let fleets = self.fleets.len().max(set.services.max(1) as usize);
+        self.fleets.resize_with(fleets, || Fleet::new(&set));
         self.set = set;
         Ok(())
     }
@@ -100,7 +44,6 @@
         self.now = self.now.max(now);
         if self.started.is_none() {
             self.started = Some(now);
-            self.fleets.iter_mut().for_each(|f| f.load.start(now));
             self.agenda.extend(self.set.ask_for_list.then_some((now, Task::Ask)));
         }
         self.fleets.iter_mut().for_each(|f| f.grow(self.now, &self.set, &self.servers));
--- a/src/decide/target.rs
+++ b/src/decide/target.rs
@@ -26,6 +26,7 @@
 /// Weight of one outcome in a moving average; the fleet's own move four times as slowly.
 pub(super) const LEARN: f64 = 0.15;
 
+#[derive(Default)]
 pub(super) struct Target {
     /// Permits for each server, and what a server has been seen to bear with ease.
     pub permits: f64,
@@ -42,23 +43,9 @@
 }
 
 impl Target {
-    pub fn new(aim: f64, now: Micros) -> Target {
-        Target {
-            permits: START_PER_SERVER,
-            size: START_PER_SERVER,
-            grown_at: now,
-            cut_at: None,
-            out: 0,
-            recent: VecDeque::new(),
-            mean: aim / 8.0,
-            least_mean: aim / 8.0,
-            deviation: aim / 16.0,
-        }
-    }
-
-    /// Time before the first event counts for nothing.
-    pub fn start(&mut self, now: Micros) {
-        self.grown_at = now;
+    pub fn new(aim: f64) -> Target {
+        let (permits, mean) = (START_PER_SERVER, aim / 8.0);
+        Target { permits, size: permits, mean, least_mean: mean, deviation: mean / 2.0, ..Target::default() }
     }
 
     /// The target itself. It is held as permits for each server, so that it follows the size of a fleet that
--- a/src/decide/tries.rs
+++ b/src/decide/tries.rs
@@ -1,7 +1,6 @@
 //! The tries of a request: sending it, what follows when an attempt ends, and its final answer.
 
-use super::choice::Server;
-use super::{Decider, Task};
+use super::records::{Attempt, Decider, Request, Server, Task};
 use crate::interface::*;
 
 /// Retry budget: further attempts for each first one, how many may be saved up, what one after a reset costs.
@@ -9,29 +8,6 @@
 pub(super) const RETRY_SAVED: f64 = 10.0;
 const RETRY_RESET: f64 = 0.5;
 
-pub(super) struct Attempt {
-    pub server: u64,
-    pub zone: u32,
-    pub cell: u32,
-    pub sent_at: Micros,
-    pub out: bool,
-    pub may_have_run: bool,
-}
-
-pub(crate) struct Request {
-    /// What was asked, its units made sane.
-    pub(super) asked: NewRequest,
-    /// An answer by `best_by` earns its full worth, one after `end` nothing.
-    pub(super) best_by: Micros,
-    pub(super) end: Micros,
-    pub(super) attempts: Vec<Attempt>,
-    /// Lots drawn for a cold server, one for each attempt.
-    pub(super) lots: usize,
-    pub(super) waits: bool,
-    pub(super) streaming: bool,
-    pub(super) done: bool,
-}
-
 impl Request {
     pub(super) fn fleet(&self) -> usize {
         self.asked.service as usize
@@ -78,7 +54,7 @@
         (c.sent_at, c.units_out) = (self.now, c.units_out + r.asked.units);
         c.attempts_out += 1;
         s.out += 1;
-        s.take_token(self.now);
+        s.token_at = self.now + if s.cold_rate > 0.0 { s.token_us() } else { 0 };
         fleet.load.out += 1;
         acts.push(Action::Send { id, server, timeout_us: r.end.saturating_sub(self.now).max(1) });
     }
@@ -100,7 +76,7 @@
         if let Some(used) = n.used {
             self.read(key, used);
         }
-        let c = self.customers.get_mut(&key).expect("holds a request");
+        let c = self.customers.get_mut(&key).expect("just seen");
         if let Some(f) = n.final_units.filter(|f| self.set.trued_up && f.is_finite() && *f > 0.0) {
             c.level -= f - units;
         }
