--- a/crates/jig/src/config.rs
+++ b/crates/jig/src/config.rs
@@ -350,6 +350,9 @@
 
     /// Replaces and adds these items in the table `base`, which may not be there yet.
     fn put_into(&self, base: &mut JsonValue) -> Res<()> {
+        if self.rows.is_empty() {
+            return Ok(()); // a table without items may be without columns too
+        }
         if base.is_null() {
             *base = jzon::object! { column_set: self.columns.clone(), row_set: jzon::array![] };
         }
--- a/crates/jig/tests/config.rs
+++ b/crates/jig/tests/config.rs
@@ -112,6 +112,16 @@
     assert!(Config::read(b"\xff").unwrap_err().to_string().contains("not JSON"));
 }
 
+/// Its columns need not be there either, and the rest of the patch holds.
+#[test]
+fn a_patch_may_bring_a_table_without_items() {
+    let base = base();
+    let patch = r#"{"config_version":"7fffffff","upsert_items":{"route_list":{"column_set":[],"row_set":[]},
+"tenant_list":{"column_set":[],"row_set":[]}},"remove_names":{}}"#;
+    let made = base.patch(patch.as_bytes()).expect("nothing is wrong");
+    assert_eq!((made.version, &made.routes), (0x7fff_ffff, &base.routes));
+}
+
 #[test]
 fn a_patch_replaces_adds_and_removes_items_and_leaves_the_rest() {
     let patch = r#"{"config_version":"0000000c","upsert_items":{
--- a/crates/pegboard/src/main.rs
+++ b/crates/pegboard/src/main.rs
@@ -195,9 +195,7 @@
                 Input::CallGone(id)
             }
             Told::StoreLink(link, Event::Up) => self.store.rose(link).then_some(Input::StoreUp)?,
-            Told::StoreLink(link, Event::Down) => {
-                self.store.fell(now, link).then_some(Input::StoreDown)?
-            }
+            Told::StoreLink(link, Event::Down) => self.store.fell(now, link).then_some(Input::StoreDown)?,
             Told::StoreLink(link, Event::Got(message)) => {
                 self.store.holds(link).then_some(Input::Store(message))?
             }
--- a/crates/planchest/src/main.rs
+++ b/crates/planchest/src/main.rs
@@ -80,8 +80,19 @@
     let peers_port = start.internal(STORE_PEERS)?.port();
     let (fellows, taken, locals) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
     let (inbox_here, out) = (inbox.clone(), Vec::new());
-    let shell =
-        Shell { chest, me, peers_port, fellows, taken, locals, writes, inbox: inbox_here, out, over, ends_at: None };
+    let shell = Shell {
+        chest,
+        me,
+        peers_port,
+        fellows,
+        taken,
+        locals,
+        writes,
+        inbox: inbox_here,
+        out,
+        over,
+        ends_at: None,
+    };
     turn::turn(clock, alarm, inbox, shell);
     ended.recv().map_err(|_| miette!("the work has ended by a fault"))
 }
--- a/crates/ratchet/src/core.rs
+++ b/crates/ratchet/src/core.rs
@@ -638,7 +638,9 @@
         let new_enough = end >= (self.log.last_term(), self.log.last());
         let free = match pre {
             true => term > self.hard.term,
-            false => term == self.hard.term && self.hard.vote.is_none_or(|v| v == from) && self.lead.is_none(),
+            false => {
+                term == self.hard.term && self.hard.vote.is_none_or(|v| v == from) && self.lead.is_none()
+            }
         };
         let granted = !live && new_enough && free;
         let told = if granted { term } else { self.hard.term };
@@ -722,15 +724,7 @@
         ));
     }
 
-    fn part(
-        &mut self,
-        from: Member,
-        new: Snapshot,
-        total: u64,
-        offset: u64,
-        bytes: &[u8],
-        out: &mut Output,
-    ) {
+    fn part(&mut self, from: Member, new: Snapshot, total: u64, offset: u64, bytes: &[u8], out: &mut Output) {
         let index = new.index;
         if index <= self.hard.commit {
             // It is known already: go on with entries.
@@ -1026,14 +1020,32 @@
 impl Ratchet {
     pub(crate) fn debug(&self) -> String {
         let peer = |(m, p): (&Member, &Peer)| {
-            format!("{m}: d{} next {} m {} r {} st {} pr {} se {:?} since {}", p.disk, p.next, p.matched, p.round, p.standing, p.probing, p.sending, p.since)
+            format!(
+                "{m}: d{} next {} m {} r {} st {} pr {} se {:?} since {}",
+                p.disk, p.next, p.matched, p.round, p.standing, p.probing, p.sending, p.since
+            )
         };
         let lead = self.lead.as_ref().map(|l| {
-            (l.first, l.round, l.peers.iter().map(peer).collect::<Vec<_>>(), l.learners.iter().map(peer).collect::<Vec<_>>())
+            (
+                l.first,
+                l.round,
+                l.peers.iter().map(peer).collect::<Vec<_>>(),
+                l.learners.iter().map(peer).collect::<Vec<_>>(),
+            )
         });
         format!(
             "{} {:?} term {} leader {:?} last {} base {} synced {} verified {} hard {:?} roster {:?} lead {:?}",
-            self.me, self.role, self.hard.term, self.leader, self.log.last(), self.log.base(), self.log.synced, self.verified, self.hard, self.log.roster(), lead
+            self.me,
+            self.role,
+            self.hard.term,
+            self.leader,
+            self.log.last(),
+            self.log.base(),
+            self.log.synced,
+            self.verified,
+            self.hard,
+            self.log.roster(),
+            lead
         )
     }
 }
--- a/crates/ratchet/src/lib.rs
+++ b/crates/ratchet/src/lib.rs
@@ -167,11 +167,36 @@
     /// The answer of one that does not lead.
     Leads(Option<Member>),
     /// A candidate asks for a vote, or whether there would be one.
-    Ask { pre: bool, urged: bool, term: u64, last: u64, last_term: u64 },
-    Vote { pre: bool, term: u64, granted: bool, commit: u64 },
-    Append { term: u64, round: u64, prev: u64, prev_term: u64, commit: u64, entries: Vec<Entry> },
+    Ask {
+        pre: bool,
+        urged: bool,
+        term: u64,
+        last: u64,
+        last_term: u64,
+    },
+    Vote {
+        pre: bool,
+        term: u64,
+        granted: bool,
+        commit: u64,
+    },
+    Append {
+        term: u64,
+        round: u64,
+        prev: u64,
+        prev_term: u64,
+        commit: u64,
+        entries: Vec<Entry>,
+    },
     /// `fits`: the log agrees up to `matched`, synced. If not, `matched` is where to try next.
-    Ack { term: u64, round: u64, fits: bool, matched: u64, commit: u64, standing: bool },
+    Ack {
+        term: u64,
+        round: u64,
+        fits: bool,
+        matched: u64,
+        commit: u64,
+        standing: bool,
+    },
     /// A piece of a snapshot.
     Part {
         term: u64,
@@ -185,9 +210,16 @@
         bytes: Vec<u8>,
     },
     /// How much of the snapshot has come.
-    Got { term: u64, round: u64, index: u64, offset: u64 },
+    Got {
+        term: u64,
+        round: u64,
+        index: u64,
+        offset: u64,
+    },
     /// A leader that gives up asks its best follower to take over at once.
-    Take { term: u64 },
+    Take {
+        term: u64,
+    },
 }
 
 /// A message as bytes, with the sender's disk.
@@ -203,15 +235,29 @@
 pub enum Input {
     /// The time of [`Output::wake_at`] has come.
     Tick,
-    Message { from: Member, from_disk: Disk, message: Message },
+    Message {
+        from: Member,
+        from_disk: Disk,
+        message: Message,
+    },
     /// The write of this number is synced.
-    Written { number: u64 },
+    Written {
+        number: u64,
+    },
     /// The disk refuses; the member takes no part any more until its store is opened again.
     WriteFailed,
-    Propose { ticket: u64, data: Vec<u8> },
-    Read { ticket: u64 },
+    Propose {
+        ticket: u64,
+        data: Vec<u8>,
+    },
+    Read {
+        ticket: u64,
+    },
     /// The host's state after applying entry `index`; entries well before it may go.
-    Snapshot { index: u64, data: Vec<u8> },
+    Snapshot {
+        index: u64,
+        data: Vec<u8>,
+    },
     /// Machines that may know the group.
     Seeds(Vec<Member>),
     /// The host is about to stop: a leader hands over.
--- a/crates/ratchet/src/sim.rs
+++ b/crates/ratchet/src/sim.rs
@@ -2,8 +2,8 @@
 
 use crate::core::Fault;
 use crate::{
-    Disk, Entry, Input, Member, Message, Micros, Output, Payload, Ratchet, Role, Saved, Timing, Write, decode,
-    encode,
+    Disk, Entry, Input, Member, Message, Micros, Output, Payload, Ratchet, Role, Saved, Timing, Write,
+    decode, encode,
 };
 use fastrand::Rng;
 use std::cmp::Reverse;
@@ -289,7 +289,8 @@
             let state = unpack(&snapshot.data);
             let wanted = values(self.judge.committed.range(..=snapshot.index).map(|(_, e)| e));
             if state != wanted {
-                self.wrong = Some(format!("snapshot {} of node {node} is not what was committed", snapshot.index));
+                self.wrong =
+                    Some(format!("snapshot {} of node {node} is not what was committed", snapshot.index));
             }
             (n.applied, n.state) = (snapshot.index, state);
         }
@@ -399,7 +400,9 @@
 
     fn leader(&self) -> Option<usize> {
         let leads = |n: &Node| n.ratchet.as_ref().filter(|r| r.role() == Role::Leader).map(Ratchet::term);
-        (0..self.nodes.len()).filter(|n| leads(&self.nodes[*n]).is_some()).max_by_key(|n| leads(&self.nodes[*n]))
+        (0..self.nodes.len())
+            .filter(|n| leads(&self.nodes[*n]).is_some())
+            .max_by_key(|n| leads(&self.nodes[*n]))
     }
 
     fn trouble(&mut self) {
@@ -506,7 +509,13 @@
         }
         if std::env::var("ONE").is_ok() {
             for n in &self.nodes {
-                eprintln!("disk {} w {:?} hung {} {}", n.disk, n.write.is_some(), n.hung, n.ratchet.as_ref().unwrap().debug());
+                eprintln!(
+                    "disk {} w {:?} hung {} {}",
+                    n.disk,
+                    n.write.is_some(),
+                    n.hung,
+                    n.ratchet.as_ref().unwrap().debug()
+                );
             }
         }
         let state = &self.nodes[0].state;
--- a/crates/shuttle/src/main.rs
+++ b/crates/shuttle/src/main.rs
@@ -11,9 +11,9 @@
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::process::ExitCode;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{Sender, channel};
-use std::sync::Arc;
 use std::time::Duration;
 use tongs::clock::{Alarm, Alarms, Clock};
 use tongs::door::{Answer, Desk, Door, Heard, Patience, Reply};
@@ -366,9 +366,10 @@
                 front::Output::Server { server, peer, up } => {
                     let settings = self.pool();
                     let (room, wire) = (&self.room, &self.wire);
-                    let known = self.peers.entry(server).or_insert_with(|| {
-                        Peer::start(peer.addr, room.clone(), wire.clone(), settings)
-                    });
+                    let known = self
+                        .peers
+                        .entry(server)
+                        .or_insert_with(|| Peer::start(peer.addr, room.clone(), wire.clone(), settings));
                     known.listed(peer.addr, up);
                 }
                 front::Output::Gone { server } => {
--- a/crates/vise/src/lib.rs
+++ b/crates/vise/src/lib.rs
@@ -32,28 +32,29 @@
 
 /// Runs a program: reads its command line and settings, and says on standard error what is wrong with them.
 pub fn run(name: &'static str, about: &'static str, work: impl FnOnce(Start) -> Result<()>) -> ExitCode {
-    let command = clap::Command::new(name)
-        .about(about)
-        .version(env!("CARGO_PKG_VERSION"))
-        .arg(
-            clap::Arg::new("settings")
-                .long("settings")
-                .value_name("FILE")
-                .value_parser(clap::value_parser!(PathBuf))
-                .help(format!("The settings file; without it the variable {} names it", jig::settings::VARIABLE)),
-        )
-        .arg(
-            clap::Arg::new("chatty")
-                .long("chatty")
-                .action(clap::ArgAction::SetTrue)
-                .help("Writes each line of the log at once, instead of the last ones when something goes wrong"),
-        )
-        .arg(
-            clap::Arg::new("check")
-                .long("check")
-                .action(clap::ArgAction::SetTrue)
-                .help("Reads the settings, says what is wrong with them, and ends"),
-        );
+    let command =
+        clap::Command::new(name)
+            .about(about)
+            .version(env!("CARGO_PKG_VERSION"))
+            .arg(
+                clap::Arg::new("settings")
+                    .long("settings")
+                    .value_name("FILE")
+                    .value_parser(clap::value_parser!(PathBuf))
+                    .help(format!(
+                        "The settings file; without it the variable {} names it",
+                        jig::settings::VARIABLE
+                    )),
+            )
+            .arg(clap::Arg::new("chatty").long("chatty").action(clap::ArgAction::SetTrue).help(
+                "Writes each line of the log at once, instead of the last ones when something goes wrong",
+            ))
+            .arg(
+                clap::Arg::new("check")
+                    .long("check")
+                    .action(clap::ArgAction::SetTrue)
+                    .help("Reads the settings, says what is wrong with them, and ends"),
+            );
     let given = command.get_matches();
     let file = given.get_one::<PathBuf>("settings").cloned();
     let held = || -> Result<()> {
--- a/crates/vise/src/turn.rs
+++ b/crates/vise/src/turn.rs
@@ -1,10 +1,10 @@
 //! The loop that turns a state machine: what has come is handed in, what it answers is carried out, and it is called
 //! again when it wants to be.
 
+use std::sync::Arc;
 use tongs::Micros;
 use tongs::clock::{Alarm, Clock};
 use tongs::mailbox::Mailbox;
-use std::sync::Arc;
 
 /// Messages taken before the connections get their turn again.
 const BATCH: usize = 64;
