--- a/crates/tongs/src/door.rs
+++ b/crates/tongs/src/door.rs
@@ -1,6 +1,6 @@
-//! A listener and its clients: an actor with one coroutine for each connection. A connection carries one request at a
-//! time; a well-formed one is handed to the desk behind the listener, which answers it once. Malformed ones are
-//! answered here and never reach it.
+//! A listener and its clients: an actor with one coroutine for each connection. A connection carries one
+//! request at a time; a well-formed one is handed to the desk behind the listener, which answers it once.
+//! Malformed ones are answered here and never reach it.
 
 mod connection;
 
@@ -19,8 +19,9 @@
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-/// What stands behind a listener: reads its clients' requests its own way and answers them. All calls come on the
-/// coroutines' thread, so they are short; what takes long is answered later, by the `Reply`.
+/// What stands behind a listener: reads its clients' requests its own way and answers them. All calls come on
+/// the coroutines' thread and on a small stack, so they are short and plain; what is not is answered later,
+/// by the `Reply`.
 pub trait Desk: Send + Sync + 'static {
     /// A request's head as this desk read it.
     type Ask: Send + 'static;
@@ -43,8 +44,8 @@
     /// Answers from now on end their connections, and idle ones are closed after half a second.
     fn draining(&self) -> bool;
 
-    /// The answer to a request that the listener itself turns away: malformed, too large, late (408), without room
-    /// for it (503), or left without an answer (500, 502).
+    /// The answer to a request that the listener itself turns away: malformed, too large, late (408), without
+    /// room for it (503), or left without an answer (500, 502).
     fn refusal(&self, bad: &Bad) -> Answer;
 
     /// What a client is told whose connection ends before it has brought any request; by default nothing.
@@ -198,9 +199,9 @@
         self.asked() == 0 && now < self.born + patience.first_us.unwrap_or(patience.idle_us)
     }
 
-    /// What it is to be ended for by `now`, if its descriptor is wanted or not. A client that sends nothing, or
-    /// half a request, is told so in time: it may be waiting for that. Who asked once and stays would fill the
-    /// descriptors in the course of a long day; who comes often is the last to go.
+    /// What it is to be ended for by `now`, if its descriptor is wanted or not. A client that sends nothing,
+    /// or half a request, is told so in time: it may be waiting for that. Who asked once and stays would fill
+    /// the descriptors in the course of a long day; who comes often is the last to go.
     fn overdue(&self, now: Micros, look: &Look) -> Option<Doing> {
         let (doing, p) = (self.doing(), &look.patience);
         let first = |other: Micros| p.first_us.map_or((self.since(), other), |first| (self.born, first));
@@ -219,7 +220,8 @@
         (now >= from.saturating_add(patience).min(parts_at)).then_some(doing)
     }
 
-    /// How well it can be done without, where descriptors are short: the greater, the better; None, not at all.
+    /// How well it can be done without, where descriptors are short: the greater, the better; None, not at
+    /// all.
     fn spare(&self, now: Micros, silent_us: Micros, write_us: Micros) -> Option<(u8, Micros)> {
         let (rank, patience) = match (self.doing(), self.asked()) {
             (Doing::Idle, 0) => (4, silent_us),
@@ -261,13 +263,15 @@
     parted_at: AtomicU64,
 }
 
-/// Where descriptors are short: after so long one that has brought nothing (its first request comes right behind
-/// it, if at all), one that is idle between requests (by the protocol no sooner), one with half a request.
+/// Where descriptors are short: after so long one that has brought nothing (its first request comes right
+/// behind it, if at all), one that is idle between requests (by the protocol no sooner), one with half a
+/// request.
 const SILENT_US: Micros = 100_000;
 const SILENT_SHORT_US: Micros = 20_000;
 const IDLE_PATIENCE_US: Micros = 2_000_000;
 const READ_SHORT_US: Micros = 1_000_000;
-/// While the desk drains: connections that are used until then end with an answer; those idle all the while are closed.
+/// While the desk drains: connections that are used until then end with an answer; those idle all the while
+/// are closed.
 const DRAIN_IDLE_US: Micros = 500_000;
 /// How often all connections are looked at.
 const LOOK_EVERY_US: Micros = 100_000;
@@ -386,8 +390,9 @@
         }
     }
 
-    /// Near the limit the connection that can best be done without makes room, if there is one. For a request that
-    /// is there, one that has said nothing yet gives way sooner than for a connection that may say nothing either.
+    /// Near the limit the connection that can best be done without makes room, if there is one. For a request
+    /// that is there, one that has said nothing yet gives way sooner than for a connection that may say
+    /// nothing either.
     fn make_room(&self, asked: bool) -> bool {
         let silent_us = if asked { SILENT_SHORT_US } else { SILENT_US };
         let (open, now, write_us) = (self.open(), self.room.clock.now(), self.desk.patience().write_us);
@@ -399,8 +404,8 @@
         found.is_some()
     }
 
-    /// Whether a connection may stay after its first answer. Some clients never ask again on one, yet keep it, and may
-    /// hold only so many themselves: left open, these would keep them from asking at all.
+    /// Whether a connection may stay after its first answer. Some clients never ask again on one, yet keep
+    /// it, and may hold only so many themselves: left open, these would keep them from asking at all.
     fn may_sit(&self) -> bool {
         self.sitting.fetch_add(1, Ordering::Relaxed) < self.room.fds.most_sitting()
     }
--- a/crates/tongs/src/door/connection.rs
+++ b/crates/tongs/src/door/connection.rs
@@ -82,21 +82,21 @@
     last: bool,
     /// Nothing is read any more; the connection ends once all is written.
     closing: bool,
-    /// The client has closed its side; read up to there, it has ended. No event tells of it twice, and a break may
-    /// come in between.
+    /// The client has closed its side; read up to there, it has ended. No event tells of it twice, and a
+    /// break may come in between.
     hung: bool,
     ended: bool,
     _fd: Fd,
 }
 
-/// After so many requests in a row a connection takes a break. The event loop is asked only when no coroutine is
-/// ready: one client that sends without end would otherwise be all that the program sees.
+/// After so many requests in a row a connection takes a break. The event loop is asked only when no coroutine
+/// is ready: one client that sends without end would otherwise be all that the program sees.
 const MOST_STREAK: u32 = 32;
 const BREAK_US: Micros = 1_000;
 /// So many reads in a row, and a connection takes a break for the same reason.
 const MOST_READS: usize = 16;
-/// How long the client's end is awaited after the last answer; and how long at the most while bytes keep coming:
-/// cut short while it still sends, it could lose the answer that tells it why.
+/// How long the client's end is awaited after the last answer; and how long at the most while bytes keep
+/// coming: cut short while it still sends, it could lose the answer that tells it why.
 const LINGER_US: Micros = 500_000;
 const MOST_LINGER_US: Micros = 5_000_000;
 const SCRAP: usize = 16 * 1024;
@@ -121,8 +121,9 @@
                     ToClient::Lost { id } => self.answer(id, self.all.desk.refusal(&LOST)),
                     ToClient::GoOn => (self.streak, self.paused) = (0, false),
                     ToClient::Close(chosen_for) => {
-                        // Nothing is owed to one that is idle between requests: a request that crosses the close is
-                        // sent again by its client. But one that has come by now, or an answer to it, is owed.
+                        // Nothing is owed to one that is idle between requests: a request that crosses the
+                        // close is sent again by its client. But one that has come by now, or an answer to
+                        // it, is owed.
                         self.more = true;
                         self.read();
                         if self.doing() != chosen_for {
@@ -135,7 +136,8 @@
                             _ => match self.unheard(chosen_for) {
                                 Some(bad) => self.refuse(&bad),
                                 None => {
-                                    // At once: what comes between this look and the end is lost to its client.
+                                    // At once: what comes between this look and the end is lost to its
+                                    // client.
                                     let _ = self.io.inner().shutdown(Shutdown::Both);
                                     return;
                                 }
@@ -166,9 +168,9 @@
         }
     }
 
-    /// What it is told if it ends now. Its first request may be on its way, and a client whose new connection ends in
-    /// silence cannot tell whether it was heard: told first, it reads that as the answer to what crosses. Could harm a
-    /// client that takes bytes it never asked for as an error.
+    /// What it is told if it ends now. Its first request may be on its way, and a client whose new connection
+    /// ends in silence cannot tell whether it was heard: told first, it reads that as the answer to what
+    /// crosses. Could harm a client that takes bytes it never asked for as an error.
     fn unheard(&self, doing: Doing) -> Option<Bad> {
         let (now, patience) = (self.all.room.clock.now(), self.all.desk.patience());
         let expected = doing == Doing::Idle && self.known.expected(now, &patience);
@@ -198,8 +200,8 @@
     }
 
     /// The last answer must reach the client: closing with bytes unread would reset the connection and could
-    /// take the answer along. So this side ends first, and the client's end is awaited for a short while; longer
-    /// while it still sends, in turns with the others, as some send at full speed and without end.
+    /// take the answer along. So this side ends first, and the client's end is awaited for a short while;
+    /// longer while it still sends, in turns with the others, as some send at full speed and without end.
     fn part_with(&mut self) {
         if self.io.inner().shutdown(Shutdown::Write).is_err() {
             return;
@@ -370,9 +372,9 @@
 
     /// The request is whole: over to the desk, if it is not answered already.
     fn whole(&mut self, part: Part<D::Ask>) {
-        // One that has brought requests before takes nothing from the lane; nor does the first request on a new one
-        // while others only sit there: hundreds that connect and stay silent must not keep out who has something to
-        // ask.
+        // One that has brought requests before takes nothing from the lane; nor does the first request on a
+        // new one while others only sit there: hundreds that connect and stay silent must not keep out who
+        // has something to ask.
         let first = self.known.asked.fetch_add(1, Ordering::Relaxed) == 0;
         let ask = match part.heard {
             Heard::Say(answer) => return self.respond(answer),
--- a/crates/tongs/src/http.rs
+++ b/crates/tongs/src/http.rs
@@ -118,7 +118,8 @@
         _ if to_head || bodiless(status) => Framing::Length(0),
         Some(Framing::Length(n)) if n > bounds.body => return Err(TOO_LARGE),
         Some(framing) => framing,
-        // Connections stay open unless one side says otherwise: without that word it has no end that could be told.
+        // Connections stay open unless one side says otherwise: without that word it has no end that could be
+        // told.
         None if !common.close => return Err(bad("no length")),
         None => Framing::ToEnd,
     };
@@ -242,8 +243,8 @@
     Done,
 }
 
-/// The longest line between chunks that is read, and all such lines of a body together: a body that brings little
-/// and never ends must not be read for ever.
+/// The longest line between chunks that is read, and all such lines of a body together: a body that brings
+/// little and never ends must not be read for ever.
 const MOST_LINE: usize = 1024;
 const LINES_PART: usize = 8;
 /// Room made for a body before any of it has come: its claimed length may be a lie.
@@ -273,8 +274,8 @@
         }
     }
 
-    /// One call of `read` into the body itself, where much of it is still to come. None where it comes by `take`: then
-    /// nothing was read.
+    /// One call of `read` into the body itself, where much of it is still to come. None where it comes by
+    /// `take`: then nothing was read.
     pub fn fill(&mut self, read: impl FnOnce(&mut [u8]) -> io::Result<usize>) -> io::Result<Option<Filled>> {
         let Part::Left(left) = self.state else { return Ok(None) };
         let (at, room) = (self.content.len(), left.min(PIECE));
--- a/crates/tongs/src/limits.rs
+++ b/crates/tongs/src/limits.rs
@@ -1,13 +1,13 @@
-//! What a program may hold: descriptors, and memory for bodies. Counts alone; who holds something gives it back by
-//! dropping it.
+//! What a program may hold: descriptors, and memory for bodies. Counts alone; who holds something gives it
+//! back by dropping it.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-/// Descriptors. A part is kept for servers: clients could otherwise take those that their own requests need. When
-/// the clients' part runs short, each answer ends its connection, which is the one way to part that cannot cross a
-/// request. The last few are a lane for being turned away: a request whose connection the machine has accepted
-/// must be answered, also when there is no room to serve it.
+/// Descriptors. A part is kept for servers: clients could otherwise take those that their own requests need.
+/// When the clients' part runs short, each answer ends its connection, which is the one way to part that
+/// cannot cross a request. The last few are a lane for being turned away: a request whose connection the
+/// machine has accepted must be answered, also when there is no room to serve it.
 pub struct Fds {
     room: usize,
     kept: usize,
@@ -81,8 +81,8 @@
     }
 }
 
-/// Memory for the bodies of requests. What one connection may hold is bounded elsewhere; together they may hold this
-/// part of the limit, the rest being for answers, connections and the program.
+/// Memory for the bodies of requests. What one connection may hold is bounded elsewhere; together they may
+/// hold this part of the limit, the rest being for answers, connections and the program.
 pub struct Memory {
     most: usize,
     held: AtomicUsize,
--- a/crates/tongs/src/mailbox.rs
+++ b/crates/tongs/src/mailbox.rs
@@ -1,9 +1,9 @@
 //! The mailbox of an actor that waits on a descriptor: a queue, and a bell that wakes the actor.
 //!
 //! A wake-up cannot be lost: the bell sets a flag that the actor's next wait finds, so a message posted after
-//! the actor last looked and before it waits ends that wait at once. The actor must look again after each wait.
-//! What can be in a mailbox is bounded by what its senders hold: a connection has one request or one attempt
-//! at a time, and connections are bounded by the descriptors.
+//! the actor last looked and before it waits ends that wait at once. The actor must look again after each
+//! wait. What can be in a mailbox is bounded by what its senders hold: a connection has one request or one
+//! attempt at a time, and connections are bounded by the descriptors.
 
 use may::io::{AsIoData, WaitIo, WaitIoWaker};
 use std::collections::VecDeque;
@@ -31,8 +31,8 @@
         Mailbox { queue: Mutex::new(VecDeque::new()), bell: Mutex::new(bell) }
     }
 
-    /// From here on another bell wakes the actor: it waits on something else. What came before is still there, so
-    /// the actor looks again after the call.
+    /// From here on another bell wakes the actor: it waits on something else. What came before is still
+    /// there, so the actor looks again after the call.
     pub fn rehang(&self, bell: Bell) {
         *self.bell.lock().unwrap_or_else(PoisonError::into_inner) = bell;
     }
--- a/crates/tongs/src/net.rs
+++ b/crates/tongs/src/net.rs
@@ -5,8 +5,8 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
-/// Begins to connect. What is sent and not acknowledged for `silence` ends the connection: a machine that is gone
-/// says nothing.
+/// Begins to connect. What is sent and not acknowledged for `silence` ends the connection: a machine that is
+/// gone says nothing.
 pub fn connect(addr: SocketAddr, silence: Option<Duration>) -> io::Result<CoIo<TcpStream>> {
     let socket = socket2::Socket::new(socket2::Domain::for_address(addr), socket2::Type::STREAM, None)?;
     socket.set_nonblocking(true)?;
--- a/crates/tongs/src/pool.rs
+++ b/crates/tongs/src/pool.rs
@@ -1,5 +1,6 @@
-//! A server: an actor for its address, which owns its idle connections and opens new ones, and a coroutine for each
-//! connection, which carries one attempt at a time. What becomes of an attempt is told to the wire once.
+//! A server: an actor for its address, which owns its idle connections and opens new ones, and a coroutine
+//! for each connection, which carries one attempt at a time. What becomes of an attempt is told to the wire
+//! once.
 //!
 //! An attempt is never sent again from here. Only one of which no byte was written, on a connection that had
 //! died while idle, goes to another connection: no server can have seen any of it.
@@ -19,16 +20,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// What is spoken with servers: writes the last lines of requests, reads the heads of answers, and is told what
-/// became of attempts. One for all servers that are spoken to alike. All calls come on the coroutines' thread.
+/// What is spoken with servers: writes the last lines of requests, reads the heads of answers, and is told
+/// what became of attempts. One for all servers that are spoken to alike. All calls come on the coroutines'
+/// thread.
 pub trait Wire: Send + Sync + Sized + 'static {
     /// What an attempt carries along for this wire.
     type Note: Send + 'static;
     /// What is read out of an answer's head.
     type Said: Send + 'static;
 
-    /// Whole lines, "Name: value\r\n", that end the head of this attempt; framing is not theirs. `left_us`, one at
-    /// the least, is what is left of its time as it is written.
+    /// Whole lines, "Name: value\r\n", that end the head of this attempt; framing is not theirs. `left_us`,
+    /// one at the least, is what is left of its time as it is written.
     fn last_lines(&self, job: &Job<Self::Note>, left_us: Micros, out: &mut Vec<u8>);
 
     /// An answer's head is whole; interim ones (1xx) are not shown.
@@ -45,12 +47,13 @@
 pub enum Heard<Said> {
     /// Its answer.
     Mine(Said),
-    /// A further answer to an earlier request: it is read and dropped, the attempt's own is awaited behind it, and
-    /// then the connection ends.
+    /// A further answer to an earlier request: it is read and dropped, the attempt's own is awaited behind
+    /// it, and then the connection ends.
     Surplus,
 }
 
-/// A request as it goes to servers, but for the lines of the one attempt; shared by all of them and never copied.
+/// A request as it goes to servers, but for the lines of the one attempt; shared by all of them and never
+/// copied.
 pub struct Passage {
     /// Request line and headers, without framing and without the blank line that ends them.
     pub head: Vec<u8>,
@@ -91,7 +94,8 @@
     pub dial_us: Micros,
     /// For an answer that has begun to be whole, or to bring its next 64 KB.
     pub answer_us: Micros,
-    /// A connection idle for longer is not used again, where the server names no time (`Keep-Alive: timeout=N`).
+    /// A connection idle for longer is not used again, where the server names no time (`Keep-Alive:
+    /// timeout=N`).
     pub idle_us: Micros,
     /// Connections at the most.
     pub most: usize,
@@ -124,8 +128,8 @@
         self.0.send(ToServer::Send(job)).is_ok()
     }
 
-    /// Closes the attempt's connection; nothing more is told of it. `late`: its time was up, and this is when it was
-    /// sent.
+    /// Closes the attempt's connection; nothing more is told of it. `late`: its time was up, and this is when
+    /// it was sent.
     pub fn give_up(&self, id: u64, attempt: u32, late: Option<Micros>) {
         self.tell(ToServer::GiveUp { id, attempt, late });
     }
@@ -230,7 +234,8 @@
 /// How long a connection rests after an answer, while others are idle.
 const REST_US: Micros = 2_000;
 
-/// A connection is not used in the last part of the time that its server keeps it: an attempt could cross its end.
+/// A connection is not used in the last part of the time that its server keeps it: an attempt could cross its
+/// end.
 const KEEP_MARGIN_US: Micros = 1_000_000;
 
 impl<W: Wire> Server<W> {
@@ -272,9 +277,9 @@
                 if let Some(conn) = self.busy.remove(&(id, attempt)) {
                     self.end(conn, None);
                 }
-                // Not a word since that attempt was sent: its machine may be gone, which open connections never
-                // tell. A new connection does, soon, and proves that the attempt never ran. Should it only be
-                // slow, a few handshakes are lost.
+                // Not a word since that attempt was sent: its machine may be gone, which open connections
+                // never tell. A new connection does, soon, and proves that the attempt never ran. Should it
+                // only be slow, a few handshakes are lost.
                 if late.is_some_and(|sent_at| self.heard_at < sent_at) {
                     self.close_idle();
                 }
@@ -318,8 +323,8 @@
             }
             ToServer::Ended { conn, unsent } => {
                 let Some(c) = self.conns.remove(&conn) else { return };
-                // It may have ended while an attempt was on its way to it: that one was never touched either. One
-                // that was given up meanwhile must not go out any more.
+                // It may have ended while an attempt was on its way to it: that one was never touched either.
+                // One that was given up meanwhile must not go out any more.
                 let handed = std::iter::from_fn(|| c.inbox.pop()).find_map(|told| match told {
                     ToConn::Carry(job) => Some(job),
                     ToConn::End(_) => None,
@@ -365,8 +370,8 @@
         }
     }
 
-    /// A connection that the server might close any moment is worth less than a new one: an attempt written to
-    /// it would count as one that may have run.
+    /// A connection that the server might close any moment is worth less than a new one: an attempt written
+    /// to it would count as one that may have run.
     fn retire(&mut self) {
         let (now, idle_us) = (self.room.clock.now(), self.settings.idle_us);
         let (stay, old) = std::mem::take(&mut self.idle)
@@ -404,8 +409,8 @@
         self.dial(job);
     }
 
-    /// The newest idle connection, but one that has rested if there is any: bytes that a server sends unasked right
-    /// behind an answer are seen by then, and cannot be taken for the answer to what is written next.
+    /// The newest idle connection, but one that has rested if there is any: bytes that a server sends unasked
+    /// right behind an answer are seen by then, and cannot be taken for the answer to what is written next.
     fn rested(&mut self) -> Option<u64> {
         let before = self.room.clock.now().saturating_sub(REST_US);
         let place = self.idle.iter().rposition(|idle| idle.since <= before);
--- a/crates/tongs/src/pool/connection.rs
+++ b/crates/tongs/src/pool/connection.rs
@@ -92,7 +92,8 @@
     ahead: u32,
     /// An answer to an earlier attempt has come: whose the next one would be is not known well enough.
     surplus: bool,
-    /// When the answer must be whole, or a further piece of it there: begun, it comes in one go, or not at all.
+    /// When the answer must be whole, or a further piece of it there: begun, it comes in one go, or not at
+    /// all.
     whole_by: Option<Micros>,
     /// Bytes read of the answer since that was set.
     moved: usize,
@@ -163,8 +164,9 @@
         Ok(false)
     }
 
-    /// An answer that has begun and stops, its length a lie or its server gone, must not hold the request until its
-    /// time is up: another attempt may still be in time. It could harm where servers pause for longer within one.
+    /// An answer that has begun and stops, its length a lie or its server gone, must not hold the request
+    /// until its time is up: another attempt may still be in time. It could harm where servers pause for
+    /// longer within one.
     fn hurry(&mut self) -> Result<(), Cause> {
         if self.job.is_none() || (self.answer.is_none() && self.incoming.is_empty()) {
             return Ok(());
@@ -181,8 +183,8 @@
         if now >= whole_by { Err(Cause::Malformed("answer not whole in time")) } else { Ok(()) }
     }
 
-    /// Nothing is there to be read. Else the server has ended the connection, or sent bytes that nobody asked for
-    /// and that must not pass for the answer to what is written next.
+    /// Nothing is there to be read. Else the server has ended the connection, or sent bytes that nobody asked
+    /// for and that must not pass for the answer to what is written next.
     fn quiet(&self) -> bool {
         let mut socket = self.io.inner();
         socket.read(&mut [0]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
--- /dev/null
+++ b/crates/tongs/tests/sockets.rs
@@ -0,0 +1,332 @@
+//! The whole of it on the loopback address: a desk that passes what it is asked to one server, by a wire that
+//! knows answers by their id. All waits are bounded.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex, OnceLock};
+use std::time::Duration;
+use tongs::Micros;
+use tongs::clock::{Alarms, Clock};
+use tongs::door::{Answer, Desk, Door, Heard, Patience, Reply};
+use tongs::errors::Progress;
+use tongs::http::{self, Bad, Bounds};
+use tongs::limits::Held;
+use tongs::pool::{self, Ended, Job, Passage, Peer, Settings, Wire};
+use tongs::room::Room;
+
+const WAIT: Duration = Duration::from_secs(10);
+const BOUNDS: Bounds = Bounds { head: 16 * 1024, body: 32 * 1024 * 1024 };
+
+fn room() -> Arc<Room> {
+    static ROOM: OnceLock<Arc<Room>> = OnceLock::new();
+    let start = || {
+        tongs::set_up();
+        let clock = Clock::start();
+        let alarms = Alarms::start(clock).expect("a timer");
+        Arc::new(Room::new(4000, 1024, clock, alarms, Box::new(|what| eprintln!("{what}"))))
+    };
+    ROOM.get_or_init(start).clone()
+}
+
+// ---- the wire, alone ----
+
+/// Passes on what has ended.
+struct ById(Mutex<Sender<Ended<ById>>>);
+
+impl Wire for ById {
+    type Note = Vec<u8>;
+    type Said = ();
+
+    fn last_lines(&self, job: &Job<Vec<u8>>, _: Micros, out: &mut Vec<u8>) {
+        out.extend_from_slice(&[b"X-Id: ", job.note.as_slice(), b"\r\n"].concat());
+    }
+
+    fn heard(&self, job: &Job<Vec<u8>>, head: &http::Response) -> pool::Heard<()> {
+        let mine = http::header(head.headers, "X-Id") == Some(&job.note);
+        if mine { pool::Heard::Mine(()) } else { pool::Heard::Surplus }
+    }
+
+    fn ended(&self, ended: Ended<ById>) {
+        let _ = self.0.lock().expect("whole").send(ended);
+    }
+}
+
+struct Server {
+    listener: TcpListener,
+    peer: Peer<ById>,
+    ended: Receiver<Ended<ById>>,
+}
+
+impl Server {
+    fn start() -> Server {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let (told, ended) = channel();
+        let settings = Settings {
+            dial_us: 5_000_000,
+            answer_us: 5_000_000,
+            idle_us: 30_000_000,
+            most: 10,
+            silence: Some(WAIT),
+            bounds: BOUNDS,
+        };
+        let addr = listener.local_addr().expect("bound");
+        let peer = Peer::start(addr, room(), Arc::new(ById(Mutex::new(told))), settings);
+        Server { listener, peer, ended }
+    }
+
+    fn send(&self, id: u64, body: Vec<u8>) {
+        self.send_by("POST", id, body);
+    }
+
+    fn send_by(&self, method: &str, id: u64, body: Vec<u8>) {
+        let head = format!("{method} /{id} HTTP/1.1\r\nHost: x\r\n").into_bytes();
+        let passage = Arc::new(Passage { head, body: Held { bytes: body, lease: None } });
+        let until = room().clock.now() + 10_000_000;
+        assert!(self.peer.send(Job { id, attempt: 0, passage, until, note: id.to_string().into_bytes() }));
+    }
+
+    fn accept(&self) -> BufReader<TcpStream> {
+        let (stream, _) = self.listener.accept().expect("a connection");
+        stream.set_read_timeout(Some(WAIT)).expect("an option");
+        BufReader::new(stream)
+    }
+
+    fn ended(&self) -> Ended<ById> {
+        self.ended.recv_timeout(WAIT).expect("told")
+    }
+
+    fn served(&self) -> (u64, Vec<u8>) {
+        let ended = self.ended();
+        (ended.id, ended.outcome.expect("an answer").body)
+    }
+}
+
+/// A head and its body of the length that it tells; None at the end.
+fn message(from: &mut impl BufRead) -> Option<(String, Vec<u8>)> {
+    let (mut head, mut body) = (String::new(), Vec::new());
+    while !head.ends_with("\r\n\r\n") {
+        if from.read_line(&mut head).ok()? == 0 {
+            return None;
+        }
+    }
+    let length = head.lines().find_map(|l| l.strip_prefix("Content-Length: ")?.parse().ok());
+    body.resize(length.unwrap_or(0), 0);
+    from.read_exact(&mut body).ok()?;
+    Some((head, body))
+}
+
+fn say(conn: &BufReader<TcpStream>, bytes: impl AsRef<[u8]>) {
+    conn.get_ref().write_all(bytes.as_ref()).expect("taken");
+}
+
+fn answer(id: u64, body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nX-Id: {id}\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+#[test]
+fn a_surplus_answer_is_passed_over_and_its_connection_ends_after_the_right_one() {
+    let server = Server::start();
+    server.send(1, Vec::new());
+    let mut conn = server.accept();
+    message(&mut conn).expect("a request");
+    say(&conn, answer(1, "one"));
+    assert_eq!(server.served(), (1, b"one".to_vec()));
+    server.send(2, Vec::new());
+    message(&mut conn).expect("a request on the same connection");
+    say(&conn, answer(1, "one once more"));
+    say(&conn, answer(2, "two"));
+    assert_eq!(server.served(), (2, b"two".to_vec()));
+    assert!(message(&mut conn).is_none(), "ended");
+    server.send(3, Vec::new());
+    let mut conn = server.accept();
+    message(&mut conn).expect("a request");
+    // Nothing but an answer to another: this attempt has had none.
+    say(&conn, answer(2, "two once more"));
+    drop(conn);
+    let error = server.ended().outcome.err().expect("no answer");
+    assert_eq!(error.progress, Progress::Written);
+}
+
+#[test]
+fn an_answer_cut_short_is_never_one() {
+    let server = Server::start();
+    server.send(1, Vec::new());
+    let mut conn = server.accept();
+    message(&mut conn).expect("a request");
+    let whole = answer(1, &"x".repeat(1_000_000));
+    say(&conn, &whole.as_bytes()[..whole.len() - 1]);
+    drop(conn);
+    let error = server.ended().outcome.err().expect("no whole answer");
+    assert_eq!(error.progress, Progress::Answering);
+    assert!(!error.never_ran());
+}
+
+#[test]
+fn large_bodies_go_both_ways_and_head_has_none() {
+    let server = Server::start();
+    let large: Vec<u8> = (0..20_000_000_u32).map(|n| (n % 251) as u8).collect();
+    server.send(1, large.clone());
+    let mut conn = server.accept();
+    let (head, body) = message(&mut conn).expect("a request");
+    assert!(head.contains("X-Id: 1\r\nContent-Length: 20000000\r\n"), "{head}");
+    assert!(body == large);
+    say(&conn, format!("HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: {}\r\n\r\n", body.len()));
+    say(&conn, &body);
+    assert!(server.served() == (1, large));
+    server.send_by("HEAD", 2, Vec::new());
+    let (head, _) = message(&mut conn).expect("a request");
+    assert!(!head.contains("Content-Length"), "{head}");
+    say(&conn, "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 500\r\n\r\n");
+    assert_eq!(server.served(), (2, Vec::new()));
+}
+
+// ---- the door, alone ----
+
+/// Hands requests to the test, which answers them.
+struct Hand {
+    asked: Mutex<Sender<(String, Held, Reply)>>,
+    withdrawn: Mutex<Sender<u64>>,
+    draining: AtomicBool,
+}
+
+impl Desk for Hand {
+    type Ask = String;
+
+    fn bounds(&self) -> Bounds {
+        BOUNDS
+    }
+
+    fn patience(&self) -> Patience {
+        let idle_us = 30_000_000;
+        Patience { first_us: None, read_us: 200_000, write_us: 5_000_000, once_idle_us: idle_us, idle_us }
+    }
+
+    fn head(&self, head: &http::Request) -> Result<Heard<String>, Bad> {
+        match head.target {
+            "/bad" => Err(Bad { status: 404, what: "no route" }),
+            "/now" => Ok(Heard::Say(Answer::text(200, "now"))),
+            target => Ok(Heard::Take(target.to_string())),
+        }
+    }
+
+    fn asked(&self, _: u64, ask: String, body: Held, reply: Reply) {
+        let _ = self.asked.lock().expect("whole").send((ask, body, reply));
+    }
+
+    fn withdrawn(&self, id: u64) {
+        let _ = self.withdrawn.lock().expect("whole").send(id);
+    }
+
+    fn draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    fn refusal(&self, bad: &Bad) -> Answer {
+        Answer::text(bad.status, bad.what)
+    }
+}
+
+struct Open {
+    desk: Arc<Hand>,
+    addr: SocketAddr,
+    asked: Receiver<(String, Held, Reply)>,
+    withdrawn: Receiver<u64>,
+}
+
+fn open() -> Open {
+    let ((tell, asked), (tell_gone, withdrawn)) = (channel(), channel());
+    let draining = AtomicBool::new(false);
+    let desk = Arc::new(Hand { asked: Mutex::new(tell), withdrawn: Mutex::new(tell_gone), draining });
+    let any = "127.0.0.1:0".parse().expect("an address");
+    let door = Door::start(any, room(), desk.clone()).expect("a port");
+    Open { desk, addr: door.addr(), asked, withdrawn }
+}
+
+impl Open {
+    fn connect(&self) -> BufReader<TcpStream> {
+        let stream = TcpStream::connect(self.addr).expect("connects");
+        stream.set_read_timeout(Some(WAIT)).expect("an option");
+        BufReader::new(stream)
+    }
+
+    fn asked(&self) -> (String, Held, Reply) {
+        self.asked.recv_timeout(WAIT).expect("a request")
+    }
+}
+
+#[test]
+fn requests_sent_ahead_are_answered_in_their_order() {
+    let door = open();
+    let mut client = door.connect();
+    let get = |target: &str| format!("GET {target} HTTP/1.1\r\nHost: x\r\n\r\n");
+    say(&client, [get("/1"), get("/now"), get("/2")].concat());
+    for (target, status) in [("/1", 200), ("/2", 503)] {
+        let (asked, _, reply) = door.asked();
+        assert_eq!(asked, target);
+        reply.send(Answer::text(status, target));
+    }
+    let answers: Vec<Vec<u8>> = (0..3).map(|_| message(&mut client).expect("an answer").1).collect();
+    assert_eq!(answers, [b"/1".to_vec(), b"now".to_vec(), b"/2".to_vec()]);
+    say(&client, get("/lost"));
+    drop(door.asked());
+    assert!(message(&mut client).expect("an answer").0.starts_with("HTTP/1.1 502 "));
+    say(&client, get("/left"));
+    let (_, _, reply) = door.asked();
+    drop(client);
+    door.withdrawn.recv_timeout(WAIT).expect("told");
+    reply.send(Answer::text(200, "to nobody"));
+}
+
+#[test]
+fn bodies_of_both_kinds_come_whole_and_large_answers_leave_whole() {
+    let door = open();
+    let large: Vec<u8> = (0..9_000_000_u32).map(|n| (n % 253) as u8).collect();
+    let mut client = door.connect();
+    let mut chunked = b"POST /c HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec();
+    for chunk in large.chunks(100_000) {
+        chunked.extend_from_slice(format!("{:x}\r\n", chunk.len()).as_bytes());
+        chunked.extend_from_slice(chunk);
+        chunked.extend_from_slice(b"\r\n");
+    }
+    chunked.extend_from_slice(b"0\r\n\r\n");
+    say(&client, chunked);
+    say(&client, format!("POST /l HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n", large.len()));
+    let mut writer = client.get_ref().try_clone().expect("a handle");
+    let sent = large.clone();
+    let sending = std::thread::spawn(move || writer.write_all(&sent).expect("taken"));
+    for _ in 0..2 {
+        let (_, body, reply) = door.asked();
+        assert!(body.bytes == large);
+        reply.send(Answer::new(200, Vec::new(), body.bytes));
+        assert!(message(&mut client).expect("an answer").1 == large);
+    }
+    sending.join().expect("sent");
+    say(&client, "HEAD /h HTTP/1.1\r\nHost: x\r\n\r\nGET /bad HTTP/1.1\r\nHost: x\r\n\r\n");
+    door.asked().2.send(Answer::text(200, "unseen"));
+    let mut rest = String::new();
+    client.read_to_string(&mut rest).expect("up to the end");
+    let (head, after) = rest.split_once("\r\n\r\n").expect("a head");
+    assert!(head.contains("Content-Length: 6"), "{head}");
+    assert!(after.starts_with("HTTP/1.1 404 ") && after.contains("Connection: close"), "{after}");
+}
+
+#[test]
+fn half_a_request_is_told_so_and_a_draining_desk_parts_with_all() {
+    let door = open();
+    let mut half = door.connect();
+    say(&half, "GET /half HTTP/1.1\r\n");
+    assert!(message(&mut half).expect("an answer").0.starts_with("HTTP/1.1 408 "));
+    let (mut idle, mut busy) = (door.connect(), door.connect());
+    say(&idle, "GET /now HTTP/1.1\r\nHost: x\r\n\r\n");
+    message(&mut idle).expect("an answer");
+    say(&busy, "GET /busy HTTP/1.1\r\nHost: x\r\n\r\n");
+    let (_, _, reply) = door.asked();
+    door.desk.draining.store(true, Ordering::Relaxed);
+    assert!(message(&mut idle).is_none(), "closed");
+    reply.send(Answer::text(200, "still"));
+    let (head, body) = message(&mut busy).expect("an answer");
+    assert!(head.contains("Connection: close") && body == b"still");
+    assert!(message(&mut busy).is_none());
+}
