Call a store fresh only if it holds all that its leader tells of

Change: the leader's word on how far it has committed counts, not only that it is heard. What stands is logged.

--- a/crates/planchest/src/chest.rs
+++ b/crates/planchest/src/chest.rs
@@ -57,6 +57,24 @@
     until: Micros,
 }
 
+/// How a store stands, for its log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Standing {
+    pub leader: Option<Ipv4Addr>,
+    pub term: u64,
+    pub fresh: bool,
+}
+
+impl std::fmt::Display for Standing {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let fresh = if self.fresh { "fresh" } else { "not fresh" };
+        match self.leader {
+            Some(leader) => write!(f, "term {}: follows {leader}, {fresh}", self.term),
+            None => write!(f, "term {}: nobody leads, {fresh}", self.term),
+        }
+    }
+}
+
 pub struct Chest {
     me: Ipv4Addr,
     disk: Disk,
@@ -327,7 +345,13 @@
 
     /// Whether this store holds all that was acknowledged until lately.
     pub fn fresh(&self) -> bool {
-        self.ratchet.leader().is_some() && self.ratchet.standing() && self.copy.rev() >= self.ratchet.commit()
+        // A leader that is heard but not answered tells of entries that do not come.
+        let all = self.copy.rev() >= self.ratchet.told();
+        self.ratchet.leader().is_some() && self.ratchet.standing() && all
+    }
+
+    pub fn standing(&self) -> Standing {
+        Standing { leader: self.ratchet.leader(), term: self.ratchet.term(), fresh: self.fresh() }
     }
 
     pub fn leads(&self) -> bool {
--- a/crates/planchest/src/main.rs
+++ b/crates/planchest/src/main.rs
@@ -1,7 +1,7 @@
 //! The shell of the store of configuration: links, disk and time around `planchest::chest`.
 
 use miette::{Result, miette};
-use planchest::chest::{Chest, Input, Output, Peer};
+use planchest::chest::{Chest, Input, Output, Peer, Standing};
 use rack::talk::{STORE_LOCAL, STORE_PEERS, ToStore};
 use ratchet::disk::Store;
 use ratchet::{Saved, Write};
@@ -92,6 +92,7 @@
         out,
         over,
         ends_at: None,
+        stood: Standing::default(),
     };
     turn::turn(clock, alarm, inbox, shell);
     ended.recv().map_err(|_| miette!("the work has ended by a fault"))
@@ -146,6 +147,7 @@
     out: Vec<Output>,
     over: Sender<()>,
     ends_at: Option<Micros>,
+    stood: Standing,
 }
 
 impl Machine for Shell {
@@ -204,6 +206,11 @@
         };
         if let Some(input) = input {
             self.chest.handle(now, input, &mut self.out);
+            let stands = self.chest.standing();
+            if stands != self.stood {
+                log::info!("{stands}");
+                self.stood = stands;
+            }
         }
         for output in std::mem::take(&mut self.out) {
             match output {
--- a/crates/ratchet/src/core.rs
+++ b/crates/ratchet/src/core.rs
@@ -125,6 +125,7 @@
     lead: Option<Box<Lead>>,
     /// A follower's log agrees with the leader's up to here.
     verified: u64,
+    told: u64,
     round: u64,
     owes: bool,
     /// A snapshot that is coming in.
@@ -164,6 +165,7 @@
             urged: false,
             lead: None,
             verified: 0,
+            told: 0,
             round: 0,
             owes: false,
             coming: None,
@@ -193,6 +195,11 @@
         self.hard.commit
     }
 
+    /// How far the leader has committed, as it last told: beyond what is committed here where its entries do not come.
+    pub fn told(&self) -> u64 {
+        self.told.max(self.hard.commit)
+    }
+
     pub fn last(&self) -> u64 {
         self.log.last()
     }
@@ -540,6 +547,7 @@
                     self.refuse(from, round, out);
                 } else if self.lead.is_none() {
                     self.hear_leader(now, term, from, out);
+                    self.told = commit;
                     self.appended(from, round, (prev, prev_term), commit, entries, out);
                 }
             }
--- a/crates/shuttle/src/main.rs
+++ b/crates/shuttle/src/main.rs
@@ -386,6 +386,7 @@
         for output in std::mem::take(&mut self.news) {
             match output {
                 feed::Output::Link(ip) => {
+                    log::info!("follows {ip} from revision {}", self.front.copy.rev());
                     let inbox = self.inbox.clone();
                     let addr = SocketAddr::from((ip, self.news_port));
                     let told = move |link, event| inbox.post(Told::Link(link, event));
