Let registries show themselves, their servers and their proxies

Operators had no way to see what a registry knows. Three calls, stated in OpenAPI first: GET /api/status, /api/instances and /api/nodes. Each answers at once from the registry's own copy and what it has heard, and names who answers and how far its copy has come.

--- a/crates/jig/src/api.rs
+++ b/crates/jig/src/api.rs
@@ -14,12 +14,15 @@
     ReadConfig,
     Evacuate,
     Restore,
+    ListInstances,
+    ListNodes,
+    Status,
     Resolve,
     Ready,
 }
 
 /// Each call: its method, its path, its `operationId`, and the name of the address that takes it.
-pub const CALLS: [(Call, &str, &str, &str, &str); 9] = [
+pub const CALLS: [(Call, &str, &str, &str, &str); 12] = [
     (Call::Beat, "PUT", "/api/instances/{server_id}", "beat", "control_port"),
     (Call::Leave, "DELETE", "/api/instances/{server_id}", "leave", "control_port"),
     (Call::PutConfig, "PUT", "/api/configuration", "putConfig", "control_port"),
@@ -27,6 +30,9 @@
     (Call::ReadConfig, "GET", "/api/configuration", "readConfig", "control_port"),
     (Call::Evacuate, "POST", "/api/evacuation/{zone_name}", "evacuate", "control_port"),
     (Call::Restore, "DELETE", "/api/evacuation/{zone_name}", "restore", "control_port"),
+    (Call::ListInstances, "GET", "/api/instances", "listInstances", "control_port"),
+    (Call::ListNodes, "GET", "/api/nodes", "listNodes", "control_port"),
+    (Call::Status, "GET", "/api/status", "status", "control_port"),
     (Call::Resolve, "GET", "/api/resolution", "resolve", "directory_port"),
     (Call::Ready, "GET", "/api/readiness", "ready", "readiness"),
 ];
--- a/crates/pegboard/src/board.rs
+++ b/crates/pegboard/src/board.rs
@@ -3,6 +3,7 @@
 
 use crate::calls::{self, Answer, Request};
 use crate::presence::Presence;
+use crate::show::View;
 use jig::api::{self, Beat, Call};
 use jig::config::if_match;
 use rack::copy::{Copy, Took};
@@ -221,13 +222,31 @@
                     Some(Answer::error(404, &format!("no zone {argument:?}")))
                 }
             }
-            _ => Some(Answer::error(404, "not served here")),
+            Call::Status => Some(self.view().status()),
+            Call::ListInstances => Some(self.view().instances()),
+            Call::ListNodes => Some(self.view().nodes()),
+            Call::Ready => Some(Answer::error(404, "not served here")),
         };
         if let Some(answer) = answer {
             out.push(Output::Answer(id, answer));
         }
     }
 
+    fn view(&self) -> View<'_> {
+        let followers = self.followers.values();
+        View {
+            now: self.now,
+            me: self.terms.me,
+            state: &self.copy.state,
+            presence: &self.presence,
+            core: &self.core,
+            places: &self.places,
+            fresh: self.fresh && self.store_up,
+            leads: self.leads && self.store_up,
+            followers: followers.map(|f| (&f.node, f.behind.unwrap_or(f.rev))).collect(),
+        }
+    }
+
     fn ticket(&mut self) -> u64 {
         self.tickets += 1;
         self.tickets
--- a/crates/pegboard/src/lib.rs
+++ b/crates/pegboard/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod board;
 pub mod calls;
 pub mod presence;
+pub mod show;
--- a/crates/pegboard/src/presence.rs
+++ b/crates/pegboard/src/presence.rs
@@ -109,6 +109,17 @@
         self.proxies.retain(|ip, p| state.nodes.contains_key(ip) || !forget(p.heard_at, beat));
     }
 
+    /// When a server last called, here or where it was told of.
+    pub fn server_heard_at(&self, id: &str) -> Option<Micros> {
+        self.servers.get(id).filter(|s| s.sequence > 0).map(|s| s.heard_at)
+    }
+
+    /// When a proxy last reported, and whether it then was ready.
+    pub fn proxy_heard(&self, ip: Ipv4Addr) -> Option<(Micros, bool)> {
+        let p = self.proxies.get(&ip)?;
+        p.last.map(|seen| (p.heard_at, seen.ready))
+    }
+
     pub fn servers_unheard(&self, now: Micros, for_us: Micros) -> Vec<String> {
         let lost = self.servers.iter().filter(|(_, s)| now > s.heard_at + for_us);
         lost.map(|(id, _)| id.clone()).collect()
--- /dev/null
+++ b/crates/pegboard/src/show.rs
@@ -0,0 +1,90 @@
+//! What a registry knows, for operators: its own view, from its own copy and what it has heard. Nobody else is asked.
+
+use crate::calls::Answer;
+use crate::presence::Presence;
+use jig::config::show_version;
+use jzon::JsonValue;
+use rack::state::{Node, State};
+use rack::{Micros, Rev};
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+
+pub struct View<'a> {
+    pub now: Micros,
+    pub me: Ipv4Addr,
+    pub state: &'a State,
+    pub presence: &'a Presence,
+    pub core: &'a [Ipv4Addr],
+    /// The zones of the core's machines, as far as they have said.
+    pub places: &'a BTreeMap<Ipv4Addr, String>,
+    pub fresh: bool,
+    pub leads: bool,
+    /// The proxies that follow this registry, and how far each has come.
+    pub followers: Vec<(&'a Node, Rev)>,
+}
+
+impl View<'_> {
+    pub fn status(&self) -> Answer {
+        let core = self.core.iter().map(|ip| {
+            let zone = self.places.get(ip).map(String::as_str);
+            jzon::object! { ip_address: ip.to_string(), zone_name: zone }
+        });
+        let followers = self.followers.iter().map(|(node, rev)| {
+            jzon::object! { node_name: node.name.as_str(), ip_address: node.ip.to_string(), revision: *rev }
+        });
+        let evacuated: Vec<&str> = self.state.evacuated.iter().map(String::as_str).collect();
+        self.answer(jzon::object! {
+            config_version: self.state.config.as_ref().map(|c| show_version(c.version)),
+            core_list: core.collect::<Vec<_>>(),
+            fresh: self.fresh,
+            leads: self.leads,
+            evacuated_zones: evacuated,
+            follower_list: followers.collect::<Vec<_>>(),
+        })
+    }
+
+    pub fn instances(&self) -> Answer {
+        let rows = self.state.servers.values().map(|s| {
+            let heard = self.presence.server_heard_at(&s.id);
+            jzon::object! {
+                server_id: s.id.as_str(),
+                service_ref: s.service.as_str(),
+                server_address: s.addr.to_string(),
+                zone_name: s.zone.as_str(),
+                slot_count: s.slots,
+                server_state: if s.draining { "draining" } else { "available" },
+                cold_left_ms: s.cold_until().saturating_sub(self.now).div_ceil(1000),
+                heard_ms_ago: heard.map(|at| self.ago(at)),
+            }
+        });
+        self.answer(jzon::object! { instance_list: rows.collect::<Vec<_>>() })
+    }
+
+    pub fn nodes(&self) -> Answer {
+        let revs: BTreeMap<Ipv4Addr, Rev> = self.followers.iter().map(|(n, rev)| (n.ip, *rev)).collect();
+        let rows = self.state.nodes.values().map(|n| {
+            let heard = self.presence.proxy_heard(n.ip);
+            jzon::object! {
+                node_name: n.name.as_str(),
+                ip_address: n.ip.to_string(),
+                zone_name: n.zone.as_str(),
+                region_name: n.region.as_str(),
+                ready: heard.map(|(_, ready)| ready),
+                heard_ms_ago: heard.map(|(at, _)| self.ago(at)),
+                revision: revs.get(&n.ip).copied(),
+            }
+        });
+        self.answer(jzon::object! { node_list: rows.collect::<Vec<_>>() })
+    }
+
+    fn ago(&self, at: Micros) -> u64 {
+        self.now.saturating_sub(at) / 1000
+    }
+
+    /// With who answers and how far it has come, as another registry may say something else.
+    fn answer(&self, mut body: JsonValue) -> Answer {
+        body["answered_by"] = self.me.to_string().into();
+        body["revision"] = self.state.rev.into();
+        Answer::json(200, body.dump())
+    }
+}
