--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -32,16 +32,17 @@
         .long("json")
         .global(true)
         .action(ArgAction::SetTrue)
-        .help("Prints the answer as it came");
+        .help("Shows the answer as it came, instead of tables");
     Command::new("curlewfront")
         .version(env!("CARGO_PKG_VERSION"))
         .about("The operator's command")
         .after_help(AFTER)
         .subcommand_required(true)
         .arg_required_else_help(true)
-        .subcommand(config::command().args([&at, &json]))
-        .subcommands(zone::commands().map(|c| c.args([&at, &json])))
-        .subcommands(show::commands().map(|c| c.args([&at, &json])))
+        .args([at, json])
+        .subcommand(config::command())
+        .subcommands(zone::commands())
+        .subcommands(show::commands())
         .subcommand(fleet::FleetArgs::augment_args(
             Command::new("fleet").about("The group of gateways that agree on one durable state"),
         ))
