Meter tenants over all proxies, and let shares of quotas follow demand

Clients keep to a proxy for long, so small tenants ask nearly all of it at a few. Change: proxies report what each tenant asks and uses, registries add it up and tell all; a proxy's share is the larger of the even one and its part of what is wanted, scaled to the whole. Silent meter: the even share.

--- a/crates/pegboard/src/board.rs
+++ b/crates/pegboard/src/board.rs
@@ -2,13 +2,14 @@
 //! registries and to the proxies come in; answers and messages go out. No I/O, no clock.
 
 use crate::calls::{self, Answer, Request};
+use crate::meter::Meter;
 use crate::presence::Presence;
 use crate::show::View;
 use jig::api::{self, Beat, Call};
 use jig::config::if_match;
 use rack::copy::{Copy, Took};
 use rack::state::{Change, Command, Done, Node, NodeChange, Server, ServerChange};
-use rack::talk::{Down, FromStore, Gossip, News, ToStore, Unsure, Up};
+use rack::talk::{Down, FromStore, Gossip, News, ToStore, Unsure, Up, Usage};
 use rack::{Micros, Rev};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
@@ -50,6 +51,8 @@
 
 /// Beats between two messages of the registry's own, as a part of the servers' beat.
 const PARTS: Micros = 3;
+/// Reports of tenants' use are gathered for so long before the proxies are told the sum.
+const METER_US: Micros = 150_000;
 /// A call's caller moves on after a second of silence.
 const CALL_US: Micros = 900_000;
 /// A server is written off after so many beats unheard, a proxy after so many times the catching up.
@@ -93,6 +96,9 @@
     leads: bool,
     leads_since: Micros,
     pub presence: Presence,
+    meter: Meter,
+    /// Readings go out ahead of time, as a proxy has reported ahead of time.
+    meter_at: Micros,
     followers: BTreeMap<u64, Follower>,
     waiting: BTreeMap<u64, Waiting>,
     tickets: u64,
@@ -121,6 +127,8 @@
             leads: false,
             leads_since: now,
             presence: Presence::new(now, terms.beat_us),
+            meter: Meter::new(terms.beat_us / PARTS),
+            meter_at: Micros::MAX,
             followers: BTreeMap::new(),
             waiting: BTreeMap::new(),
             tickets: 0,
@@ -138,7 +146,7 @@
     /// When it wants to be called again, whatever comes.
     pub fn wake_at(&self) -> Micros {
         let calls = self.waiting.values().map(|w| w.until).min();
-        calls.unwrap_or(Micros::MAX).min(self.next_round)
+        calls.unwrap_or(Micros::MAX).min(self.next_round).min(self.meter_at)
     }
 
     pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
@@ -165,6 +173,9 @@
             Input::Peer(gossip) => {
                 self.places.insert(gossip.ip, gossip.zone.clone());
                 self.presence.told(self.now, &gossip);
+                for usage in gossip.usage {
+                    self.usage(usage, true);
+                }
             }
             Input::Proxy(link, up) => self.proxy(link, up, out),
             Input::ProxyDown(link) => {
@@ -465,7 +476,10 @@
                 out.push(Output::Proxy(link, self.standing()));
                 self.feed(link, out);
             }
-            Up::Report { rev, seen } => {
+            Up::Report { rev, seen, usage } => {
+                for u in usage {
+                    self.usage(u, false);
+                }
                 for s in seen {
                     self.presence.seen(self.now, s);
                 }
@@ -493,8 +507,26 @@
         Down::Standing { core: self.core.iter().map(place).collect(), fresh: self.fresh && self.store_up }
     }
 
+    fn usage(&mut self, usage: Usage, told: bool) {
+        self.meter.take(self.now, usage, told);
+        self.meter_at = self.meter_at.min(self.now + METER_US);
+    }
+
+    fn tell_meter(&mut self, out: &mut Vec<Output>) {
+        self.meter_at = Micros::MAX;
+        let readings = self.meter.read(self.now, &self.copy.state);
+        if !readings.is_empty() {
+            for link in self.followers.keys() {
+                out.push(Output::Proxy(*link, Down::Meter(readings.clone())));
+            }
+        }
+    }
+
     /// What is done from time to time.
     fn round(&mut self, out: &mut Vec<Output>) {
+        if self.now >= self.meter_at.min(self.next_round) {
+            self.tell_meter(out);
+        }
         if self.now < self.next_round {
             return;
         }
@@ -503,10 +535,12 @@
             out.push(Output::Proxy(*link, self.standing()));
         }
         let (servers, nodes) = self.presence.news();
+        let usage = self.meter.news();
         let others: Vec<Ipv4Addr> = self.core.iter().copied().filter(|c| *c != self.terms.me).collect();
         for ip in others {
             let (me, zone) = (self.terms.me, self.terms.zone.clone());
-            let gossip = Gossip { ip: me, zone, servers: servers.clone(), nodes: nodes.clone() };
+            let gossip =
+                Gossip { ip: me, zone, servers: servers.clone(), nodes: nodes.clone(), usage: usage.clone() };
             out.push(Output::Peer(ip, gossip));
         }
         self.write_off();
--- a/crates/pegboard/src/lib.rs
+++ b/crates/pegboard/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod board;
 pub mod calls;
+pub mod meter;
 pub mod presence;
 pub mod show;
--- a/crates/rack/src/talk.rs
+++ b/crates/rack/src/talk.rs
@@ -112,6 +112,7 @@
     pub servers: Vec<(String, u64)>,
     /// Proxies heard of since the last, and what they said of themselves.
     pub nodes: Vec<Seen>,
+    pub usage: Vec<Usage>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -124,22 +125,59 @@
     pub ready: bool,
 }
 
+/// What one proxy does for a tenant, in thousandths of a request a second.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Use {
+    /// [`tenant_key`] of its name.
+    pub tenant: u32,
+    /// What was asked of it here, and what of that was sent on.
+    pub wanted: u32,
+    pub used: u32,
+}
+
+/// All that one proxy reports of tenants; who is left out is asked for nothing.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Usage {
+    pub ip: Ipv4Addr,
+    pub life: u64,
+    pub count: u64,
+    pub tenants: Vec<Use>,
+}
+
+/// The meter's reading of a tenant over all proxies, in the same units. `shares`: what the proxies' shares come to, in
+/// thousandths, where each has the larger of the even one and its part of what is wanted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reading {
+    pub tenant: u32,
+    pub wanted: u32,
+    pub used: u32,
+    pub shares: u32,
+}
+
+/// A tenant as reports name it.
+pub fn tenant_key(name: &str) -> u32 {
+    xxhash_rust::xxh3::xxh3_64(name.as_bytes()) as u32
+}
+
 /// Up the tree of news.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Up {
     /// First: who asks, and from where on news is wanted.
     Hello { node: Node, rev: Rev },
-    /// About every half beat: this proxy, and those below it.
-    Report { rev: Rev, seen: Vec<Seen> },
+    /// About every half beat: this proxy and those below it, and what they use of tenants' quotas.
+    Report { rev: Rev, seen: Vec<Seen>, usage: Vec<Usage> },
 }
 
 /// Down the tree of news.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Down {
     News(News),
-    /// About every third of a beat: the core's machines and their zones. `fresh`: whoever is up there holds all that was acknowledged until lately.
+    /// About every third of a beat: the core's machines and their zones. `fresh`: whoever is up there holds all that
+    /// was acknowledged until lately.
     Standing {
         core: Vec<(Ipv4Addr, String)>,
         fresh: bool,
     },
+    /// What tenants use of their quotas, as far as it is known.
+    Meter(Vec<Reading>),
 }
--- a/crates/shuttle/src/book.rs
+++ b/crates/shuttle/src/book.rs
@@ -5,6 +5,7 @@
 use curlewfront::{Class, Effect, Entry, Micros, Plan, Settings, State as Standing};
 use jig::config::{Config, Service};
 use rack::state::{Node, Server, State};
+use rack::talk::tenant_key;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -54,6 +55,7 @@
     class_of: Numbers,
     plans: Vec<Plan>,
     plan_of: Numbers,
+    keys: Vec<u32>,
     services: Numbers,
     zones: Numbers,
     servers: HashMap<String, u64>,
@@ -99,6 +101,7 @@
             class_of,
             plans: vec![Plan::default()],
             plan_of,
+            keys: vec![0],
             services: Numbers::default(),
             zones,
             servers: HashMap::new(),
@@ -116,6 +119,17 @@
         self.plan_of.known(tenant).unwrap_or(0) as usize
     }
 
+    /// The plans that have a quota, and its rate.
+    pub fn quotas(&self) -> Vec<(usize, f64)> {
+        let all = self.plans.iter().enumerate();
+        all.filter(|(_, p)| p.rate > 0.0).map(|(n, p)| (n, p.rate)).collect()
+    }
+
+    /// What a plan's tenant is called in reports.
+    pub fn key(&self, plan: usize) -> u32 {
+        self.keys.get(plan).copied().unwrap_or(0)
+    }
+
     pub fn service(&self, name: &str) -> Option<u32> {
         self.services.known(name)
     }
@@ -142,7 +156,9 @@
         }
         for tenant in config.tenants.iter().flatten() {
             let plan = Plan { rate: tenant.rate, burst: tenant.burst, ..Plan::default() };
-            put(&mut self.plans, self.plan_of.of(&tenant.name) as usize, plan);
+            let number = self.plan_of.of(&tenant.name) as usize;
+            put(&mut self.plans, number, plan);
+            put(&mut self.keys, number, tenant_key(&tenant.name));
         }
         for service in &config.services {
             self.services.of(&service.name);
--- a/crates/shuttle/src/feed.rs
+++ b/crates/shuttle/src/feed.rs
@@ -2,7 +2,7 @@
 //! on to the next.
 
 use rack::state::Node;
-use rack::talk::{Down, News, Seen, Up};
+use rack::talk::{Down, News, Reading, Seen, Up, Usage, Use};
 use rack::{Micros, Rev};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
@@ -22,10 +22,13 @@
     Link(Ipv4Addr),
     Say(Up),
     News(News),
+    Meter(Vec<Reading>),
 }
 
 /// A registry is given up after so many of its messages have not come, each a third of a beat after the one before.
 const MISSED: Micros = 3;
+/// Between two reports at the least.
+const HURRY_US: Micros = 100_000;
 const DIAL_US: Micros = 700_000;
 /// Who failed is tried again after others, for so many beats.
 const SHUNNED: Micros = 4;
@@ -54,6 +57,8 @@
     /// Has followed somebody who held all that was acknowledged.
     pub was_fresh: bool,
     report_at: Micros,
+    reported_at: Micros,
+    uses: Vec<Use>,
 }
 
 impl Feed {
@@ -80,6 +85,8 @@
             parent: None,
             was_fresh: false,
             report_at: now,
+            reported_at: 0,
+            uses: Vec::new(),
         }
     }
 
@@ -104,9 +111,18 @@
         parent.min(self.report_at)
     }
 
-    /// Reports at once, as something that others act on has changed.
+    /// Reports soon, as something that others act on has changed.
     pub fn hurry(&mut self) {
-        self.report_at = self.now;
+        self.report_at = self.report_at.min(self.reported_at + HURRY_US);
+    }
+
+    /// Whether a report is due: `uses` then says what it is to tell.
+    pub fn reports(&self, now: Micros) -> bool {
+        now >= self.report_at && self.parent.as_ref().is_some_and(|p| p.linked)
+    }
+
+    pub fn uses(&mut self, uses: Vec<Use>) {
+        self.uses = uses;
     }
 
     pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
@@ -128,6 +144,7 @@
                 match down {
                     Down::News(news) => out.push(Output::News(news)),
                     Down::Standing { core, fresh } => self.standing(core, fresh),
+                    Down::Meter(readings) => out.push(Output::Meter(readings)),
                 }
             }
         }
@@ -147,14 +164,13 @@
             out.push(Output::Link(ip));
         }
         if self.now >= self.report_at {
-            self.report_at = self.now + part;
+            (self.report_at, self.reported_at) = (self.now + part, self.now);
             if self.parent.as_ref().is_some_and(|p| p.linked) {
                 self.count += 1;
                 let (ip, life, count, ready) = (self.node.ip, self.life, self.count, self.ready);
-                out.push(Output::Say(Up::Report {
-                    rev: self.rev,
-                    seen: vec![Seen { ip, life, count, ready }],
-                }));
+                let seen = vec![Seen { ip, life, count, ready }];
+                let usage = Usage { ip, life, count, tenants: std::mem::take(&mut self.uses) };
+                out.push(Output::Say(Up::Report { rev: self.rev, seen, usage: vec![usage] }));
             }
         }
     }
--- a/crates/shuttle/src/front.rs
+++ b/crates/shuttle/src/front.rs
@@ -5,10 +5,11 @@
 //! ([`Promise`]), so they go out only where that is known or where the request may run more than once anyway.
 
 use crate::book::{Book, List, Peer, Place};
+use crate::tenants::Tenants;
 use curlewfront::{Action, Decider, Event, ListKind, Micros, NewRequest, Outcome, Return};
 use jig::config::{Config, Index, Kind, Route, Tenant};
 use rack::copy::{Copy, Took};
-use rack::talk::News;
+use rack::talk::{News, Reading, Use};
 use std::cmp::Reverse;
 use std::collections::hash_map::Entry::Occupied;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
@@ -63,6 +64,7 @@
     Withdrawn(u64),
     Ended { id: u64, attempt: u32, end: End },
     News(News),
+    Meter(Vec<Reading>),
 }
 
 pub enum Output {
@@ -130,6 +132,7 @@
     /// The request without what differs from server to server.
     passage: Arc<Passage>,
     until: Micros,
+    plan: usize,
     tries: Vec<Try>,
     /// The last answer that a server gave though it is no success.
     spare: Option<Answer>,
@@ -162,6 +165,7 @@
     timer: Option<Micros>,
     peers: BTreeMap<u64, (Peer, bool)>,
     relist_at: Option<Micros>,
+    tenants: Tenants,
     acts: Vec<Action>,
     back: VecDeque<(u64, u32, Outcome)>,
     pub counts: Counts,
@@ -185,6 +189,7 @@
             timer: None,
             peers: BTreeMap::new(),
             relist_at: None,
+            tenants: Tenants::new(beat_us / 3),
             acts: Vec::new(),
             back: VecDeque::new(),
             counts: Counts::default(),
@@ -230,6 +235,7 @@
             }
             Input::Ended { id, attempt, end } => self.ended(id, attempt, end, out),
             Input::News(news) => self.news(news, out),
+            Input::Meter(readings) => self.meter(&readings, out),
         }
         self.settle(out);
         self.due(out);
@@ -269,10 +275,12 @@
         };
         let left_us = ask.left_us.unwrap_or(Micros::MAX).min(route.deadline_ms * 1000);
         let plan = tenant.map_or(0, |t| self.book.plan(&t.name));
+        self.tenants.asked(plan);
         let open = Open {
             name: ask.name.clone(),
             passage: Arc::new(Passage { head: head(&ask, tenant), body: ask.body }),
             until: self.now + left_us,
+            plan,
             tries: Vec::new(),
             spare: None,
             timed_out: false,
@@ -284,7 +292,7 @@
             plan,
             customer: plan as u64,
             left_us,
-            spread: (self.copy.state.nodes.len() as u32).max(1),
+            spread: self.tenants.spread(self.now, plan, self.copy.state.nodes.len()),
             service,
             zones,
             attempts: route.attempts,
@@ -389,6 +397,9 @@
         let Some(open) = self.open.get_mut(&id) else { return };
         let attempt = open.tries.len() as u32;
         let until = self.now.saturating_add(timeout_us).min(open.until);
+        if attempt == 0 {
+            self.tenants.sent(open.plan);
+        }
         open.tries.push(Try { server, sent_at: self.now, out: true });
         self.timeouts.push(Reverse((until, id, attempt)));
         self.counts.sent += 1;
@@ -444,6 +455,30 @@
         }
     }
 
+    // ---- the meter ----
+
+    /// What is done here for tenants, for the next report.
+    pub fn uses(&mut self, now: Micros) -> Vec<Use> {
+        self.tenants.uses(now, &self.book)
+    }
+
+    /// Others should hear soon of what is asked here.
+    pub fn hurries(&mut self) -> bool {
+        std::mem::take(&mut self.tenants.hurries)
+    }
+
+    fn meter(&mut self, readings: &[Reading], out: &mut Vec<Output>) {
+        let nodes = self.copy.state.nodes.len();
+        for (plan, rate) in self.book.quotas() {
+            let key = self.book.key(plan);
+            if let Some(reading) = readings.iter().find(|r| r.tenant == key) {
+                self.tenants.read(self.now, plan, reading, nodes);
+                let used = f64::from(reading.used) / 1000.0 / rate;
+                self.decide(Event::Used { customer: plan as u64, used }, out);
+            }
+        }
+    }
+
     // ---- news ----
 
     fn news(&mut self, news: News, out: &mut Vec<Output>) {
--- a/crates/shuttle/src/lib.rs
+++ b/crates/shuttle/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod book;
 pub mod feed;
 pub mod front;
+pub mod tenants;
--- a/crates/shuttle/src/main.rs
+++ b/crates/shuttle/src/main.rs
@@ -382,6 +382,9 @@
     }
 
     fn feed(&mut self, now: Micros, input: feed::Input) {
+        if self.feed.reports(now) {
+            self.feed.uses(self.front.uses(now));
+        }
         self.feed.handle(now, input, &mut self.news);
         for output in std::mem::take(&mut self.news) {
             match output {
@@ -398,6 +401,7 @@
                         line.send(&up);
                     }
                 }
+                feed::Output::Meter(readings) => self.front(now, front::Input::Meter(readings)),
                 feed::Output::News(news) => {
                     self.front(now, front::Input::News(news));
                     self.feed.at(self.front.copy.rev());
@@ -477,6 +481,9 @@
             }
         }
         self.show();
+        if self.front.hurries() {
+            self.feed.hurry();
+        }
         if self.over(now) {
             let _ = self.over.send(());
         }
--- a/crates/vise/src/ring.rs
+++ b/crates/vise/src/ring.rs
@@ -25,7 +25,10 @@
 
 /// `chatty`: each line goes to standard error at once.
 pub fn start(program: &str, node: &str, chatty: bool) -> Result<()> {
-    let logger = Logger::with(LogSpecification::info());
+    // What the coroutines say of themselves is of no use here.
+    let mut spec = LogSpecification::builder();
+    let spec = spec.default(log::LevelFilter::Info).module("may", log::LevelFilter::Warn).build();
+    let logger = Logger::with(spec);
     let logger = if chatty { logger.log_to_stderr() } else { logger.log_to_buffer(HELD, Some(plain)) };
     let handle = logger.format(plain).start().map_err(|e| miette!("cannot start the log: {e}"))?;
     let who = format!("{program} {node}");
