Give bursts out by the leeway that the settings tell; end a proxy only once its door is shut

Change: bursts take part of the leeway; the listener is shut, then each connection ends with its answer.

--- a/crates/pegboard/src/board.rs
+++ b/crates/pegboard/src/board.rs
@@ -9,7 +9,7 @@
 use jig::config::if_match;
 use rack::copy::{Copy, Took};
 use rack::state::{Change, Command, Done, Node, NodeChange, Server, ServerChange};
-use rack::talk::{Down, FromStore, Gossip, News, ToStore, Unsure, Up, Usage};
+use rack::talk::{Down, FromStore, Gossip, News, Seen, ToStore, Unsure, Up, Usage};
 use rack::{Micros, Rev};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
@@ -52,7 +52,7 @@
 /// Beats between two messages of the registry's own, as a part of the servers' beat.
 const PARTS: Micros = 3;
 /// Reports of tenants' use are gathered for so long before the proxies are told the sum.
-const METER_US: Micros = 150_000;
+const METER_US: Micros = 60_000;
 /// A call's caller moves on after a second of silence.
 const CALL_US: Micros = 900_000;
 /// A server is written off after so many beats unheard, a proxy after so many times the catching up.
@@ -512,8 +512,13 @@
         self.meter_at = self.meter_at.min(self.now + METER_US);
     }
 
+    /// Tells the other registries what was reported here, and the proxies what it all comes to.
     fn tell_meter(&mut self, out: &mut Vec<Output>) {
         self.meter_at = Micros::MAX;
+        let usage = self.meter.news();
+        if !usage.is_empty() {
+            self.gossip(Vec::new(), Vec::new(), usage, out);
+        }
         let readings = self.meter.read(self.now, &self.copy.state);
         if !readings.is_empty() {
             for link in self.followers.keys() {
@@ -522,6 +527,21 @@
         }
     }
 
+    fn gossip(
+        &self,
+        servers: Vec<(String, u64)>,
+        nodes: Vec<Seen>,
+        usage: Vec<Usage>,
+        out: &mut Vec<Output>,
+    ) {
+        let (me, zone) = (self.terms.me, &self.terms.zone);
+        for ip in self.core.iter().filter(|c| **c != me) {
+            let (zone, servers) = (zone.clone(), servers.clone());
+            let gossip = Gossip { ip: me, zone, servers, nodes: nodes.clone(), usage: usage.clone() };
+            out.push(Output::Peer(*ip, gossip));
+        }
+    }
+
     /// What is done from time to time.
     fn round(&mut self, out: &mut Vec<Output>) {
         if self.now >= self.meter_at.min(self.next_round) {
@@ -535,14 +555,7 @@
             out.push(Output::Proxy(*link, self.standing()));
         }
         let (servers, nodes) = self.presence.news();
-        let usage = self.meter.news();
-        let others: Vec<Ipv4Addr> = self.core.iter().copied().filter(|c| *c != self.terms.me).collect();
-        for ip in others {
-            let (me, zone) = (self.terms.me, self.terms.zone.clone());
-            let gossip =
-                Gossip { ip: me, zone, servers: servers.clone(), nodes: nodes.clone(), usage: usage.clone() };
-            out.push(Output::Peer(ip, gossip));
-        }
+        self.gossip(servers, nodes, Vec::new(), out);
         self.write_off();
     }
 
--- a/crates/shuttle/src/book.rs
+++ b/crates/shuttle/src/book.rs
@@ -19,6 +19,28 @@
     pub region: String,
     /// Zones and their regions.
     pub zones: BTreeMap<String, String>,
+    pub leeway: Leeway,
+}
+
+/// By how much quotas may be exceeded, as the settings tell: by a part of what they allow and some requests more.
+/// It makes good that proxies know of each other only after a while.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Leeway {
+    pub excess: f64,
+    pub margin: f64,
+}
+
+/// What of the leeway is given out in advance, as bursts: all that the burst itself brings, and a part of the fixed
+/// margin. What remains covers the time until a reading tells of a rise.
+const MARGIN_AHEAD: f64 = 0.6;
+
+impl Leeway {
+    fn burst(&self, rate: f64, burst: f64) -> f64 {
+        if rate <= 0.0 {
+            return burst;
+        }
+        burst * (1.0 + self.excess) + MARGIN_AHEAD * self.margin
+    }
 }
 
 /// What an answer past the aim is taken to be worth: enough that it is waited for.
@@ -31,6 +53,10 @@
 const TICK_US: Micros = 1_000;
 const RETRY_AFTER_US: Micros = 1_000_000;
 
+/// The decisions split a burst over n proxies by this power of n, which is more than there is; so they are told of less,
+/// and all parts together come to the burst itself.
+const BURST_SPLIT: f64 = 0.8;
+
 #[derive(Default)]
 struct Numbers(HashMap<String, u32>);
 
@@ -143,8 +169,8 @@
         inside.filter_map(|(z, _)| self.zones.known(z)).filter(|n| *n < 64).fold(0, |set, n| set | 1 << n)
     }
 
-    /// Takes a configuration over.
-    pub fn learn(&mut self, config: &Config) {
+    /// Takes a configuration over, at so many proxies.
+    pub fn learn(&mut self, config: &Config, nodes: usize) {
         for route in &config.routes {
             let class = Class {
                 aim_us: (route.target_ms * 1000).max(1),
@@ -155,7 +181,9 @@
             put(&mut self.classes, self.class_of.of(&route.name) as usize, class);
         }
         for tenant in config.tenants.iter().flatten() {
-            let plan = Plan { rate: tenant.rate, burst: tenant.burst, ..Plan::default() };
+            let burst = self.place.leeway.burst(tenant.rate, tenant.burst);
+            let burst = burst * (nodes.max(1) as f64).powf(BURST_SPLIT - 1.0);
+            let plan = Plan { rate: tenant.rate, burst, ..Plan::default() };
             let number = self.plan_of.of(&tenant.name) as usize;
             put(&mut self.plans, number, plan);
             put(&mut self.keys, number, tenant_key(&tenant.name));
--- a/crates/shuttle/src/front.rs
+++ b/crates/shuttle/src/front.rs
@@ -489,10 +489,12 @@
         if let Some(config) = &self.copy.state.config
             && self.config.as_ref().is_none_or(|(c, _)| !Arc::ptr_eq(c, config))
         {
-            self.book.learn(config);
             self.config = Some((config.clone(), config.index()));
         }
         let nodes = &self.copy.state.nodes;
+        if let Some((config, _)) = &self.config {
+            self.book.learn(config, nodes.len());
+        }
         let index = nodes.keys().position(|ip| *ip == self.place.ip).unwrap_or(0) as u32;
         let settings = self.book.settings((nodes.len() as u32).max(index + 1), index, self.beat_us);
         // What was sane before stays in force: a configuration that is taken makes sane settings.
--- a/crates/shuttle/src/main.rs
+++ b/crates/shuttle/src/main.rs
@@ -5,7 +5,7 @@
 use rack::Micros;
 use rack::state::Node;
 use rack::talk::{Down, REGISTRY_NEWS};
-use shuttle::book::Place;
+use shuttle::book::{Leeway, Place};
 use shuttle::feed::{self, Feed};
 use shuttle::front::{self, Ask, End, Front, Reached, Served};
 use std::collections::HashMap;
@@ -41,8 +41,9 @@
 const MEMORY_MB: u64 = 128;
 /// Descriptors for files, and other than connections.
 const KEPT: u64 = 232;
-/// New connections keep coming for a while after a signal to end; so long is left at least after the last look.
+/// New connections keep coming for a while after a signal to end; what has come by the end of it is still taken.
 const STILL_COMING_US: Micros = 1_500_000;
+const SHUT_US: Micros = 50_000;
 /// What is left of the platform's patience when what still runs is given up.
 const SPARE_US: Micros = 500_000;
 const GRACE_S: f64 = 5.0;
@@ -74,7 +75,8 @@
     let shown = Arc::new(Shown::default());
     let desk = Arc::new(Requests { inbox: inbox.clone(), shown: shown.clone() });
     let listen = s.front_plain()?;
-    Door::start(listen, room.clone(), desk).map_err(|e| miette!("cannot listen on {listen}: {e}"))?;
+    let door = Door::start(listen, room.clone(), desk);
+    let door = door.map_err(|e| miette!("cannot listen on {listen}: {e}"))?;
     if let Ok(listen) = s.readiness() {
         let desk = Arc::new(Readiness { shown: shown.clone() });
         Door::start(listen, room.clone(), desk).map_err(|e| miette!("cannot listen on {listen}: {e}"))?;
@@ -83,7 +85,10 @@
     start.watch(move |asked| posts.post(Told::Signal(asked)))?;
 
     let s = &start.settings;
-    let place = Place { ip: s.ip, zone: s.zone.clone(), region: s.region.clone(), zones: s.zones.clone() };
+    let b = &s.bounds;
+    let leeway = Leeway { excess: b.quota_excess.unwrap_or(0.0), margin: b.quota_margin.unwrap_or(0.0) };
+    let (zone, region, zones) = (s.zone.clone(), s.region.clone(), s.zones.clone());
+    let place = Place { ip: s.ip, zone, region, zones, leeway };
     let node = Node {
         ip: s.ip,
         name: s.name.clone(),
@@ -107,6 +112,7 @@
         inbox: inbox.clone(),
         out: Vec::new(),
         news: Vec::new(),
+        door,
         over,
         grace_us,
         asked_at: None,
@@ -319,6 +325,7 @@
     inbox: Inbox<Told>,
     out: Vec<front::Output>,
     news: Vec<feed::Output>,
+    door: Arc<Door<Requests>>,
     over: Sender<()>,
     grace_us: Micros,
     asked_at: Option<Micros>,
@@ -428,12 +435,15 @@
         }
     }
 
-    /// Whether all is answered after a signal to end, and nothing more will come.
+    /// Whether all is over after a signal to end. New connections are taken for a while, as clients still come by what
+    /// they were told before; then the listener is shut, and each open connection ends with its last answer.
     fn over(&self, now: Micros) -> bool {
         let Some(asked_at) = self.asked_at else { return false };
+        if now >= asked_at + STILL_COMING_US {
+            self.door.shut();
+        }
         let late = now >= asked_at + self.grace_us.saturating_sub(SPARE_US);
-        let quiet = self.replies.is_empty() && now >= asked_at + STILL_COMING_US;
-        late || quiet
+        late || (now >= asked_at + STILL_COMING_US + SHUT_US && self.door.count() == 0)
     }
 }
 
--- a/crates/tongs/src/door.rs
+++ b/crates/tongs/src/door.rs
@@ -257,6 +257,7 @@
     open: Mutex<HashMap<u64, Arc<Known>>>,
     bell: Bell,
     paused: AtomicBool,
+    shut: AtomicBool,
     /// Idle connections that have asked once: as counted last, and those that have had their answer since.
     sitting: AtomicUsize,
     /// When one that comes often was last made to give way.
@@ -298,6 +299,7 @@
             open: Mutex::default(),
             bell: Bell::of(&listener),
             paused: AtomicBool::new(false),
+            shut: AtomicBool::new(false),
             sitting: AtomicUsize::new(0),
             parted_at: AtomicU64::new(0),
         });
@@ -305,6 +307,9 @@
         may::go!(move || {
             loop {
                 all.accept(&listener);
+                if all.shut.load(Ordering::Relaxed) {
+                    return; // ends the listener, with all taken that had come
+                }
                 listener.wait_io();
             }
         });
@@ -420,6 +425,17 @@
         due
     }
 
+    /// Takes no more connections; those that are open go on.
+    pub fn shut(&self) {
+        self.shut.store(true, Ordering::Relaxed);
+        self.bell.ring();
+    }
+
+    /// Connections that are open, whatever they do.
+    pub fn count(&self) -> usize {
+        self.open().len()
+    }
+
     /// Connections with a request, or a part of one, or an answer that is not yet taken.
     pub fn busy(&self) -> usize {
         let (now, patience) = (self.room.clock.now(), self.desk.patience());
