--- a/crates/shuttle/src/book.rs
+++ b/crates/shuttle/src/book.rs
@@ -205,6 +205,7 @@
             retry_after: true,
             max_retry_after_us: RETRY_AFTER_US,
             attempts_cap: 2,
+            starts_empty: true,
             cold_from: 0.25,
             cold_us: 1,
             fall_multiple: 1.0,
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -38,10 +38,11 @@
         let units = if n.units.is_finite() { n.units.max(0.0) } else { 1.0 };
         let spread = n.spread.clamp(1, self.set.balancers);
         let (rate, ceiling) = (plan.rate / spread as f64, self.fresh_ceiling(plan, spread));
+        let level = if self.set.starts_empty { rate * self.age() } else { f64::INFINITY };
         self.forget_some();
         let c = self.customers.entry(key).or_insert_with(|| {
             self.roster.push_back(key);
-            Customer { level: f64::INFINITY, ceiling, filled_at: self.now, used: 1.0, ..Customer::default() }
+            Customer { level, ceiling, filled_at: self.now, used: 1.0, ..Customer::default() }
         });
         (c.plan, c.spread, c.first) = (n.plan, spread, n.first);
         let level = self.refill(key);
@@ -132,8 +133,12 @@
     /// What a gateway may count on in a ceiling's store that it sees first now. One that starts again cannot
     /// know what its earlier life spent, so its share was empty when it started.
     fn fresh_ceiling(&self, plan: &Plan, spread: u32) -> f64 {
-        let age = (self.now - self.started.unwrap_or(self.now)) as f64 / 1e6;
-        (plan.ceiling_rate * age).min(plan.ceiling_burst) / spread as f64
+        (plan.ceiling_rate * self.age()).min(plan.ceiling_burst) / spread as f64
+    }
+
+    /// Of this gateway's process, in seconds.
+    fn age(&self) -> f64 {
+        (self.now - self.started.unwrap_or(self.now)) as f64 / 1e6
     }
 
     pub(super) fn refill(&mut self, key: u64) -> f64 {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -31,6 +31,8 @@
     pub cold_us: Micros,
     pub fall_multiple: f64,
     pub fall_us: Micros,
+    /// A gateway that starts counts on none of a customer's burst: an earlier life may have spent its part.
+    pub starts_empty: bool,
     /// Separate fleets of servers, numbered from 0; 0 and 1 both mean one.
     pub services: u32,
 }
