--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -289,7 +289,7 @@
     fn act(&mut self, act: Action) {
         match act {
             Action::Send { id, server, timeout_us } => self.send(id, server, timeout_us),
-            Action::Refuse { id, retry_after_us } => {
+            Action::Refuse { id, retry_after_us, .. } => {
                 self.counts.refused += 1;
                 self.answer(id, refused(retry_after_us));
             }
--- a/crates/shuttle/src/front.rs
+++ b/crates/shuttle/src/front.rs
@@ -377,9 +377,10 @@
     fn act(&mut self, act: Action, out: &mut Vec<Output>) {
         match act {
             Action::Send { id, server, timeout_us } => self.send(id, server, timeout_us, out),
-            Action::Refuse { id, retry_after_us } => {
+            Action::Refuse { id, retry_after_us, over } => {
                 self.counts.refused += 1;
-                self.answer(id, Answer::later(503, "not now", retry_after_us), out);
+                let (status, why) = if over { (429, "beyond the quota") } else { (503, "not now") };
+                self.answer(id, Answer::later(status, why, retry_after_us), out);
             }
             Action::Fail { id } => {
                 self.counts.failed += 1;
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -240,7 +240,7 @@
 fn action(gateway: &str, act: &Action) -> Value {
     match *act {
         Action::Send { id, server, timeout_us } => json!(["callOut", gateway, id, server, timeout_us]),
-        Action::Refuse { id, retry_after_us } => json!(["shed", gateway, id, retry_after_us]),
+        Action::Refuse { id, retry_after_us, .. } => json!(["shed", gateway, id, retry_after_us]),
         Action::Fail { id } => json!(["endFailed", gateway, id]),
         Action::Cancel { id, attempt } => json!(["recall", gateway, id, attempt]),
         Action::Watch => json!(["keepInformed", gateway, true]),
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -26,7 +26,7 @@
             || class >= self.set.classes.len()
             || n.plan >= self.set.plans.len()
         {
-            return acts.push(Action::Refuse { id, retry_after_us: 0 });
+            return acts.push(Action::Refuse { id, retry_after_us: 0, over: false });
         }
         let (tried_for, fleet) = (self.tried_for(&n), service as usize);
         let (kind, plan) = (&self.set.classes[class], &self.set.plans[n.plan]);
@@ -51,11 +51,11 @@
             // Over its quota: the only refusal by customer, whatever the request is worth.
             self.turn_away();
             let retry_after_us = self.advice((units - level) / rate * 1e6);
-            return acts.push(Action::Refuse { id, retry_after_us });
+            return acts.push(Action::Refuse { id, retry_after_us, over: true });
         }
         let mean = self.fleets[fleet].load.mean;
         if best_by < self.now + mean as Micros / 2 {
-            return acts.push(Action::Refuse { id, retry_after_us: self.advice(mean) });
+            return acts.push(Action::Refuse { id, retry_after_us: self.advice(mean), over: false });
         }
         let c = self.customers.get_mut(&key).expect("just seen");
         c.level -= units;
--- a/src/decide/tries.rs
+++ b/src/decide/tries.rs
@@ -128,7 +128,8 @@
         let fleet = &self.fleets[r.fleet()];
         let jam = fleet.ring.len() as f64 / fleet.target(&self.set);
         let retry_after_us = self.advice(fleet.load.mean * (1.0 + jam));
-        let answer = if harmless { Action::Refuse { id, retry_after_us } } else { Action::Fail { id } };
+        let over = false;
+        let answer = if harmless { Action::Refuse { id, retry_after_us, over } } else { Action::Fail { id } };
         self.turn_away();
         self.close(id, Some(answer), acts);
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -296,6 +296,8 @@
     Refuse {
         id: u64,
         retry_after_us: Micros,
+        /// Its customer has asked for more than its quota.
+        over: bool,
     },
     /// Final answer that promises nothing.
     Fail {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -32,6 +32,7 @@
         fall_multiple: 2.0,
         fall_us: 2 * SEC,
         services: 1,
+        starts_empty: false,
     }
 }
 
--- a/tests/quotas.rs
+++ b/tests/quotas.rs
@@ -36,7 +36,7 @@
     g.ask(sole(0));
     let acts = g.ask(sole(1));
     assert!(
-        matches!(acts[0], Action::Refuse { id: 1, retry_after_us } if retry_after_us.abs_diff(500 * MS) < 2)
+        matches!(acts[0], Action::Refuse { id: 1, retry_after_us, .. } if retry_after_us.abs_diff(500 * MS) < 2)
     );
 }
 
@@ -202,7 +202,7 @@
     g.back(Return { used: Some(2.0), ..answer(0, 0, server, Outcome::Ok) });
     let acts = g.ask(NewRequest { spread: 90, ..request(1) });
     assert!(
-        acts.iter().any(|a| matches!(a, Action::Refuse { id: 1, retry_after_us } if *retry_after_us > 0))
+        acts.iter().any(|a| matches!(a, Action::Refuse { id: 1, retry_after_us, .. } if *retry_after_us > 0))
     );
 }
 
