--- a/crates/shuttle/src/book.rs
+++ b/crates/shuttle/src/book.rs
@@ -47,9 +47,8 @@
 const LATE_WORTH: f64 = 0.2;
 /// So many proxies of its zone share what a cold server bears; the others leave it alone until it is warm.
 const COLD_SHARERS: usize = 3;
-/// What is expected to come through here of the work of servers elsewhere, while this zone has some of its own: a part
-/// of the even one in this region, and in another.
-const ELSEWHERE: [f64; 2] = [0.5, 0.25];
+/// What is expected to come through here of the work of servers that are not the nearest: an even part of it.
+const ELSEWHERE: f64 = 1.0;
 const TICK_US: Micros = 1_000;
 const RETRY_AFTER_US: Micros = 1_000_000;
 
@@ -225,11 +224,28 @@
         let services: BTreeMap<&str, &Service> =
             config.iter().flat_map(|c| &c.services).map(|s| (s.name.as_str(), s)).collect();
         let mut list = List { entries: Vec::new(), peers: BTreeMap::new(), changes_at: None };
-        // Where each service has servers that may be used: the nearest place tells what part of them is ours.
-        let mut nearest: BTreeMap<&str, u32> = BTreeMap::new();
-        for s in state.servers.values().filter(|s| usable(s, state)) {
-            let near = self.near(&s.zone);
-            nearest.entry(&s.service).and_modify(|n| *n = near.min(*n)).or_insert(near);
+        // For each zone's proxies, how near the nearest servers of each service are; so, how many proxies go first to
+        // the servers of a service in a zone.
+        let mut places: BTreeMap<&str, usize> = BTreeMap::new();
+        state.nodes.values().for_each(|n| *places.entry(&n.zone).or_default() += 1);
+        let used: BTreeSet<(&str, &str)> = state
+            .servers
+            .values()
+            .filter(|s| usable(s, state))
+            .map(|s| (s.service.as_str(), s.zone.as_str()))
+            .collect();
+        let mut nearest: BTreeMap<(&str, &str), u32> = BTreeMap::new();
+        for (zone, (service, at)) in places.keys().flat_map(|z| used.iter().map(move |u| (*z, *u))) {
+            let near = self.near(zone, at);
+            nearest.entry((zone, service)).and_modify(|n| *n = near.min(*n)).or_insert(near);
+        }
+        let mut users: BTreeMap<(&str, &str), usize> = BTreeMap::new();
+        for (zone, count) in &places {
+            for (service, at) in &used {
+                if nearest.get(&(*zone, *service)) == Some(&self.near(zone, at)) {
+                    *users.entry((*service, *at)).or_default() += count;
+                }
+            }
         }
         let all = state.nodes.len().max(1) as f64;
         for s in state.servers.values() {
@@ -242,12 +258,11 @@
                     self.next_server
                 }
             };
-            let near = self.near(&s.zone);
+            let near = self.near(&self.place.zone, &s.zone);
             let sharers = self.sharers(state, &s.zone);
-            let part = match near.saturating_sub(*nearest.get(s.service.as_str()).unwrap_or(&0)) {
-                0 => all / self.as_near(state, near).max(1) as f64,
-                n => ELSEWHERE[(n as usize - 1).min(1)],
-            };
+            let users = users.get(&(s.service.as_str(), s.zone.as_str())).copied().unwrap_or(0);
+            let mine = nearest.get(&(self.place.zone.as_str(), s.service.as_str())) == Some(&near);
+            let part = if mine { all / users.max(1) as f64 } else { ELSEWHERE };
             let cold_until = self.cold_until(s, services.get(s.service.as_str()).copied(), state);
             let cold = now < cold_until;
             let rate = services.get(s.service.as_str()).and_then(|c| c.cold_rate_s).unwrap_or(0.0);
@@ -279,23 +294,15 @@
         list
     }
 
-    fn near(&self, zone: &str) -> u32 {
-        match self.place.zones.get(zone) {
-            _ if zone == self.place.zone => 0,
-            Some(region) if *region == self.place.region => 1,
+    /// How far it is from one zone to another: the same, the same region, another.
+    fn near(&self, from: &str, to: &str) -> u32 {
+        match (self.place.zones.get(from), self.place.zones.get(to)) {
+            _ if from == to => 0,
+            (Some(one), Some(other)) if one == other => 1,
             _ => 2,
         }
     }
 
-    /// How many proxies are as near to those servers as this one.
-    fn as_near(&self, state: &State, near: u32) -> usize {
-        match near {
-            0 => state.nodes.values().filter(|n| n.zone == self.place.zone).count(),
-            1 => state.nodes.values().filter(|n| n.region == self.place.region).count(),
-            _ => state.nodes.len(),
-        }
-    }
-
     /// Who brings up a zone's cold servers: its own proxies, or all if it has none.
     fn sharers<'s>(&self, state: &'s State, zone: &str) -> Vec<&'s Node> {
         let own: Vec<&Node> = state.nodes.values().filter(|n| n.zone == zone).collect();
--- a/src/decide/choice.rs
+++ b/src/decide/choice.rs
@@ -46,7 +46,8 @@
 
 impl Decider {
     /// Of two random servers of the nearest tier that may have the request the one with less work of ours
-    /// for its speed; farther ones while all nearer ones are full, were tried, or are ill. Slow start: a cold
+    /// for its speed; farther ones while all nearer ones are full, were tried, are ill, or have their part of
+    /// the target out: what would wait there is sooner done farther off. Slow start: a cold
     /// server is drawn as often as any other but takes its ramp's part of its draws, so all gateways together
     /// send it that part of what a server gets, however few requests each of them has.
     pub(super) fn pick(&mut self, id: u64) -> Option<u64> {
@@ -57,9 +58,9 @@
         let (r, fleet) = (&*r, &mut fleets[r.fleet()]);
         let (effect, mean) = (set.classes[r.asked.class].effect, fleet.load.mean);
         // A server that turned slow must not fill up with our work.
-        let most_held = MOST_HELD * fleet.load.permits / set.balancers as f64;
+        let even = fleet.load.permits / set.balancers as f64;
         let fits = |s: &Server| {
-            let room = (s.out as f64) < (most_held * s.part).max(1.0);
+            let room = (s.out as f64) < (MOST_HELD * even * s.part).max(1.0);
             room && (now >= s.token_at || !s.metered(now, set)) && r.allows(s, effect, now)
         };
         let cost = |s: &Server| {
@@ -67,7 +68,7 @@
             (s.out as f64 + 1.0) * s.known(now, s.latency, mean) / (served * served)
         };
         let tried = |server: u64| r.attempts.iter().any(|a| a.server == server);
-        let mut last_resort: Option<((bool, bool), u64)> = None;
+        let mut last_resort: Option<((bool, bool, bool), u64)> = None;
         for tier in fleet.tiers.iter_mut().take_while(|t| t.near <= r.asked.reach) {
             let (familiar, many) = (tier.familiar(now), tier.up.len());
             let up = &mut tier.up;
@@ -93,11 +94,12 @@
                 }
             }
             let Some((_, server)) = found else { continue };
-            let faults = (tried(server), servers[&server].ill(now));
+            let s = &servers[&server];
+            let faults = (tried(server), s.ill(now), s.out as f64 >= (even * s.part).max(1.0));
             if last_resort.is_none_or(|l| faults < l.0) {
                 last_resort = Some((faults, server));
             }
-            if faults == (false, false) {
+            if faults == (false, false, false) {
                 break;
             }
         }
