Give each server its own state in the pools, and count homes when a download keeps near

Change: a server's own entry tells whether it is up; reach counts only servers that the request may go to.

--- a/crates/shuttle/src/book.rs
+++ b/crates/shuttle/src/book.rs
@@ -49,6 +49,8 @@
 const COLD_SHARERS: usize = 3;
 /// What is expected to come through here of the work of servers that are not the nearest: an even part of it.
 const ELSEWHERE: f64 = 1.0;
+/// How far a server of another zone of this region is.
+pub const REGION: u32 = 1;
 const TICK_US: Micros = 1_000;
 const RETRY_AFTER_US: Micros = 1_000_000;
 
@@ -95,6 +97,9 @@
     pub id: Arc<str>,
     pub addr: SocketAddr,
     pub service: String,
+    /// The number of its zone, and how far that is.
+    pub zone: u32,
+    pub near: u32,
 }
 
 /// The list as it is now, and when it will be another one though nothing new is heard.
@@ -275,9 +280,10 @@
                 up &= share.is_some();
                 cold_rate = rate / share.unwrap_or(1) as f64;
             }
+            let zone = self.zones.of(&s.zone);
             list.entries.push(Entry {
                 server: number,
-                zone: self.zones.of(&s.zone),
+                zone,
                 state: if up { Standing::Up } else { Standing::Draining },
                 service: self.services.of(&s.service),
                 near,
@@ -287,7 +293,7 @@
                 ..Entry::default()
             });
             let (id, service) = (s.id.as_str().into(), s.service.clone());
-            list.peers.insert(number, Peer { id, addr: s.addr, service });
+            list.peers.insert(number, Peer { id, addr: s.addr, service, zone, near });
         }
         self.servers.retain(|id, _| state.servers.contains_key(id));
         self.misled.retain(|n| list.peers.contains_key(n));
--- a/crates/shuttle/src/front.rs
+++ b/crates/shuttle/src/front.rs
@@ -4,7 +4,7 @@
 //! What a status says is kept apart from how it came about: 429 and 503 promise that a request has not run and will not
 //! ([`Promise`]), so they go out only where that is known or where the request may run more than once anyway.
 
-use crate::book::{Book, List, Peer, Place};
+use crate::book::{Book, List, Peer, Place, REGION};
 use crate::tenants::Tenants;
 use curlewfront::{Action, Decider, Event, ListKind, Micros, NewRequest, Outcome, Return};
 use jig::config::{Config, Index, Kind, Route, Tenant};
@@ -12,7 +12,7 @@
 use rack::talk::{News, Reading, Use};
 use std::cmp::Reverse;
 use std::collections::hash_map::Entry::Occupied;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use tongs::limits::Held;
 use tongs::pool::Passage;
@@ -296,22 +296,22 @@
             service,
             zones,
             attempts: route.attempts,
-            reach: self.reach(route, service),
+            reach: self.reach(route, service, zones),
             ..NewRequest::default()
         };
         self.open.insert(ask.id, open);
         Ok(request)
     }
 
-    /// Large answers stay in their region while it has a server: carried far they cost more than they are worth.
-    fn reach(&self, route: &Route, service: u32) -> u32 {
-        let here = |(p, up): &(Peer, bool)| *up && self.book.service(&p.service) == Some(service);
-        let mine = |p: &Peer| {
-            let zone = self.copy.state.servers.get(&*p.id).map(|s| &s.zone);
-            zone.and_then(|z| self.place.zones.get(z)) == Some(&self.place.region)
+    /// Large answers stay in their region while it has a server for them: carried far they cost more than they are
+    /// worth.
+    fn reach(&self, route: &Route, service: u32, zones: u64) -> u32 {
+        let here = |(p, up): &(Peer, bool)| {
+            *up && self.book.service(&p.service) == Some(service)
+                && p.near <= REGION
+                && (p.zone >= 64 || zones & 1 << p.zone != 0)
         };
-        let near = route.kind == Kind::Download && self.peers.values().any(|p| here(p) && mine(&p.0));
-        if near { 1 } else { u32::MAX }
+        if route.kind == Kind::Download && self.peers.values().any(here) { REGION } else { u32::MAX }
     }
 
     fn ended(&mut self, id: u64, attempt: u32, end: End, out: &mut Vec<Output>) {
@@ -511,12 +511,12 @@
             self.peers.remove(&server);
             out.push(Output::Gone { server });
         }
-        for (entry, (server, peer)) in entries.iter().zip(peers) {
-            let up = entry.state == curlewfront::State::Up;
-            debug_assert!(entry.server == server || entries.iter().any(|e| e.server == server));
-            let now = (peer, up);
+        let up: HashSet<u64> =
+            entries.iter().filter(|e| e.state == curlewfront::State::Up).map(|e| e.server).collect();
+        for (server, peer) in peers {
+            let now = (peer, up.contains(&server));
             if self.peers.get(&server) != Some(&now) {
-                out.push(Output::Server { server, peer: now.0.clone(), up });
+                out.push(Output::Server { server, peer: now.0.clone(), up: now.1 });
                 self.peers.insert(server, now);
             }
         }
