Carry requests that a client sends ahead side by side, answered in their order

Change: up to so many GETs or HEADs without a body of one connection are under way at once where the desk says so; answers keep their order; the old gateway's desk says one, as before.

--- a/crates/shuttle/src/main.rs
+++ b/crates/shuttle/src/main.rs
@@ -35,6 +35,8 @@
 const SERVER_IDLE_US: Micros = 8_000_000;
 /// The largest answer of a server that is carried.
 const ANSWER: Bounds = Bounds { head: 16 * 1024, body: 32 << 20 };
+/// Requests of one client's connection that are carried at once.
+const ABREAST: usize = 16;
 /// Until a configuration says otherwise.
 const LIMITS: (usize, usize, u64, u64) = (16 * 1024, 1 << 20, 3_000_000, 15_000_000);
 const SOCKETS: u64 = 1024;
@@ -200,6 +202,10 @@
         self.inbox.post(Told::Asked(Ask { id, body, ..ask }, reply));
     }
 
+    fn abreast(&self) -> usize {
+        ABREAST
+    }
+
     fn withdrawn(&self, id: u64) {
         self.inbox.post(Told::Withdrawn(id));
     }
--- a/crates/tongs/src/door.rs
+++ b/crates/tongs/src/door.rs
@@ -38,6 +38,12 @@
     /// The request is whole. `id` is its own among all requests of all listeners of one `Room`.
     fn asked(&self, id: u64, ask: Self::Ask, body: Held, reply: Reply);
 
+    /// So many requests of one connection may be under way at once, where they are GET or HEAD without a body and the
+    /// client sends them before it has its answers.
+    fn abreast(&self) -> usize {
+        1
+    }
+
     /// The client has gone before its answer.
     fn withdrawn(&self, id: u64);
 
--- a/crates/tongs/src/door/connection.rs
+++ b/crates/tongs/src/door/connection.rs
@@ -7,6 +7,7 @@
 use crate::net::events;
 use crate::ring::{Filled, Outgoing, Ring};
 use may::io::{CoIo, WaitIo};
+use std::collections::VecDeque;
 use std::io::{self, ErrorKind, Read};
 use std::net::{Shutdown, TcpStream};
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -22,14 +23,13 @@
         incoming: Ring::default(),
         outgoing: Outgoing::default(),
         part: None,
-        waiting: None,
-        head_only: false,
+        line: VecDeque::new(),
+        deaf: false,
         moved: 0,
         more: false,
         held: false,
         streak: 0,
         paused: false,
-        last: false,
         closing: false,
         hung: false,
         ended: false,
@@ -40,8 +40,8 @@
         if catch_unwind(AssertUnwindSafe(|| client.run())).is_err() {
             let _ = catch_unwind(AssertUnwindSafe(|| client.fall()));
         }
-        if let Some(id) = client.waiting.take() {
-            client.all.desk.withdrawn(id);
+        for due in client.line.drain(..).filter(|d| d.answer.is_none()) {
+            client.all.desk.withdrawn(due.id);
         }
         let all = client.all.clone();
         all.open().remove(&number);
@@ -52,11 +52,26 @@
 
 /// A request of which the head is read and the body is on its way.
 struct Part<Ask> {
+    due: Due,
     heard: Heard<Ask>,
     body: Body,
     lease: Option<Lease>,
 }
 
+/// A request that is owed an answer. Answers go out in the order of the requests.
+#[derive(Default)]
+struct Due {
+    /// Its number, where the desk has it.
+    id: u64,
+    answer: Option<Answer>,
+    /// To HEAD only the head of the answer goes out.
+    head_only: bool,
+    /// The last one on this connection.
+    last: bool,
+    /// It changes nothing and brings nothing, so others of its kind may be under way beside it.
+    light: bool,
+}
+
 struct Client<D: Desk> {
     io: CoIo<TcpStream>,
     all: Arc<Door<D>>,
@@ -64,10 +79,10 @@
     incoming: Ring,
     outgoing: Outgoing,
     part: Option<Part<D::Ask>>,
-    /// The request that the desk has.
-    waiting: Option<u64>,
-    /// The request under way is HEAD.
-    head_only: bool,
+    /// The requests that are owed an answer, in their order.
+    line: VecDeque<Due>,
+    /// No further request is read; the connection ends with the last answer that is owed.
+    deaf: bool,
     /// Bytes read of a body or written of an answer since the connection last showed what it does.
     moved: usize,
     /// There may be bytes to read that no event will tell of again.
@@ -78,8 +93,6 @@
     streak: u32,
     /// So much was read in one turn that the others have theirs first.
     paused: bool,
-    /// The request under way is the last one on this connection.
-    last: bool,
     /// Nothing is read any more; the connection ends once all is written.
     closing: bool,
     /// The client has closed its side; read up to there, it has ended. No event tells of it twice, and a
@@ -179,11 +192,11 @@
 
     fn doing(&self) -> Doing {
         let nothing = self.part.is_none() && self.incoming.is_empty();
-        match self.waiting {
-            Some(_) => Doing::Waiting,
-            None if !self.outgoing.is_empty() => Doing::Writing,
-            None if nothing => Doing::Idle,
-            None => Doing::Reading,
+        match nothing {
+            _ if !self.line.is_empty() => Doing::Waiting,
+            _ if !self.outgoing.is_empty() => Doing::Writing,
+            true => Doing::Idle,
+            false => Doing::Reading,
         }
     }
 
@@ -243,15 +256,25 @@
 
     /// Ends the connection by an answer that says why: where the next request would begin is not known.
     fn refuse(&mut self, bad: &Bad) {
-        self.closing = true;
         self.part = None;
-        self.respond(self.all.desk.refusal(bad));
+        let answer = Some(self.all.desk.refusal(bad));
+        self.line.push_back(Due { answer, last: true, ..Due::default() });
+        self.deaf = true;
+        self.respond();
     }
 
     /// After a panic: what waits gets an answer all the same, if none has begun.
     fn fall(&mut self) {
         if self.outgoing.is_empty() {
-            self.respond(self.all.desk.refusal(&Bad { status: 500, what: "" }));
+            let bad = Bad { status: 500, what: "" };
+            match self.line.front_mut() {
+                Some(due) if due.answer.is_none() => {
+                    self.all.desk.withdrawn(due.id);
+                    (due.answer, due.last) = (Some(self.all.desk.refusal(&bad)), true);
+                    self.respond();
+                }
+                _ => self.refuse(&bad),
+            }
             let _ = self.write();
         }
     }
@@ -259,13 +282,13 @@
     /// Reads and digests what is there. While a request is under way little of the next ones is read.
     fn read(&mut self) {
         for _ in 0..MOST_READS {
-            if !self.more || self.ended || self.closing || self.paused {
+            if !self.more || self.ended || self.closing || self.deaf || self.paused {
                 return;
             }
-            let most = if self.waiting.is_some() { AHEAD } else { self.all.desk.bounds().held() };
+            let most = if !self.line.is_empty() { AHEAD } else { self.all.desk.bounds().held() };
             match self.fill(most) {
                 Ok(None) => {
-                    self.ended |= self.hung && self.waiting.is_some(); // its end stands behind more than we hold
+                    self.ended |= self.hung && !self.line.is_empty(); // its end stands behind more than we hold
                     return;
                 }
                 Ok(Some(filled)) => {
@@ -300,9 +323,15 @@
         self.all.room.alarms.after(BREAK_US, move || known.inbox.post(ToClient::GoOn));
     }
 
+    /// Whether a further request may be read: the next, or beside others that change nothing.
+    fn may_take(&self) -> bool {
+        let most = self.all.desk.abreast();
+        !self.deaf && (self.line.is_empty() || (self.line.len() < most && self.line.iter().all(|d| d.light)))
+    }
+
     /// Makes what it can of the bytes at hand.
     fn digest(&mut self) {
-        while self.waiting.is_none() && !self.closing && !self.ended {
+        while self.may_take() && !self.closing && !self.ended {
             self.held = self.outgoing.len() >= MOST_OUT;
             if self.held || self.streak > MOST_STREAK {
                 return;
@@ -342,6 +371,10 @@
         let (room, bounds) = (&self.all.room, self.all.desk.bounds());
         let mut slots = http::NO_HEADERS;
         let Some(head) = http::request(self.incoming.bytes(), &mut slots, bounds)? else { return Ok(false) };
+        let light = matches!(head.method, "GET" | "HEAD") && head.framing == Framing::Length(0);
+        if !light && !self.line.is_empty() {
+            return Ok(false); // its turn comes once all before it are answered
+        }
         let mut heard = self.all.desk.head(&head)?;
         let expected = match head.framing {
             Framing::Length(n) => n,
@@ -361,12 +394,12 @@
             }
         }
         let (len, wants) = (head.len, head.wants_continue);
-        (self.last, self.head_only) = (head.close, head.method == "HEAD");
+        let due = Due { head_only: head.method == "HEAD", last: head.close, light, ..Due::default() };
         self.incoming.consume(len);
         if wants && self.incoming.is_empty() && !body.done() {
             self.outgoing.push(b"HTTP/1.1 100 Continue\r\n\r\n");
         }
-        self.part = Some(Part { heard, body, lease });
+        self.part = Some(Part { due, heard, body, lease });
         Ok(true)
     }
 
@@ -376,30 +409,49 @@
         // new one while others only sit there: hundreds that connect and stay silent must not keep out who
         // has something to ask.
         let first = self.known.asked.fetch_add(1, Ordering::Relaxed) == 0;
+        let mut due = part.due;
+        self.deaf |= due.last;
         let ask = match part.heard {
-            Heard::Say(answer) => return self.respond(answer),
+            Heard::Say(answer) => {
+                due.answer = Some(answer);
+                self.line.push_back(due);
+                return self.respond();
+            }
             Heard::Take(ask) => ask,
         };
         let all = self.all.clone();
         if first && all.room.fds.full() && !all.make_room(true) {
-            self.last = true;
             all.room.no_room.fetch_add(1, Ordering::Relaxed);
-            return self.respond(all.desk.refusal(&NO_ROOM));
+            (due.last, due.answer) = (true, Some(all.desk.refusal(&NO_ROOM)));
+            self.line.push_back(due);
+            return self.respond();
         }
-        let id = all.room.ids.fetch_add(1, Ordering::Relaxed);
-        self.waiting = Some(id);
+        due.id = all.room.ids.fetch_add(1, Ordering::Relaxed);
+        let id = due.id;
+        self.line.push_back(due);
         let body = Held { bytes: part.body.content, lease: part.lease };
         all.desk.asked(id, ask, body, Reply { id, to: To::Conn(self.known.inbox.clone()) });
     }
 
     fn answer(&mut self, id: u64, answer: Answer) {
-        if self.waiting == Some(id) {
-            self.waiting = None;
-            self.respond(answer);
+        if let Some(due) = self.line.iter_mut().find(|d| d.id == id && d.answer.is_none()) {
+            due.answer = Some(answer);
+            self.respond();
+        }
+    }
+
+    /// Sends what is there of the answers that are next.
+    fn respond(&mut self) {
+        while self.line.front().is_some_and(|d| d.answer.is_some()) {
+            if let Some(due) = self.line.pop_front()
+                && let Some(answer) = due.answer
+            {
+                self.say(answer, due.head_only, due.last);
+            }
         }
     }
 
-    fn respond(&mut self, answer: Answer) {
+    fn say(&mut self, answer: Answer, head_only: bool, last: bool) {
         self.streak += 1;
         let (fds, status) = (&self.all.room.fds, answer.status);
         // Who comes often is the last to give way, as it would only have to connect again: now and then one.
@@ -408,7 +460,9 @@
         } else {
             fds.full() && self.all.may_part()
         };
-        self.closing |= self.last || answer.close || self.all.desk.draining() || crowded;
+        // What is under way behind it is answered first.
+        self.deaf |= last || answer.close || self.all.desk.draining() || crowded;
+        self.closing |= self.deaf && self.line.is_empty();
         if status == 200 && !self.closing {
             self.outgoing.push(b"HTTP/1.1 200 OK\r\n");
         } else {
@@ -419,16 +473,15 @@
         self.outgoing.push(&answer.headers);
         let length = answer.body.as_ref().len();
         // To HEAD the length is that of the body that GET would have; where it is not known, none is told.
-        let unsaid = http::bodiless(status) || (self.head_only && length == 0);
+        let unsaid = http::bodiless(status) || (head_only && length == 0);
         if unsaid {
             self.outgoing.push(b"\r\n");
         } else {
             self.outgoing.push(format!("Content-Length: {length}\r\n\r\n").as_bytes());
         }
-        if !unsaid && !self.head_only {
+        if !unsaid && !head_only {
             self.outgoing.push_held(answer.body);
         }
-        self.head_only = false;
     }
 
     fn write(&mut self) -> io::Result<()> {
