Link a store also to machines that are no members yet

Cause (grown sites, first look: the store took all of its processor): the leader wants to speak to a newcomer that no roster names; the link was made but never tended, so it asked to be tended at once, without end, and the fourth and fifth core machine never joined.

--- a/crates/planchest/src/main.rs
+++ b/crates/planchest/src/main.rs
@@ -228,10 +228,13 @@
                 Output::Write(write) => drop(self.writes.send(write)),
             }
         }
+        let port = self.peers_port;
         for ip in self.chest.fellows() {
-            let port = self.peers_port;
-            let tie = self.fellows.entry(ip).or_insert_with(|| Tie::new((ip, port).into()));
-            let inbox = self.inbox.clone();
+            self.fellows.entry(ip).or_insert_with(|| Tie::new((ip, port).into()));
+        }
+        // Also to those that are no fellows yet: a leader brings a newcomer up to date before it is one.
+        for (ip, tie) in &mut self.fellows {
+            let (ip, inbox) = (*ip, self.inbox.clone());
             tie.tend(now, SILENCE, move |link, event| inbox.post(Told::FellowLink(ip, link, event)));
         }
         if self.ends_at.is_some_and(|at| now >= at) {
