Read the meter without bias, and hold nobody to less than four requests in calm times

Change: rates move alike both ways; while under 0.85 of a quota is used, four requests may come at once anywhere; a reading above 1.1 takes back what was saved up.

--- a/crates/shuttle/src/book.rs
+++ b/crates/shuttle/src/book.rs
@@ -51,6 +51,9 @@
 const ELSEWHERE: f64 = 1.0;
 /// How far a server of another zone of this region is.
 pub const REGION: u32 = 1;
+/// While less than this part of a tenant's quota is used everywhere, so many of its requests may come at once here.
+const LOOSE_UNDER: f64 = 0.85;
+const LOOSE_BURST: f64 = 4.0;
 const TICK_US: Micros = 1_000;
 const RETRY_AFTER_US: Micros = 1_000_000;
 
@@ -203,13 +206,15 @@
             index,
             classes: self.classes.clone(),
             plans: self.plans.clone(),
-            meter_us: beat_us,
+            meter_us: beat_us / 3,
             tick_us: TICK_US,
             may_cancel: true,
             retry_after: true,
             max_retry_after_us: RETRY_AFTER_US,
             attempts_cap: 2,
             starts_empty: true,
+            loose_under: LOOSE_UNDER,
+            loose_burst: LOOSE_BURST,
             cold_from: 0.25,
             cold_us: 1,
             fall_multiple: 1.0,
--- a/crates/shuttle/src/tenants.rs
+++ b/crates/shuttle/src/tenants.rs
@@ -11,8 +11,6 @@
 const HOLD: Micros = 3;
 /// Weight of the time since the last report in the moving rates.
 const LEARN: f64 = 0.5;
-/// Of a rise so much is told at once.
-const RISE: f64 = 0.8;
 /// So many requests beyond what was last reported are told ahead of time.
 const JUMP: f64 = 4.0;
 
@@ -56,11 +54,6 @@
         self.hurries |= plan > 0 && jumps;
     }
 
-    pub fn dbg(&mut self, plan: usize) -> String {
-        let t = self.of(plan);
-        format!("w {:.1} u {:.1} a {} s {}", t.wanted, t.used, t.asked, t.sent)
-    }
-
     pub fn sent(&mut self, plan: usize) {
         self.of(plan).sent += 1;
     }
@@ -72,10 +65,8 @@
         let (seconds, learn) = (passed / 1e6, (LEARN * passed / self.every_us as f64).min(1.0));
         let mut uses = Vec::new();
         for (plan, t) in self.all.iter_mut().enumerate().skip(1) {
-            // A rise is believed at once, a fall over some reports.
-            let up = |now: f64, was: f64| was + (now - was) * if now > was { RISE.max(learn) } else { learn };
-            t.wanted = up(f64::from(t.asked) / seconds, t.wanted);
-            t.used = up(f64::from(t.sent) / seconds, t.used);
+            t.wanted += (f64::from(t.asked) / seconds - t.wanted) * learn;
+            t.used += (f64::from(t.sent) / seconds - t.used) * learn;
             (t.asked, t.sent) = (0, 0);
             let (wanted, used) = ((t.wanted * 1000.0) as u32, (t.used * 1000.0) as u32);
             if wanted > 10 {
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -10,6 +10,7 @@
 const HOLD: f64 = 2.0;
 const BELIEVE_OVER: f64 = 3.0;
 const FEW: f64 = 4.0;
+const FLOOD: f64 = 1.1;
 /// A burst is split by this power of the number of gateways at the most; 1 would be evenly.
 const BURST_SPLIT: f64 = 0.8;
 /// First tries, in excess of later ones, that make their usual time left known.
@@ -22,10 +23,8 @@
         if self.requests.contains_key(&id) {
             return;
         }
-        if service as usize >= self.fleets.len()
-            || class >= self.set.classes.len()
-            || n.plan >= self.set.plans.len()
-        {
+        let known = (service as usize) < self.fleets.len() && class < self.set.classes.len();
+        if !known || n.plan >= self.set.plans.len() {
             return acts.push(Action::Refuse { id, retry_after_us: 0, over: false });
         }
         let (tried_for, fleet) = (self.tried_for(&n), service as usize);
@@ -127,7 +126,13 @@
     /// The part of its burst for this slice; more than the even one, as gateways seldom need it all at once.
     fn burst_here(&self, c: &Customer) -> f64 {
         let (s, burst) = (self.slice(c), self.set.plans[c.plan].burst);
-        burst * s.max((c.spread as f64).powf(-BURST_SPLIT))
+        let loose = if self.loose(c) { self.set.loose_burst } else { 0.0 };
+        (burst * s.max((c.spread as f64).powf(-BURST_SPLIT))).max(loose)
+    }
+
+    /// While the meter reads little use, many gateways would else refuse what the quota has room for.
+    fn loose(&self, c: &Customer) -> bool {
+        self.meter_speaks(c) && c.used < self.set.loose_under
     }
 
     /// What a gateway may count on in a ceiling's store that it sees first now. One that starts again cannot
@@ -202,9 +207,11 @@
     /// A reading of the meter: the customer's use by all gateways, as a part of its quota.
     pub(super) fn read(&mut self, key: u64, used: f64) {
         self.refill(key);
-        let Some(c) = self.customers.get_mut(&key).filter(|_| used.is_finite() && used >= 0.0) else {
-            return;
-        };
+        let sane = used >= 0.0 && used.is_finite();
+        let Some(c) = self.customers.get_mut(&key).filter(|_| sane) else { return };
+        if self.set.loose_under > 0.0 && c.used <= FLOOD && used > FLOOD {
+            c.level = c.level.min(0.0); // what a calm reading let it save up is spent by now, elsewhere
+        }
         // More use is believed at once, less over some periods: the reading is late, and room granted on
         // a calm past is what a flood spends first.
         let first = if self.set.plans[c.plan].rate > 0.0 { 1.0 - 1.0 / rarely(c.spread) } else { 0.0 };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -33,6 +33,10 @@
     pub fall_us: Micros,
     /// A gateway that starts counts on one request of a customer's burst: an earlier life may have spent the rest.
     pub starts_empty: bool,
+    /// While the meter reads less than this part of a quota used, a customer may use so many units at once at any
+    /// gateway; 0: off.
+    pub loose_under: f64,
+    pub loose_burst: f64,
     /// Separate fleets of servers, numbered from 0; 0 and 1 both mean one.
     pub services: u32,
 }
