Do not let a later change's landing acknowledge one that was lost

Cause: a registry counts the batches of servers' changes that have landed; one that the store could not take was not counted, but the next to land counted for it too, so a beat or a leave was answered 200 though it is in no state. Change: the callers of a batch that was not agreed get 503 at once and come again.

--- a/crates/pegboard/src/board.rs
+++ b/crates/pegboard/src/board.rs
@@ -360,10 +360,12 @@
             FromStore::Proposed { ticket, result } => {
                 if self.under_way.is_some_and(|(t, _)| t == ticket) {
                     self.under_way = None;
-                    if let Ok((rev, _)) = result {
-                        (self.landed, self.landed_at) = (self.batch - 1, rev);
+                    let number = self.batch - 1;
+                    match result {
+                        Ok((rev, _)) => (self.landed, self.landed_at) = (number, rev),
+                        // Its callers come again; the next to land must not pass for this one.
+                        Err(_) => self.lose(number, out),
                     }
-                    // Else its callers are not answered, and come again.
                     return;
                 }
                 let found = self.waiting.iter_mut().find_map(|(id, w)| match &mut w.wait {
@@ -393,6 +395,14 @@
         }
     }
 
+    fn lose(&mut self, batch: u64, out: &mut Vec<Output>) {
+        let of = |w: &Waiting| matches!(w.wait, Wait::Batch(number) if number == batch);
+        let callers: Vec<u64> = self.waiting.iter().filter(|(_, w)| of(w)).map(|(id, _)| *id).collect();
+        for id in callers {
+            self.answer(id, Answer::unavailable("not agreed, or perhaps: tell it again"), out);
+        }
+    }
+
     fn news(&mut self, news: News, out: &mut Vec<Output>) {
         match self.copy.take(self.now, news) {
             Took::Changed => {}
