--- /dev/null
+++ b/crates/pegboard/tests/meter.rs
@@ -0,0 +1,71 @@
+//! What the registry makes of the proxies' reports of use.
+
+mod common;
+
+use common::*;
+use pegboard::board::{Input, Output};
+use pegboard::meter::Meter;
+use rack::copy::Copy;
+use rack::state::{Change, Command};
+use rack::talk::{Down, Reading, Up, Usage, Use, tenant_key};
+
+fn commands() -> Vec<Command> {
+    let change = Change { base: 0, patch: false, body: config(1).into_bytes() };
+    vec![nodes(&[(1, "north-a"), (2, "north-a"), (3, "north-a"), (4, "north-a")]), Command::Configure(change)]
+}
+
+fn usage(last: u8, life: u64, count: u64, wanted: u32, used: u32) -> Usage {
+    let tenants = vec![Use { tenant: tenant_key("reed"), wanted, used }];
+    Usage { ip: node(last, "north-a").ip, life, count, tenants }
+}
+
+#[test]
+fn readings_add_up_what_is_new_and_take_the_even_share_for_who_is_silent() {
+    let mut copy = Copy::default();
+    for (rev, command) in (1..).zip(commands()) {
+        copy.apply(SECOND, rev, Some(command));
+    }
+    let mut meter = Meter::new(BEAT / 3);
+    assert_eq!(meter.read(SECOND, &copy.state), [], "nobody asks");
+    // Even: 5 a second each. What is reported, by whom; what is read of use and wants then.
+    for (last, life, count, wanted, used, read) in [
+        (1, 1, 1, 9_000, 6_000, (24_000, 21_000)),
+        (2, 1, 5, 1_000, 1_000, (20_000, 17_000)),
+        (2, 1, 4, 90_000, 90_000, (20_000, 17_000)), // older
+        (2, 2, 1, 2_000, 2_000, (21_000, 18_000)),   // a new life counts anew
+        (3, 1, 1, 0, 0, (16_000, 13_000)),
+        (4, 1, 1, 0, 0, (11_000, 8_000)),
+        (9, 1, 1, 70_000, 70_000, (11_000, 8_000)), // no proxy that is agreed on
+    ] {
+        meter.take(SECOND, usage(last, life, count, wanted, used), false);
+        let all = meter.read(SECOND, &copy.state);
+        assert_eq!((all[0].wanted, all[0].used), read, "{last} {life} {count}");
+    }
+    assert_eq!(meter.news().len(), 4);
+    assert_eq!(meter.news().len(), 0, "told once");
+    meter.take(SECOND, usage(1, 1, 2, 0, 0), true);
+    assert_eq!(meter.news().len(), 0, "who told it knows it");
+    // Reports grow old: all are silent again.
+    assert_eq!(meter.read(SECOND + 2 * BEAT, &copy.state), []);
+}
+
+#[test]
+fn proxies_are_told_soon_and_the_other_registries_too() {
+    let mut r = Registry::new(commands());
+    r.tell(Input::Proxy(7, Up::Hello { node: node(1, "north-a"), rev: 2 }));
+    r.wait(BEAT / 3);
+    r.wait(1000);
+    let ahead = usage(1, 1, 1, 30_000, 9_000);
+    r.tell(Input::Proxy(7, Up::Report { rev: 2, seen: Vec::new(), usage: vec![ahead] }));
+    r.now = r.board.wake_at();
+    r.tell(Input::Tick);
+    let meter: Vec<&Reading> = r
+        .out
+        .iter()
+        .flat_map(|o| if let Output::Proxy(7, Down::Meter(m)) = o { &m[..] } else { &[] })
+        .collect();
+    assert_eq!((meter.len(), meter[0].wanted, meter[0].used), (1, 45_000, 24_000));
+    let told = r.out.iter().filter(|o| matches!(o, Output::Peer(OTHER, g) if g.usage.len() == 1));
+    assert_eq!(told.count(), 1);
+    assert!(r.now <= SECOND + BEAT / 3 + 100_000, "well before its usual round");
+}
--- a/crates/pegboard/tests/show.rs
+++ b/crates/pegboard/tests/show.rs
@@ -94,7 +94,11 @@
     let mut out = Vec::new();
     board.handle(2 * SECOND, Input::Proxy(7, Up::Hello { node: node(1), rev: 0 }), &mut out);
     let seen = Seen { ip: node(1).ip, life: 9, count: 1, ready: true };
-    board.handle(2 * SECOND, Input::Proxy(7, Up::Report { rev: 3, seen: vec![seen] }), &mut out);
+    board.handle(
+        2 * SECOND,
+        Input::Proxy(7, Up::Report { rev: 3, seen: vec![seen], usage: Vec::new() }),
+        &mut out,
+    );
 
     let now = 2 * SECOND + 250_000;
     let (_, body) = call(&mut board, now, "GET", "/api/instances", "");
--- /dev/null
+++ b/crates/planchest/tests/chest.rs
@@ -0,0 +1,286 @@
+//! Stores on machines of the test's own: it carries their messages, keeps their disks and tells them the time.
+
+use planchest::chest::{Chest, Input, Output, Peer};
+use rack::copy::Copy;
+use rack::state::{Change, Command, Done, State};
+use rack::talk::{FromStore, ToStore, Unsure};
+use ratchet::Saved;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::Ipv4Addr;
+
+const SECOND: u64 = 1_000_000;
+const LINK: u64 = 1;
+const HOP_US: u64 = 500;
+
+fn ip(last: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, 8, 0, last)
+}
+
+struct Machine {
+    chest: Chest,
+    saved: Saved,
+    /// What the registry on this machine makes of the store's news, and what else it was last told.
+    copy: Copy,
+    standing: Option<(bool, bool)>,
+    results: BTreeMap<u64, Result<(u64, Done), Unsure>>,
+    reads: BTreeMap<u64, Result<u64, Unsure>>,
+}
+
+struct Site {
+    now: u64,
+    machines: BTreeMap<Ipv4Addr, Machine>,
+    on_the_way: VecDeque<(u64, Ipv4Addr, Ipv4Addr, Peer)>,
+    /// From, to: nothing arrives.
+    cut: BTreeSet<(Ipv4Addr, Ipv4Addr)>,
+    tickets: u64,
+}
+
+fn chest(me: Ipv4Addr, saved: Saved, now: u64) -> Chest {
+    Chest::new(me, 0, saved, vec![ip(1), ip(2), ip(3)], me.octets()[3].into(), now).expect("readable")
+}
+
+fn evacuate(zone: &str) -> Command {
+    Command::Evacuate { zone: zone.into(), on: true }
+}
+
+fn put(version: u32) -> Command {
+    let body = format!(
+        r#"{{"config_version":"{version:08x}","limits":{{}},"route_list":{{"column_set":[],"row_set":[]}},
+        "service_list":{{"column_set":[],"row_set":[]}}}}"#
+    );
+    Command::Configure(Change { base: version - 1, patch: false, body: body.into_bytes() })
+}
+
+impl Site {
+    /// Three stores with a leader, and a registry beside each.
+    fn new() -> Site {
+        let (now, tickets) = (SECOND, 0);
+        let (machines, on_the_way, cut) = (BTreeMap::new(), VecDeque::new(), BTreeSet::new());
+        let mut site = Site { now, machines, on_the_way, cut, tickets };
+        for me in [ip(1), ip(2), ip(3)] {
+            site.start(me, Saved::founding([ip(1), ip(2), ip(3)]));
+        }
+        site.pass(3 * SECOND);
+        assert!(site.machines.values().all(|m| m.standing.is_some_and(|s| s.0)), "all are fresh");
+        site
+    }
+
+    fn start(&mut self, me: Ipv4Addr, saved: Saved) {
+        let chest = chest(me, saved.clone(), self.now);
+        let (results, reads) = (BTreeMap::new(), BTreeMap::new());
+        let machine = Machine { chest, saved, copy: Copy::default(), standing: None, results, reads };
+        self.machines.insert(me, machine);
+        self.tell(me, Input::Local(LINK, ToStore::Follow { rev: 0 }));
+    }
+
+    fn tell(&mut self, me: Ipv4Addr, input: Input) {
+        let mut inputs = VecDeque::from([input]);
+        while let Some(input) = inputs.pop_front() {
+            let Some(m) = self.machines.get_mut(&me) else { return };
+            let mut out = Vec::new();
+            m.chest.handle(self.now, input, &mut out);
+            for output in out {
+                match output {
+                    Output::Write(write) => {
+                        write.apply(&mut m.saved);
+                        inputs.push_back(Input::Written(write.number));
+                    }
+                    Output::Peer(to, peer) if !self.cut.contains(&(me, to)) => {
+                        self.on_the_way.push_back((self.now + HOP_US, me, to, peer));
+                    }
+                    Output::Peer(..) => {}
+                    Output::Local(_, FromStore::News(news)) => _ = m.copy.take(self.now, news),
+                    Output::Local(_, FromStore::Standing { fresh, leads, .. }) => {
+                        m.standing = Some((fresh, leads));
+                    }
+                    Output::Local(_, FromStore::Proposed { ticket, result }) => {
+                        assert!(m.results.insert(ticket, result).is_none(), "told once");
+                    }
+                    Output::Local(_, FromStore::Reads { ticket, result }) => {
+                        assert!(m.reads.insert(ticket, result).is_none(), "told once");
+                    }
+                }
+            }
+        }
+    }
+
+    fn pass(&mut self, us: u64) {
+        let end = self.now + us;
+        loop {
+            let wakes = self.machines.iter().map(|(ip, m)| (m.chest.wake_at(), *ip)).min();
+            let arrives = self.on_the_way.front().map_or(u64::MAX, |m| m.0);
+            let (wake, who) = wakes.expect("a machine");
+            if wake.min(arrives) > end {
+                self.now = end;
+                return;
+            }
+            self.now = self.now.max(wake.min(arrives));
+            if arrives <= wake {
+                let (_, from, to, peer) = self.on_the_way.pop_front().expect("just seen");
+                if !self.cut.contains(&(from, to)) {
+                    self.tell(to, Input::Peer(from, peer));
+                }
+            } else {
+                self.tell(who, Input::Tick);
+            }
+        }
+    }
+
+    fn propose(&mut self, at: Ipv4Addr, command: Command) -> u64 {
+        self.tickets += 1;
+        self.tell(at, Input::Local(LINK, ToStore::Propose { ticket: self.tickets, command }));
+        self.tickets
+    }
+
+    fn done(&self, at: Ipv4Addr, ticket: u64) -> Option<&Result<(u64, Done), Unsure>> {
+        self.machines[&at].results.get(&ticket)
+    }
+
+    fn leader(&self) -> Ipv4Addr {
+        let leads = self.machines.iter().filter(|(_, m)| m.chest.leads());
+        leads.max_by_key(|(_, m)| m.chest.standing().term).map(|(ip, _)| *ip).expect("one leads")
+    }
+
+    fn followers(&self) -> Vec<Ipv4Addr> {
+        let leader = self.leader();
+        self.machines.keys().copied().filter(|ip| *ip != leader).collect()
+    }
+
+    /// Nothing that `from` sends arrives; what the others send to it does.
+    fn mute(&mut self, from: Ipv4Addr) {
+        self.cut.extend(self.machines.keys().filter(|to| **to != from).map(|to| (from, *to)));
+    }
+}
+
+#[test]
+fn a_call_at_any_store_comes_back_with_what_the_state_made_of_it() {
+    let mut site = Site::new();
+    let (leader, follower) = (site.leader(), site.followers()[0]);
+    let current = |version| Ok(Done::Conflict { current: version });
+    for (at, command, is) in [
+        (follower, put(1), Ok(Done::Taken)),
+        (leader, put(1), Ok(Done::Taken)), // the same again
+        (follower, put(3), current(1)),
+        (leader, put(2), Ok(Done::Taken)),
+        (follower, evacuate("a"), Ok(Done::Taken)),
+    ] {
+        let ticket = site.propose(at, command);
+        site.pass(SECOND / 5);
+        let result = site.done(at, ticket).cloned().expect("told");
+        let rev = result.as_ref().map(|r| r.0).expect("agreed");
+        assert_eq!(result.map(|r| r.1), is);
+        assert!(site.machines[&at].copy.rev() >= rev, "its registry has the news");
+    }
+    let change = Change { base: 2, patch: true, body: b"{}".to_vec() };
+    let ticket = site.propose(follower, Command::Configure(change));
+    site.pass(SECOND / 5);
+    assert!(matches!(site.done(follower, ticket), Some(Ok((_, Done::Invalid(why)))) if !why.is_empty()));
+    // A read is good for all that was acknowledged, wherever it is asked for.
+    for at in [follower, leader] {
+        site.tell(at, Input::Local(LINK, ToStore::Read { ticket: 99 }));
+        site.pass(SECOND / 5);
+        let rev = site.machines[&at].reads[&99].expect("agreed");
+        assert!(rev >= site.machines[&leader].chest.copy.rev());
+    }
+    let states: BTreeSet<Vec<u8>> = site.machines.values().map(|m| m.copy.state.write(site.now)).collect();
+    assert_eq!(states.len(), 1, "all copies are alike");
+}
+
+#[test]
+fn a_store_that_hears_a_leader_but_lags_behind_what_it_tells_is_not_fresh() {
+    let mut site = Site::new();
+    let behind = site.followers()[0];
+    site.mute(behind);
+    let leader = site.leader();
+    // It still takes what comes in order; what it missed cannot be mended, as no answer of it arrives.
+    site.cut.insert((leader, behind));
+    let ticket = site.propose(leader, evacuate("a"));
+    site.pass(SECOND / 10);
+    assert!(matches!(site.done(leader, ticket), Some(Ok(_))), "agreed by the two others");
+    site.cut.remove(&(leader, behind));
+    let rev = site.machines[&leader].chest.copy.rev();
+    site.pass(3 * SECOND);
+    let m = &site.machines[&behind];
+    assert_eq!(m.chest.standing().leader, Some(leader), "it hears who leads");
+    assert!(m.chest.copy.rev() < rev, "and has not what the leader tells of");
+    assert_eq!(m.standing, Some((false, false)));
+    site.cut.clear();
+    site.pass(2 * SECOND);
+    let m = &site.machines[&behind];
+    assert_eq!((m.standing, m.copy.rev()), (Some((true, false)), site.machines[&leader].copy.rev()));
+}
+
+#[test]
+fn without_a_leader_nothing_is_taken_and_what_was_handed_on_is_unclear() {
+    let mut site = Site::new();
+    let (first, others) = (site.leader(), site.followers());
+    // Handed to a leader that is gone: perhaps it was taken.
+    let lost = site.machines.remove(&first).expect("there");
+    let ticket = site.propose(others[0], evacuate("a"));
+    site.pass(HOP_US);
+    assert_eq!(site.done(others[0], ticket), None);
+    site.pass(3 * SECOND);
+    assert_eq!(site.done(others[0], ticket), Some(&Err(Unsure::Perhaps)));
+    let again = site.propose(others[0], evacuate("a"));
+    site.pass(SECOND);
+    assert!(matches!(site.done(others[0], again), Some(Ok(_))), "the two others have a leader");
+    // One alone does not agree with itself; the proposal of a leader that loses the others is unclear, too.
+    let (leader, other) = (site.leader(), site.followers()[0]);
+    let kept = site.machines.remove(&other).expect("there");
+    let ticket = site.propose(leader, evacuate("b"));
+    site.pass(5 * SECOND);
+    assert_eq!(site.done(leader, ticket), Some(&Err(Unsure::Perhaps)));
+    let ticket = site.propose(leader, evacuate("c"));
+    assert_eq!(site.done(leader, ticket), Some(&Err(Unsure::Not)));
+    assert!(!site.machines[&leader].chest.fresh());
+    // All come back with their disks: what was acknowledged is there.
+    site.start(other, kept.saved);
+    site.start(first, lost.saved);
+    site.pass(5 * SECOND);
+    assert!(site.machines.values().all(|m| m.copy.state.evacuated.contains("a")));
+    assert!(site.machines.values().all(|m| m.standing.is_some_and(|s| s.0)));
+}
+
+#[test]
+fn a_store_that_is_started_again_has_the_state_it_had() {
+    let mut site = Site::new();
+    let at = site.followers()[0];
+    site.propose(at, put(1));
+    // Enough for a snapshot, and some commands after it.
+    for n in 0..300 {
+        site.propose(at, evacuate(&format!("z{n}")));
+        site.pass(10_000);
+    }
+    site.pass(SECOND);
+    for (me, m) in &site.machines {
+        let base = m.saved.snapshot.index;
+        assert!(base > 250 && base < m.chest.copy.rev(), "a snapshot, and more: {base}");
+        let written = m.chest.copy.state.write(site.now);
+        let again = chest(*me, m.saved.clone(), site.now);
+        let at_snapshot = State::read(site.now, &m.saved.snapshot.data).expect("readable");
+        assert_eq!(again.copy.rev(), base, "what follows is known once the others say that it is agreed");
+        assert!(at_snapshot.evacuated.len() > 200 && at_snapshot.version() == 1);
+        assert_eq!(State::read(site.now, &written).expect("readable").write(site.now), written);
+    }
+    let before: Vec<u8> = site.machines[&at].chest.copy.state.write(site.now);
+    let all: Vec<(Ipv4Addr, Saved)> = site.machines.iter().map(|(ip, m)| (*ip, m.saved.clone())).collect();
+    site.on_the_way.clear();
+    all.into_iter().for_each(|(ip, saved)| site.start(ip, saved));
+    site.pass(3 * SECOND);
+    for m in site.machines.values() {
+        let mut state = m.copy.state.clone();
+        assert!(
+            state.rev > State::read(site.now, &before).expect("readable").rev,
+            "a new leader's first entry"
+        );
+        state.rev = State::read(site.now, &before).expect("readable").rev;
+        assert_eq!(state.write(site.now), before);
+    }
+    // A state in a form that this program cannot read ends the start, and names the form.
+    let mut saved = site.machines[&at].saved.clone();
+    let mut snapshot = (*saved.snapshot).clone();
+    snapshot.data[0] = 9;
+    saved.snapshot = snapshot.into();
+    let refused = Chest::new(at, 0, saved, Vec::new(), 1, site.now).err().expect("refused");
+    assert!(refused.contains("form 9"), "{refused}");
+}
