Round the sum of the tenants' shares once, not each of its parts

Cause: the meter told each proxy's part in whole thousandths, rounded down; at 85 proxies an even part of 11.76 counted as 11, so all shares came to 1.06 of the quota. Change: the sum is rounded once, up; a proxy allows for that before it takes the next whole number.

--- a/crates/pegboard/src/meter.rs
+++ b/crates/pegboard/src/meter.rs
@@ -66,9 +66,12 @@
             let uses: Vec<Use> = heard.iter().filter_map(of).collect();
             let wanted = uses.iter().map(|u| u64::from(u.wanted)).sum::<u64>() + silent * even;
             let used = uses.iter().map(|u| u64::from(u.used)).sum::<u64>() + silent * even;
-            let part = |wants: u64| (wants * 1000 / wanted.max(1)).max(1000 / nodes);
-            let idle = nodes - uses.len() as u64;
-            let shares = uses.iter().map(|u| part(u64::from(u.wanted))).sum::<u64>() + idle * (1000 / nodes);
+            // Rounded once: with many proxies each part is only a few thousandths.
+            let even = 1.0 / nodes as f64;
+            let part = |u: &Use| (f64::from(u.wanted) / wanted.max(1) as f64).max(even);
+            let idle = (nodes - uses.len() as u64) as f64;
+            let shares = uses.iter().map(part).sum::<f64>() + idle * even;
+            let shares = (shares * 1000.0).ceil() as u64;
             let short = |n: u64| u32::try_from(n).unwrap_or(u32::MAX);
             (!uses.is_empty()).then(|| Reading {
                 tenant: key,
--- a/crates/shuttle/src/tenants.rs
+++ b/crates/shuttle/src/tenants.rs
@@ -13,6 +13,8 @@
 const LEARN: f64 = 0.5;
 /// Of a rise so much is told at once.
 const RISE: f64 = 0.8;
+/// Readings are in thousandths, which must not make one more of a whole number.
+const ROUNDED: f64 = 0.999;
 /// So many requests beyond what was last reported are told ahead of time.
 const JUMP: f64 = 4.0;
 
@@ -99,7 +101,7 @@
         let t = self.of(plan);
         let nodes = nodes.max(1) as u32;
         match t.read_at {
-            Some(at) if now <= at + hold => (t.spread.ceil() as u32).clamp(1, nodes),
+            Some(at) if now <= at + hold => ((t.spread * ROUNDED).ceil() as u32).clamp(1, nodes),
             _ => nodes,
         }
     }
