--- /dev/null
+++ b/crates/shuttle/tests/feed.rs
@@ -0,0 +1,119 @@
+//! Whom a proxy follows.
+
+mod common;
+
+use common::{SECOND, ZONES, node};
+use rack::talk::{Down, News, Up};
+use shuttle::feed::{Feed, Input, Output};
+use std::net::Ipv4Addr;
+
+const BEAT: u64 = SECOND;
+
+fn ip(last: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 9, last)
+}
+
+fn feed(seeds: &[u8]) -> Feed {
+    let zones = ZONES.map(|(z, r)| (z.to_string(), r.to_string())).into();
+    Feed::new(node(1, "north-b"), zones, seeds.iter().map(|n| ip(*n)).collect(), BEAT, 3, SECOND)
+}
+
+fn tell(feed: &mut Feed, now: u64, input: Input) -> Vec<Output> {
+    let mut out = Vec::new();
+    feed.handle(now, input, &mut out);
+    out
+}
+
+fn link(out: &[Output]) -> Option<Ipv4Addr> {
+    out.iter().find_map(|o| if let Output::Link(ip) = o { Some(*ip) } else { None })
+}
+
+fn standing(fresh: bool) -> Input {
+    let core = vec![(ip(1), "south-a".into()), (ip(2), "north-a".into()), (ip(3), "north-b".into())];
+    Input::Got(Down::Standing { core, fresh })
+}
+
+fn report(out: &[Output]) -> Option<(u64, u64)> {
+    out.iter().find_map(|o| match o {
+        Output::Say(Up::Report { rev, seen, .. }) => Some((*rev, seen[0].count)),
+        _ => None,
+    })
+}
+
+/// Until it goes on to another: what it is told every quarter of a beat; how long that took.
+fn left_after(feed: &mut Feed, from: u64, input: impl Fn() -> Option<Input>) -> (Ipv4Addr, u64) {
+    for step in 1..20 {
+        let now = from + step * BEAT / 4;
+        let mut out = tell(feed, now, Input::Tick);
+        if let Some(input) = input().filter(|_| link(&out).is_none()) {
+            out = tell(feed, now, input);
+        }
+        if let Some(to) = link(&out) {
+            return (to, now - from);
+        }
+    }
+    panic!("it stays for ever");
+}
+
+#[test]
+fn it_leaves_a_registry_that_is_silent_or_hears_no_news_itself() {
+    for (told, leaves) in [(None, true), (Some(false), true), (Some(true), false)] {
+        let mut feed = feed(&[1, 2]);
+        let first = link(&tell(&mut feed, SECOND, Input::Tick)).expect("links at once");
+        tell(&mut feed, SECOND, Input::Linked);
+        tell(&mut feed, SECOND, standing(true));
+        assert!(feed.was_fresh);
+        if leaves {
+            let (to, took) = left_after(&mut feed, SECOND, || told.map(standing));
+            assert!(to != first && took <= BEAT + BEAT / 4, "{told:?}: {took}");
+        } else {
+            for step in 1..20 {
+                let now = SECOND + step * BEAT / 4;
+                assert_eq!(link(&tell(&mut feed, now, standing(true))), None);
+            }
+        }
+    }
+}
+
+#[test]
+fn it_follows_the_nearest_that_has_not_failed_and_comes_back_to_it() {
+    let mut feed = feed(&[1]);
+    let mut now = SECOND;
+    assert_eq!(link(&tell(&mut feed, now, Input::Tick)), Some(ip(1)), "the only one it knows");
+    tell(&mut feed, now, Input::Linked);
+    tell(&mut feed, now, standing(true));
+    let mut went = Vec::new();
+    for _ in 0..4 {
+        now += 1000;
+        went.extend(link(&tell(&mut feed, now, Input::Broken)));
+    }
+    assert_eq!(went, [ip(3), ip(2), ip(1), ip(3)], "by nearness, then by who failed longest ago");
+    tell(&mut feed, now, Input::Linked);
+    tell(&mut feed, now, standing(true));
+    // One that does not answer the call is left, too.
+    let now = now + 10 * BEAT;
+    assert_eq!(link(&tell(&mut feed, now, Input::Broken)), Some(ip(2)));
+    let (to, took) = left_after(&mut feed, now, || None);
+    assert!(to == ip(1) && took <= BEAT, "{to} {took}");
+}
+
+#[test]
+fn it_tells_how_far_it_has_come_regularly_and_sooner_where_it_matters() {
+    let mut feed = feed(&[1]);
+    tell(&mut feed, SECOND, Input::Tick);
+    feed.at(7);
+    let out = tell(&mut feed, SECOND, Input::Linked);
+    assert!(matches!(&out[0], Output::Say(Up::Hello { rev: 7, .. })));
+    assert_eq!(report(&out), Some((7, 1)));
+    let news = News::Run { from: 7, to: 9, commands: Vec::new() };
+    let out = tell(&mut feed, SECOND + 10_000, Input::Got(Down::News(news)));
+    assert!(matches!(out[..], [Output::News(News::Run { from: 7, to: 9, .. })]));
+    feed.at(9);
+    assert_eq!(report(&tell(&mut feed, SECOND + 20_000, Input::Tick)), None);
+    feed.hurry();
+    assert_eq!(report(&tell(&mut feed, SECOND + 100_000, Input::Tick)), Some((9, 2)));
+    feed.hurry();
+    assert_eq!(report(&tell(&mut feed, SECOND + 150_000, Input::Tick)), None, "not all the time");
+    tell(&mut feed, SECOND + 160_000, standing(true));
+    assert_eq!(report(&tell(&mut feed, SECOND + 100_000 + BEAT / 3, Input::Tick)), Some((9, 3)));
+}
--- /dev/null
+++ b/crates/shuttle/tests/tenants.rs
@@ -0,0 +1,148 @@
+//! How proxies and the registries' meter share a tenant's quota.
+
+mod common;
+
+use common::*;
+use pegboard::meter::Meter;
+use rack::copy::Copy;
+use rack::talk::{Reading, Usage, tenant_key};
+use shuttle::book::Book;
+use shuttle::tenants::Tenants;
+
+const EVERY: u64 = SECOND / 3;
+
+struct Site {
+    copy: Copy,
+    book: Book,
+    plan: usize,
+}
+
+fn site(proxies: u8) -> Site {
+    let all: Vec<(u8, &str)> = (1..=proxies).map(|n| (n, "north-a")).collect();
+    let copy = copy(SECOND, vec![nodes(&all), config(1, &ROUTES)]);
+    let mut book = Book::new(place(1, "north-a"));
+    book.learn(copy.state.config.as_ref().expect("a configuration"), proxies.into());
+    let plan = book.plan("sedge");
+    Site { copy, book, plan }
+}
+
+impl Site {
+    /// A proxy that is asked so often between two reports, and its report.
+    fn proxy(&self, last: u8, asked: u32) -> (Tenants, Usage) {
+        let mut tenants = Tenants::new(EVERY);
+        tenants.uses(SECOND, &self.book);
+        (0..asked).for_each(|_| tenants.asked(self.plan));
+        let told = tenants.uses(SECOND + EVERY, &self.book);
+        (tenants, Usage { ip: node(last, "north-a").ip, life: 1, count: 1, tenants: told })
+    }
+
+    fn read(&self, meter: &mut Meter) -> Option<Reading> {
+        let all = meter.read(SECOND + EVERY, &self.copy.state);
+        all.into_iter().find(|r| r.tenant == tenant_key("sedge"))
+    }
+
+    /// The part of the quota that a proxy takes for itself.
+    fn share(&self, tenants: &mut Tenants, reading: Option<&Reading>) -> f64 {
+        let (now, all) = (SECOND + EVERY, self.copy.state.nodes.len());
+        if let Some(reading) = reading {
+            tenants.read(now, self.plan, reading, all);
+        }
+        1.0 / f64::from(tenants.spread(now, self.plan, all))
+    }
+}
+
+/// The scaled shares come to the whole. What goes beyond it is the even share, which is nobody's upper bound: a proxy
+/// whose scaled share is smaller, or that hears nothing, has that nonetheless.
+#[test]
+fn shares_above_the_even_one_leave_the_others_their_scaled_part() {
+    let mut rng = fastrand::Rng::with_seed(5);
+    for round in 0..300 {
+        let proxies = [2, 11, 40, 85, 150][round % 5];
+        let (site, even) = (site(proxies), 1.0 / f64::from(proxies));
+        // Few that are asked for much, many for some or for nothing; some of them hear and tell nothing.
+        let (much, some, silent) = (rng.f64() * 0.3, rng.f64(), rng.f64() * 0.5);
+        let mut meter = Meter::new(EVERY);
+        let mut all: Vec<(Tenants, bool)> = (1..=proxies)
+            .map(|last| {
+                let few = if rng.f64() < some { rng.u32(0..4) } else { 0 };
+                let asked = if rng.f64() < much { rng.u32(20..60) } else { few };
+                let (tenants, usage) = site.proxy(last, asked);
+                let heard = rng.f64() >= silent;
+                if heard {
+                    meter.take(SECOND + EVERY, usage, false);
+                }
+                (tenants, heard)
+            })
+            .collect();
+        let Some(reading) = site.read(&mut meter) else { continue };
+        let least = even / (f64::from(reading.shares) / 1000.0);
+        let shares = all.iter_mut().map(|(t, heard)| site.share(t, Some(&reading).filter(|_| *heard)));
+        let shares: Vec<f64> = shares.collect();
+        assert!(shares.iter().all(|s| *s >= even - 1e-9 && *s <= 1.0));
+        let scaled: f64 = shares.iter().map(|s| if *s > even + 1e-9 { *s } else { least }).sum();
+        assert!(scaled <= 1.002, "{proxies} proxies, round {round}: {scaled}");
+    }
+}
+
+#[test]
+fn a_registry_that_hears_only_some_reads_no_less_of_a_quota_that_is_wanted() {
+    let site = site(10);
+    let mut rng = fastrand::Rng::with_seed(5);
+    for _ in 0..100 {
+        // Nobody sends more than its even share, which is what may be expected of those that are cut off.
+        let usages: Vec<Usage> = (1..=10)
+            .map(|last| {
+                let mut usage = site.proxy(last, 5).1;
+                usage.tenants[0].used = rng.u32(0..=200);
+                usage
+            })
+            .collect();
+        let (mut whole, mut some) = (Meter::new(EVERY), Meter::new(EVERY));
+        for usage in &usages {
+            whole.take(SECOND + EVERY, usage.clone(), true);
+            if rng.bool() {
+                some.take(SECOND + EVERY, usage.clone(), true);
+            }
+        }
+        if let (Some(all), Some(part)) = (site.read(&mut whole), site.read(&mut some)) {
+            assert!(part.used >= all.used, "{} of {}", part.used, all.used);
+        }
+    }
+}
+
+#[test]
+fn a_rise_is_told_at_once_and_a_fall_over_some_reports() {
+    let site = site(10);
+    let mut tenants = Tenants::new(EVERY);
+    let mut wanted = |asked: u32, at: u64| {
+        (0..asked).for_each(|_| tenants.asked(site.plan));
+        let hurries = std::mem::take(&mut tenants.hurries);
+        (hurries, tenants.uses(SECOND + at * EVERY, &site.book).first().map_or(0, |u| u.wanted))
+    };
+    wanted(0, 0);
+    assert!(!wanted(2, 1).0);
+    // 30 in a third of a second: 90 a second.
+    let (hurries, told) = wanted(30, 2);
+    assert!(hurries && told > 70_000, "{told}");
+    let (hurries, fell) = wanted(0, 3);
+    assert!(!hurries && fell > told / 3 && fell < told, "{fell}");
+    assert!(wanted(0, 9).1 < fell);
+}
+
+#[test]
+fn an_old_reading_and_a_silent_meter_leave_the_even_share() {
+    let site = site(10);
+    let (mut tenants, usage) = site.proxy(1, 50);
+    assert_eq!(site.share(&mut tenants, None), 0.1);
+    let mut meter = Meter::new(EVERY);
+    meter.take(SECOND + EVERY, usage, false);
+    let cut_off = site.read(&mut meter).expect("read");
+    let share = site.share(&mut tenants, Some(&cut_off));
+    assert!(share < 0.6, "the silent others may have theirs: {share}");
+    for last in 2..=10 {
+        meter.take(SECOND + EVERY, site.proxy(last, 0).1, true);
+    }
+    let reading = site.read(&mut meter).expect("read");
+    assert!(site.share(&mut tenants, Some(&reading)) > 0.3, "it alone asks");
+    assert_eq!(tenants.spread(SECOND + 5 * EVERY, site.plan, 10), 10);
+}
