--- a/crates/tongs/tests/sockets.rs
+++ b/crates/tongs/tests/sockets.rs
@@ -236,12 +236,17 @@
 }
 
 fn open() -> Open {
+    open_held().0
+}
+
+/// With the door itself.
+fn open_held() -> (Open, Arc<Door<Hand>>) {
     let ((tell, asked), (tell_gone, withdrawn)) = (channel(), channel());
     let draining = AtomicBool::new(false);
     let desk = Arc::new(Hand { asked: Mutex::new(tell), withdrawn: Mutex::new(tell_gone), draining });
     let any = "127.0.0.1:0".parse().expect("an address");
     let door = Door::start(any, room(), desk.clone()).expect("a port");
-    Open { desk, addr: door.addr(), asked, withdrawn }
+    (Open { desk, addr: door.addr(), asked, withdrawn }, door)
 }
 
 impl Open {
@@ -330,3 +335,29 @@
     assert!(head.contains("Connection: close") && body == b"still");
     assert!(message(&mut busy).is_none());
 }
+
+#[test]
+fn a_door_that_is_shut_takes_what_had_come_and_nobody_after() {
+    let (door, held) = open_held();
+    let mut early = door.connect();
+    say(&early, "GET /early HTTP/1.1\r\nHost: x\r\n\r\n");
+    let (_, _, reply) = door.asked();
+    held.shut();
+    // Refused, or ended unread, once the listener is gone; until then it is served like any other.
+    let mut late = Vec::new();
+    while let Ok(stream) = TcpStream::connect(door.addr) {
+        late.push(stream);
+        assert!(late.len() < 100_000, "the door stays open");
+    }
+    reply.send(Answer::text(200, "still"));
+    assert_eq!(message(&mut early).expect("an answer").1, b"still");
+    say(&early, "GET /more HTTP/1.1\r\nHost: x\r\n\r\n");
+    door.asked().2.send(Answer::text(200, "more"));
+    assert_eq!(message(&mut early).expect("an answer").1, b"more", "who is in stays in");
+    drop((early, late));
+    let until = std::time::Instant::now() + WAIT;
+    while held.count() > 0 {
+        assert!(std::time::Instant::now() < until, "all have left");
+        std::thread::yield_now();
+    }
+}
