--- a/crates/shuttle/tests/book.rs
+++ b/crates/shuttle/tests/book.rs
@@ -31,7 +31,7 @@
 
 #[test]
 fn a_servers_part_is_counted_by_the_proxies_for_which_it_is_nearest() {
-    let start = vec![
+    let start = [
         nodes(&SIX),
         config(1, &ROUTES),
         server(1, "a", "heron", "north-a", 0),
@@ -40,7 +40,8 @@
         server(4, "t", "stilt", "north-b", 0),
     ];
     // Zones emptied; for each server what the proxies of each zone that it is nearest to count on, times a sixth.
-    let cases: [(&[&str], &str, &[(&str, f64)]); 6] = [
+    type Counted = &'static [(&'static str, f64)];
+    let cases: [(&[&str], &str, Counted); 6] = [
         (&[], "a", &[("north-a", 3.0), ("north-b", 1.0), ("south-a", 1.0)]),
         (&["north-b"], "a", &[("north-a", 1.5), ("north-b", 1.5), ("south-a", 1.0)]),
         (&["north-b"], "s", &[("north-a", 1.0), ("north-b", 1.0), ("south-a", 3.0)]),
--- a/crates/shuttle/tests/front.rs
+++ b/crates/shuttle/tests/front.rs
@@ -45,6 +45,18 @@
     }
 }
 
+#[test]
+fn a_nearer_server_that_has_its_part_out_gives_way_to_a_farther_one() {
+    let mut proxy = Proxy::with(&[("far", "south-a"), ("near", "north-a")]);
+    let went: Vec<String> = (0..6)
+        .map(|_| {
+            proxy.ask("/get/", Some("k1"));
+            proxy.goes_to().expect("both have room").to_string()
+        })
+        .collect();
+    assert_eq!(went, ["near", "near", "near", "far", "far", "far"]);
+}
+
 #[test]
 fn a_request_goes_on_by_route_and_key_with_its_tenant_and_without_the_key() {
     for (path, key, status) in [
