--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -141,11 +141,6 @@
         (plan.ceiling_rate * self.age()).min(plan.ceiling_burst) / spread as f64
     }
 
-    /// Of this gateway's process, in seconds.
-    fn age(&self) -> f64 {
-        (self.now - self.started.unwrap_or(self.now)) as f64 / 1e6
-    }
-
     pub(super) fn refill(&mut self, key: u64) -> f64 {
         let Some(c) = self.customers.get(&key) else { return 0.0 };
         let (slice, plan, spread) = (self.slice(c), &self.set.plans[c.plan], c.spread as f64);
