Even out what the meter reads, but take a flood at once; judge use by what a tenant may use for long

Cause (85 proxies: 10 in 100 refused): a small tenant's sum over a second is off by its own size, so it read as full most of the time. Change: sums are evened out over 1.5 s unless they rise by more than chance explains; the leeway's lasting part counts to the rate; less of it is given out as bursts; readings go out less often where there are many proxies.

--- a/crates/pegboard/src/board.rs
+++ b/crates/pegboard/src/board.rs
@@ -53,6 +53,8 @@
 const PARTS: Micros = 3;
 /// Reports of tenants' use are gathered for so long before the proxies are told the sum.
 const METER_US: Micros = 60_000;
+/// For each proxy, where there are many: each round goes to all of them.
+const METER_EACH_US: Micros = 4_000;
 /// A call's caller moves on after a second of silence.
 const CALL_US: Micros = 900_000;
 /// A server is written off after so many beats unheard, a proxy after so many times the catching up.
@@ -519,7 +521,8 @@
 
     fn usage(&mut self, usage: Usage, told: bool) {
         self.meter.take(self.now, usage, told);
-        self.meter_at = self.meter_at.min(self.now + METER_US);
+        let gather = METER_US.max(METER_EACH_US * self.copy.state.nodes.len() as Micros);
+        self.meter_at = self.meter_at.min(self.now + gather);
     }
 
     /// Tells the other registries what was reported here, and the proxies what it all comes to.
--- a/crates/pegboard/src/meter.rs
+++ b/crates/pegboard/src/meter.rs
@@ -7,11 +7,14 @@
 use rack::Micros;
 use rack::state::State;
 use rack::talk::{Reading, Usage, Use, tenant_key};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::Ipv4Addr;
 
 /// Reports hold for so many times the time between two of them.
 const HOLD: Micros = 3;
+/// Time over which sums are evened out, and how many roots of a sum a rise must come to for being taken at once.
+const STEADY_US: f64 = 1_500_000.0;
+const CHANCE: f64 = 3.0;
 
 struct Report {
     usage: Usage,
@@ -22,12 +25,14 @@
 pub struct Meter {
     every_us: Micros,
     reports: BTreeMap<Ipv4Addr, Report>,
+    /// By tenant: when it was last read, and the means of what was wanted and used.
+    sums: HashMap<u32, (Micros, f64, f64)>,
 }
 
 impl Meter {
     /// `every_us`: how often proxies report.
     pub fn new(every_us: Micros) -> Meter {
-        Meter { every_us, reports: BTreeMap::new() }
+        Meter { every_us, reports: BTreeMap::new(), sums: HashMap::new() }
     }
 
     /// A report, from the proxy itself or by another registry (`told`). An older one than is known is passed over.
@@ -54,32 +59,46 @@
     pub fn read(&mut self, now: Micros, state: &State) -> Vec<Reading> {
         self.reports.retain(|ip, _| state.nodes.contains_key(ip));
         let Some(config) = &state.config else { return Vec::new() };
-        let nodes = state.nodes.len().max(1) as u64;
+        let nodes = state.nodes.len().max(1);
         let hold = HOLD * self.every_us;
-        let heard: Vec<&Report> = self.reports.values().filter(|r| now <= r.heard_at + hold).collect();
-        let silent = nodes.saturating_sub(heard.len() as u64);
-        let tenants = config.tenants.iter().flatten().filter(|t| t.rate > 0.0);
-        let read = tenants.filter_map(|t| {
-            let key = tenant_key(&t.name);
-            let even = (t.rate * 1000.0) as u64 / nodes;
-            let of = |r: &&Report| r.usage.tenants.iter().find(|u| u.tenant == key).copied();
-            let uses: Vec<Use> = heard.iter().filter_map(of).collect();
-            let wanted = uses.iter().map(|u| u64::from(u.wanted)).sum::<u64>() + silent * even;
-            let used = uses.iter().map(|u| u64::from(u.used)).sum::<u64>() + silent * even;
+        let mut uses: HashMap<u32, Vec<Use>> = HashMap::new();
+        let mut silent = nodes;
+        for r in self.reports.values().filter(|r| now <= r.heard_at + hold) {
+            silent -= 1;
+            r.usage.tenants.iter().for_each(|u| uses.entry(u.tenant).or_default().push(*u));
+        }
+        self.sums.retain(|tenant, _| uses.contains_key(tenant));
+        let mut readings = Vec::with_capacity(uses.len());
+        for t in config.tenants.iter().flatten().filter(|t| t.rate > 0.0) {
+            let tenant = tenant_key(&t.name);
+            let Some(uses) = uses.get(&tenant) else { continue };
+            let unheard = silent as f64 * t.rate / nodes as f64;
+            let sum = |of: fn(&Use) -> u32| uses.iter().map(|u| f64::from(of(u)) / 1000.0).sum::<f64>();
+            let (all_wanted, all_used) = (sum(|u| u.wanted) + unheard, sum(|u| u.used) + unheard);
+            let sums = self.sums.entry(tenant).or_insert((now, all_wanted, all_used));
+            let passed = now.saturating_sub(sums.0) as f64;
+            *sums = (now, steady(sums.1, all_wanted, passed), steady(sums.2, all_used, passed));
             // Rounded once: with many proxies each part is only a few thousandths.
             let even = 1.0 / nodes as f64;
-            let part = |u: &Use| (f64::from(u.wanted) / wanted.max(1) as f64).max(even);
-            let idle = (nodes - uses.len() as u64) as f64;
-            let shares = uses.iter().map(part).sum::<f64>() + idle * even;
-            let shares = (shares * 1000.0).ceil() as u64;
-            let short = |n: u64| u32::try_from(n).unwrap_or(u32::MAX);
-            (!uses.is_empty()).then(|| Reading {
-                tenant: key,
-                wanted: short(wanted),
-                used: short(used),
+            let part = |u: &Use| (f64::from(u.wanted) / 1000.0 / all_wanted.max(0.001)).max(even);
+            let shares = uses.iter().map(part).sum::<f64>() + (nodes - uses.len().min(nodes)) as f64 * even;
+            let short = |n: f64| (n * 1000.0).ceil().min(f64::from(u32::MAX)) as u32;
+            readings.push(Reading {
+                tenant,
+                wanted: short(all_wanted),
+                used: short(sums.2),
                 shares: short(shares),
-            })
-        });
-        read.collect()
+            });
+        }
+        readings
+    }
+}
+
+/// A moving mean that follows at once what chance does not explain: requests that come by chance at a rate are seldom
+/// off by more than a few roots of it.
+fn steady(mean: f64, now: f64, passed_us: f64) -> f64 {
+    if now > mean + CHANCE * mean.max(1.0).sqrt() {
+        return now;
     }
+    mean + (now - mean) * (1.0 - (-passed_us / STEADY_US).exp())
 }
--- a/crates/shuttle/src/book.rs
+++ b/crates/shuttle/src/book.rs
@@ -28,18 +28,25 @@
 pub struct Leeway {
     pub excess: f64,
     pub margin: f64,
+    pub period_s: f64,
 }
 
-/// What of the leeway is given out in advance, as bursts: all that the burst itself brings, and a part of the fixed
-/// margin. What remains covers the time until a reading tells of a rise.
-const MARGIN_AHEAD: f64 = 0.6;
+/// What of the leeway is given out in advance, as bursts: half of what the burst itself brings, and a part of the
+/// fixed margin. What remains covers the time until a reading tells of a rise.
+const MARGIN_AHEAD: f64 = 0.4;
 
 impl Leeway {
+    /// What a tenant may use a second over a long time before the leeway is used up by half.
+    fn bears(&self, rate: f64) -> f64 {
+        let margin = if self.period_s > 0.0 { self.margin / self.period_s } else { 0.0 };
+        rate * (1.0 + self.excess / 2.0) + margin / 2.0
+    }
+
     fn burst(&self, rate: f64, burst: f64) -> f64 {
         if rate <= 0.0 {
             return burst;
         }
-        burst * (1.0 + self.excess) + MARGIN_AHEAD * self.margin
+        burst * (1.0 + self.excess / 2.0) + MARGIN_AHEAD * self.margin
     }
 }
 
@@ -152,10 +159,10 @@
         self.plan_of.known(tenant).unwrap_or(0) as usize
     }
 
-    /// The plans that have a quota, and its rate.
+    /// The plans that have a quota, and the rate that they may come to.
     pub fn quotas(&self) -> Vec<(usize, f64)> {
         let all = self.plans.iter().enumerate();
-        all.filter(|(_, p)| p.rate > 0.0).map(|(n, p)| (n, p.rate)).collect()
+        all.filter(|(_, p)| p.rate > 0.0).map(|(n, p)| (n, self.place.leeway.bears(p.rate))).collect()
     }
 
     /// What a plan's tenant is called in reports.
--- a/crates/shuttle/src/main.rs
+++ b/crates/shuttle/src/main.rs
@@ -88,7 +88,11 @@
 
     let s = &start.settings;
     let b = &s.bounds;
-    let leeway = Leeway { excess: b.quota_excess.unwrap_or(0.0), margin: b.quota_margin.unwrap_or(0.0) };
+    let leeway = Leeway {
+        excess: b.quota_excess.unwrap_or(0.0),
+        margin: b.quota_margin.unwrap_or(0.0),
+        period_s: b.quota_period_s.unwrap_or(0.0),
+    };
     let (zone, region, zones) = (s.zone.clone(), s.region.clone(), s.zones.clone());
     let place = Place { ip: s.ip, zone, region, zones, leeway };
     let node = Node {
