Let proxies pass the news on down a tree of relays in each region

Every proxy followed a registry directly, so each byte of news went between regions once for each proxy there. Now rendezvous hashing orders a region's proxies; the first live one follows a registry, the others relays above them. Circles are found by the path that standings carry, staleness by the age that they carry; heads hold their duty under an epoch. Whoever loses a relay goes to a registry directly. Who follows a copy is kept by one module for both.

--- a/crates/pegboard/src/board.rs
+++ b/crates/pegboard/src/board.rs
@@ -8,8 +8,9 @@
 use jig::api::{self, Beat, Call};
 use jig::config::if_match;
 use rack::copy::{Copy, Took};
-use rack::state::{Change, Command, Done, Node, NodeChange, Server, ServerChange};
-use rack::talk::{Down, FromStore, Gossip, News, Seen, ToStore, Unsure, Up, Usage};
+use rack::follow::Followers;
+use rack::state::{Change, Command, Done, NodeChange, Server, ServerChange};
+use rack::talk::{Down, FromStore, Gossip, Head, News, Seen, Standing, ToStore, Unsure, Up, Usage};
 use rack::{Micros, Rev};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
@@ -74,15 +75,6 @@
     wait: Wait,
 }
 
-/// A follower of the news.
-struct Follower {
-    node: Node,
-    /// How far it was sent the news.
-    rev: Rev,
-    /// It told to be behind that when it last reported.
-    behind: Option<Rev>,
-}
-
 pub struct Board {
     terms: Terms,
     now: Micros,
@@ -99,7 +91,9 @@
     meter: Meter,
     /// Readings go out ahead of time, as a proxy has reported ahead of time.
     meter_at: Micros,
-    followers: BTreeMap<u64, Follower>,
+    followers: Followers,
+    /// The greatest that was told of each region.
+    heads: BTreeMap<String, Head>,
     waiting: BTreeMap<u64, Waiting>,
     tickets: u64,
     /// Changes of servers and proxies on their way into the log: those gathered for the next command, its number, and
@@ -129,7 +123,8 @@
             presence: Presence::new(now, terms.beat_us),
             meter: Meter::new(terms.beat_us / PARTS),
             meter_at: Micros::MAX,
-            followers: BTreeMap::new(),
+            followers: Followers::default(),
+            heads: BTreeMap::new(),
             waiting: BTreeMap::new(),
             tickets: 0,
             servers: Vec::new(),
@@ -176,10 +171,13 @@
                 for usage in gossip.usage {
                     self.usage(usage, true);
                 }
+                for (region, head) in gossip.heads {
+                    self.head(region, head);
+                }
             }
             Input::Proxy(link, up) => self.proxy(link, up, out),
             Input::ProxyDown(link) => {
-                self.followers.remove(&link);
+                self.followers.gone(link);
             }
         }
         self.round(out);
@@ -244,7 +242,6 @@
     }
 
     fn view(&self) -> View<'_> {
-        let followers = self.followers.values();
         View {
             now: self.now,
             me: self.terms.me,
@@ -254,7 +251,7 @@
             places: &self.places,
             fresh: self.fresh && self.store_up,
             leads: self.leads && self.store_up,
-            followers: followers.map(|f| (&f.node, f.behind.unwrap_or(f.rev))).collect(),
+            followers: self.followers.iter().map(|(_, f)| (&f.node, f.rev())).collect(),
         }
     }
 
@@ -403,19 +400,11 @@
             }
         }
         self.presence.known(self.now, &self.copy.state);
-        let links: Vec<u64> = self.followers.keys().copied().collect();
-        for link in links {
-            self.feed(link, out);
-        }
+        self.feed(out);
     }
 
-    /// Sends a follower what it does not have yet.
-    fn feed(&mut self, link: u64, out: &mut Vec<Output>) {
-        let Some(f) = self.followers.get_mut(&link) else { return };
-        if let Some(news) = self.copy.since(self.now, f.rev) {
-            f.rev = self.copy.rev();
-            out.push(Output::Proxy(link, Down::News(news)));
-        }
+    fn feed(&mut self, out: &mut Vec<Output>) {
+        self.followers.feed(self.now, &self.copy, |link, down| out.push(Output::Proxy(link, down)));
     }
 
     /// Hands what was gathered of servers and proxies to the store, one command at a time.
@@ -471,25 +460,22 @@
                 if self.copy.state.nodes.get(&node.ip) != Some(&node) {
                     self.nodes.push(NodeChange::Up(node.clone()));
                 }
-                // One that is ahead of this registry keeps what it has, and hears of news from there on.
-                self.followers.insert(link, Follower { node, rev, behind: None });
-                out.push(Output::Proxy(link, self.standing()));
-                self.feed(link, out);
+                out.push(Output::Proxy(link, self.standing(&node.region)));
+                self.followers.hello(link, node, rev);
+                self.feed(out);
             }
-            Up::Report { rev, seen, usage } => {
+            Up::Report { rev, head, seen, usage } => {
                 for u in usage {
                     self.usage(u, false);
                 }
                 for s in seen {
                     self.presence.seen(self.now, s);
                 }
-                let Some(f) = self.followers.get_mut(&link) else { return };
-                // A copy that stays behind what was sent is mended from where it is.
-                if rev > f.rev || (rev < f.rev && f.behind == Some(rev)) {
-                    f.rev = rev;
-                }
-                f.behind = (rev < f.rev).then_some(rev);
+                let Some(f) = self.followers.reported(link, rev) else { return };
                 let node = f.node.clone();
+                if let Some(head) = head {
+                    self.head(node.region.clone(), head);
+                }
                 let on_its_way = |n: &NodeChange| matches!(n, NodeChange::Up(n) if *n == node);
                 if self.copy.state.nodes.get(&node.ip) != Some(&node)
                     && self.under_way.is_none()
@@ -497,14 +483,29 @@
                 {
                     self.nodes.push(NodeChange::Up(node));
                 }
-                self.feed(link, out);
+                self.feed(out);
             }
         }
     }
 
-    fn standing(&self) -> Down {
+    /// What followers of a region are told.
+    fn standing(&self, region: &str) -> Down {
         let place = |ip: &Ipv4Addr| (*ip, self.places.get(ip).cloned().unwrap_or_default());
-        Down::Standing { core: self.core.iter().map(place).collect(), fresh: self.fresh && self.store_up }
+        let nodes = self.copy.state.nodes.values().filter(|n| n.region == region);
+        let away = nodes.map(|n| n.ip).filter(|ip| !self.presence.alive(self.now, *ip));
+        Down::Standing(Standing {
+            rev: self.copy.rev(),
+            fresh_ms: (self.fresh && self.store_up).then_some(0),
+            core: self.core.iter().map(place).collect(),
+            path: Vec::new(),
+            head: self.heads.get(region).copied(),
+            away: away.collect(),
+        })
+    }
+
+    fn head(&mut self, region: String, head: Head) {
+        let known = self.heads.entry(region).or_insert(head);
+        *known = head.max(*known);
     }
 
     fn usage(&mut self, usage: Usage, told: bool) {
@@ -517,12 +518,12 @@
         self.meter_at = Micros::MAX;
         let usage = self.meter.news();
         if !usage.is_empty() {
-            self.gossip(Vec::new(), Vec::new(), usage, out);
+            self.gossip(Vec::new(), Vec::new(), usage, Vec::new(), out);
         }
         let readings = self.meter.read(self.now, &self.copy.state);
         if !readings.is_empty() {
-            for link in self.followers.keys() {
-                out.push(Output::Proxy(*link, Down::Meter(readings.clone())));
+            for link in self.followers.links() {
+                out.push(Output::Proxy(link, Down::Meter(readings.clone())));
             }
         }
     }
@@ -532,12 +533,14 @@
         servers: Vec<(String, u64)>,
         nodes: Vec<Seen>,
         usage: Vec<Usage>,
+        heads: Vec<(String, Head)>,
         out: &mut Vec<Output>,
     ) {
         let (me, zone) = (self.terms.me, &self.terms.zone);
         for ip in self.core.iter().filter(|c| **c != me) {
             let (zone, servers) = (zone.clone(), servers.clone());
-            let gossip = Gossip { ip: me, zone, servers, nodes: nodes.clone(), usage: usage.clone() };
+            let (nodes, usage, heads) = (nodes.clone(), usage.clone(), heads.clone());
+            let gossip = Gossip { ip: me, zone, servers, nodes, usage, heads };
             out.push(Output::Peer(*ip, gossip));
         }
     }
@@ -551,11 +554,15 @@
             return;
         }
         self.next_round = self.now + self.terms.beat_us / PARTS;
-        for link in self.followers.keys() {
-            out.push(Output::Proxy(*link, self.standing()));
+        let mut standings = BTreeMap::new();
+        for (link, f) in self.followers.iter() {
+            let region = f.node.region.as_str();
+            let standing = standings.entry(region).or_insert_with(|| self.standing(region));
+            out.push(Output::Proxy(link, standing.clone()));
         }
         let (servers, nodes) = self.presence.news();
-        self.gossip(servers, nodes, Vec::new(), out);
+        let heads = self.heads.iter().map(|(region, head)| (region.clone(), *head)).collect();
+        self.gossip(servers, nodes, Vec::new(), heads, out);
         self.write_off();
     }
 
--- a/crates/pegboard/src/presence.rs
+++ b/crates/pegboard/src/presence.rs
@@ -114,10 +114,10 @@
         self.servers.get(id).filter(|s| s.sequence > 0).map(|s| s.heard_at)
     }
 
-    /// When a proxy last reported, and whether it then was ready.
-    pub fn proxy_heard(&self, ip: Ipv4Addr) -> Option<(Micros, bool)> {
+    /// When a proxy last reported, and what.
+    pub fn proxy_heard(&self, ip: Ipv4Addr) -> Option<(Micros, Seen)> {
         let p = self.proxies.get(&ip)?;
-        p.last.map(|seen| (p.heard_at, seen.ready))
+        p.last.map(|seen| (p.heard_at, seen))
     }
 
     pub fn servers_unheard(&self, now: Micros, for_us: Micros) -> Vec<String> {
--- a/crates/pegboard/src/show.rs
+++ b/crates/pegboard/src/show.rs
@@ -69,9 +69,10 @@
                 ip_address: n.ip.to_string(),
                 zone_name: n.zone.as_str(),
                 region_name: n.region.as_str(),
-                ready: heard.map(|(_, ready)| ready),
+                ready: heard.map(|(_, seen)| seen.ready),
                 heard_ms_ago: heard.map(|(at, _)| self.ago(at)),
-                revision: revs.get(&n.ip).copied(),
+                // Those further down the tree say it in their reports.
+                revision: revs.get(&n.ip).copied().or(heard.map(|(_, seen)| seen.rev)),
             }
         });
         self.answer(jzon::object! { node_list: rows.collect::<Vec<_>>() })
--- a/crates/pegboard/tests/show.rs
+++ b/crates/pegboard/tests/show.rs
@@ -93,8 +93,9 @@
     assert_eq!(call(&mut board, 2 * SECOND, "PUT", "/api/instances/i-1", beat).0, 200);
     let mut out = Vec::new();
     board.handle(2 * SECOND, Input::Proxy(7, Up::Hello { node: node(1), rev: 0 }), &mut out);
-    let seen = Seen { ip: node(1).ip, life: 9, count: 1, ready: true };
-    board.handle(2 * SECOND, Input::Proxy(7, Up::Report { rev: 3, seen: vec![seen] }), &mut out);
+    let seen = Seen { ip: node(1).ip, life: 9, count: 1, ready: true, rev: 3 };
+    let report = Up::Report { rev: 3, head: None, seen: vec![seen], usage: Vec::new() };
+    board.handle(2 * SECOND, Input::Proxy(7, report), &mut out);
 
     let now = 2 * SECOND + 250_000;
     let (_, body) = call(&mut board, now, "GET", "/api/instances", "");
--- a/crates/rack/src/lib.rs
+++ b/crates/rack/src/lib.rs
@@ -1,10 +1,12 @@
-//! The rack: what all machines of one installation agree on ([`state`]), the copies of it ([`copy`]), the commands that change it, and the messages
-//! between curlewfront's own processes ([`talk`]). No I/O, no clock.
+//! The rack: what all machines of one installation agree on ([`state`]), the copies of it
+//! ([`copy`]) and who follows one ([`follow`]), the commands that change it, and the messages between curlewfront's own
+//! processes ([`talk`]). No I/O, no clock.
 //!
 //! The state is a function of the log: every process that holds it (store, registry, proxy) applies the same commands
 //! in the same order. So news on its way to the proxies is a run of commands, not of whole states.
 
 pub mod copy;
+pub mod follow;
 pub mod state;
 pub mod talk;
 
--- a/crates/rack/src/talk.rs
+++ b/crates/rack/src/talk.rs
@@ -113,6 +113,15 @@
     /// Proxies heard of since the last, and what they said of themselves.
     pub nodes: Vec<Seen>,
     pub usage: Vec<Usage>,
+    /// The heads of regions, as they were told here.
+    pub heads: Vec<(String, Head)>,
+}
+
+/// Who holds the duty to be a region's head, and since which epoch. Of two the greater holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Head {
+    pub epoch: u64,
+    pub ip: Ipv4Addr,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -123,6 +132,7 @@
     /// Grows with each report of that life.
     pub count: u64,
     pub ready: bool,
+    pub rev: Rev,
 }
 
 /// What one proxy does for a tenant, in thousandths of a request a second.
@@ -164,20 +174,34 @@
 pub enum Up {
     /// First: who asks, and from where on news is wanted.
     Hello { node: Node, rev: Rev },
-    /// About every half beat: this proxy and those below it, and what they use of tenants' quotas.
-    Report { rev: Rev, seen: Vec<Seen>, usage: Vec<Usage> },
+    /// About every third of a beat: this proxy and those below it, and what they use of tenants' quotas. `head`: the
+    /// greatest that is known of its region.
+    Report { rev: Rev, head: Option<Head>, seen: Vec<Seen>, usage: Vec<Usage> },
 }
 
 /// Down the tree of news.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Down {
     News(News),
-    /// About every third of a beat: the core's machines and their zones. `fresh`: whoever is up there holds all that
-    /// was acknowledged until lately.
-    Standing {
-        core: Vec<(Ipv4Addr, String)>,
-        fresh: bool,
-    },
+    /// About every third of a beat.
+    Standing(Standing),
     /// What tenants use of their quotas, as far as it is known.
     Meter(Vec<Reading>),
 }
+
+/// How the one who is followed stands.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Standing {
+    /// How far its copy has come.
+    pub rev: Rev,
+    /// So many milliseconds ago that copy held all that was acknowledged.
+    pub fresh_ms: Option<u32>,
+    /// The core's machines and their zones; empty: as before.
+    pub core: Vec<(Ipv4Addr, String)>,
+    /// The relays that its news comes through, itself the last; none: a registry.
+    pub path: Vec<Ipv4Addr>,
+    /// The head of the follower's region under which it comes.
+    pub head: Option<Head>,
+    /// Proxies of that region that are not to be followed.
+    pub away: Vec<Ipv4Addr>,
+}
--- a/crates/shuttle/src/feed.rs
+++ b/crates/shuttle/src/feed.rs
@@ -1,8 +1,11 @@
-//! Where this proxy has its news from: chooses whom to follow, notices when nothing new can come from there, and goes
-//! on to the next.
+//! Where this proxy has its news from, and to whom it passes them on: chooses whom to follow, notices when nothing new
+//! can come from there, and goes on to the next. See docs/system/relays.md.
 
+use crate::relay::Relay;
+use crate::tree::{self, DEEPEST};
+use rack::copy::Copy;
 use rack::state::Node;
-use rack::talk::{Down, News, Reading, Seen, Up, Usage, Use};
+use rack::talk::{Down, Head, News, Reading, Seen, Standing, Up, Usage, Use};
 use rack::{Micros, Rev};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
@@ -10,35 +13,65 @@
 
 pub enum Input {
     Tick,
-    /// The link that was asked for is up.
-    Linked,
-    Broken,
-    Got(Down),
+    /// The link of this number, of those that were asked for, is up.
+    Linked(u64),
+    Broken(u64),
+    Got(u64, Down),
+    /// The news that were handed out are in the copy.
+    Changed,
+    /// From a link of a follower.
+    Below(u64, Up),
+    BelowGone(u64),
+    /// This proxy ends in order: followers go elsewhere at once.
+    Ends,
 }
 
 #[derive(Debug)]
 pub enum Output {
-    /// Link to the registry on that machine; an earlier link is ended.
-    Link(Ipv4Addr),
-    Say(Up),
+    /// Link to the registry, or to the relay, on that machine.
+    Link {
+        link: u64,
+        ip: Ipv4Addr,
+        relay: bool,
+    },
+    Unlink(u64),
+    Say(u64, Up),
     News(News),
     Meter(Vec<Reading>),
+    /// To a follower; and one that is to go.
+    Tell(u64, Down),
+    Refuse(u64),
 }
 
-/// A registry is given up after so many of its messages have not come, each a third of a beat after the one before.
+/// Who is followed is given up after so many of its messages have not come.
 const MISSED: Micros = 3;
 /// Between two reports at the least.
 const HURRY_US: Micros = 100_000;
 const DIAL_US: Micros = 700_000;
 /// Who failed is tried again after others, for so many beats.
 const SHUNNED: Micros = 4;
+/// Nobody who is fresh is left for a better place before so many beats.
+const SETTLED: Micros = 2;
+/// Reports from each level below are waited for so long, so that one of this proxy's carries them all.
+const GATHER_US: Micros = 20_000;
+/// A relay speaks more often than a registry, and is given up sooner, in hundredths of the time of a registry: its
+/// followers must have reported elsewhere before they are taken for gone along with it.
+const RELAY_SPEAKS: Micros = 60;
+const RELAY_SILENT: Micros = 50;
 
 struct Parent {
+    link: u64,
     ip: Ipv4Addr,
+    relay: bool,
     since: Micros,
     linked: bool,
     heard_at: Micros,
+    /// When, by what it said, its copy held all that was acknowledged.
     fresh_at: Micros,
+    /// It has said so since it is followed.
+    proved: bool,
+    path: Vec<Ipv4Addr>,
+    head: Option<Head>,
 }
 
 pub struct Feed {
@@ -49,13 +82,26 @@
     life: u64,
     count: u64,
     pub ready: bool,
-    rev: Rev,
     seeds: Vec<Ipv4Addr>,
     core: BTreeMap<Ipv4Addr, String>,
+    away: BTreeSet<Ipv4Addr>,
     failed: BTreeMap<Ipv4Addr, Micros>,
+    links: u64,
     parent: Option<Parent>,
-    /// Has followed somebody who held all that was acknowledged.
-    pub was_fresh: bool,
+    /// Takes the parent's place once it has shown that it is fresh.
+    next: Option<Parent>,
+    /// When all that was acknowledged was held here.
+    fresh_at: Option<Micros>,
+    /// The region's proxies, the head first, and the place in it.
+    order: Vec<Ipv4Addr>,
+    place: Option<usize>,
+    /// The greatest that is known of the region.
+    head: Option<Head>,
+    /// First in the order, beside a registry, since.
+    first_since: Option<Micros>,
+    relay: Relay,
+    tell_at: Micros,
+    ended: bool,
     report_at: Micros,
     reported_at: Micros,
     uses: Vec<Use>,
@@ -78,12 +124,21 @@
             life,
             count: 0,
             ready: false,
-            rev: 0,
             seeds,
             core: BTreeMap::new(),
+            away: BTreeSet::new(),
             failed: BTreeMap::new(),
+            links: 0,
             parent: None,
-            was_fresh: false,
+            next: None,
+            fresh_at: None,
+            order: Vec::new(),
+            place: None,
+            head: None,
+            first_since: None,
+            relay: Relay::default(),
+            tell_at: Micros::MAX,
+            ended: false,
             report_at: now,
             reported_at: 0,
             uses: Vec::new(),
@@ -94,26 +149,58 @@
         self.seeds = seeds;
     }
 
-    /// The state has come this far.
-    pub fn at(&mut self, rev: Rev) {
-        self.rev = rev;
+    /// Has followed somebody who held all that was acknowledged.
+    pub fn was_fresh(&self) -> bool {
+        self.fresh_at.is_some()
     }
 
-    pub fn wake_at(&self) -> Micros {
-        let part = self.beat_us / 3;
-        let parent = self.parent.as_ref().map_or(self.now, |p| {
-            if p.linked {
-                (p.heard_at + MISSED * part).min(p.fresh_at + MISSED * part)
-            } else {
-                p.since + DIAL_US
+    /// The one who is followed, and through how many relays its news come.
+    pub fn follows(&self) -> Option<(Ipv4Addr, usize)> {
+        self.parent.as_ref().filter(|p| p.proved).map(|p| (p.ip, p.path.len()))
+    }
+
+    pub fn head(&self) -> Option<Head> {
+        self.head
+    }
+
+    fn part(&self) -> Micros {
+        self.beat_us / 3
+    }
+
+    /// When this parent is given up if nothing more comes.
+    fn patience(&self, p: &Parent) -> Micros {
+        if !p.linked {
+            return p.since + DIAL_US;
+        }
+        let silence = MISSED * self.part() * if p.relay { RELAY_SILENT } else { 100 } / 100;
+        // Each relay on the way has a little longer to find another source than those below it.
+        let stale = MISSED * self.part() + p.path.len() as Micros * self.part() / 2;
+        (p.heard_at + silence).min(p.fresh_at + stale)
+    }
+
+    fn settled_at(&self) -> Micros {
+        match (&self.parent, &self.next) {
+            (Some(p), None) if p.proved && p.since + SETTLED * self.beat_us > self.now => {
+                p.since + SETTLED * self.beat_us
             }
-        });
-        parent.min(self.report_at)
+            _ => Micros::MAX,
+        }
+    }
+
+    pub fn wake_at(&self) -> Micros {
+        let parent = self.parent.as_ref().map_or(self.now, |p| self.patience(p));
+        let next = self.next.as_ref().map_or(Micros::MAX, |p| self.patience(p));
+        parent.min(next).min(self.settled_at()).min(self.report_at).min(self.tell_at)
     }
 
     /// Reports soon, as something that others act on has changed.
     pub fn hurry(&mut self) {
-        self.report_at = self.report_at.min(self.reported_at + HURRY_US);
+        self.report_within(0);
+    }
+
+    fn report_within(&mut self, us: Micros) {
+        let soonest = (self.now + us).max(self.reported_at + HURRY_US);
+        self.report_at = self.report_at.min(soonest);
     }
 
     /// Whether a report is due: `uses` then says what it is to tell.
@@ -125,75 +212,192 @@
         self.uses = uses;
     }
 
-    pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
+    pub fn handle(&mut self, now: Micros, input: Input, copy: &Copy, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
         match input {
             Input::Tick => {}
-            Input::Linked => {
-                if let Some(p) = &mut self.parent {
-                    (p.linked, p.heard_at, p.fresh_at) = (true, self.now, self.now);
-                    out.push(Output::Say(Up::Hello { node: self.node.clone(), rev: self.rev }));
-                    self.report_at = self.now;
-                }
+            Input::Linked(link) => self.linked(link, copy, out),
+            Input::Broken(link) => self.leave(link, out),
+            Input::Got(link, down) => self.got(link, down, copy, out),
+            Input::Changed => {
+                self.reorder(copy);
+                self.relay.feed(self.now, copy, |link, down| out.push(Output::Tell(link, down)));
             }
-            Input::Broken => self.leave(),
-            Input::Got(down) => {
-                if let Some(p) = &mut self.parent {
-                    p.heard_at = self.now;
-                }
-                match down {
-                    Down::News(news) => out.push(Output::News(news)),
-                    Down::Standing { core, fresh } => self.standing(core, fresh),
-                    Down::Meter(readings) => out.push(Output::Meter(readings)),
+            Input::Below(link, up) => self.below(link, up, copy, out),
+            Input::BelowGone(link) => {
+                self.relay.followers.gone(link);
+            }
+            Input::Ends => {
+                self.ended = true;
+                for link in self.relay.followers.links().collect::<Vec<_>>() {
+                    self.refuse(link, out);
                 }
             }
         }
-        let part = self.beat_us / 3;
-        if let Some(p) = &self.parent {
-            let silent = p.linked && self.now >= p.heard_at + MISSED * part;
-            let stale = p.linked && self.now >= p.fresh_at + MISSED * part;
-            if silent || stale || (!p.linked && self.now >= p.since + DIAL_US) {
-                self.leave();
+        self.tend(out);
+        self.take_duty();
+        if self.now >= self.tell_at {
+            self.tell(copy, false, out);
+        }
+        self.report(copy.rev(), out);
+    }
+
+    // ---- up the tree ----
+
+    fn linked(&mut self, link: u64, copy: &Copy, out: &mut Vec<Output>) {
+        let now = self.now;
+        for (p, followed) in [(&mut self.parent, true), (&mut self.next, false)] {
+            let Some(p) = p.as_mut().filter(|p| p.link == link) else { continue };
+            (p.linked, p.heard_at, p.fresh_at) = (true, now, now);
+            out.push(Output::Say(link, Up::Hello { node: self.node.clone(), rev: copy.rev() }));
+            if followed {
+                self.report_at = now;
             }
         }
-        if self.parent.is_none()
-            && let Some(ip) = self.choose()
-        {
-            let (since, heard_at, fresh_at) = (self.now, self.now, self.now);
-            self.parent = Some(Parent { ip, since, linked: false, heard_at, fresh_at });
-            out.push(Output::Link(ip));
-        }
-        if self.now >= self.report_at {
-            (self.report_at, self.reported_at) = (self.now + part, self.now);
-            if self.parent.as_ref().is_some_and(|p| p.linked) {
-                self.count += 1;
-                let (ip, life, count, ready) = (self.node.ip, self.life, self.count, self.ready);
-                let seen = vec![Seen { ip, life, count, ready }];
-                let usage = Usage { ip, life, count, tenants: std::mem::take(&mut self.uses) };
-                out.push(Output::Say(Up::Report { rev: self.rev, seen, usage: vec![usage] }));
+    }
+
+    fn got(&mut self, link: u64, down: Down, copy: &Copy, out: &mut Vec<Output>) {
+        let now = self.now;
+        let parent = self.parent.iter_mut().chain(&mut self.next).find(|p| p.link == link);
+        let Some(p) = parent else { return };
+        p.heard_at = now;
+        match down {
+            // Twice from both for a moment: a copy takes each only once.
+            Down::News(news) => out.push(Output::News(news)),
+            Down::Standing(standing) => self.standing(link, standing, copy, out),
+            Down::Meter(readings) if self.parent.as_ref().is_some_and(|p| p.link == link) => {
+                for link in self.relay.followers.links() {
+                    out.push(Output::Tell(link, Down::Meter(readings.clone())));
+                }
+                out.push(Output::Meter(readings));
             }
+            Down::Meter(_) => {}
         }
     }
 
-    fn standing(&mut self, core: Vec<(Ipv4Addr, String)>, fresh: bool) {
-        if !core.is_empty() {
-            self.core = core.into_iter().collect();
+    fn standing(&mut self, link: u64, s: Standing, copy: &Copy, out: &mut Vec<Output>) {
+        // A circle, a chain without end, or a head that another has followed: not to be followed.
+        let circle = s.path.contains(&self.node.ip) || s.path.len() > DEEPEST;
+        if circle || (!s.path.is_empty() && s.head < self.head) {
+            return self.leave(link, out);
+        }
+        self.head = self.head.max(s.head);
+        let new_core = !s.core.is_empty() && !s.core.iter().cloned().eq(self.core.clone());
+        if new_core {
+            self.core = s.core.into_iter().collect();
         }
         let now = self.now;
-        if let Some(p) = self.parent.as_mut().filter(|_| fresh) {
-            p.fresh_at = now;
-            self.was_fresh = true;
+        let Some(p) = self.parent.iter_mut().chain(&mut self.next).find(|p| p.link == link) else { return };
+        (p.path, p.head) = (s.path, s.head);
+        // It is no fresher than what of its news is in the copy here.
+        if let Some(ms) = s.fresh_ms.filter(|_| copy.rev() >= s.rev) {
+            let at = now.saturating_sub(Micros::from(ms) * 1000);
+            p.fresh_at = if p.proved { p.fresh_at.max(at) } else { at };
+            p.proved = true;
+            self.fresh_at = self.fresh_at.max(Some(p.fresh_at));
             self.failed.remove(&p.ip);
         }
+        if self.next.as_ref().is_some_and(|p| p.link == link && p.proved && now < self.patience(p)) {
+            let before = std::mem::replace(&mut self.parent, self.next.take());
+            out.extend(before.map(|p| Output::Unlink(p.link)));
+            self.report_at = now;
+        }
+        if self.parent.as_ref().is_some_and(|p| p.link == link) {
+            self.away = s.away.into_iter().collect();
+            self.reorder(copy);
+            // All report on a standing, the lowest first.
+            let depth = self.parent.as_ref().map_or(0, |p| p.path.len());
+            let levels =
+                if self.relay.followers.is_empty() { 0 } else { 3_usize.saturating_sub(depth).max(1) };
+            self.report_within(levels as Micros * GATHER_US);
+            self.tell(copy, new_core, out);
+        }
+    }
+
+    fn reorder(&mut self, copy: &Copy) {
+        let (nodes, me) = (&copy.state.nodes, self.node.ip);
+        self.order = tree::order(nodes, &self.node.region, me, &self.away);
+        self.place = self.place_of(me);
+    }
+
+    fn place_of(&self, ip: Ipv4Addr) -> Option<usize> {
+        self.order.iter().position(|o| *o == ip)
+    }
+
+    fn leave(&mut self, link: u64, out: &mut Vec<Output>) {
+        for p in [&mut self.parent, &mut self.next] {
+            if let Some(p) = p.take_if(|p| p.link == link) {
+                self.failed.insert(p.ip, self.now);
+                out.push(Output::Unlink(p.link));
+            }
+        }
+    }
+
+    /// Gives up those that are silent or stale, and sees that somebody is followed: a registry after any failure, as
+    /// what else was wrong in the tree is not known; a better place once all has settled.
+    fn tend(&mut self, out: &mut Vec<Output>) {
+        let late = self.parent.iter().chain(&self.next).filter(|p| self.now >= self.patience(p));
+        for link in late.map(|p| p.link).collect::<Vec<_>>() {
+            self.leave(link, out);
+        }
+        if self.parent.is_none() {
+            // Not a relay that has shown nothing yet: a dead one would cost a second time.
+            let next = self.next.take();
+            out.extend(next.iter().filter(|p| p.relay).map(|p| Output::Unlink(p.link)));
+            self.parent = next.filter(|p| !p.relay);
+        }
+        if self.parent.is_none() {
+            self.parent = self.choose().map(|ip| self.link(ip, false, out));
+        } else if let Some(p) = self.parent.as_ref().filter(|p| p.proved && self.next.is_none())
+            && self.now >= p.since + SETTLED * self.beat_us
+            && let Some((ip, relay)) = self.better(p)
+        {
+            self.next = Some(self.link(ip, relay, out));
+        }
+    }
+
+    fn link(&mut self, ip: Ipv4Addr, relay: bool, out: &mut Vec<Output>) -> Parent {
+        self.links += 1;
+        let (link, since) = (self.links, self.now);
+        out.push(Output::Link { link, ip, relay });
+        Parent {
+            link,
+            ip,
+            relay,
+            since,
+            linked: false,
+            heard_at: since,
+            fresh_at: since,
+            proved: false,
+            path: Vec::new(),
+            head: None,
+        }
     }
 
-    fn leave(&mut self) {
-        if let Some(p) = self.parent.take() {
-            self.failed.insert(p.ip, self.now);
+    /// Whom to follow instead, and whether it is a relay.
+    fn better(&self, p: &Parent) -> Option<(Ipv4Addr, bool)> {
+        let above = self.place.and_then(tree::above);
+        if p.relay {
+            // One above that is no further down than the order has it is as good as any.
+            let stays = self.place.zip(self.place_of(p.ip));
+            if stays.is_some_and(|(mine, its)| its < mine && p.path.len() <= tree::depth(mine)) {
+                return None;
+            }
+        }
+        match above.and_then(|a| self.order.get(a)).filter(|ip| !self.shuns(**ip)) {
+            Some(ip) if *ip == p.ip => None,
+            Some(ip) => Some((*ip, true)),
+            None if p.relay => self.choose().map(|ip| (ip, false)),
+            None => None,
         }
     }
 
-    /// The nearest that has not failed lately; among equally near ones each proxy has its own order.
+    fn shuns(&self, ip: Ipv4Addr) -> bool {
+        self.failed.get(&ip).is_some_and(|at| self.now < at + SHUNNED * self.beat_us)
+            || self.relay.below(self.now, ip)
+    }
+
+    /// The nearest registry that has not failed lately; among equally near ones each proxy has its own order.
     fn choose(&self) -> Option<Ipv4Addr> {
         let all: BTreeSet<Ipv4Addr> = self.core.keys().chain(&self.seeds).copied().collect();
         let shunned = SHUNNED * self.beat_us;
@@ -212,4 +416,96 @@
             _ => 3,
         }
     }
+
+    /// The first live one in the order, beside a registry, is the head, under an epoch above all that it has heard of.
+    fn take_duty(&mut self) {
+        let beside = self.parent.as_ref().is_some_and(|p| p.proved && !p.relay);
+        if !(beside && self.ready && self.place == Some(0)) {
+            self.first_since = None;
+            return;
+        }
+        let since = *self.first_since.get_or_insert(self.now);
+        let mine = self.head.is_some_and(|h| h.ip == self.node.ip);
+        // Not at once: others may have told of an epoch that has not come here yet, or hold it for a moment more.
+        if !mine && self.now >= since + self.beat_us {
+            let epoch = self.head.map_or(0, |h| h.epoch) + 1;
+            self.head = Some(Head { epoch, ip: self.node.ip });
+            self.first_since = Some(self.now);
+            self.hurry();
+        }
+    }
+
+    fn report(&mut self, rev: Rev, out: &mut Vec<Output>) {
+        if self.now < self.report_at {
+            return;
+        }
+        // The standing of the one who is followed sets the pace; this is for when none comes.
+        (self.report_at, self.reported_at) = (self.now + self.part() * 5 / 4, self.now);
+        let Some(p) = self.parent.as_ref().filter(|p| p.linked) else { return };
+        self.count += 1;
+        let (ip, life, count, ready) = (self.node.ip, self.life, self.count, self.ready);
+        let (mut seen, mut usage) = self.relay.gathered(self.now);
+        seen.push(Seen { ip, life, count, ready, rev });
+        usage.push(Usage { ip, life, count, tenants: std::mem::take(&mut self.uses) });
+        out.push(Output::Say(p.link, Up::Report { rev, head: self.head, seen, usage }));
+    }
+
+    // ---- down the tree ----
+
+    fn below(&mut self, link: u64, up: Up, copy: &Copy, out: &mut Vec<Output>) {
+        let until = self.now + 2 * self.beat_us;
+        match up {
+            Up::Hello { ref node, .. } => {
+                if !self.takes(node.ip) {
+                    return self.refuse(link, out);
+                }
+                self.relay.hello(link, &up, until);
+                out.push(Output::Tell(link, Down::Standing(self.stands(copy, true))));
+                self.tell_at = self.tell_at.min(self.now + self.part() * RELAY_SPEAKS / 100);
+            }
+            Up::Report { rev, seen, usage, .. } => {
+                if self.relay.reported(link, rev, seen, usage, until) {
+                    self.report_within(GATHER_US);
+                }
+            }
+        }
+        self.relay.feed(self.now, copy, |link, down| out.push(Output::Tell(link, down)));
+    }
+
+    /// Whether this one may follow here.
+    fn takes(&self, ip: Ipv4Addr) -> bool {
+        let Some(p) = self.parent.as_ref().filter(|p| p.proved && !self.ended) else { return false };
+        let circle = p.path.contains(&ip) || self.next.as_ref().is_some_and(|n| n.ip == ip);
+        !circle && p.path.len() < DEEPEST
+    }
+
+    fn refuse(&mut self, link: u64, out: &mut Vec<Output>) {
+        self.relay.followers.gone(link);
+        out.push(Output::Refuse(link));
+    }
+
+    fn stands(&self, copy: &Copy, whole: bool) -> Standing {
+        let above = self.parent.as_ref().map(|p| p.path.as_slice()).unwrap_or_default();
+        let head = self.parent.as_ref().filter(|p| p.relay).map_or(self.head, |p| p.head);
+        let ago = |at: Micros| u32::try_from((self.now - at) / 1000).unwrap_or(u32::MAX);
+        let core = self.core.iter().filter(|_| whole);
+        Standing {
+            rev: copy.rev(),
+            fresh_ms: self.fresh_at.map(ago),
+            core: core.map(|(ip, zone)| (*ip, zone.clone())).collect(),
+            path: above.iter().copied().chain([self.node.ip]).collect(),
+            head,
+            away: self.away.iter().copied().collect(),
+        }
+    }
+
+    fn tell(&mut self, copy: &Copy, whole: bool, out: &mut Vec<Output>) {
+        let followed = !self.relay.followers.is_empty();
+        self.tell_at = if followed { self.now + self.part() * RELAY_SPEAKS / 100 } else { Micros::MAX };
+        if followed {
+            let standing = Down::Standing(self.stands(copy, whole));
+            let links = self.relay.followers.links();
+            out.extend(links.map(|link| Output::Tell(link, standing.clone())));
+        }
+    }
 }
--- a/crates/shuttle/src/lib.rs
+++ b/crates/shuttle/src/lib.rs
@@ -1,8 +1,10 @@
 //! The proxy. [`front`] decides on requests, around the decisions that it shares with the gateway; [`book`] turns the
-//! agreed state into their settings; [`feed`] keeps the news coming. No I/O and no clock in any of them; `main.rs` is
-//! the shell.
+//! agreed state into their settings; [`feed`] keeps the news coming and passes them on. No I/O and no clock in any of
+//! them; `main.rs` is the shell.
 
 pub mod book;
 pub mod feed;
 pub mod front;
+pub mod relay;
 pub mod tenants;
+pub mod tree;
--- a/crates/shuttle/src/main.rs
+++ b/crates/shuttle/src/main.rs
@@ -4,11 +4,11 @@
 use miette::{Result, miette};
 use rack::Micros;
 use rack::state::Node;
-use rack::talk::{Down, REGISTRY_NEWS};
+use rack::talk::{Down, PROXY_NEWS, REGISTRY_NEWS, Up};
 use shuttle::book::{Leeway, Place};
 use shuttle::feed::{self, Feed};
 use shuttle::front::{self, Ask, End, Front, Reached, Served};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -53,6 +53,8 @@
     Withdrawn(u64),
     Ended(u64, u32, End),
     Link(u64, Event<Down>),
+    FollowerTaken(Line),
+    FollowerSays(u64, Event<Up>),
     Signal(Asked),
 }
 
@@ -84,6 +86,14 @@
     let posts = inbox.clone();
     start.watch(move |asked| posts.post(Told::Signal(asked)))?;
 
+    let (posts, relay) = (inbox.clone(), start.internal(PROXY_NEWS)?);
+    link::listen(relay, SILENCE, move |line, _| {
+        posts.post(Told::FollowerTaken(line));
+        let posts = posts.clone();
+        move |link, event| posts.post(Told::FollowerSays(link, event))
+    })
+    .map_err(|e| miette!("cannot listen on {relay}: {e}"))?;
+
     let s = &start.settings;
     let b = &s.bounds;
     let leeway = Leeway { excess: b.quota_excess.unwrap_or(0.0), margin: b.quota_margin.unwrap_or(0.0) };
@@ -102,8 +112,10 @@
     let shell = Shell {
         front: Front::new(place, beat_us, start.life, now),
         feed: Feed::new(node, s.zones.clone(), start.seeds(), beat_us, start.life, now),
-        news_port: start.internal(REGISTRY_NEWS)?.port(),
-        line: None,
+        registry_port: start.internal(REGISTRY_NEWS)?.port(),
+        relay_port: relay.port(),
+        lines: BTreeMap::new(),
+        followers: BTreeMap::new(),
         wire: Arc::new(Servers { inbox: inbox.clone() }),
         peers: HashMap::new(),
         replies: HashMap::new(),
@@ -315,8 +327,11 @@
 struct Shell {
     front: Front,
     feed: Feed,
-    news_port: u16,
-    line: Option<(Ipv4Addr, Option<Line>)>,
+    registry_port: u16,
+    relay_port: u16,
+    /// Links to those who are followed, by the feed's numbers; links of followers by their own.
+    lines: BTreeMap<u64, Line>,
+    followers: BTreeMap<u64, Line>,
     wire: Arc<Servers>,
     peers: HashMap<u64, Peer<Servers>>,
     replies: HashMap<u64, Reply>,
@@ -392,32 +407,51 @@
         if self.feed.reports(now) {
             self.feed.uses(self.front.uses(now));
         }
-        self.feed.handle(now, input, &mut self.news);
+        self.feed.handle(now, input, &self.front.copy, &mut self.news);
         for output in std::mem::take(&mut self.news) {
             match output {
-                feed::Output::Link(ip) => {
-                    log::info!("follows {ip} from revision {}", self.front.copy.rev());
-                    let inbox = self.inbox.clone();
-                    let addr = SocketAddr::from((ip, self.news_port));
-                    let told = move |link, event| inbox.post(Told::Link(link, event));
-                    let line = link::dial(addr, SILENCE, told);
-                    self.line = Some((ip, line.map_err(|e| log::info!("cannot link to {addr}: {e}")).ok()));
+                feed::Output::Link { link, ip, relay } => self.link(link, ip, relay),
+                feed::Output::Unlink(link) => {
+                    self.lines.remove(&link);
                 }
-                feed::Output::Say(up) => {
-                    if let Some((_, Some(line))) = &self.line {
+                feed::Output::Say(link, up) => {
+                    if let Some(line) = self.lines.get(&link) {
                         line.send(&up);
                     }
                 }
+                feed::Output::Tell(link, down) => {
+                    if let Some(line) = self.followers.get(&link) {
+                        line.send(&down);
+                    }
+                }
+                feed::Output::Refuse(link) => {
+                    self.followers.remove(&link);
+                }
                 feed::Output::Meter(readings) => self.front(now, front::Input::Meter(readings)),
                 feed::Output::News(news) => {
                     self.front(now, front::Input::News(news));
-                    self.feed.at(self.front.copy.rev());
+                    self.feed(now, feed::Input::Changed);
                     self.show();
                 }
             }
         }
     }
 
+    fn link(&mut self, link: u64, ip: Ipv4Addr, relay: bool) {
+        let (what, port) = if relay { ("relay", self.relay_port) } else { ("registry", self.registry_port) };
+        log::info!("follows the {what} on {ip} from revision {}", self.front.copy.rev());
+        let (inbox, addr) = (self.inbox.clone(), SocketAddr::from((ip, port)));
+        match link::dial(addr, SILENCE, move |_, event| inbox.post(Told::Link(link, event))) {
+            Ok(line) => {
+                self.lines.insert(link, line);
+            }
+            Err(e) => {
+                log::info!("cannot link to {addr}: {e}");
+                self.inbox.post(Told::Link(link, Event::Down));
+            }
+        }
+    }
+
     /// What has changed for the connections.
     fn show(&mut self) {
         if let Some(limits) = self.front.limits() {
@@ -427,7 +461,7 @@
             self.shown.header_wait_us.store(limits.header_wait_ms * 1000, Ordering::Relaxed);
             self.shown.idle_us.store(limits.idle_limit_ms * 1000, Ordering::Relaxed);
         }
-        let ready = self.front.ready() && self.feed.was_fresh && self.asked_at.is_none();
+        let ready = self.front.ready() && self.feed.was_fresh() && self.asked_at.is_none();
         self.shown.ready.store(ready, Ordering::Relaxed);
         if self.feed.ready != ready {
             self.feed.ready = ready;
@@ -468,26 +502,28 @@
                 self.front(now, front::Input::Ended { id, attempt, end });
             }
             Some(Told::Link(link, event)) => {
-                // What an earlier link says is no longer of interest.
-                let mine = matches!(&self.line, Some((_, Some(line))) if line.number == link);
-                if mine {
-                    if matches!(event, Event::Down) {
-                        self.line = None;
-                    }
-                    let input = match event {
-                        Event::Up => feed::Input::Linked,
-                        Event::Got(down) => feed::Input::Got(down),
-                        Event::Down => feed::Input::Broken,
-                    };
-                    self.feed(now, input);
-                }
+                let input = match event {
+                    Event::Up => feed::Input::Linked(link),
+                    Event::Got(down) => feed::Input::Got(link, down),
+                    Event::Down => feed::Input::Broken(link),
+                };
+                self.feed(now, input);
             }
+            Some(Told::FollowerTaken(line)) => {
+                self.followers.insert(line.number, line);
+            }
+            Some(Told::FollowerSays(link, Event::Got(up))) => self.feed(now, feed::Input::Below(link, up)),
+            Some(Told::FollowerSays(link, Event::Down)) => {
+                self.followers.remove(&link);
+                self.feed(now, feed::Input::BelowGone(link));
+            }
+            Some(Told::FollowerSays(_, Event::Up)) => {}
             Some(Told::Signal(Asked::Settings(settings))) => self.feed.reseed(vise::seeds(&settings)),
             Some(Told::Signal(Asked::Stop)) => {
                 self.asked_at.get_or_insert(now);
                 self.shown.draining.store(true, Ordering::Relaxed);
                 self.show();
-                self.feed(now, feed::Input::Tick);
+                self.feed(now, feed::Input::Ends);
             }
         }
         self.show();
