Let each proxy watch a few others of its region by datagrams

Rendezvous hashing names three watchers for each proxy; it tells them that it is there, and they report one that is silent for three rounds. A registry that hears so from two waits less long for its reports, and a suspected proxy is not chosen as a relay.

--- a/crates/pegboard/src/board.rs
+++ b/crates/pegboard/src/board.rs
@@ -492,7 +492,7 @@
     fn standing(&self, region: &str) -> Down {
         let place = |ip: &Ipv4Addr| (*ip, self.places.get(ip).cloned().unwrap_or_default());
         let nodes = self.copy.state.nodes.values().filter(|n| n.region == region);
-        let away = nodes.map(|n| n.ip).filter(|ip| !self.presence.alive(self.now, *ip));
+        let away = nodes.map(|n| n.ip).filter(|ip| !self.presence.alive(self.now, &self.copy.state, *ip));
         Down::Standing(Standing {
             rev: self.copy.rev(),
             fresh_ms: (self.fresh && self.store_up).then_some(0),
--- a/crates/pegboard/src/presence.rs
+++ b/crates/pegboard/src/presence.rs
@@ -4,11 +4,14 @@
 use rack::Micros;
 use rack::state::{Node, State};
 use rack::talk::{Gossip, Seen};
+use rack::watch;
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 
 /// A proxy that has not been heard of for so many reports is not named to clients.
 const REPORTS: Micros = 3;
+/// One whose watchers do not hear it either, for so many.
+const SUSPECT_REPORTS: Micros = 2;
 /// Most addresses of an answer.
 const MOST: usize = 64;
 
@@ -30,11 +33,14 @@
     beat_us: Micros,
     servers: BTreeMap<String, Server>,
     proxies: BTreeMap<Ipv4Addr, Proxy>,
+    /// Who is suspected, by whom, and in which life.
+    suspected: BTreeMap<Ipv4Addr, BTreeMap<Ipv4Addr, u64>>,
 }
 
 impl Presence {
     pub fn new(now: Micros, beat_us: Micros) -> Presence {
-        Presence { started: now, beat_us, servers: BTreeMap::new(), proxies: BTreeMap::new() }
+        let (servers, proxies, suspected) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
+        Presence { started: now, beat_us, servers, proxies, suspected }
     }
 
     /// A server has called here. False if it has already said more.
@@ -64,9 +70,20 @@
 
     fn see(&mut self, now: Micros, seen: Seen, told: bool) {
         let p = self.proxies.entry(seen.ip).or_insert(Proxy { last: None, heard_at: now, told });
-        if p.last.is_none_or(|last| last.life != seen.life || last.count < seen.count) {
-            (p.last, p.heard_at, p.told) = (Some(seen), now, told);
+        if p.last.as_ref().is_some_and(|last| last.life == seen.life && last.count >= seen.count) {
+            return;
         }
+        let before = p.last.iter().flat_map(|last| &last.suspects);
+        for (ip, _) in before {
+            if let Some(by) = self.suspected.get_mut(ip) {
+                by.remove(&seen.ip);
+            }
+        }
+        self.suspected.retain(|_, by| !by.is_empty());
+        for (ip, life) in &seen.suspects {
+            self.suspected.entry(*ip).or_default().insert(seen.ip, *life);
+        }
+        (p.last, p.heard_at, p.told) = (Some(seen), now, told);
     }
 
     pub fn told(&mut self, now: Micros, gossip: &Gossip) {
@@ -74,7 +91,7 @@
             self.heard(now, id, *sequence, true);
         }
         for seen in &gossip.nodes {
-            self.see(now, *seen, true);
+            self.see(now, seen.clone(), true);
         }
     }
 
@@ -89,7 +106,7 @@
         let fresh = self.proxies.values_mut().filter(|p| !p.told);
         let nodes = fresh.filter_map(|p| {
             p.told = true;
-            p.last
+            p.last.clone()
         });
         (servers, nodes.collect())
     }
@@ -115,9 +132,9 @@
     }
 
     /// When a proxy last reported, and what.
-    pub fn proxy_heard(&self, ip: Ipv4Addr) -> Option<(Micros, Seen)> {
+    pub fn proxy_heard(&self, ip: Ipv4Addr) -> Option<(Micros, &Seen)> {
         let p = self.proxies.get(&ip)?;
-        p.last.map(|seen| (p.heard_at, seen))
+        p.last.as_ref().map(|seen| (p.heard_at, seen))
     }
 
     pub fn servers_unheard(&self, now: Micros, for_us: Micros) -> Vec<String> {
@@ -131,14 +148,31 @@
 
     /// Whether clients may be sent to this proxy. One of which a registry that has just started knows nothing yet is
     /// taken for alive, for as long as reports may be late.
-    pub fn alive(&self, now: Micros, ip: Ipv4Addr) -> bool {
-        let patience = REPORTS * self.beat_us / 3 + self.beat_us / 6;
+    pub fn alive(&self, now: Micros, state: &State, ip: Ipv4Addr) -> bool {
         match self.proxies.get(&ip) {
-            Some(Proxy { last: Some(last), heard_at, .. }) => last.ready && now <= heard_at + patience,
+            Some(Proxy { last: Some(last), heard_at, .. }) => {
+                let reports = if self.suspect(now, state, last) { SUSPECT_REPORTS } else { REPORTS };
+                last.ready && now <= heard_at + self.patience(reports)
+            }
             _ => now <= self.started + 2 * self.beat_us,
         }
     }
 
+    fn patience(&self, reports: Micros) -> Micros {
+        reports * self.beat_us / 3 + self.beat_us / 6
+    }
+
+    /// Whether enough of its watchers, of those that are heard of, do not hear this life of a proxy.
+    fn suspect(&self, now: Micros, state: &State, last: &Seen) -> bool {
+        let (Some(by), Some(node)) = (self.suspected.get(&last.ip), state.nodes.get(&last.ip)) else {
+            return false;
+        };
+        let heard =
+            |by: &Ipv4Addr| self.proxies.get(by).is_some_and(|p| now <= p.heard_at + self.patience(REPORTS));
+        let count = by.iter().filter(|(by, life)| [0, last.life].contains(life) && heard(by)).count();
+        count > 0 && count >= watch::enough(&state.nodes, node)
+    }
+
     /// The proxies for a client of this zone: those of its zone, else of its region, else all; alive ones, and where
     /// none seems alive those that are known, as it may be this registry that hears nothing.
     pub fn choose<'s>(
@@ -152,7 +186,7 @@
             [&|n| zone.is_some_and(|z| n.zone == z), &|n| region.is_some_and(|r| n.region == r), &|_| true];
         for alive in [true, false] {
             for near in near {
-                let fits = |n: &&Node| near(n) && (!alive || self.alive(now, n.ip));
+                let fits = |n: &&Node| near(n) && (!alive || self.alive(now, state, n.ip));
                 let found: Vec<&Node> = state.nodes.values().filter(fits).take(MOST).collect();
                 if !found.is_empty() {
                     return found;
--- a/crates/pegboard/tests/show.rs
+++ b/crates/pegboard/tests/show.rs
@@ -93,7 +93,7 @@
     assert_eq!(call(&mut board, 2 * SECOND, "PUT", "/api/instances/i-1", beat).0, 200);
     let mut out = Vec::new();
     board.handle(2 * SECOND, Input::Proxy(7, Up::Hello { node: node(1), rev: 0 }), &mut out);
-    let seen = Seen { ip: node(1).ip, life: 9, count: 1, ready: true, rev: 3 };
+    let seen = Seen { ip: node(1).ip, life: 9, count: 1, ready: true, rev: 3, suspects: vec![] };
     let report = Up::Report { rev: 3, head: None, seen: vec![seen], usage: Vec::new() };
     board.handle(2 * SECOND, Input::Proxy(7, report), &mut out);
 
--- a/crates/rack/src/lib.rs
+++ b/crates/rack/src/lib.rs
@@ -1,5 +1,5 @@
 //! The rack: what all machines of one installation agree on ([`state`]), the copies of it
-//! ([`copy`]) and who follows one ([`follow`]), the commands that change it, and the messages between curlewfront's own
+//! ([`copy`]), who follows one ([`follow`]), who watches whom ([`watch`]), the commands that change it, and the messages between curlewfront's own
 //! processes ([`talk`]). No I/O, no clock.
 //!
 //! The state is a function of the log: every process that holds it (store, registry, proxy) applies the same commands
@@ -9,6 +9,7 @@
 pub mod follow;
 pub mod state;
 pub mod talk;
+pub mod watch;
 
 /// Time in microseconds, of a clock that never runs backwards within a process.
 pub type Micros = u64;
--- a/crates/rack/src/talk.rs
+++ b/crates/rack/src/talk.rs
@@ -5,6 +5,7 @@
 //! | registry | store on its machine | [`ToStore`], answered by [`FromStore`] |
 //! | registry | registry | [`Gossip`] |
 //! | proxy | registry, or a proxy nearer to it | [`Up`], answered by [`Down`] |
+//! | proxy | its watchers, by datagrams | [`Here`] |
 //!
 //! Stores speak the messages of the agreement among themselves, with [`StorePeer`] around them.
 
@@ -19,6 +20,7 @@
 pub const REGISTRY_PEERS: u16 = 2;
 pub const REGISTRY_NEWS: u16 = 3;
 pub const PROXY_NEWS: u16 = 4;
+pub const PROXY_WATCH: u16 = 5;
 
 /// Runs of commands, or a whole state where the run is no longer kept.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -124,7 +126,7 @@
     pub ip: Ipv4Addr,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Seen {
     pub ip: Ipv4Addr,
     /// Drawn at the start of each process.
@@ -133,6 +135,15 @@
     pub count: u64,
     pub ready: bool,
     pub rev: Rev,
+    /// Those it watches and does not hear, and the life that it heard last; 0: none.
+    pub suspects: Vec<(Ipv4Addr, u64)>,
+}
+
+/// A proxy is there; about every third of a beat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Here {
+    pub life: u64,
+    pub count: u64,
 }
 
 /// What one proxy does for a tenant, in thousandths of a request a second.
--- a/crates/shuttle/src/feed.rs
+++ b/crates/shuttle/src/feed.rs
@@ -106,6 +106,8 @@
     report_at: Micros,
     reported_at: Micros,
     uses: Vec<Use>,
+    /// Silent ones among those that this proxy watches, and their lives.
+    suspects: Vec<(Ipv4Addr, u64)>,
 }
 
 impl Feed {
@@ -143,6 +145,7 @@
             report_at: now,
             reported_at: 0,
             uses: Vec::new(),
+            suspects: Vec::new(),
         }
     }
 
@@ -216,6 +219,13 @@
         now >= self.report_at && self.parent.as_ref().is_some_and(|p| p.linked)
     }
 
+    pub fn suspects(&mut self, suspects: Vec<(Ipv4Addr, u64)>) {
+        if self.suspects != suspects {
+            self.suspects = suspects;
+            self.hurry();
+        }
+    }
+
     pub fn uses(&mut self, uses: Vec<Use>) {
         self.uses = uses;
     }
@@ -402,6 +412,7 @@
     fn shuns(&self, ip: Ipv4Addr) -> bool {
         self.failed.get(&ip).is_some_and(|at| self.now < at + SHUNNED * self.beat_us)
             || self.relay.below(self.now, ip)
+            || self.suspects.iter().any(|s| s.0 == ip)
     }
 
     /// The nearest registry that has not failed lately; among equally near ones each proxy has its own order.
@@ -452,7 +463,7 @@
         self.count += 1;
         let (ip, life, count, ready) = (self.node.ip, self.life, self.count, self.ready);
         let (mut seen, mut usage) = self.relay.gathered(self.now);
-        seen.push(Seen { ip, life, count, ready, rev });
+        seen.push(Seen { ip, life, count, ready, rev, suspects: self.suspects.clone() });
         usage.push(Usage { ip, life, count, tenants: std::mem::take(&mut self.uses) });
         out.push(Output::Say(p.link, Up::Report { rev, head: self.head, seen, usage }));
     }
--- a/crates/shuttle/src/lib.rs
+++ b/crates/shuttle/src/lib.rs
@@ -1,5 +1,5 @@
 //! The proxy. [`front`] decides on requests, around the decisions that it shares with the gateway; [`book`] turns the
-//! agreed state into their settings; [`feed`] keeps the news coming and passes them on. No I/O and no clock in any of
+//! agreed state into their settings; [`feed`] keeps the news coming and passes them on; [`watch`] knows the silent. No I/O and no clock in any of
 //! them; `main.rs` is the shell.
 
 pub mod book;
@@ -8,3 +8,4 @@
 pub mod relay;
 pub mod tenants;
 pub mod tree;
+pub mod watch;
--- a/crates/shuttle/src/main.rs
+++ b/crates/shuttle/src/main.rs
@@ -4,10 +4,11 @@
 use miette::{Result, miette};
 use rack::Micros;
 use rack::state::Node;
-use rack::talk::{Down, PROXY_NEWS, REGISTRY_NEWS, Up};
+use rack::talk::{Down, Here, PROXY_NEWS, PROXY_WATCH, REGISTRY_NEWS, Up};
 use shuttle::book::{Leeway, Place};
 use shuttle::feed::{self, Feed};
 use shuttle::front::{self, Ask, End, Front, Reached, Served};
+use shuttle::watch::Watch;
 use std::collections::{BTreeMap, HashMap};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::process::ExitCode;
@@ -22,6 +23,7 @@
 use tongs::limits::Held;
 use tongs::pool::{self, Ended, Job, Peer, Wire};
 use tongs::room::Room;
+use vise::datagram::{self, Datagrams};
 use vise::link::{self, Event, Line};
 use vise::turn::{Inbox, Machine};
 use vise::{Asked, Start, turn};
@@ -55,6 +57,7 @@
     Link(u64, Event<Down>),
     FollowerTaken(Line),
     FollowerSays(u64, Event<Up>),
+    Here(Ipv4Addr, Here),
     Signal(Asked),
 }
 
@@ -93,6 +96,9 @@
         move |link, event| posts.post(Told::FollowerSays(link, event))
     })
     .map_err(|e| miette!("cannot listen on {relay}: {e}"))?;
+    let (posts, listen) = (inbox.clone(), start.internal(PROXY_WATCH)?);
+    let datagrams = datagram::open(listen, move |from, here| posts.post(Told::Here(from, here)))
+        .map_err(|e| miette!("cannot take datagrams on {listen}: {e}"))?;
 
     let s = &start.settings;
     let b = &s.bounds;
@@ -111,6 +117,8 @@
     let grace_us = (s.bounds.grace_period_s.unwrap_or(GRACE_S) * 1e6) as Micros;
     let shell = Shell {
         front: Front::new(place, beat_us, start.life, now),
+        watch: Watch::new(node.clone(), beat_us / 3, start.life, now),
+        datagrams,
         feed: Feed::new(node, s.zones.clone(), start.seeds(), beat_us, start.life, now),
         registry_port: start.internal(REGISTRY_NEWS)?.port(),
         relay_port: relay.port(),
@@ -327,6 +335,8 @@
 struct Shell {
     front: Front,
     feed: Feed,
+    watch: Watch,
+    datagrams: Datagrams,
     registry_port: u16,
     relay_port: u16,
     /// Links to those who are followed, by the feed's numbers; links of followers by their own.
@@ -418,6 +428,7 @@
                     if let Some(line) = self.lines.get(&link) {
                         line.send(&up);
                     }
+                    self.watch(now, true);
                 }
                 feed::Output::Tell(link, down) => {
                     if let Some(line) = self.followers.get(&link) {
@@ -431,12 +442,23 @@
                 feed::Output::News(news) => {
                     self.front(now, front::Input::News(news));
                     self.feed(now, feed::Input::Changed);
+                    self.watch.known(now, &self.front.copy.state.nodes);
                     self.show();
                 }
             }
         }
     }
 
+    /// Tells the watchers that this proxy is there, if it is time.
+    fn watch(&mut self, now: Micros, soon: bool) {
+        if let Some((here, watchers)) = self.watch.round(now, soon) {
+            for ip in watchers {
+                self.datagrams.send(*ip, &here);
+            }
+            self.feed.suspects(self.watch.suspects());
+        }
+    }
+
     fn link(&mut self, link: u64, ip: Ipv4Addr, relay: bool) {
         let (what, port) = if relay { ("relay", self.relay_port) } else { ("registry", self.registry_port) };
         log::info!("follows the {what} on {ip} from revision {}", self.front.copy.rev());
@@ -488,6 +510,7 @@
         match told {
             None => {
                 self.front(now, front::Input::Tick);
+                self.watch(now, false);
                 self.feed(now, feed::Input::Tick);
             }
             Some(Told::Asked(ask, reply)) => {
@@ -518,6 +541,7 @@
                 self.feed(now, feed::Input::BelowGone(link));
             }
             Some(Told::FollowerSays(_, Event::Up)) => {}
+            Some(Told::Here(from, here)) => self.watch.heard(now, from, here),
             Some(Told::Signal(Asked::Settings(settings))) => self.feed.reseed(vise::seeds(&settings)),
             Some(Told::Signal(Asked::Stop)) => {
                 self.asked_at.get_or_insert(now);
@@ -539,6 +563,6 @@
         // After a signal to end, whether all is over is looked at again and again.
         const LOOK_US: Micros = 50_000;
         let ends = self.asked_at.map_or(Micros::MAX, |_| self.room.clock.now() + LOOK_US);
-        self.front.wake_at().min(self.feed.wake_at()).min(ends)
+        self.front.wake_at().min(self.feed.wake_at()).min(self.watch.wake_at()).min(ends)
     }
 }
--- a/crates/shuttle/tests/tree.rs
+++ b/crates/shuttle/tests/tree.rs
@@ -312,7 +312,7 @@
     world.reaches_all();
     // And the registries name them all.
     for board in world.boards.values() {
-        assert!(world.proxies.keys().all(|ip| board.presence.alive(world.now, *ip)));
+        assert!(world.proxies.keys().all(|ip| board.presence.alive(world.now, &board.copy.state, *ip)));
     }
 }
 
@@ -326,7 +326,10 @@
     for _ in 0..60 {
         world.run(50 * MS);
         for board in world.boards.values() {
-            let lost: Vec<_> = world.live().filter(|p| !board.presence.alive(world.now, p.node.ip)).collect();
+            let lost: Vec<_> = world
+                .live()
+                .filter(|p| !board.presence.alive(world.now, &board.copy.state, p.node.ip))
+                .collect();
             assert!(lost.is_empty(), "{} and {} more are alive", lost[0].node.ip, lost.len() - 1);
         }
     }
--- a/crates/vise/src/lib.rs
+++ b/crates/vise/src/lib.rs
@@ -1,6 +1,7 @@
 //! What holds each of curlewfront's programs while it works: its command line, settings, log and signals, the links to
 //! the others, and the loop that turns a state machine. No decision is made here.
 
+pub mod datagram;
 pub mod link;
 pub mod ring;
 pub mod turn;
