--- a/crates/shuttle/src/feed.rs
+++ b/crates/shuttle/src/feed.rs
@@ -105,7 +105,8 @@
     ended: bool,
     report_at: Micros,
     reported_at: Micros,
-    uses: Vec<Use>,
+    /// For the report that is due; none goes out without.
+    uses: Option<Vec<Use>>,
     /// Silent ones among those that this proxy watches, and their lives.
     suspects: Vec<(Ipv4Addr, u64)>,
 }
@@ -144,7 +145,7 @@
             ended: false,
             report_at: now,
             reported_at: 0,
-            uses: Vec::new(),
+            uses: None,
             suspects: Vec::new(),
         }
     }
@@ -194,7 +195,9 @@
     pub fn wake_at(&self) -> Micros {
         let parent = self.parent.as_ref().map_or(self.now, |p| self.patience(p));
         let next = self.next.as_ref().map_or(Micros::MAX, |p| self.patience(p));
-        parent.min(next).min(self.settled_at()).min(self.report_at).min(self.tell_at)
+        let linked = self.parent.as_ref().is_some_and(|p| p.linked);
+        let report = if linked { self.report_at } else { Micros::MAX };
+        parent.min(next).min(self.settled_at()).min(report).min(self.tell_at)
     }
 
     /// Reports soon, as something that others act on has changed.
@@ -227,7 +230,7 @@
     }
 
     pub fn uses(&mut self, uses: Vec<Use>) {
-        self.uses = uses;
+        self.uses = Some(uses);
     }
 
     pub fn handle(&mut self, now: Micros, input: Input, copy: &Copy, out: &mut Vec<Output>) {
@@ -454,17 +457,16 @@
     }
 
     fn report(&mut self, rev: Rev, out: &mut Vec<Output>) {
-        if self.now < self.report_at {
-            return;
-        }
+        let Some(p) = self.parent.as_ref().filter(|p| p.linked && self.now >= self.report_at) else { return };
+        // Else it would say that nothing is used: it comes with the next call, at once.
+        let Some(tenants) = self.uses.take() else { return };
         // The standing of the one who is followed sets the pace; this is for when none comes.
         (self.report_at, self.reported_at) = (self.now + self.part() * 5 / 4, self.now);
-        let Some(p) = self.parent.as_ref().filter(|p| p.linked) else { return };
         self.count += 1;
         let (ip, life, count, ready) = (self.node.ip, self.life, self.count, self.ready);
         let (mut seen, mut usage) = self.relay.gathered(self.now);
         seen.push(Seen { ip, life, count, ready, rev, suspects: self.suspects.clone() });
-        usage.push(Usage { ip, life, count, tenants: std::mem::take(&mut self.uses) });
+        usage.push(Usage { ip, life, count, tenants });
         out.push(Output::Say(p.link, Up::Report { rev, head: self.head, seen, usage }));
     }
 
--- a/crates/shuttle/tests/tree.rs
+++ b/crates/shuttle/tests/tree.rs
@@ -3,7 +3,7 @@
 use pegboard::board::{self, Board, Terms};
 use rack::copy::Copy;
 use rack::state::{Command, Node};
-use rack::talk::{Down, FromStore, Gossip, Head, News, Standing, ToStore, Up};
+use rack::talk::{Down, FromStore, Gossip, Head, News, Standing, ToStore, Up, Use};
 use rack::{Micros, Rev};
 use shuttle::feed::{Feed, Input, Output};
 use shuttle::tree;
@@ -16,6 +16,8 @@
 /// An acknowledged version must be in force everywhere.
 const APPLIED: Micros = 3 * SECOND;
 
+const USE: Use = Use { tenant: 1, wanted: 2000, used: 1000 };
+
 fn core(last: u8) -> Ipv4Addr {
     Ipv4Addr::new(10, 9, 0, last)
 }
@@ -167,6 +169,9 @@
         while let Some(input) = inputs.pop() {
             let mut some = Vec::new();
             proxy.feed.ready = proxy.feed.was_fresh();
+            if proxy.feed.reports(self.now) {
+                proxy.feed.uses(vec![USE]);
+            }
             proxy.feed.handle(self.now, input, &proxy.copy, &mut some);
             for output in some {
                 if let Output::News(news) = output {
@@ -197,6 +202,9 @@
                 }
                 Output::Say(link, up) => {
                     let found = self.wires.iter().find(|(_, w)| w.child == (ip, link));
+                    if let Up::Report { usage, .. } = &up {
+                        assert!(usage.iter().all(|u| u.tenants == [USE]), "a report that tells no use");
+                    }
                     if let Some((number, to)) = found.map(|(n, w)| (*n, w.to)) {
                         self.messages += 1;
                         self.post(self.delay(ip, to), Event::Up(number, up));
