--- a/src/decide/choice.rs
+++ b/src/decide/choice.rs
@@ -46,8 +46,7 @@
 
 impl Decider {
     /// Of two random servers of the nearest tier that may have the request the one with less work of ours
-    /// for its speed; farther ones while all nearer ones are full, were tried, are ill, or have their part of
-    /// the target out: what would wait there is sooner done farther off. Slow start: a cold
+    /// for its speed; farther ones while all nearer ones are full, tried, ill, or have their part out. A cold
     /// server is drawn as often as any other but takes its ramp's part of its draws, so all gateways together
     /// send it that part of what a server gets, however few requests each of them has.
     pub(super) fn pick(&mut self, id: u64) -> Option<u64> {
--- a/src/decide/records.rs
+++ b/src/decide/records.rs
@@ -37,6 +37,11 @@
 }
 
 impl Decider {
+    /// How long this gateway has been at work, in seconds.
+    pub(super) fn age(&self) -> f64 {
+        (self.now - self.started.unwrap_or(self.now)) as f64 / 1e6
+    }
+
     pub fn new(set: Settings, seed: u64) -> Result<Decider, SettingsError> {
         let mut new = Decider {
             set: Settings::default(),
