--- a/crates/shuttle/src/feed.rs
+++ b/crates/shuttle/src/feed.rs
@@ -475,11 +475,11 @@
     fn below(&mut self, link: u64, up: Up, copy: &Copy, out: &mut Vec<Output>) {
         let until = self.now + 2 * self.beat_us;
         match up {
-            Up::Hello { ref node, .. } => {
+            Up::Hello { node, rev } => {
                 if !self.takes(node.ip) {
                     return self.refuse(link, out);
                 }
-                self.relay.hello(link, &up, until);
+                self.relay.hello(link, node, rev, until);
                 out.push(Output::Tell(link, Down::Standing(self.stands(copy, true))));
                 self.tell_at = self.tell_at.min(self.now + self.part() * RELAY_SPEAKS / 100);
             }
--- a/crates/shuttle/src/relay.rs
+++ b/crates/shuttle/src/relay.rs
@@ -3,7 +3,8 @@
 
 use rack::copy::Copy;
 use rack::follow::Followers;
-use rack::talk::{Seen, Up, Usage};
+use rack::state::Node;
+use rack::talk::{Down, Seen, Usage};
 use rack::{Micros, Rev};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
@@ -49,15 +50,13 @@
     }
 
     /// Takes a follower in.
-    pub fn hello(&mut self, link: u64, up: &Up, until: Micros) {
-        if let Up::Hello { node, rev } = up {
-            self.below.insert(node.ip, until);
-            self.followers.hello(link, node.clone(), *rev);
-        }
+    pub fn hello(&mut self, link: u64, node: Node, rev: Rev, until: Micros) {
+        self.below.insert(node.ip, until);
+        self.followers.hello(link, node, rev);
     }
 
     /// Those to whom something of the copy is new are told it.
-    pub fn feed(&mut self, now: Micros, copy: &Copy, tell: impl FnMut(u64, rack::talk::Down)) {
+    pub fn feed(&mut self, now: Micros, copy: &Copy, tell: impl FnMut(u64, Down)) {
         self.followers.feed(now, copy, tell);
     }
 }
