--- a/crates/rack/src/follow.rs
+++ b/crates/rack/src/follow.rs
@@ -35,7 +35,8 @@
         self.links.remove(&link)
     }
 
-    /// How far a follower says it has come. One that stays behind what it was sent is sent it again from there.
+    /// How far a follower says it has come. One that stays behind what it was sent is sent it again from
+    /// there.
     pub fn reported(&mut self, link: u64, rev: Rev) -> Option<&Follower> {
         let f = self.links.get_mut(&link)?;
         if rev > f.rev || (rev < f.rev && f.behind == Some(rev)) {
--- a/crates/rack/src/watch.rs
+++ b/crates/rack/src/watch.rs
@@ -1,5 +1,6 @@
-//! Who watches whom: rendezvous hashing names for each proxy a few others of its region, alike for all that know the
-//! same proxies. Regions are watched from within: bytes between them are dear, and who watches is who would follow.
+//! Who watches whom: rendezvous hashing names for each proxy a few others of its region, alike for all that
+//! know the same proxies. Regions are watched from within: bytes between them are dear, and who watches is
+//! who would follow.
 
 use crate::state::Node;
 use std::collections::BTreeMap;
--- a/crates/shuttle/src/feed.rs
+++ b/crates/shuttle/src/feed.rs
@@ -1,5 +1,5 @@
-//! Where this proxy has its news from, and to whom it passes them on: chooses whom to follow, notices when nothing new
-//! can come from there, and goes on to the next. See docs/system/relays.md.
+//! Where this proxy has its news from, and to whom it passes them on: chooses whom to follow, notices when
+//! nothing new can come from there, and goes on to the next. See docs/system/relays.md.
 
 use crate::relay::Relay;
 use crate::tree::{self, DEEPEST};
@@ -54,9 +54,9 @@
 const SETTLED: Micros = 2;
 /// Reports from each level below are waited for so long, so that one of this proxy's carries them all.
 const GATHER_US: Micros = 20_000;
-/// A relay passes a standing on as it comes, and speaks by itself a little later if none does. It is given up sooner
-/// than a registry, in hundredths of the time between two standings: those below must have reported elsewhere before they
-/// are taken for gone along with it.
+/// A relay passes a standing on as it comes, and speaks by itself a little later if none does. It is given up
+/// sooner than a registry, in hundredths of the time between two standings: those below must have reported
+/// elsewhere before they are taken for gone along with it.
 const RELAY_SPEAKS: Micros = 110;
 const RELAY_SILENT: Micros = 210;
 
@@ -353,8 +353,8 @@
         }
     }
 
-    /// Gives up those that are silent or stale, and sees that somebody is followed: a registry after any failure, as
-    /// what else was wrong in the tree is not known; a better place once all has settled.
+    /// Gives up those that are silent or stale, and sees that somebody is followed: a registry after any
+    /// failure, as what else was wrong in the tree is not known; a better place once all has settled.
     fn tend(&mut self, out: &mut Vec<Output>) {
         let late = self.parent.iter().chain(&self.next).filter(|p| self.now >= self.patience(p));
         for link in late.map(|p| p.link).collect::<Vec<_>>() {
@@ -438,7 +438,8 @@
         }
     }
 
-    /// The first live one in the order, beside a registry, is the head, under an epoch above all that it has heard of.
+    /// The first live one in the order, beside a registry, is the head, under an epoch above all that it has
+    /// heard of.
     fn take_duty(&mut self) {
         let beside = self.parent.as_ref().is_some_and(|p| p.proved && !p.relay);
         if !(beside && self.ready && self.place == Some(0)) {
@@ -447,7 +448,8 @@
         }
         let since = *self.first_since.get_or_insert(self.now);
         let mine = self.head.is_some_and(|h| h.ip == self.node.ip);
-        // Not at once: others may have told of an epoch that has not come here yet, or hold it for a moment more.
+        // Not at once: others may have told of an epoch that has not come here yet, or hold it for a moment
+        // more.
         if !mine && self.now >= since + self.beat_us {
             let epoch = self.head.map_or(0, |h| h.epoch) + 1;
             self.head = Some(Head { epoch, ip: self.node.ip });
--- a/crates/shuttle/src/relay.rs
+++ b/crates/shuttle/src/relay.rs
@@ -1,5 +1,5 @@
-//! What a proxy does for those that follow it: passes news and readings on at once, says how it stands itself, and
-//! gathers their reports for its own.
+//! What a proxy does for those that follow it: passes news and readings on at once, says how it stands
+//! itself, and gathers their reports for its own.
 
 use rack::copy::Copy;
 use rack::follow::Followers;
--- a/crates/shuttle/src/tree.rs
+++ b/crates/shuttle/src/tree.rs
@@ -1,4 +1,5 @@
-//! Who stands where among the proxies of a region: the order that rendezvous hashing gives them, and the tree in it.
+//! Who stands where among the proxies of a region: the order that rendezvous hashing gives them, and the tree
+//! in it.
 
 use rack::state::Node;
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/shuttle/src/watch.rs
+++ b/crates/shuttle/src/watch.rs
@@ -1,5 +1,5 @@
-//! This proxy among those that watch each other: it tells its watchers that it is there, and notices when one that it
-//! watches no longer does. By datagrams, of which some are lost.
+//! This proxy among those that watch each other: it tells its watchers that it is there, and notices when one
+//! that it watches no longer does. By datagrams, of which some are lost.
 
 use rack::Micros;
 use rack::state::Node;
@@ -84,7 +84,8 @@
         }
     }
 
-    /// Who is to be told now that this proxy is there. `soon`: something else goes out now, so this may go along.
+    /// Who is to be told now that this proxy is there. `soon`: something else goes out now, so this may go
+    /// along.
     pub fn round(&mut self, now: Micros, soon: bool) -> Option<(Here, &[Ipv4Addr])> {
         self.passes(now);
         let early = if soon { self.every_us / 4 } else { 0 };
