--- a/crates/pegboard/tests/common/mod.rs
+++ b/crates/pegboard/tests/common/mod.rs
@@ -126,11 +126,19 @@
         while self.now < end {
             count += 1;
             self.now = (self.now + BEAT / 3).min(end);
-            let seen = |n: &u8| Seen { ip: node(*n, "north-a").ip, life: 9, count, ready: true };
+            let seen = |n: &u8| Seen {
+                ip: node(*n, "north-a").ip,
+                life: 9,
+                count,
+                ready: true,
+                rev: 0,
+                suspects: vec![],
+            };
             let servers = servers.iter().map(|id| (id.to_string(), count)).collect();
             let nodes = nodes.iter().map(seen).collect();
             let zone = "south-a".to_string();
-            self.tell(Input::Peer(Gossip { ip: OTHER, zone, servers, nodes, usage: Vec::new() }));
+            let (usage, heads) = (Vec::new(), Vec::new());
+            self.tell(Input::Peer(Gossip { ip: OTHER, zone, servers, nodes, usage, heads }));
         }
     }
 
@@ -182,9 +190,9 @@
 
     pub fn report(&mut self, link: u64, last: u8, count: u64, ready: bool, rev: u64) {
         let ip = node(last, "north-a").ip;
-        let seen = vec![Seen { ip, life: 1, count, ready }];
+        let seen = vec![Seen { ip, life: 1, count, ready, rev, suspects: vec![] }];
         let usage = vec![Usage { ip, life: 1, count, tenants: Vec::new() }];
-        self.tell(Input::Proxy(link, Up::Report { rev, seen, usage }));
+        self.tell(Input::Proxy(link, Up::Report { rev, head: None, seen, usage }));
     }
 
     /// The news that the last input brought a proxy: from where to where; 0: whole.
--- a/crates/pegboard/tests/meter.rs
+++ b/crates/pegboard/tests/meter.rs
@@ -63,7 +63,7 @@
     r.wait(BEAT / 3);
     r.wait(1000);
     let ahead = usage(1, 1, 1, 30_000, 9_000);
-    r.tell(Input::Proxy(7, Up::Report { rev: 2, seen: Vec::new(), usage: vec![ahead] }));
+    r.tell(Input::Proxy(7, Up::Report { rev: 2, head: None, seen: Vec::new(), usage: vec![ahead] }));
     r.now = r.board.wake_at();
     r.tell(Input::Tick);
     let meter: Vec<&Reading> = r
--- a/crates/shuttle/tests/feed.rs
+++ b/crates/shuttle/tests/feed.rs
@@ -3,7 +3,8 @@
 mod common;
 
 use common::{SECOND, ZONES, node};
-use rack::talk::{Down, News, Up};
+use rack::copy::Copy;
+use rack::talk::{Down, News, Standing, Up};
 use shuttle::feed::{Feed, Input, Output};
 use std::net::Ipv4Addr;
 
@@ -19,23 +20,35 @@
 }
 
 fn tell(feed: &mut Feed, now: u64, input: Input) -> Vec<Output> {
-    let mut out = Vec::new();
-    feed.handle(now, input, &mut out);
+    tell_at(feed, 0, now, input)
+}
+
+/// With a copy that has come so far.
+fn tell_at(feed: &mut Feed, rev: u64, now: u64, input: Input) -> Vec<Output> {
+    let (mut out, mut copy) = (Vec::new(), Copy::default());
+    copy.apply(now, rev, None);
+    if feed.reports(now) {
+        feed.uses(Vec::new());
+    }
+    feed.handle(now, input, &copy, &mut out);
     out
 }
 
 fn link(out: &[Output]) -> Option<Ipv4Addr> {
-    out.iter().find_map(|o| if let Output::Link(ip) = o { Some(*ip) } else { None })
+    out.iter().find_map(|o| if let Output::Link { ip, .. } = o { Some(*ip) } else { None })
 }
 
-fn standing(fresh: bool) -> Input {
+/// Of the registry that is followed by this link; they are numbered from 1.
+fn standing(link: u64, fresh: bool) -> Input {
     let core = vec![(ip(1), "south-a".into()), (ip(2), "north-a".into()), (ip(3), "north-b".into())];
-    Input::Got(Down::Standing { core, fresh })
+    let (path, away) = (Vec::new(), Vec::new());
+    let fresh_ms = fresh.then_some(0);
+    Input::Got(link, Down::Standing(Standing { rev: 0, fresh_ms, core, path, head: None, away }))
 }
 
 fn report(out: &[Output]) -> Option<(u64, u64)> {
     out.iter().find_map(|o| match o {
-        Output::Say(Up::Report { rev, seen, .. }) => Some((*rev, seen[0].count)),
+        Output::Say(_, Up::Report { rev, seen, .. }) => Some((*rev, seen[0].count)),
         _ => None,
     })
 }
@@ -60,16 +73,16 @@
     for (told, leaves) in [(None, true), (Some(false), true), (Some(true), false)] {
         let mut feed = feed(&[1, 2]);
         let first = link(&tell(&mut feed, SECOND, Input::Tick)).expect("links at once");
-        tell(&mut feed, SECOND, Input::Linked);
-        tell(&mut feed, SECOND, standing(true));
-        assert!(feed.was_fresh);
+        tell(&mut feed, SECOND, Input::Linked(1));
+        tell(&mut feed, SECOND, standing(1, true));
+        assert!(feed.was_fresh());
         if leaves {
-            let (to, took) = left_after(&mut feed, SECOND, || told.map(standing));
+            let (to, took) = left_after(&mut feed, SECOND, || told.map(|fresh| standing(1, fresh)));
             assert!(to != first && took <= BEAT + BEAT / 4, "{told:?}: {took}");
         } else {
             for step in 1..20 {
                 let now = SECOND + step * BEAT / 4;
-                assert_eq!(link(&tell(&mut feed, now, standing(true))), None);
+                assert_eq!(link(&tell(&mut feed, now, standing(1, true))), None);
             }
         }
     }
@@ -80,19 +93,19 @@
     let mut feed = feed(&[1]);
     let mut now = SECOND;
     assert_eq!(link(&tell(&mut feed, now, Input::Tick)), Some(ip(1)), "the only one it knows");
-    tell(&mut feed, now, Input::Linked);
-    tell(&mut feed, now, standing(true));
+    tell(&mut feed, now, Input::Linked(1));
+    tell(&mut feed, now, standing(1, true));
     let mut went = Vec::new();
-    for _ in 0..4 {
+    for number in 1..=4 {
         now += 1000;
-        went.extend(link(&tell(&mut feed, now, Input::Broken)));
+        went.extend(link(&tell(&mut feed, now, Input::Broken(number))));
     }
     assert_eq!(went, [ip(3), ip(2), ip(1), ip(3)], "by nearness, then by who failed longest ago");
-    tell(&mut feed, now, Input::Linked);
-    tell(&mut feed, now, standing(true));
+    tell(&mut feed, now, Input::Linked(5));
+    tell(&mut feed, now, standing(5, true));
     // One that does not answer the call is left, too.
     let now = now + 10 * BEAT;
-    assert_eq!(link(&tell(&mut feed, now, Input::Broken)), Some(ip(2)));
+    assert_eq!(link(&tell(&mut feed, now, Input::Broken(5))), Some(ip(2)));
     let (to, took) = left_after(&mut feed, now, || None);
     assert!(to == ip(1) && took <= BEAT, "{to} {took}");
 }
@@ -101,19 +114,25 @@
 fn it_tells_how_far_it_has_come_regularly_and_sooner_where_it_matters() {
     let mut feed = feed(&[1]);
     tell(&mut feed, SECOND, Input::Tick);
-    feed.at(7);
-    let out = tell(&mut feed, SECOND, Input::Linked);
-    assert!(matches!(&out[0], Output::Say(Up::Hello { rev: 7, .. })));
-    assert_eq!(report(&out), Some((7, 1)));
+    let out = tell_at(&mut feed, 7, SECOND, Input::Linked(1));
+    assert!(matches!(&out[0], Output::Say(1, Up::Hello { rev: 7, .. })));
+    assert_eq!(report(&out), None, "it is asked for the use of tenants first");
+    assert_eq!(report(&tell_at(&mut feed, 7, SECOND, Input::Tick)), Some((7, 1)));
     let news = News::Run { from: 7, to: 9, commands: Vec::new() };
-    let out = tell(&mut feed, SECOND + 10_000, Input::Got(Down::News(news)));
+    let out = tell_at(&mut feed, 7, SECOND + 10_000, Input::Got(1, Down::News(news)));
     assert!(matches!(out[..], [Output::News(News::Run { from: 7, to: 9, .. })]));
-    feed.at(9);
-    assert_eq!(report(&tell(&mut feed, SECOND + 20_000, Input::Tick)), None);
+    assert_eq!(report(&tell_at(&mut feed, 9, SECOND + 20_000, Input::Changed)), None);
     feed.hurry();
-    assert_eq!(report(&tell(&mut feed, SECOND + 100_000, Input::Tick)), Some((9, 2)));
+    assert_eq!(report(&tell_at(&mut feed, 9, SECOND + 100_000, Input::Tick)), Some((9, 2)));
     feed.hurry();
-    assert_eq!(report(&tell(&mut feed, SECOND + 150_000, Input::Tick)), None, "not all the time");
-    tell(&mut feed, SECOND + 160_000, standing(true));
-    assert_eq!(report(&tell(&mut feed, SECOND + 100_000 + BEAT / 3, Input::Tick)), Some((9, 3)));
+    assert_eq!(report(&tell_at(&mut feed, 9, SECOND + 150_000, Input::Tick)), None, "not all the time");
+    assert_eq!(report(&tell_at(&mut feed, 9, SECOND + 200_000, Input::Tick)), Some((9, 3)));
+    // With the standings of the registry, and without them a little later.
+    let mut now = SECOND + 200_000 + BEAT / 3;
+    assert_eq!(report(&tell_at(&mut feed, 9, now, standing(1, true))), None);
+    assert_eq!(report(&tell_at(&mut feed, 9, now, Input::Tick)), Some((9, 4)));
+    now += BEAT / 3;
+    assert_eq!(report(&tell_at(&mut feed, 9, now, Input::Tick)), None);
+    now += BEAT / 10;
+    assert_eq!(report(&tell_at(&mut feed, 9, now, Input::Tick)), Some((9, 5)));
 }
