Let a store call back at once who calls it, though an older try hangs

The election waited for that. Change: who links to a store is linked to at once if its own link is not up.

--- a/crates/planchest/src/main.rs
+++ b/crates/planchest/src/main.rs
@@ -177,6 +177,9 @@
                 if let Some(taken) = self.taken.get_mut(&link) {
                     taken.1 = Some(ip);
                 }
+                if let Some(tie) = self.fellows.get_mut(&ip) {
+                    tie.called(now);
+                }
                 None
             }
             Some(Told::FellowSays(link, Event::Got(peer))) => {
--- a/crates/vise/src/link.rs
+++ b/crates/vise/src/link.rs
@@ -240,17 +240,62 @@
 /// How long until a link that broke is tried again.
 const AGAIN_US: Micros = 200_000;
 
+/// When a link is to be opened, and whether it is up.
+#[derive(Default)]
+pub struct Attempts {
+    open: bool,
+    up: bool,
+    again_at: Micros,
+}
+
+impl Attempts {
+    /// Whether it is to be opened now.
+    pub fn due(&mut self, now: Micros) -> bool {
+        let due = !self.open && now >= self.again_at;
+        if due {
+            self.again_at = now + AGAIN_US;
+        }
+        due
+    }
+
+    pub fn opened(&mut self) {
+        self.open = true;
+    }
+
+    pub fn rose(&mut self) {
+        self.up = true;
+    }
+
+    pub fn fell(&mut self, now: Micros) {
+        (self.open, self.up, self.again_at) = (false, false, now + AGAIN_US);
+    }
+
+    /// The other side has linked to here, so it is there: whether what was sent before may have gone to a machine
+    /// that was dark, and be waited for in vain.
+    pub fn called(&mut self, now: Micros) -> bool {
+        let vain = !self.up;
+        if vain {
+            (self.open, self.again_at) = (false, now);
+        }
+        vain
+    }
+
+    /// When it wants to be tended.
+    pub fn wake_at(&self) -> Micros {
+        if self.open { Micros::MAX } else { self.again_at }
+    }
+}
+
 /// A link that is opened again whenever it breaks.
 pub struct Tie {
     addr: SocketAddr,
     line: Option<Line>,
-    up: bool,
-    again_at: Micros,
+    attempts: Attempts,
 }
 
 impl Tie {
     pub fn new(addr: SocketAddr) -> Tie {
-        Tie { addr, line: None, up: false, again_at: 0 }
+        Tie { addr, line: None, attempts: Attempts::default() }
     }
 
     /// Opens it, if it is not open and the time has come.
@@ -260,12 +305,14 @@
         silence: Duration,
         told: impl Fn(u64, Event<I>) + Send + 'static,
     ) {
-        if self.line.is_some() || now < self.again_at {
+        if !self.attempts.due(now) {
             return;
         }
-        self.again_at = now + AGAIN_US;
         match dial(self.addr, silence, told) {
-            Ok(line) => self.line = Some(line),
+            Ok(line) => {
+                self.line = Some(line);
+                self.attempts.opened();
+            }
             Err(e) => log::info!("cannot link to {}: {e}", self.addr),
         }
     }
@@ -277,7 +324,9 @@
     /// The link of this number is up: whether it is still the one that is wanted.
     pub fn rose(&mut self, link: u64) -> bool {
         let mine = self.is(link);
-        self.up |= mine;
+        if mine {
+            self.attempts.rose();
+        }
         mine
     }
 
@@ -285,25 +334,33 @@
     pub fn fell(&mut self, now: Micros, link: u64) -> bool {
         let mine = self.is(link);
         if mine {
-            (self.line, self.up, self.again_at) = (None, false, now + AGAIN_US);
+            self.line = None;
+            self.attempts.fell(now);
         }
         mine
     }
 
+    /// The other side has linked to here.
+    pub fn called(&mut self, now: Micros) {
+        if self.attempts.called(now) {
+            self.line = None;
+        }
+    }
+
     /// What comes by this link counts.
     pub fn holds(&self, link: u64) -> bool {
-        self.up && self.is(link)
+        self.attempts.up && self.is(link)
     }
 
     /// Sent if the link is up; else it is lost, as it might be under way.
     pub fn send<O: Serialize>(&self, message: &O) {
-        if let Some(line) = self.line.as_ref().filter(|_| self.up) {
+        if let Some(line) = self.line.as_ref().filter(|_| self.attempts.up) {
             line.send(message);
         }
     }
 
     /// When it wants to be tended.
     pub fn wake_at(&self) -> Micros {
-        if self.line.is_some() { Micros::MAX } else { self.again_at }
+        self.attempts.wake_at()
     }
 }
