Give a dark registry less time while there are others to turn to

Change: a link has 0.3 s to come up while another registry has not failed lately, else 0.7 s as before.

--- a/crates/shuttle/src/feed.rs
+++ b/crates/shuttle/src/feed.rs
@@ -47,7 +47,10 @@
 const MISSED: Micros = 3;
 /// Between two reports at the least.
 const HURRY_US: Micros = 100_000;
+/// A link takes so long to come up at the most. A machine that is dark says nothing at all, so another registry is
+/// asked sooner while there is one that has not failed lately.
 const DIAL_US: Micros = 700_000;
+const DIAL_FIRST_US: Micros = 300_000;
 /// Who failed is tried again after others, for so many beats.
 const SHUNNED: Micros = 4;
 /// Nobody who is fresh is left for a better place before so many beats.
@@ -65,6 +68,8 @@
     ip: Ipv4Addr,
     relay: bool,
     since: Micros,
+    /// How long it has for the link to come up.
+    dial_us: Micros,
     linked: bool,
     heard_at: Micros,
     /// When, by what it said, its copy held all that was acknowledged.
@@ -175,7 +180,7 @@
     /// When this parent is given up if nothing more comes.
     fn patience(&self, p: &Parent) -> Micros {
         if !p.linked {
-            return p.since + DIAL_US;
+            return p.since + p.dial_us;
         }
         let silence = if p.relay { self.part() * RELAY_SILENT / 100 } else { MISSED * self.part() };
         // Each relay on the way has a little longer to find another source than those below it.
@@ -380,11 +385,13 @@
         self.links += 1;
         let (link, since) = (self.links, self.now);
         out.push(Output::Link { link, ip, relay });
+        let others = !relay && self.registries().any(|r| r != ip && self.failed_at(r).is_none());
         Parent {
             link,
             ip,
             relay,
             since,
+            dial_us: if others { DIAL_FIRST_US } else { DIAL_US },
             linked: false,
             heard_at: since,
             fresh_at: since,
@@ -413,19 +420,26 @@
     }
 
     fn shuns(&self, ip: Ipv4Addr) -> bool {
-        self.failed.get(&ip).is_some_and(|at| self.now < at + SHUNNED * self.beat_us)
+        self.failed_at(ip).is_some()
             || self.relay.below(self.now, ip)
             || self.suspects.iter().any(|s| s.0 == ip)
     }
 
+    /// When it failed, if that was lately.
+    fn failed_at(&self, ip: Ipv4Addr) -> Option<Micros> {
+        self.failed.get(&ip).copied().filter(|at| self.now < at + SHUNNED * self.beat_us)
+    }
+
+    fn registries(&self) -> impl Iterator<Item = Ipv4Addr> {
+        let all: BTreeSet<Ipv4Addr> = self.core.keys().chain(&self.seeds).copied().collect();
+        all.into_iter()
+    }
+
     /// The nearest registry that has not failed lately; among equally near ones each proxy has its own order.
     fn choose(&self) -> Option<Ipv4Addr> {
-        let all: BTreeSet<Ipv4Addr> = self.core.keys().chain(&self.seeds).copied().collect();
-        let shunned = SHUNNED * self.beat_us;
-        all.into_iter().min_by_key(|ip| {
-            let failed = self.failed.get(ip).filter(|at| self.now < **at + shunned);
+        self.registries().min_by_key(|ip| {
             let weight = xxh3_64(&[self.node.ip.octets(), ip.octets()].concat());
-            (failed.copied().unwrap_or(0), self.near(*ip), weight)
+            (self.failed_at(*ip).unwrap_or(0), self.near(*ip), weight)
         })
     }
 
--- a/crates/shuttle/tests/feed.rs
+++ b/crates/shuttle/tests/feed.rs
@@ -136,3 +136,18 @@
     now += BEAT / 10;
     assert_eq!(report(&tell_at(&mut feed, 9, now, Input::Tick)), Some((9, 5)));
 }
+
+#[test]
+fn a_registry_that_is_dark_is_left_sooner_while_another_has_not_failed() {
+    let mut feed = feed(&[1, 2, 3]);
+    let mut now = SECOND;
+    let (mut asked, mut waited) =
+        (vec![link(&tell(&mut feed, now, Input::Tick)).expect("links at once")], vec![]);
+    for _ in 0..3 {
+        waited.push(feed.wake_at() - now);
+        now = feed.wake_at();
+        asked.push(link(&tell(&mut feed, now, Input::Tick)).expect("goes on to the next"));
+    }
+    assert!(waited[1] == waited[0] && waited[0] < waited[2], "the last one has longer: {waited:?}");
+    assert!(asked[0] != asked[1] && !asked[..2].contains(&asked[2]) && asked[3] == asked[0], "{asked:?}");
+}
