--- a/crates/pegboard/src/board.rs
+++ b/crates/pegboard/src/board.rs
@@ -521,9 +521,9 @@
     }
 
     fn usage(&mut self, usage: Usage, told: bool) {
-        self.meter.take(self.now, usage, told);
-        let gather = METER_US.max(METER_EACH_US * self.copy.state.nodes.len() as Micros);
-        self.meter_at = self.meter_at.min(self.now + gather);
+        let rises = self.meter.take(self.now, usage, told);
+        let gather = if rises { 0 } else { METER_EACH_US * self.copy.state.nodes.len() as Micros };
+        self.meter_at = self.meter_at.min(self.now + METER_US.max(gather));
     }
 
     /// Tells the other registries what was reported here, and the proxies what it all comes to.
--- a/crates/pegboard/src/meter.rs
+++ b/crates/pegboard/src/meter.rs
@@ -15,6 +15,8 @@
 /// Time over which sums are evened out, and how many roots of a sum a rise must come to for being taken at once.
 const STEADY_US: f64 = 1_500_000.0;
 const CHANCE: f64 = 3.0;
+/// A rise at one proxy that is more than chance: twice what it was, and so much in thousandths of a request a second.
+const RISE: u32 = 4_000;
 
 struct Report {
     usage: Usage,
@@ -35,13 +37,21 @@
         Meter { every_us, reports: BTreeMap::new(), sums: HashMap::new() }
     }
 
-    /// A report, from the proxy itself or by another registry (`told`). An older one than is known is passed over.
-    pub fn take(&mut self, now: Micros, usage: Usage, told: bool) {
+    /// A report, from the proxy itself or by another registry (`told`). An older one than is known is passed over. True
+    /// if it tells of a rise that others should hear of at once.
+    pub fn take(&mut self, now: Micros, usage: Usage, told: bool) -> bool {
         let known = self.reports.get(&usage.ip);
         if known.is_some_and(|k| k.usage.life == usage.life && k.usage.count >= usage.count) {
-            return;
+            return false;
         }
+        let before = |tenant| {
+            let uses = known.iter().flat_map(|k| &k.usage.tenants);
+            uses.filter(|u| u.tenant == tenant).map(|u| u.wanted).sum::<u32>()
+        };
+        let rises = |u: &Use| u.wanted > before(u.tenant).saturating_mul(2).saturating_add(RISE);
+        let rises = usage.tenants.iter().any(rises);
         self.reports.insert(usage.ip, Report { usage, heard_at: now, told });
+        rises
     }
 
     /// What was reported here since the last time, for the other registries.
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -119,7 +119,13 @@
         // for. It could harm where the fleet is short and such a plan's excess takes the place of others'
         // requests.
         let earns = plan.over_worth > 0.0 && plan.over_cost <= plan.over_worth;
-        let floor = if earns { 1.0 - FEW / spread } else { 0.0 };
+        let floor = if earns {
+            1.0 - FEW / spread
+        } else if self.loose(c) {
+            room / FEW
+        } else {
+            0.0
+        };
         ((1.0 + room * rarely(c.spread)) / spread).max(floor).min(1.0)
     }
 
