--- /dev/null
+++ b/crates/dryfit/src/hunt.rs
@@ -0,0 +1,1 @@
+//! Days by chance.
--- /dev/null
+++ b/crates/dryfit/src/outside.rs
@@ -0,0 +1,962 @@
+//! Those outside: servers, clients and the operator, as the protocol has them.
+
+use crate::net::{Body, ConnId, Event, Kind, Owner, Work, Worked};
+use crate::process::BEAT;
+use crate::record::{self, Arrival, Fate, ReadBack, Request, Try};
+use crate::world::{Ev, World};
+use crate::{MS, Micros, SECOND};
+use jig::Config;
+use jig::config::show_version;
+use pegboard::calls;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+// ---- the operator's model of the configuration ----
+
+#[derive(Clone, Debug)]
+pub struct RoutePlan {
+    pub name: String,
+    pub kind: &'static str,
+    pub to: Vec<(String, u32)>,
+    pub homes: Vec<String>,
+}
+
+#[derive(Clone, Debug)]
+pub struct TenantPlan {
+    pub name: String,
+    pub keys: Vec<String>,
+    pub rate: u32,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Plan {
+    pub version: u32,
+    pub services: Vec<String>,
+    pub routes: Vec<RoutePlan>,
+    pub tenants: Vec<TenantPlan>,
+    pub cold: (f64, f64),
+}
+
+pub const HOST: &str = "front.example";
+const DEADLINE: Micros = 3 * SECOND;
+
+impl Plan {
+    fn route_rows(&self, routes: &[RoutePlan]) -> jzon::JsonValue {
+        let columns = [
+            "entity_name",
+            "host_name",
+            "path_prefix",
+            "route_kind",
+            "deadline_ms",
+            "target_ms",
+            "weighted_split",
+            "attempt_limit",
+            "home_regions",
+        ];
+        let mut rows = jzon::JsonValue::new_array();
+        for r in routes {
+            let mut split = jzon::JsonValue::new_array();
+            for (service, weight) in &r.to {
+                let one = jzon::object! { service_ref: service.as_str(), split_weight: *weight };
+                split.push(one).expect("a list");
+            }
+            let prefix = format!("/{}/", r.name);
+            let row = jzon::array![
+                r.name.as_str(),
+                HOST,
+                prefix,
+                r.kind,
+                DEADLINE / MS,
+                800,
+                split,
+                2,
+                r.homes.clone()
+            ];
+            rows.push(row).expect("a list");
+        }
+        jzon::object! { column_set: columns.to_vec(), row_set: rows }
+    }
+
+    pub fn whole(&self) -> String {
+        let mut services = jzon::JsonValue::new_array();
+        for s in &self.services {
+            services.push(jzon::array![s.as_str(), "/health", self.cold.0, self.cold.1]).expect("a list");
+        }
+        let mut tenants = jzon::JsonValue::new_array();
+        for t in &self.tenants {
+            let row = jzon::array![t.name.as_str(), t.keys.clone(), t.rate, t.rate];
+            tenants.push(row).expect("a list");
+        }
+        let service_columns = vec!["entity_name", "health_path", "cold_period_s", "cold_rate_s"];
+        let tenant_columns = vec!["entity_name", "access_keys", "rate_per_s", "burst_size"];
+        let whole = jzon::object! {
+            config_version: show_version(self.version),
+            route_list: self.route_rows(&self.routes),
+            service_list: jzon::object! { column_set: service_columns, row_set: services },
+            limits: jzon::object! {
+                max_header_bytes: 16384,
+                max_body_bytes: 1 << 20,
+                header_wait_ms: 3000,
+                idle_limit_ms: 15000
+            },
+            tenant_list: jzon::object! { column_set: tenant_columns, row_set: tenants },
+        };
+        whole.dump()
+    }
+
+    /// The change of one route alone.
+    fn patch(&self, route: &str) -> String {
+        let routes: Vec<RoutePlan> = self.routes.iter().filter(|r| r.name == route).cloned().collect();
+        let patch = jzon::object! {
+            config_version: show_version(self.version),
+            upsert_items: jzon::object! { route_list: self.route_rows(&routes) },
+        };
+        patch.dump()
+    }
+}
+
+/// What an operator wants changed.
+#[derive(Clone, Debug)]
+pub enum Wish {
+    First,
+    Shift { route: String, service: String, patch: bool },
+    Split { route: String, services: Vec<String> },
+    Revoke { tenant: String },
+    Rekey { tenant: String },
+    Rate { tenant: String, rate: u32 },
+    Homes { route: String, regions: Vec<String> },
+    AddRoute { route: String, service: String },
+    Invalid,
+    Evacuate { zone: String, on: bool },
+}
+
+pub struct Order {
+    request: Rc<calls::Request>,
+    pub plan: Option<Plan>,
+    /// Its place among the record's changes, or evacuations.
+    change: Option<usize>,
+    evacuation: Option<usize>,
+    tries: u32,
+    pub done: bool,
+    /// Not sent again after this.
+    until: Micros,
+}
+
+// ---- servers ----
+
+pub struct Place {
+    pub addr: SocketAddr,
+    pub zone: usize,
+    pub service: String,
+    pub name: String,
+    pub server: Option<Server>,
+    pub lives: u32,
+}
+
+pub struct Server {
+    pub id: String,
+    pub life: u64,
+    pub service: String,
+    slots: usize,
+    queue: VecDeque<(ConnId, Rc<Work>, usize)>,
+    /// Under work: the connection, the work, and the try's arrival.
+    work: BTreeMap<u64, (ConnId, Rc<Work>)>,
+    works: u64,
+    sequence: u64,
+    ask: usize,
+    pub draining: bool,
+    leaving: bool,
+    beat_out: bool,
+    cold_until: Micros,
+    /// Answers lost until then.
+    pub loses_until: Micros,
+    pub slow_until: Micros,
+}
+
+pub enum CallFor {
+    Beat { place: usize, life: u64, draining: bool },
+    Leave { place: usize, life: u64 },
+    Order(usize),
+    ReadBack,
+    Resolve(usize),
+}
+
+// ---- clients ----
+
+pub struct Client {
+    pub zone: usize,
+    pub tenant: usize,
+    pub key: String,
+    addresses: Vec<SocketAddr>,
+    fresh_until: Micros,
+    asking: Option<Vec<usize>>,
+    shunned: BTreeMap<SocketAddr, Micros>,
+    waiting: Vec<u64>,
+    /// Keeps an answer three times as long as it is told.
+    lazy: bool,
+}
+
+/// A request as its client sees it, over all its tries.
+pub struct Wanted {
+    client: usize,
+    route: usize,
+    until: Micros,
+    tries: u32,
+    host: String,
+    path: String,
+    once: bool,
+    over: bool,
+}
+
+const MOST_TRIES: u32 = 4;
+
+impl World {
+    // ---- calls on the system ----
+
+    fn call(&mut self, from: Owner, core: usize, request: Rc<calls::Request>, why: CallFor) {
+        let conn = self.dial(Kind::Call, from, Owner::Registry(core));
+        self.calls.insert(conn, (request, why));
+        self.at(self.now + SECOND, Ev::CallTimeout(conn));
+    }
+
+    pub fn call_timeout(&mut self, conn: ConnId) {
+        if let Some((_, why)) = self.calls.remove(&conn) {
+            if let Some(from) = self.net.conns.get(&conn).map(|c| c.ends[0].owner) {
+                self.close(conn, from);
+            }
+            self.called(why, None, conn);
+        }
+    }
+
+    pub fn outside_told(&mut self, owner: Owner, conn: ConnId, event: Event) {
+        if self.calls.contains_key(&conn) {
+            match event {
+                Event::Up => {
+                    let request = self.calls[&conn].0.clone();
+                    self.note(format!("{owner:?} calls {} {}", request.method, request.target));
+                    self.send(conn, owner, Body::Call(request));
+                    if let (_, CallFor::Order(_)) = self.calls[&conn] {
+                        self.fire("sent");
+                    }
+                }
+                Event::Got(Body::Called(answer)) => {
+                    let (_, why) = self.calls.remove(&conn).expect("there");
+                    let by = self.net.conns.get(&conn).map(|c| c.ends[1].owner);
+                    if answer.status >= 300 {
+                        self.note(format!("{by:?} answers {owner:?}: {} {}", answer.status, answer.body));
+                    }
+                    self.close(conn, owner);
+                    let by = by.map_or(0, |o| self.host_of(o));
+                    self.answered_by = by;
+                    self.called(why, Some(answer), conn);
+                }
+                Event::Down => {
+                    let (_, why) = self.calls.remove(&conn).expect("there");
+                    self.called(why, None, conn);
+                }
+                _ => {}
+            }
+            return;
+        }
+        match owner {
+            Owner::Server(n) => self.server_told(n, conn, event),
+            Owner::Clients(_) => self.client_told(conn, event),
+            _ => {}
+        }
+    }
+
+    fn called(&mut self, why: CallFor, answer: Option<Rc<calls::Answer>>, _: ConnId) {
+        let status = answer.as_ref().map_or(0, |a| a.status);
+        match why {
+            CallFor::Beat { place, life, draining } => {
+                let again = self.scenario.servers[0].1 > 0;
+                let Some(s) = self.server(place, life) else { return };
+                s.beat_out = false;
+                if (200..300).contains(&status) {
+                    if draining && s.draining {
+                        let id = s.id.clone();
+                        let by = self.answered_by;
+                        if !self.record.leaves.iter().any(|l| l.server == id) {
+                            self.record.leaves.push(record::Leave { server: id, at: self.now, by });
+                            self.fire("drain");
+                            let serve = self.record.bounds.drain_limit + 500 * MS;
+                            self.at(self.now + serve, Ev::Leave(place, life));
+                        }
+                    }
+                } else if again {
+                    s.ask += 1;
+                    let pause = if s.ask % 3 == 0 { 300 * MS } else { 1 };
+                    self.at(self.now + pause, Ev::Beat(place, life, false));
+                }
+            }
+            CallFor::Leave { place, life } => {
+                let by = self.answered_by;
+                let Some(s) = self.server(place, life) else { return };
+                if (200..300).contains(&status) {
+                    let id = s.id.clone();
+                    if !self.record.leaves.iter().any(|l| l.server == id) {
+                        self.record.leaves.push(record::Leave { server: id, at: self.now, by });
+                    }
+                    self.at(self.now + 200 * MS, Ev::Quit(place, life));
+                } else {
+                    s.ask += 1;
+                    self.at(self.now + 300 * MS, Ev::Leave(place, life));
+                }
+            }
+            CallFor::Order(number) => self.ordered(number, answer.as_deref()),
+            CallFor::ReadBack => {
+                if status == 200 {
+                    let body = &answer.expect("there").body;
+                    let config = Config::read(body.as_bytes()).ok().map(Rc::new);
+                    self.record.read_back.push(ReadBack { at: self.now, config });
+                } else if status == 404 {
+                    self.record.read_back.push(ReadBack { at: self.now, config: None });
+                }
+                self.at(self.now + 500 * MS, Ev::ReadBack);
+            }
+            CallFor::Resolve(client) => self.resolved(client, answer.as_deref()),
+        }
+    }
+
+    // ---- servers ----
+
+    fn server(&mut self, place: usize, life: u64) -> Option<&mut Server> {
+        self.places[place].server.as_mut().filter(|s| s.life == life)
+    }
+
+    /// A server starts at this place; `cold`: during traffic.
+    pub fn server_starts(&mut self, place: usize, service: Option<String>, cold: bool) {
+        let host = self.host_of(Owner::Server(place));
+        self.hosts[host].power = true;
+        if self.places[place].server.is_some() {
+            return;
+        }
+        let life = self.draw_life();
+        let first = self.rng.usize(0..self.record.cores);
+        let (now, period) = (self.now, (self.plan_cold().0 * 1e6) as Micros);
+        let p = &mut self.places[place];
+        p.lives += 1;
+        if let Some(service) = service {
+            p.service = service;
+        }
+        let id = format!("{}-{}", p.name, p.lives);
+        let service = p.service.clone();
+        let cold_until = if cold { now + period } else { 0 };
+        p.server = Some(Server {
+            id: id.clone(),
+            life,
+            service,
+            slots: 3,
+            queue: VecDeque::new(),
+            work: BTreeMap::new(),
+            works: 0,
+            sequence: 0,
+            ask: first,
+            draining: false,
+            leaving: false,
+            beat_out: false,
+            cold_until,
+            loses_until: 0,
+            slow_until: 0,
+        });
+        if cold {
+            let rate = self.plan_cold().1;
+            self.record.colds.push(record::Cold { server: id, from: now, until: cold_until, rate });
+        }
+        let spread = self.rng.u64(0..200 * MS);
+        self.at(now + spread, Ev::Beat(place, life, true));
+    }
+
+    pub fn chill(&mut self, place: usize) {
+        let (now, (period, rate)) = (self.now, self.plan_cold());
+        let until = now + (period * 1e6) as Micros;
+        if let Some(s) = &mut self.places[place].server {
+            s.cold_until = until;
+            let server = s.id.clone();
+            self.record.colds.push(record::Cold { server, from: now, until, rate });
+        }
+    }
+
+    pub fn server_ends(&mut self, place: usize, dark: bool) {
+        if self.places[place].server.is_some() {
+            self.note(format!("server {} ends", self.places[place].name));
+        }
+        self.places[place].server = None;
+        if dark {
+            let host = self.host_of(Owner::Server(place));
+            self.hosts[host].power = false;
+        }
+        self.drop_ends(Owner::Server(place), dark);
+    }
+
+    pub fn beat(&mut self, place: usize, life: u64, periodic: bool) {
+        let zone = self.zones[self.places[place].zone].0.clone();
+        let (now, cores, addr) = (self.now, self.record.cores, self.places[place].addr);
+        let Some(s) = self.server(place, life) else { return };
+        let busy = std::mem::replace(&mut s.beat_out, true);
+        if !busy {
+            s.sequence += 1;
+            let left = s.cold_until.saturating_sub(now) as f64 / 1e3;
+            let state = if s.draining { "draining" } else { "available" };
+            let body = jzon::object! {
+                server_address: addr.to_string(),
+                information: jzon::object! {
+                    service_ref: s.service.as_str(), config_version: "v1", zone_name: zone, slot_count: s.slots
+                },
+                status_report: jzon::object! {
+                    server_state: state, call_sequence: s.sequence, cold_left_ms: left
+                },
+            };
+            let target = format!("/api/instances/{}", s.id);
+            let body = body.dump().into_bytes();
+            let request = calls::Request { method: "PUT".into(), target, if_match: None, body };
+            let (core, draining) = (s.ask % cores, s.draining);
+            self.call(Owner::Server(place), core, Rc::new(request), CallFor::Beat { place, life, draining });
+        }
+        if periodic {
+            let next = BEAT - BEAT / 20 + self.rng.u64(0..BEAT / 10);
+            self.at(now + next, Ev::Beat(place, life, true));
+        }
+    }
+
+    /// Draining begins: told at once.
+    pub fn drain(&mut self, place: usize) {
+        let now = self.now;
+        let Some(s) = &mut self.places[place].server else { return };
+        s.draining = true;
+        s.beat_out = false;
+        let life = s.life;
+        self.at(now, Ev::Beat(place, life, false));
+        // Without an acknowledgement it still ends.
+        self.at(now + 12 * SECOND, Ev::Leave(place, life));
+        self.at(now + 18 * SECOND, Ev::Quit(place, life));
+    }
+
+    pub fn leave(&mut self, place: usize, life: u64) {
+        let cores = self.record.cores;
+        let Some(s) = self.server(place, life) else { return };
+        if std::mem::replace(&mut s.leaving, true) && s.beat_out {
+            return;
+        }
+        let core = s.ask % cores;
+        let target = format!("/api/instances/{}", s.id);
+        let request = calls::Request { method: "DELETE".into(), target, if_match: None, body: Vec::new() };
+        self.call(Owner::Server(place), core, Rc::new(request), CallFor::Leave { place, life });
+    }
+
+    fn server_told(&mut self, place: usize, conn: ConnId, event: Event) {
+        let now = self.now;
+        match event {
+            Event::Got(Body::Work(work)) => self.work_came(place, conn, work),
+            Event::Down => {
+                if let Some(s) = &mut self.places[place].server {
+                    s.queue.retain(|(c, ..)| *c != conn);
+                    let before = s.work.len();
+                    s.work.retain(|_, (c, _)| *c != conn);
+                    if s.work.len() < before {
+                        self.next_work(place);
+                    }
+                }
+                let _ = now;
+            }
+            _ => {}
+        }
+    }
+
+    fn work_came(&mut self, place: usize, conn: ConnId, work: Rc<Work>) {
+        let (zone, region) = self.zones[self.places[place].zone].clone();
+        let now = self.now;
+        let head = String::from_utf8_lossy(&work.head).into_owned();
+        let tenant = head.lines().find_map(|l| l.strip_prefix("X-Tenant-Name: ")).map(str::to_string);
+        let Some(s) = &mut self.places[place].server else { return };
+        let mut arrival = Arrival {
+            sent: work.sent,
+            at: now,
+            edge: work.edge,
+            life: work.life,
+            server: s.id.clone(),
+            service: s.service.clone(),
+            zone,
+            region,
+            tenant,
+            turned_away: None,
+            ran: None,
+            broke: false,
+        };
+        let status = match () {
+            _ if work.instance != s.id => Some(421),
+            _ if s.work.len() >= s.slots && s.queue.len() >= 3 => Some(503),
+            _ => None,
+        };
+        arrival.turned_away = status;
+        let arrivals = &mut self.record.tries[work.name as usize].arrivals;
+        arrivals.push(arrival);
+        let at = arrivals.len() - 1;
+        match status {
+            Some(status) => {
+                let worked = Worked { status, not_run: true, seal: None };
+                self.send(conn, Owner::Server(place), Body::Worked(Rc::new(worked)));
+            }
+            None => {
+                s.queue.push_back((conn, work, at));
+                self.next_work(place);
+            }
+        }
+    }
+
+    fn next_work(&mut self, place: usize) {
+        let (now, base) = (self.now, self.scenario.work);
+        loop {
+            let factor = 0.5 + self.rng.f64();
+            let Some(s) = &mut self.places[place].server else { return };
+            if s.work.len() >= s.slots {
+                return;
+            }
+            let Some((conn, work, at)) = s.queue.pop_front() else { return };
+            let arrival = &mut self.record.tries[work.name as usize].arrivals[at];
+            if work.until <= now {
+                arrival.turned_away = Some(503);
+                let worked = Worked { status: 503, not_run: true, seal: None };
+                self.send(conn, Owner::Server(place), Body::Worked(Rc::new(worked)));
+                continue;
+            }
+            arrival.ran = Some(now);
+            s.works += 1;
+            let number = s.works;
+            let slow = if now < s.cold_until || now < s.slow_until { 3.0 } else { 1.0 };
+            let took = (base as f64 * factor * slow) as Micros;
+            let life = s.life;
+            s.work.insert(number, (conn, work));
+            self.at(now + took, Ev::Worked(place, life, number));
+        }
+    }
+
+    pub fn worked(&mut self, place: usize, life: u64, number: u64) {
+        let now = self.now;
+        let Some(s) = self.server(place, life) else { return };
+        let Some((conn, work)) = s.work.remove(&number) else { return };
+        if now < s.loses_until {
+            // It ran, and its answer is lost.
+            let tried = &mut self.record.tries[work.name as usize];
+            if let Some(a) = tried.arrivals.iter_mut().rev().find(|a| a.ran.is_some()) {
+                a.broke = true;
+            }
+            self.close(conn, Owner::Server(place));
+        } else {
+            let (status, seal) = if now <= work.until { (200, Some(work.name)) } else { (504, None) };
+            let worked = Worked { status, not_run: false, seal };
+            self.send(conn, Owner::Server(place), Body::Worked(Rc::new(worked)));
+        }
+        self.next_work(place);
+    }
+
+    // ---- clients ----
+
+    pub fn client_arrives(&mut self) {
+        let rate = self.scenario.rate * if self.now < self.hot.1 { 1.0 + self.hot.2 } else { 1.0 };
+        let gap = (-(1.0 - self.rng.f64()).ln() / rate * 1e6) as Micros;
+        if self.now + gap < self.traffic_ends {
+            self.at(self.now + gap.max(1), Ev::Arrive);
+        }
+        let mut client = self.rng.usize(0..self.clients.len());
+        if self.now < self.hot.1 && self.rng.f64() < self.hot.2 / (1.0 + self.hot.2) {
+            let tenant = self.hot.0;
+            let of: Vec<usize> =
+                (0..self.clients.len()).filter(|c| self.clients[*c].tenant == tenant).collect();
+            client = of[self.rng.usize(0..of.len())];
+        }
+        let route = self.rng.usize(0..self.plan.routes.len());
+        let r = &self.plan.routes[route];
+        let (path, once) = (format!("/{}/{}", r.name, self.record.requests.len()), r.kind == "unsafe");
+        let number = self.record.requests.len() as u64;
+        self.record.requests.push(Request { sent: self.now, served: None, unowed: false });
+        let until = self.now + DEADLINE;
+        let host = HOST.to_string();
+        self.wanted.push(Wanted { client, route, until, tries: 0, host, path, once, over: false });
+        self.at(until, Ev::Deadline(number));
+        self.try_request(number);
+    }
+
+    pub fn try_request(&mut self, number: u64) {
+        let now = self.now;
+        let w = &self.wanted[number as usize];
+        if w.over || now >= w.until {
+            return;
+        }
+        let client = w.client;
+        if now >= self.clients[client].fresh_until {
+            self.ask_directory(client);
+        }
+        let c = &mut self.clients[client];
+        if c.addresses.is_empty() {
+            c.waiting.push(number);
+            return;
+        }
+        c.shunned.retain(|_, until| *until > now);
+        let open: Vec<SocketAddr> =
+            c.addresses.iter().filter(|a| !c.shunned.contains_key(a)).copied().collect();
+        let from = if open.is_empty() { &c.addresses } else { &open };
+        let address = from[self.rng.usize(0..from.len())];
+        let (zone, key) = (c.zone, c.key.clone());
+        let edge = self.proxy_at(address);
+        let w = &mut self.wanted[number as usize];
+        w.tries += 1;
+        let attempt = self.record.tries.len() as u64;
+        self.record.tries.push(Try {
+            request: number,
+            edge: self.record.cores + edge,
+            life: 0,
+            sent: now,
+            until: w.until,
+            host: w.host.clone(),
+            path: w.path.clone(),
+            key: Some(key),
+            once: w.once,
+            ..Try::default()
+        });
+        let conn = self.dial(Kind::Request, Owner::Clients(zone), Owner::Proxy(edge));
+        self.out.insert(conn, (attempt, address));
+    }
+
+    fn client_told(&mut self, conn: ConnId, event: Event) {
+        let Some((attempt, address)) = self.out.get(&conn).copied() else { return };
+        let request = self.record.tries[attempt as usize].request;
+        let client = self.wanted[request as usize].client;
+        let owner = Owner::Clients(self.clients[client].zone);
+        match event {
+            Event::Up => {
+                let life = self.net.conns.get(&conn).map_or(0, |c| c.ends[1].life);
+                let t = &mut self.record.tries[attempt as usize];
+                (t.life, t.sent) = (life, self.now);
+                self.send(conn, owner, Body::Ask(attempt));
+            }
+            Event::Got(Body::Answer(answer)) => {
+                self.out.remove(&conn);
+                self.close(conn, owner);
+                let text = String::from_utf8_lossy(&answer.headers).into_owned();
+                let field = |name: &str| text.lines().find_map(|l| l.strip_prefix(name)).map(str::to_string);
+                let seal = field("X-Server-Seal: ").and_then(|s| s.parse().ok());
+                let wait = field("Retry-After: ").and_then(|s| s.parse::<f64>().ok());
+                let (status, now) = (answer.status, self.now);
+                self.record.tries[attempt as usize].answer = Some(record::Answer { at: now, status, seal });
+                let w = &mut self.wanted[request as usize];
+                if (200..300).contains(&status) {
+                    w.over = true;
+                    self.record.requests[request as usize].served = Some(now);
+                    return;
+                }
+                if matches!(status, 400 | 401 | 404 | 413 | 431) {
+                    w.over = true;
+                    // Nothing is owed for what no configuration allows.
+                    self.record.requests[request as usize].unowed |= self.revoked(client, request);
+                    return;
+                }
+                self.record.requests[request as usize].unowed |= status == 429;
+                let promise = matches!(status, 408 | 421 | 429 | 503);
+                let left = self.wanted[request as usize].until.saturating_sub(now);
+                let wait = wait.map_or(0, |s| ((s * 1e6) as Micros).min(left / 3));
+                self.again(request, promise, wait.max(20 * MS));
+            }
+            Event::Down => {
+                self.out.remove(&conn);
+                let now = self.now;
+                let up = self.net.conns.get(&conn).is_some_and(|c| c.up);
+                let t = &mut self.record.tries[attempt as usize];
+                if up {
+                    t.broken = Some(now);
+                }
+                let unread = t.read.is_none() && !up;
+                self.clients[client].shunned.insert(address, now + 3 * SECOND);
+                self.again(request, unread, 50 * MS);
+            }
+            _ => {}
+        }
+    }
+
+    fn again(&mut self, request: u64, not_run: bool, wait: Micros) {
+        let w = &mut self.wanted[request as usize];
+        if w.tries >= MOST_TRIES || (w.once && !not_run) {
+            w.over = true;
+            return;
+        }
+        let more = self.rng.u64(0..20 * MS);
+        self.at(self.now + wait + more, Ev::Try(request));
+    }
+
+    pub fn deadline(&mut self, request: u64) {
+        let w = &mut self.wanted[request as usize];
+        w.over = true;
+        let owner = Owner::Clients(self.clients[w.client].zone);
+        let of = |t: &u64| self.record.tries[*t as usize].request == request;
+        let conns: Vec<ConnId> = self.out.iter().filter(|(_, (t, _))| of(t)).map(|(c, _)| *c).collect();
+        for conn in conns {
+            self.out.remove(&conn);
+            self.close(conn, owner);
+        }
+    }
+
+    /// The proxy itself has ended while this try had no answer.
+    pub fn cut_off(&mut self, attempt: u64) {
+        let now = self.now;
+        self.record.tries[attempt as usize].broken.get_or_insert(now);
+    }
+
+    fn revoked(&self, client: usize, request: u64) -> bool {
+        let c = &self.clients[client];
+        let r = &self.plan.routes[self.wanted[request as usize].route];
+        !self.plan.tenants.iter().any(|t| t.keys.contains(&c.key)) || r.to.is_empty()
+    }
+
+    fn ask_directory(&mut self, client: usize) {
+        let cores = self.record.cores;
+        let c = &mut self.clients[client];
+        if c.asking.is_some() {
+            return;
+        }
+        let zone = c.zone;
+        let mut order: Vec<usize> = (0..cores).collect();
+        self.rng.shuffle(&mut order);
+        order.sort_by_key(|n| self.hosts[*n].zone != zone);
+        order.truncate(3);
+        order.reverse();
+        self.clients[client].asking = Some(order);
+        self.ask_next(client);
+    }
+
+    fn ask_next(&mut self, client: usize) {
+        let (zone, region) = self.zones[self.clients[client].zone].clone();
+        let c = &mut self.clients[client];
+        let Some(core) = c.asking.as_mut().and_then(Vec::pop) else {
+            c.asking = None;
+            c.fresh_until = self.now + 500 * MS;
+            let waiting = std::mem::take(&mut c.waiting);
+            for number in waiting {
+                self.at(self.now + 500 * MS, Ev::Try(number));
+            }
+            return;
+        };
+        let from = Owner::Clients(c.zone);
+        let target = format!("/api/resolution?entity_name={HOST}&region_name={region}&zone_name={zone}");
+        let request = calls::Request { method: "GET".into(), target, if_match: None, body: Vec::new() };
+        self.call(from, core, Rc::new(request), CallFor::Resolve(client));
+    }
+
+    fn resolved(&mut self, client: usize, answer: Option<&calls::Answer>) {
+        let found = answer.filter(|a| a.status == 200).and_then(|a| jzon::parse(&a.body).ok());
+        let Some(found) = found else { return self.ask_next(client) };
+        let list = found["address_list"].as_array().into_iter().flatten();
+        let addresses: Vec<SocketAddr> = list.filter_map(|v| v.as_str()?.parse().ok()).collect();
+        let valid = found["validity_s"].as_f64().unwrap_or(0.0).min(self.record.bounds.ttl_s);
+        let now = self.now;
+        let c = &mut self.clients[client];
+        c.asking = None;
+        c.addresses = addresses;
+        let keeps = if c.lazy { 3.0 } else { 1.0 };
+        c.fresh_until = now + (valid * keeps * 1e6) as Micros;
+        for number in std::mem::take(&mut c.waiting) {
+            self.try_request(number);
+        }
+    }
+
+    pub fn clients_come(&mut self) {
+        let n = self.scenario.clients;
+        for i in 0..n {
+            let tenant = i % self.plan.tenants.len();
+            let key = self.plan.tenants[tenant].keys[0].clone();
+            let zone = (i / self.plan.tenants.len()) % self.zones.len();
+            self.clients.push(Client {
+                zone,
+                tenant,
+                key,
+                addresses: Vec::new(),
+                fresh_until: 0,
+                asking: None,
+                shunned: BTreeMap::new(),
+                waiting: Vec::new(),
+                lazy: i % 5 == 4,
+            });
+        }
+    }
+
+    // ---- the operator ----
+
+    /// Plans and sends a change; `rival`: on the version that is known, whatever else is under way.
+    pub fn wish(&mut self, wish: Wish, rival: bool) {
+        if !rival && self.orders.iter().any(|o| !o.done) {
+            self.wishes.push_back(wish);
+            return;
+        }
+        if let Wish::Evacuate { zone, on } = &wish {
+            let method = if *on { "POST" } else { "DELETE" };
+            let target = format!("/api/evacuation/{zone}");
+            let request = calls::Request { method: method.into(), target, if_match: None, body: Vec::new() };
+            let (sent, zone, on) = (self.now, zone.clone(), *on);
+            self.record.evacuations.push(record::Evacuation { sent, zone, on, fate: Fate::Open });
+            let evacuation = Some(self.record.evacuations.len() - 1);
+            let until = self.now + self.record.bounds.ack_limit;
+            return self.order(Order {
+                request: Rc::new(request),
+                plan: None,
+                change: None,
+                evacuation,
+                tries: 0,
+                done: false,
+                until,
+            });
+        }
+        let (base, rival) = (self.plan.version, u32::from(rival));
+        let mut plan = self.plan.clone();
+        plan.version += 1 + rival + self.rng.u32(0..3) * 2;
+        let (mut patch, mut invalid) = (None, false);
+        let tenant = |plan: &mut Plan, name: &str| plan.tenants.iter().position(|t| t.name == name);
+        match wish {
+            Wish::First => {}
+            Wish::Shift { route, service, patch: part } => {
+                if let Some(r) = plan.routes.iter_mut().find(|r| r.name == route) {
+                    r.to = vec![(service, 1)];
+                }
+                patch = part.then_some(route);
+            }
+            Wish::Split { route, services } => {
+                if let Some(r) = plan.routes.iter_mut().find(|r| r.name == route) {
+                    r.to = services.into_iter().map(|s| (s, 1)).collect();
+                }
+                patch = Some(route);
+            }
+            Wish::Revoke { tenant: name } => {
+                if let Some(at) = tenant(&mut plan, &name) {
+                    plan.tenants[at].keys.remove(0);
+                }
+            }
+            Wish::Rekey { tenant: name } => {
+                if let Some(at) = tenant(&mut plan, &name) {
+                    let key = format!("key-{name}-v{}", plan.version);
+                    plan.tenants[at].keys.push(key);
+                }
+            }
+            Wish::Rate { tenant: name, rate } => {
+                if let Some(at) = tenant(&mut plan, &name) {
+                    plan.tenants[at].rate = rate;
+                }
+            }
+            Wish::Homes { route, regions } => {
+                if let Some(r) = plan.routes.iter_mut().find(|r| r.name == route) {
+                    r.homes = regions;
+                }
+            }
+            Wish::AddRoute { route, service } => {
+                let to = vec![(service, 1)];
+                plan.routes.push(RoutePlan { name: route, kind: "safe", to, homes: Vec::new() });
+            }
+            Wish::Invalid => {
+                invalid = true;
+                plan.routes[0].to = vec![("no-such-service".into(), 1)];
+            }
+            Wish::Evacuate { .. } => {}
+        }
+        let config = match invalid {
+            true => Config::read(self.plan.whole().as_bytes()),
+            false => Config::read(plan.whole().as_bytes()),
+        };
+        let config = Rc::new(config.expect("a plan makes a proper configuration"));
+        let (method, body) = match &patch {
+            Some(route) if base > 0 => ("PATCH", plan.patch(route)),
+            _ => ("PUT", plan.whole()),
+        };
+        let if_match = Some(if base == 0 { "0".to_string() } else { show_version(base) });
+        let target = "/api/configuration".into();
+        let request = calls::Request { method: method.into(), target, if_match, body: body.into_bytes() };
+        let (sent, version) = (self.now, plan.version);
+        self.record.changes.push(record::Change { sent, version, base, config, invalid, fate: Fate::Open });
+        let change = Some(self.record.changes.len() - 1);
+        self.order(Order {
+            request: Rc::new(request),
+            plan: (!invalid).then_some(plan),
+            change,
+            evacuation: None,
+            tries: 0,
+            done: false,
+            until: Micros::MAX,
+        });
+    }
+
+    fn order(&mut self, order: Order) {
+        self.orders.push(order);
+        self.send_order(self.orders.len() - 1);
+    }
+
+    pub fn send_order(&mut self, number: usize) {
+        let cores = self.record.cores;
+        let core = self.rng.usize(0..cores);
+        let now = self.now;
+        let o = &mut self.orders[number];
+        o.tries += 1;
+        let request = o.request.clone();
+        if now > o.until {
+            o.done = true;
+            return self.next_wish();
+        }
+        self.call(Owner::Operator, core, request, CallFor::Order(number));
+    }
+
+    fn ordered(&mut self, number: usize, answer: Option<&calls::Answer>) {
+        let now = self.now;
+        let status = answer.map_or(0, |a| a.status);
+        let o = &mut self.orders[number];
+        let ends = matches!(status, 400 | 409 | 412 | 413 | 422);
+        if !(200..300).contains(&status) && !ends {
+            let pause = (50 * MS) << o.tries.min(4);
+            return self.at(now + pause, Ev::Order(number));
+        }
+        o.done = true;
+        let (plan, change, evacuation) = (o.plan.clone(), o.change, o.evacuation);
+        let fate = if ends { Fate::Refused(now) } else { Fate::Acknowledged(now) };
+        self.note(format!("order {number}: {fate:?} {}", answer.map_or("", |a| a.body.as_str())));
+        if let Some(at) = change {
+            self.record.changes[at].fate = fate;
+            if !ends && let Some(plan) = plan {
+                self.plan = plan;
+            }
+        }
+        if let Some(at) = evacuation {
+            self.record.evacuations[at].fate = fate;
+        }
+        if !ends {
+            self.fire("order");
+        }
+        self.next_wish();
+    }
+
+    fn next_wish(&mut self) {
+        if let Some(wish) = self.wishes.pop_front() {
+            self.wish(wish, false);
+        }
+    }
+
+    pub fn read_back(&mut self) {
+        let core = self.rng.usize(0..self.record.cores);
+        let target = "/api/configuration".into();
+        let request = calls::Request { method: "GET".into(), target, if_match: None, body: Vec::new() };
+        self.call(Owner::Operator, core, Rc::new(request), CallFor::ReadBack);
+    }
+
+    /// Proxies that the directory may name are at these addresses.
+    fn proxy_at(&self, address: SocketAddr) -> usize {
+        (0..self.proxies.len())
+            .find(|n| SocketAddr::from((self.hosts[self.record.cores + n].ip, 8686)) == address)
+            .expect("the directory names proxies")
+    }
+
+    pub fn server_at(&self, address: SocketAddr) -> Option<usize> {
+        self.places.iter().position(|p| p.addr == address)
+    }
+
+    pub fn plan_cold(&self) -> (f64, f64) {
+        self.plan.cold
+    }
+
+    pub fn names_of_services(&self) -> BTreeSet<String> {
+        self.plan.services.iter().cloned().collect()
+    }
+}
--- /dev/null
+++ b/crates/dryfit/src/process.rs
@@ -0,0 +1,732 @@
+//! The three programs as their shells run them: what `main.rs` of each does between its machine and the world is done
+//! here between the machine and the simulated world.
+
+use crate::net::{Body, ConnId, Event, Kind, Owner, Work};
+use crate::world::{Ev, World};
+use crate::{MS, Micros};
+use pegboard::board::{self, Board, Terms};
+use planchest::chest::{self, Chest, Peer};
+use rack::state::Node;
+use rack::talk::{Down, FromStore, Gossip, ToStore, Up};
+use ratchet::{Saved, Write};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use shuttle::book::Place;
+use shuttle::feed::{self, Feed};
+use shuttle::front::{self, Ask, End, Front, Reached, Served};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use tongs::limits::Held;
+
+/// As the shells have them.
+const HAND_OVER: Micros = 400 * MS;
+const PARTING: Micros = 700 * MS;
+const STILL_COMING: Micros = 1_500 * MS;
+const SPARE: Micros = 500 * MS;
+const LOOK: Micros = 50 * MS;
+const AGAIN: Micros = 200 * MS;
+
+pub const BEAT: Micros = 1_500 * MS;
+
+#[derive(Default)]
+struct Tie {
+    conn: Option<ConnId>,
+    up: bool,
+    again_at: Micros,
+}
+
+impl Tie {
+    fn rose(&mut self, conn: ConnId) -> bool {
+        let mine = self.conn == Some(conn);
+        self.up |= mine;
+        mine
+    }
+
+    fn fell(&mut self, now: Micros, conn: ConnId) -> bool {
+        let mine = self.conn == Some(conn);
+        if mine {
+            (self.conn, self.up, self.again_at) = (None, false, now + AGAIN);
+        }
+        mine
+    }
+
+    fn wake_at(&self) -> Micros {
+        if self.conn.is_some() { Micros::MAX } else { self.again_at }
+    }
+}
+
+pub struct Process<M> {
+    pub life: u64,
+    pub started: Micros,
+    /// When it is to be woken, as far as that is on the calendar.
+    wake: Micros,
+    ends_at: Option<Micros>,
+    pub machine: M,
+}
+
+impl<M> Process<M> {
+    fn new(life: u64, started: Micros, machine: M) -> Process<M> {
+        Process { life, started, wake: Micros::MAX, ends_at: None, machine }
+    }
+
+    fn clock(&self, now: Micros) -> Micros {
+        now - self.started
+    }
+}
+
+pub struct Store {
+    pub chest: Chest,
+    fellows: BTreeMap<Ipv4Addr, Tie>,
+    taken: BTreeMap<ConnId, Option<Ipv4Addr>>,
+    locals: BTreeSet<ConnId>,
+    writes: VecDeque<Write>,
+}
+
+/// What is on a core machine's disk.
+#[derive(Default)]
+pub struct Disk {
+    pub saved: Option<(u64, Saved)>,
+    /// On its way to the disk.
+    under_way: Option<Write>,
+    pub slow: Micros,
+}
+
+pub struct Registry {
+    board: Board,
+    store: Tie,
+    peers: BTreeMap<Ipv4Addr, Tie>,
+    calls: BTreeSet<ConnId>,
+}
+
+pub struct Proxy {
+    pub front: Front,
+    feed: Feed,
+    line: Option<ConnId>,
+    peers: BTreeMap<u64, SocketAddr>,
+    /// Requests that wait for their answer, by their connection; the try that each is.
+    open: BTreeMap<u64, u64>,
+    /// Attempts under way: what they carry, and whether it was sent.
+    work: BTreeMap<ConnId, Carried>,
+    idle: BTreeMap<u64, Vec<ConnId>>,
+    asked_at: Option<Micros>,
+}
+
+struct Carried {
+    id: u64,
+    attempt: u32,
+    server: u64,
+    work: Rc<Work>,
+    sent: bool,
+}
+
+fn frame<T: Serialize>(message: &T) -> Body {
+    Body::Frame(Rc::new(postcard::to_stdvec(message).expect("plain data")))
+}
+
+fn read<T: DeserializeOwned>(body: &Body) -> Option<T> {
+    let Body::Frame(bytes) = body else { return None };
+    Some(postcard::from_bytes(bytes).expect("a frame as it was written"))
+}
+
+impl World {
+    /// Sees to it that a process is woken when it wants to be.
+    fn wake<M>(&mut self, owner: Owner, p: &mut Process<M>, at: Micros) {
+        if at == Micros::MAX {
+            return;
+        }
+        // A timer fires a little late.
+        let at = (p.started + at).max(self.now) + 60;
+        if at < p.wake || p.wake <= self.now {
+            p.wake = at;
+            self.at(at, Ev::Wake(owner, p.life));
+        }
+    }
+
+    pub fn woken(&mut self, owner: Owner, life: u64) {
+        if self.life(owner) != Some(life) {
+            return;
+        }
+        match owner {
+            Owner::Store(n) => {
+                let due = self.stores[n].as_ref().is_some_and(|p| p.wake <= self.now);
+                if due {
+                    self.store(n, Some(chest::Input::Tick));
+                }
+            }
+            Owner::Registry(n) => {
+                let due = self.registries[n].as_ref().is_some_and(|p| p.wake <= self.now);
+                if due {
+                    self.registry(n, Some(board::Input::Tick));
+                }
+            }
+            Owner::Proxy(n) => {
+                let due = self.proxies[n].as_ref().is_some_and(|p| p.wake <= self.now);
+                if due {
+                    self.front(n, Some(front::Input::Tick));
+                    self.feed(n, Some(feed::Input::Tick));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    pub fn start(&mut self, owner: Owner) {
+        let host = self.host_of(owner);
+        if !self.hosts[host].power || self.life(owner).is_some() {
+            return;
+        }
+        let life = self.draw_life();
+        let ip = self.hosts[host].ip;
+        let zone = self.zones[self.hosts[host].zone].clone();
+        let (seeds, now) = (self.core_ips(), self.now);
+        let zones: BTreeMap<String, String> = self.zones.iter().cloned().collect();
+        self.note(format!("{owner:?} starts, life {life}"));
+        match owner {
+            Owner::Store(n) => {
+                let founders = seeds.clone();
+                let initial = !std::mem::replace(&mut self.hosts[host].begun, true);
+                let saved = self.disks[n].saved.get_or_insert_with(|| match initial {
+                    true => (0, Saved::founding(founders)),
+                    false => (life, Saved::blank()),
+                });
+                let (disk, saved) = saved.clone();
+                let chest = Chest::new(ip, disk, saved, seeds, life, 0).expect("a state as it was written");
+                let (fellows, taken) = Default::default();
+                let (locals, writes) = Default::default();
+                let store = Store { chest, fellows, taken, locals, writes };
+                self.stores[n] = Some(Process::new(life, now, store));
+                self.store(n, None);
+            }
+            Owner::Registry(n) => {
+                let terms = Terms {
+                    me: ip,
+                    zone: zone.0,
+                    zones,
+                    beat_us: BEAT,
+                    ttl_s: self.record.bounds.ttl_s,
+                    sync_us: self.record.bounds.sync,
+                };
+                let board = Board::new(terms, 0);
+                let (store, peers, calls) = Default::default();
+                self.registries[n] = Some(Process::new(life, now, Registry { board, store, peers, calls }));
+                self.registry(n, None);
+            }
+            Owner::Proxy(n) => {
+                let front = SocketAddr::from((ip, 8686));
+                let (name, place) = (
+                    format!("edge{}", n + 1),
+                    Place { ip, zone: zone.0.clone(), region: zone.1.clone(), zones: zones.clone() },
+                );
+                let node = Node { ip, name, zone: zone.0, region: zone.1, front };
+                let proxy = Proxy {
+                    front: Front::new(place, BEAT, life, 0),
+                    feed: Feed::new(node, zones, seeds, BEAT, life, 0),
+                    line: None,
+                    peers: BTreeMap::new(),
+                    open: BTreeMap::new(),
+                    work: BTreeMap::new(),
+                    idle: BTreeMap::new(),
+                    asked_at: None,
+                };
+                self.proxies[n] = Some(Process::new(life, now, proxy));
+                self.front(n, Some(front::Input::Tick));
+                self.feed(n, Some(feed::Input::Tick));
+            }
+            _ => {}
+        }
+    }
+
+    /// A process ends, however it comes about; `dark`: its machine has no power any more.
+    pub fn end(&mut self, owner: Owner, dark: bool) {
+        if self.life(owner).is_none() {
+            return;
+        }
+        self.note(format!("{owner:?} ends"));
+        match owner {
+            Owner::Store(n) => {
+                self.stores[n] = None;
+                // The write under way is there as a whole or not at all.
+                let write = self.disks[n].under_way.take();
+                if let (Some(write), true) = (write, self.rng.bool())
+                    && let Some((_, saved)) = &mut self.disks[n].saved
+                {
+                    write.apply(saved);
+                }
+            }
+            Owner::Registry(n) => self.registries[n] = None,
+            Owner::Proxy(n) => {
+                if let Some(p) = self.proxies[n].take()
+                    && !dark
+                {
+                    for number in p.machine.open.values() {
+                        self.cut_off(*number);
+                    }
+                }
+            }
+            _ => {}
+        }
+        self.drop_ends(owner, dark);
+    }
+
+    /// SIGTERM.
+    pub fn ask_to_end(&mut self, owner: Owner) {
+        match owner {
+            Owner::Store(n) => {
+                if let Some(p) = &mut self.stores[n] {
+                    p.ends_at.get_or_insert(p.clock(self.now) + HAND_OVER);
+                    self.store(n, Some(chest::Input::Stop));
+                }
+            }
+            Owner::Registry(n) => {
+                if let Some(p) = &mut self.registries[n] {
+                    p.ends_at.get_or_insert(p.clock(self.now) + PARTING);
+                    self.registry(n, None);
+                }
+            }
+            Owner::Proxy(n) => {
+                if let Some(p) = &mut self.proxies[n] {
+                    let now = p.clock(self.now);
+                    p.machine.asked_at.get_or_insert(now);
+                    self.feed(n, Some(feed::Input::Tick));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    pub fn process_told(&mut self, owner: Owner, conn: ConnId, event: Event) {
+        match owner {
+            Owner::Store(n) => self.store_told(n, conn, event),
+            Owner::Registry(n) => self.registry_told(n, conn, event),
+            Owner::Proxy(n) => self.proxy_told(n, conn, event),
+            _ => {}
+        }
+    }
+
+    // ---- the store ----
+
+    fn store_told(&mut self, n: usize, conn: ConnId, event: Event) {
+        let now = self.now;
+        let Some(p) = &mut self.stores[n] else { return };
+        let s = &mut p.machine;
+        let input = match event {
+            Event::Taken(Kind::Local) => {
+                s.locals.insert(conn);
+                None
+            }
+            Event::Taken(_) => {
+                s.taken.insert(conn, None);
+                None
+            }
+            Event::Up => {
+                let rose = s.fellows.values_mut().any(|t| t.rose(conn));
+                let iam = Peer::Iam { ip: self.hosts[n].ip, disk: s.chest.disk() };
+                if rose {
+                    self.send(conn, Owner::Store(n), frame(&iam));
+                }
+                None
+            }
+            Event::Got(body) if s.locals.contains(&conn) => {
+                read::<ToStore>(&body).map(|m| chest::Input::Local(conn, m))
+            }
+            Event::Got(body) => match read::<Peer>(&body) {
+                Some(Peer::Iam { ip, .. }) => {
+                    s.taken.insert(conn, Some(ip));
+                    None
+                }
+                Some(peer) => s.taken.get(&conn).copied().flatten().map(|ip| chest::Input::Peer(ip, peer)),
+                None => None,
+            },
+            Event::Down => {
+                let clock = p.started;
+                s.fellows.values_mut().for_each(|t| {
+                    t.fell(now - clock, conn);
+                });
+                s.taken.remove(&conn);
+                s.locals.remove(&conn).then_some(chest::Input::LocalDown(conn))
+            }
+        };
+        self.store(n, input);
+    }
+
+    fn store(&mut self, n: usize, input: Option<chest::Input>) {
+        let Some(mut p) = self.stores[n].take() else { return };
+        let me = Owner::Store(n);
+        self.at_work = Some((me, p.life));
+        let now = p.clock(self.now);
+        let mut out = Vec::new();
+        if let Some(input) = input {
+            p.machine.chest.handle(now, input, &mut out);
+        }
+        let s = &mut p.machine;
+        for output in out {
+            match output {
+                chest::Output::Peer(ip, peer) => {
+                    let tie = s.fellows.entry(ip).or_default();
+                    if let Some(conn) = tie.conn.filter(|_| tie.up) {
+                        self.send(conn, me, frame(&peer));
+                    }
+                }
+                chest::Output::Local(link, message) => {
+                    if s.locals.contains(&link) {
+                        self.send(link, me, frame(&message));
+                    }
+                }
+                chest::Output::Write(write) => s.writes.push_back(write),
+            }
+        }
+        if self.disks[n].under_way.is_none()
+            && let Some(write) = s.writes.pop_front()
+        {
+            let sync = self.scenario.sync + self.disks[n].slow;
+            let took = sync + self.rng.u64(0..=sync / 2);
+            self.at(self.now + took, Ev::Written(n, p.life, write.number));
+            self.disks[n].under_way = Some(write);
+        }
+        for ip in s.chest.fellows() {
+            let tie = s.fellows.entry(ip).or_default();
+            if tie.conn.is_none()
+                && now >= tie.again_at
+                && let Some(to) = self.core_at(ip)
+            {
+                tie.again_at = now + AGAIN;
+                tie.conn = Some(self.dial(Kind::Fellow, me, Owner::Store(to)));
+            }
+        }
+        let ties = s.fellows.values().map(Tie::wake_at).min().unwrap_or(Micros::MAX);
+        let wake = s.chest.wake_at().min(ties).min(p.ends_at.unwrap_or(Micros::MAX));
+        let over = p.ends_at.is_some_and(|at| now >= at);
+        self.wake(me, &mut p, wake);
+        self.stores[n] = Some(p);
+        self.at_work = None;
+        if over {
+            self.end(me, false);
+        }
+    }
+
+    pub fn written(&mut self, n: usize, life: u64, number: u64) {
+        if self.life(Owner::Store(n)) != Some(life) {
+            return;
+        }
+        let write = self.disks[n].under_way.take();
+        if let (Some(write), Some((_, saved))) = (write, &mut self.disks[n].saved) {
+            write.apply(saved);
+        }
+        self.store(n, Some(chest::Input::Written(number)));
+    }
+
+    // ---- the registry ----
+
+    fn registry_told(&mut self, n: usize, conn: ConnId, event: Event) {
+        let now = self.now;
+        let Some(p) = &mut self.registries[n] else { return };
+        let clock = now - p.started;
+        let kind = self.net.conns.get(&conn).map(|c| c.kind);
+        let r = &mut p.machine;
+        let input = match event {
+            Event::Taken(_) => None,
+            Event::Up if kind == Some(Kind::Local) => r.store.rose(conn).then_some(board::Input::StoreUp),
+            Event::Up => {
+                r.peers.values_mut().any(|t| t.rose(conn));
+                None
+            }
+            Event::Got(Body::Call(request)) => {
+                r.calls.insert(conn);
+                Some(board::Input::Call(conn, (*request).clone()))
+            }
+            Event::Got(body) => match kind {
+                Some(Kind::Local) if r.store.up && r.store.conn == Some(conn) => {
+                    read::<FromStore>(&body).map(board::Input::Store)
+                }
+                Some(Kind::Gossip) => read::<Gossip>(&body).map(board::Input::Peer),
+                Some(Kind::News) => read::<Up>(&body).map(|up| board::Input::Proxy(conn, up)),
+                _ => None,
+            },
+            Event::Down => match kind {
+                Some(Kind::Local) => r.store.fell(clock, conn).then_some(board::Input::StoreDown),
+                Some(Kind::News) => Some(board::Input::ProxyDown(conn)),
+                Some(Kind::Call) => r.calls.remove(&conn).then_some(board::Input::CallGone(conn)),
+                _ => {
+                    r.peers.values_mut().for_each(|t| {
+                        t.fell(clock, conn);
+                    });
+                    None
+                }
+            },
+        };
+        self.registry(n, input);
+    }
+
+    fn registry(&mut self, n: usize, input: Option<board::Input>) {
+        let Some(mut p) = self.registries[n].take() else { return };
+        let me = Owner::Registry(n);
+        self.at_work = Some((me, p.life));
+        let now = p.clock(self.now);
+        let mut out = Vec::new();
+        if let Some(input) = input {
+            p.machine.board.handle(now, input, &mut out);
+        }
+        let r = &mut p.machine;
+        for output in out {
+            match output {
+                board::Output::Answer(id, answer) => {
+                    if r.calls.remove(&id) {
+                        self.send(id, me, Body::Called(Rc::new(answer)));
+                    }
+                }
+                board::Output::Store(message) => {
+                    if let Some(conn) = r.store.conn.filter(|_| r.store.up) {
+                        self.send(conn, me, frame(&message));
+                    }
+                }
+                board::Output::Peer(ip, gossip) => {
+                    let tie = r.peers.entry(ip).or_default();
+                    if let Some(conn) = tie.conn.filter(|_| tie.up) {
+                        self.send(conn, me, frame(&gossip));
+                    }
+                    if tie.conn.is_none()
+                        && now >= tie.again_at
+                        && let Some(to) = self.core_at(ip)
+                    {
+                        tie.again_at = now + AGAIN;
+                        tie.conn = Some(self.dial(Kind::Gossip, me, Owner::Registry(to)));
+                    }
+                }
+                board::Output::Proxy(link, down) => self.send(link, me, frame(&down)),
+            }
+        }
+        if r.store.conn.is_none() && now >= r.store.again_at {
+            r.store.again_at = now + AGAIN;
+            r.store.conn = Some(self.dial(Kind::Local, me, Owner::Store(n)));
+        }
+        let wake = r.board.wake_at().min(r.store.wake_at()).min(p.ends_at.unwrap_or(Micros::MAX));
+        let over = p.ends_at.is_some_and(|at| now >= at);
+        self.wake(me, &mut p, wake);
+        self.registries[n] = Some(p);
+        self.at_work = None;
+        if over {
+            self.end(me, false);
+        }
+    }
+
+    // ---- the proxy ----
+
+    fn proxy_told(&mut self, n: usize, conn: ConnId, event: Event) {
+        let Some(p) = &mut self.proxies[n] else { return };
+        let Some(kind) = self.net.conns.get(&conn).map(|c| c.kind) else { return };
+        let x = &mut p.machine;
+        match (kind, event) {
+            (Kind::News, event) => {
+                if x.line != Some(conn) {
+                    return;
+                }
+                let input = match event {
+                    Event::Up => feed::Input::Linked,
+                    Event::Got(body) => match read::<Down>(&body) {
+                        Some(down) => feed::Input::Got(down),
+                        None => return,
+                    },
+                    Event::Down => {
+                        x.line = None;
+                        feed::Input::Broken
+                    }
+                    Event::Taken(_) => return,
+                };
+                self.feed(n, Some(input));
+            }
+            (Kind::Request, Event::Got(Body::Ask(number))) => {
+                let now = self.now;
+                let t = &mut self.record.tries[number as usize];
+                t.read = Some(now);
+                let ask = Ask {
+                    id: conn,
+                    method: if t.once { "POST" } else { "GET" }.into(),
+                    target: t.path.clone(),
+                    host: t.host.clone(),
+                    name: number.to_string().into_bytes().into(),
+                    left_us: Some(t.until.saturating_sub(t.sent)),
+                    key: t.key.clone(),
+                    head: format!("X-Attempt-Id: {number}\r\n").into_bytes(),
+                    body: Held::default(),
+                };
+                x.open.insert(conn, number);
+                self.front(n, Some(front::Input::Asked(ask)));
+            }
+            (Kind::Request, Event::Down) => {
+                if x.open.remove(&conn).is_some() {
+                    self.front(n, Some(front::Input::Withdrawn(conn)));
+                }
+            }
+            (Kind::Work, Event::Up) => {
+                if let Some(c) = x.work.get_mut(&conn) {
+                    c.sent = true;
+                    let work = c.work.clone();
+                    self.send(conn, Owner::Proxy(n), Body::Work(work));
+                }
+            }
+            (Kind::Work, Event::Got(Body::Worked(w))) => {
+                if let Some(c) = x.work.remove(&conn) {
+                    x.idle.entry(c.server).or_default().push(conn);
+                    let seal = w.seal.map(|s| format!("X-Server-Seal: {s}\r\n")).unwrap_or_default();
+                    let (headers, body) = (seal.into_bytes(), Vec::new());
+                    let served = Served { status: w.status, not_run: w.not_run, headers, body };
+                    let end = End::Answered(served);
+                    self.front(n, Some(front::Input::Ended { id: c.id, attempt: c.attempt, end }));
+                }
+            }
+            (Kind::Work, Event::Down) => {
+                x.idle.values_mut().for_each(|idle| idle.retain(|c| *c != conn));
+                if let Some(c) = x.work.remove(&conn) {
+                    let reached = if c.sent { Reached::MayHaveRun } else { Reached::NeverRan };
+                    let end = End::Broken { reached };
+                    self.front(n, Some(front::Input::Ended { id: c.id, attempt: c.attempt, end }));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn front(&mut self, n: usize, input: Option<front::Input>) {
+        let Some(mut p) = self.proxies[n].take() else { return };
+        let me = Owner::Proxy(n);
+        self.at_work = Some((me, p.life));
+        let now = p.clock(self.now);
+        let mut inputs: VecDeque<front::Input> = input.into_iter().collect();
+        let mut out = Vec::new();
+        while let Some(input) = inputs.pop_front() {
+            p.machine.front.handle(now, input, &mut out);
+            for output in out.drain(..) {
+                if let Some(more) = self.front_out(n, (p.life, p.started), &mut p.machine, output) {
+                    inputs.push_back(more);
+                }
+            }
+        }
+        let over = self.show(&mut p);
+        let x = &mut p.machine;
+        let looks = x.asked_at.map_or(Micros::MAX, |_| now + LOOK);
+        let wake = x.front.wake_at().min(x.feed.wake_at()).min(looks);
+        self.wake(me, &mut p, wake);
+        self.proxies[n] = Some(p);
+        self.at_work = None;
+        if over {
+            self.end(me, false);
+        }
+    }
+
+    fn front_out(
+        &mut self,
+        n: usize,
+        (life, started): (u64, Micros),
+        x: &mut Proxy,
+        output: front::Output,
+    ) -> Option<front::Input> {
+        let me = Owner::Proxy(n);
+        match output {
+            front::Output::Send(job) => {
+                let number: u64 = std::str::from_utf8(&job.name).expect("text").parse().expect("a number");
+                let work = Rc::new(Work {
+                    name: number,
+                    instance: job.instance.to_string(),
+                    sent: self.now,
+                    until: started.saturating_add(job.until),
+                    head: job.passage.head.clone(),
+                    edge: self.host_of(me),
+                    life,
+                });
+                let Some(to) = x.peers.get(&job.server).and_then(|a| self.server_at(*a)) else {
+                    let end = End::Broken { reached: Reached::NeverRan };
+                    return Some(front::Input::Ended { id: job.id, attempt: job.attempt, end });
+                };
+                let kept = x.idle.get_mut(&job.server).and_then(Vec::pop);
+                let conn = kept.unwrap_or_else(|| self.dial(Kind::Work, me, Owner::Server(to)));
+                let (id, attempt, server) = (job.id, job.attempt, job.server);
+                if kept.is_some() {
+                    self.send(conn, me, Body::Work(work.clone()));
+                }
+                x.work.insert(conn, Carried { id, attempt, server, work, sent: kept.is_some() });
+            }
+            front::Output::GiveUp { id, attempt, .. } => {
+                let found = x.work.iter().find(|(_, c)| c.id == id && c.attempt == attempt).map(|(c, _)| *c);
+                if let Some(conn) = found {
+                    x.work.remove(&conn);
+                    self.close(conn, me);
+                }
+            }
+            front::Output::Answer(id, answer) => {
+                if x.open.remove(&id).is_some() {
+                    self.send(id, me, Body::Answer(Rc::new(answer)));
+                }
+            }
+            front::Output::Server { server, peer, .. } => {
+                x.peers.insert(server, peer.addr);
+            }
+            front::Output::Gone { server } => {
+                x.peers.remove(&server);
+                for conn in x.idle.remove(&server).unwrap_or_default() {
+                    self.close(conn, me);
+                }
+            }
+        }
+        None
+    }
+
+    /// What the shell shows of itself; whether all is over after a signal to end.
+    fn show(&mut self, p: &mut Process<Proxy>) -> bool {
+        let now = p.clock(self.now);
+        let x = &mut p.machine;
+        let ready = x.front.ready() && x.feed.was_fresh && x.asked_at.is_none();
+        if x.feed.ready != ready {
+            x.feed.ready = ready;
+            x.feed.hurry();
+        }
+        let Some(asked_at) = x.asked_at else { return false };
+        let late = now >= asked_at + self.record.bounds.grace.saturating_sub(SPARE);
+        late || (x.open.is_empty() && now >= asked_at + STILL_COMING)
+    }
+
+    fn feed(&mut self, n: usize, input: Option<feed::Input>) {
+        let Some(mut p) = self.proxies[n].take() else { return };
+        let me = Owner::Proxy(n);
+        self.at_work = Some((me, p.life));
+        let now = p.clock(self.now);
+        let mut out = Vec::new();
+        if let Some(input) = input {
+            p.machine.feed.handle(now, input, &mut out);
+        }
+        let mut news = Vec::new();
+        for output in out {
+            let x = &mut p.machine;
+            match output {
+                feed::Output::Link(ip) => {
+                    if let Some(old) = x.line.take() {
+                        self.close(old, me);
+                    }
+                    x.line = self.core_at(ip).map(|to| self.dial(Kind::News, me, Owner::Registry(to)));
+                }
+                feed::Output::Say(up) => {
+                    if let Some(conn) = x.line {
+                        self.send(conn, me, frame(&up));
+                    }
+                }
+                feed::Output::News(of) => news.push(of),
+            }
+        }
+        self.proxies[n] = Some(p);
+        self.at_work = None;
+        for of in news {
+            self.front(n, Some(front::Input::News(of)));
+            if let Some(p) = &mut self.proxies[n] {
+                p.machine.feed.at(p.machine.front.copy.rev());
+            }
+        }
+        self.front(n, None);
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        (0..self.stores.len()).find(|n| self.stores[*n].as_ref().is_some_and(|p| p.machine.chest.leads()))
+    }
+}
+
+/// How long a process takes to start.
+pub const START: Micros = 150 * MS;
--- /dev/null
+++ b/crates/dryfit/src/record.rs
@@ -0,0 +1,269 @@
+//! What clients, servers and operators saw in a day, and what was done to the machines: all that is judged.
+
+use crate::{MS, Micros, SECOND};
+use jig::Config;
+use std::rc::Rc;
+
+/// The figures of the rules.
+#[derive(Clone, Debug)]
+pub struct Bounds {
+    pub contact: Micros,
+    pub ack_limit: Micros,
+    pub drain_limit: Micros,
+    pub grace: Micros,
+    pub loss_slack: Micros,
+    pub config_apply: Micros,
+    pub revert_slack: Micros,
+    pub evacuation: Micros,
+    pub recovery: Micros,
+    pub retry_ratio: f64,
+    pub retry_window: Micros,
+    pub retry_slack: f64,
+    pub quota_period: Micros,
+    pub quota_excess: f64,
+    pub quota_margin: f64,
+    pub cold_excess: f64,
+    pub cold_margin: f64,
+    pub reuse_delay: Micros,
+    pub sync: Micros,
+    pub ttl_s: f64,
+}
+
+impl Default for Bounds {
+    fn default() -> Bounds {
+        Bounds {
+            contact: 5 * SECOND,
+            ack_limit: 6 * SECOND,
+            drain_limit: 3 * SECOND,
+            grace: 6 * SECOND,
+            loss_slack: 200 * MS,
+            config_apply: 3 * SECOND,
+            revert_slack: 250 * MS,
+            evacuation: 5 * SECOND,
+            recovery: 15 * SECOND,
+            retry_ratio: 0.2,
+            retry_window: 10 * SECOND,
+            retry_slack: 60.0,
+            quota_period: 5 * SECOND,
+            quota_excess: 0.1,
+            quota_margin: 20.0,
+            cold_excess: 1.5,
+            cold_margin: 5.0,
+            reuse_delay: 2 * SECOND,
+            sync: 4 * SECOND,
+            ttl_s: 5.0,
+        }
+    }
+}
+
+/// A machine, by its place among all of them: the core first, then the proxies'.
+pub type Host = usize;
+
+/// A single try of a client, under an id of its own: its place in the list.
+#[derive(Clone, Debug, Default)]
+pub struct Try {
+    pub request: u64,
+    /// The proxy's machine, and which life of it.
+    pub edge: Host,
+    pub life: u64,
+    pub sent: Micros,
+    pub until: Micros,
+    pub host: String,
+    pub path: String,
+    pub key: Option<String>,
+    /// It may run once at most.
+    pub once: bool,
+    /// When the proxy had read it whole.
+    pub read: Option<Micros>,
+    pub arrivals: Vec<Arrival>,
+    pub answer: Option<Answer>,
+    /// The proxy's side ended the connection without an answer.
+    pub broken: Option<Micros>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Answer {
+    pub at: Micros,
+    pub status: u16,
+    /// The try that the server's seal is of.
+    pub seal: Option<u64>,
+}
+
+/// A try reaches a server.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub sent: Micros,
+    pub at: Micros,
+    pub edge: Host,
+    pub life: u64,
+    pub server: String,
+    pub service: String,
+    pub zone: String,
+    pub region: String,
+    pub tenant: Option<String>,
+    /// Answered with this status, and not run.
+    pub turned_away: Option<u16>,
+    pub ran: Option<Micros>,
+    /// The server itself broke off.
+    pub broke: bool,
+}
+
+/// What became of an operator's call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    Open,
+    Acknowledged(Micros),
+    Refused(Micros),
+}
+
+#[derive(Clone, Debug)]
+pub struct Change {
+    pub sent: Micros,
+    pub version: u32,
+    pub base: u32,
+    pub config: Rc<Config>,
+    /// It can never be taken.
+    pub invalid: bool,
+    pub fate: Fate,
+}
+
+#[derive(Clone, Debug)]
+pub struct Evacuation {
+    pub sent: Micros,
+    pub zone: String,
+    pub on: bool,
+    pub fate: Fate,
+}
+
+/// A machine acknowledged that a server drains or has gone.
+#[derive(Clone, Debug)]
+pub struct Leave {
+    pub server: String,
+    pub at: Micros,
+    pub by: Host,
+}
+
+#[derive(Clone, Debug)]
+pub struct Cold {
+    pub server: String,
+    pub from: Micros,
+    pub until: Micros,
+    pub rate: f64,
+}
+
+/// Something was done to a machine or to its links.
+#[derive(Clone, Debug)]
+pub struct Trouble {
+    pub host: Host,
+    pub from: Micros,
+    pub until: Micros,
+    /// A SIGTERM and the end and the start that follow.
+    pub planned: bool,
+    pub what: String,
+}
+
+/// The configuration as read at the end of the day.
+#[derive(Clone, Debug)]
+pub struct ReadBack {
+    pub at: Micros,
+    pub config: Option<Rc<Config>>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Closing {
+    pub at: Micros,
+    /// All machines are back.
+    pub back: Micros,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Request {
+    pub sent: Micros,
+    pub served: Option<Micros>,
+    /// No configuration allows it, or it is beyond what its tenant may ask.
+    pub unowed: bool,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Record {
+    pub bounds: Bounds,
+    /// How many of the machines are the core's.
+    pub cores: usize,
+    pub tries: Vec<Try>,
+    pub requests: Vec<Request>,
+    pub changes: Vec<Change>,
+    pub evacuations: Vec<Evacuation>,
+    pub leaves: Vec<Leave>,
+    pub colds: Vec<Cold>,
+    pub troubles: Vec<Trouble>,
+    pub read_back: Vec<ReadBack>,
+    pub closing: Option<Closing>,
+    pub ends: Micros,
+}
+
+impl Record {
+    /// This machine has been without trouble for the time of contact, and so has the core.
+    pub fn in_touch(&self, host: Host, at: Micros) -> bool {
+        let since = at.saturating_sub(self.bounds.contact);
+        since > 0 && self.calm(since, at, |h| h == host || h < self.cores)
+    }
+
+    pub fn calm(&self, from: Micros, to: Micros, who: impl Fn(Host) -> bool) -> bool {
+        !self.troubles.iter().any(|t| who(t.host) && t.from <= to && t.until >= from)
+    }
+
+    pub fn served(&self, from: Micros, to: Micros) -> (usize, usize) {
+        let owed = self.requests.iter().filter(|r| !r.unowed && (from..to).contains(&r.sent));
+        owed.fold((0, 0), |(s, all), r| (s + usize::from(r.served.is_some()), all + 1))
+    }
+
+    /// All that is known of a try, for a reader.
+    pub fn trail(&self, number: u64) -> String {
+        let s = |at: Micros| format!("{:9.3}", at as f64 / 1e6);
+        let Some(t) = self.tries.get(number as usize) else { return String::new() };
+        let mut lines = vec![(
+            t.sent,
+            format!(
+                "try {number} of request {} {}{} key {:?} to machine {} life {}{}",
+                t.request,
+                t.host,
+                t.path,
+                t.key,
+                t.edge,
+                t.life,
+                if t.once { ", once" } else { "" }
+            ),
+        )];
+        lines.extend(t.read.map(|at| (at, "read".to_string())));
+        for a in &t.arrivals {
+            lines.push((a.sent, format!("sent by machine {} to {} of {}", a.edge, a.server, a.service)));
+            let how = match (a.turned_away, a.ran) {
+                (Some(status), _) => format!("turned away with {status}"),
+                (None, Some(at)) => format!("runs from {}", s(at)),
+                (None, None) => "never runs".into(),
+            };
+            lines.push((a.at, format!("at {} in {}: {how}", a.server, a.zone)));
+        }
+        lines.extend(t.answer.as_ref().map(|a| (a.at, format!("answer {} seal {:?}", a.status, a.seal))));
+        lines.extend(t.broken.map(|at| (at, "connection ended".to_string())));
+        let (from, to) = (t.sent.saturating_sub(12 * SECOND), t.sent + 6 * SECOND);
+        let near = |at: Micros| (from..to).contains(&at);
+        for x in self.troubles.iter().filter(|x| near(x.from)) {
+            lines.push((x.from, format!("  {} (until {})", x.what, s(x.until))));
+        }
+        for c in self.changes.iter().filter(|c| near(c.sent)) {
+            lines.push((c.sent, format!("  version {} on {}: {:?}", c.version, c.base, c.fate)));
+        }
+        for e in self.evacuations.iter().filter(|e| near(e.sent)) {
+            lines.push((e.sent, format!("  evacuation of {} {}: {:?}", e.zone, e.on, e.fate)));
+        }
+        lines.extend(
+            self.leaves
+                .iter()
+                .filter(|l| t.arrivals.iter().any(|a| a.server == l.server))
+                .map(|l| (l.at, format!("  {} leaves: acknowledged by machine {}", l.server, l.by))),
+        );
+        lines.sort();
+        lines.iter().map(|(at, what)| format!("{} {what}\n", s(*at))).collect()
+    }
+}
