--- a/crates/dryfit/src/judge.rs
+++ b/crates/dryfit/src/judge.rs
@@ -45,6 +45,7 @@
     j.going_back();
     j.denied();
     j.orders();
+    j.acknowledgements();
     j.draining();
     j.evacuations();
     j.quotas();
@@ -169,8 +170,9 @@
             }
         }
         for a in t.arrivals.iter().filter(|a| a.turned_away != Some(421)) {
-            let (all, _) = self.in_force(t.sent, a.at);
-            let at_home = all.iter().any(|c| match self.says(*c, t) {
+            let (all, new) = self.in_force(t.sent, a.at);
+            let may = if self.r.in_touch(t.edge, t.sent) { new } else { all };
+            let at_home = may.iter().any(|c| match self.says(*c, t) {
                 Says::Go { homes, .. } => homes.iter().all(|h| h.contains(&a.region)),
                 _ => true,
             });
@@ -281,6 +283,34 @@
         }
     }
 
+    /// A proper order stays without an acknowledgement though the core was settled for long enough.
+    fn acknowledgements(&mut self) {
+        let r = self.r;
+        let end = |f: Fate| match f {
+            Fate::Open => r.ends,
+            Fate::Acknowledged(at) | Fate::Refused(at) => at,
+        };
+        let changes = r.changes.iter().filter(|c| !c.invalid);
+        let changes = changes.map(|c| (c.sent, c.fate, format!("version {}", c.version)));
+        let moves = r.evacuations.iter().map(|e| (e.sent, e.fate, format!("evacuation of {}", e.zone)));
+        let mut late = Vec::new();
+        for (sent, fate, what) in changes.chain(moves) {
+            let mut at = sent;
+            while at + r.bounds.ack_limit < end(fate) {
+                let calm_from = at.saturating_sub(r.bounds.contact);
+                if r.calm(calm_from, at + r.bounds.ack_limit, |_| true) {
+                    late.push(format!(
+                        "{what}, sent at {:.3}, was not acknowledged in time",
+                        sent as f64 / 1e6
+                    ));
+                    break;
+                }
+                at += SECOND / 2;
+            }
+        }
+        late.into_iter().for_each(|what| self.breach("ACK", None, what));
+    }
+
     fn draining(&mut self) {
         let limit = self.r.bounds.drain_limit;
         for (n, _, a) in arrivals(self.r).filter(|x| x.2.turned_away != Some(421)) {
--- a/crates/dryfit/src/outside.rs
+++ b/crates/dryfit/src/outside.rs
@@ -8,7 +8,7 @@
 use jig::Config;
 use jig::config::show_version;
 use pegboard::calls;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -169,13 +169,15 @@
     leaving: bool,
     beat_out: bool,
     cold_until: Micros,
+    /// Nobody has acknowledged yet that it has turned cold.
+    cold_untold: bool,
     /// Answers lost until then.
     pub loses_until: Micros,
     pub slow_until: Micros,
 }
 
 pub enum CallFor {
-    Beat { place: usize, life: u64, draining: bool },
+    Beat { place: usize, life: u64, draining: bool, cold: bool },
     Leave { place: usize, life: u64 },
     Order(usize),
     ReadBack,
@@ -208,6 +210,8 @@
     over: bool,
 }
 
+/// For what was acknowledged to reach the proxies in touch.
+const NEWS: Micros = 300 * MS;
 const MOST_TRIES: u32 = 4;
 
 impl World {
@@ -268,11 +272,17 @@
     fn called(&mut self, why: CallFor, answer: Option<Rc<calls::Answer>>, _: ConnId) {
         let status = answer.as_ref().map_or(0, |a| a.status);
         match why {
-            CallFor::Beat { place, life, draining } => {
-                let again = self.scenario.servers[0].1 > 0;
+            CallFor::Beat { place, life, draining, cold } => {
+                let (now, (_, rate)) = (self.now, self.plan.cold);
                 let Some(s) = self.server(place, life) else { return };
                 s.beat_out = false;
                 if (200..300).contains(&status) {
+                    // Before that nobody could know; a moment more is left for the word to go round.
+                    if cold && std::mem::take(&mut s.cold_untold) {
+                        let (server, from, until) = (s.id.clone(), now + NEWS, s.cold_until);
+                        self.record.colds.push(record::Cold { server, from, until, rate });
+                    }
+                    let Some(s) = self.server(place, life) else { return };
                     if draining && s.draining {
                         let id = s.id.clone();
                         let by = self.answered_by;
@@ -283,7 +293,7 @@
                             self.at(self.now + serve, Ev::Leave(place, life));
                         }
                     }
-                } else if again {
+                } else {
                     s.ask += 1;
                     let pause = if s.ask % 3 == 0 { 300 * MS } else { 1 };
                     self.at(self.now + pause, Ev::Beat(place, life, false));
@@ -333,7 +343,8 @@
         }
         let life = self.draw_life();
         let first = self.rng.usize(0..self.record.cores);
-        let (now, period) = (self.now, (self.plan_cold().0 * 1e6) as Micros);
+        let (now, (period, rate)) = (self.now, self.plan.cold);
+        let period = (period * 1e6) as Micros;
         let p = &mut self.places[place];
         p.lives += 1;
         if let Some(service) = service {
@@ -356,24 +367,24 @@
             leaving: false,
             beat_out: false,
             cold_until,
+            cold_untold: false,
             loses_until: 0,
             slow_until: 0,
         });
         if cold {
-            let rate = self.plan_cold().1;
             self.record.colds.push(record::Cold { server: id, from: now, until: cold_until, rate });
         }
         let spread = self.rng.u64(0..200 * MS);
         self.at(now + spread, Ev::Beat(place, life, true));
     }
 
+    /// A server turns cold in the middle of its life, and says so at once.
     pub fn chill(&mut self, place: usize) {
-        let (now, (period, rate)) = (self.now, self.plan_cold());
-        let until = now + (period * 1e6) as Micros;
+        let until = self.now + (self.plan.cold.0 * 1e6) as Micros;
         if let Some(s) = &mut self.places[place].server {
-            s.cold_until = until;
-            let server = s.id.clone();
-            self.record.colds.push(record::Cold { server, from: now, until, rate });
+            (s.cold_until, s.cold_untold, s.beat_out) = (until, true, false);
+            let life = s.life;
+            self.at(self.now, Ev::Beat(place, life, false));
         }
     }
 
@@ -410,8 +421,13 @@
             let target = format!("/api/instances/{}", s.id);
             let body = body.dump().into_bytes();
             let request = calls::Request { method: "PUT".into(), target, if_match: None, body };
-            let (core, draining) = (s.ask % cores, s.draining);
-            self.call(Owner::Server(place), core, Rc::new(request), CallFor::Beat { place, life, draining });
+            let (core, draining, cold) = (s.ask % cores, s.draining, s.cold_until > now);
+            self.call(
+                Owner::Server(place),
+                core,
+                Rc::new(request),
+                CallFor::Beat { place, life, draining, cold },
+            );
         }
         if periodic {
             let next = BEAT - BEAT / 20 + self.rng.u64(0..BEAT / 10);
@@ -489,9 +505,16 @@
             _ => None,
         };
         arrival.turned_away = status;
+        let cold = now < s.cold_until;
+        let (id, edge, name) = (s.id.clone(), work.edge, work.name);
         let arrivals = &mut self.record.tries[work.name as usize].arrivals;
         arrivals.push(arrival);
         let at = arrivals.len() - 1;
+        if self.log.is_some() {
+            let cold = if cold { ", cold" } else { "" };
+            self.note(format!("try {name} from machine {edge} at {id}{cold}: {status:?}"));
+        }
+        let Some(s) = &mut self.places[place].server else { return };
         match status {
             Some(status) => {
                 let worked = Worked { status, not_run: true, seal: None };
@@ -953,12 +976,4 @@
     pub fn server_at(&self, address: SocketAddr) -> Option<usize> {
         self.places.iter().position(|p| p.addr == address)
     }
-
-    pub fn plan_cold(&self) -> (f64, f64) {
-        self.plan.cold
-    }
-
-    pub fn names_of_services(&self) -> BTreeSet<String> {
-        self.plan.services.iter().cloned().collect()
-    }
 }
--- /dev/null
+++ b/crates/dryfit/tests/planted.rs
@@ -0,0 +1,262 @@
+//! Each rule catches a breach of it that is planted in the record of a good day.
+
+use dryfit::hunt::play;
+use dryfit::judge::judge;
+use dryfit::record::{Answer, Arrival, Closing, Cold, Fate, Record, Trouble, Try};
+use dryfit::scenario::Scenario;
+use dryfit::{MS, SECOND};
+use std::rc::Rc;
+
+/// A day with one of everything.
+const DAY: &str = "
+seconds 46
+at 12 shift r-tiro to kawe
+at 13 evacuate b
+at 13 drain utu1
+at 24 return b
+at 30 homes r-kawe to north
+at 31 revoke t1
+";
+
+fn day() -> Record {
+    let played = play(&Scenario::read(DAY).expect("a scenario"), 7, false);
+    assert_eq!(played.unmet, Vec::<String>::new());
+    played.record
+}
+
+fn caught(rule: &str, plant: impl FnOnce(&mut Record)) {
+    let mut record = day();
+    plant(&mut record);
+    let found = judge(&record);
+    assert!(found.iter().any(|b| b.rule == rule), "{rule} is not caught; found: {found:?}");
+}
+
+/// A try on this route, sent after `after` and served.
+fn one(r: &mut Record, route: &str, after: u64) -> usize {
+    let fits = |t: &Try| t.path.starts_with(&format!("/{route}/")) && t.sent > after * SECOND;
+    r.tries.iter().position(|t| fits(t) && t.arrivals.len() == 1 && t.answer.is_some()).expect("there is one")
+}
+
+fn again(r: &mut Record, n: usize, change: impl FnOnce(&mut Arrival)) {
+    let mut more = r.tries[n].arrivals[0].clone();
+    change(&mut more);
+    r.tries[n].arrivals.push(more);
+}
+
+#[test]
+fn a_request_that_may_run_once_runs_twice() {
+    caught("TWICE", |r| {
+        let n = one(r, "r-utu", 10);
+        again(r, n, |_| {});
+    });
+}
+
+#[test]
+fn a_refused_request_has_run() {
+    caught("REFUSED", |r| {
+        let n = one(r, "r-utu", 10);
+        r.tries[n].answer.as_mut().expect("answered").status = 503;
+    });
+}
+
+#[test]
+fn an_answer_belongs_to_another_request() {
+    caught("MIXED", |r| {
+        let n = one(r, "r-tiro", 10);
+        r.tries[n].answer.as_mut().expect("answered").seal = Some(n as u64 + 1);
+    });
+}
+
+#[test]
+fn a_request_goes_to_a_service_that_it_was_never_sent_to() {
+    caught("ROUTE", |r| {
+        let n = one(r, "r-tiro", 10);
+        r.tries[n].arrivals[0].service = "utu".into();
+    });
+}
+
+#[test]
+fn a_request_runs_for_another_tenant() {
+    caught("ROUTE", |r| {
+        let n = one(r, "r-tiro", 10);
+        r.tries[n].arrivals[0].tenant = Some("nobody".into());
+    });
+}
+
+#[test]
+fn an_older_version_is_used_for_too_long() {
+    caught("CONFIG", |r| {
+        let n = one(r, "r-tiro", 16);
+        r.tries[n].arrivals[0].service = "tiro".into();
+    });
+}
+
+#[test]
+fn a_revoked_key_is_served() {
+    caught("CONFIG", |r| {
+        let n = one(r, "r-utu", 35);
+        r.tries[n].key = Some("key-t1".into());
+        r.tries[n].arrivals[0].tenant = Some("t1".into());
+    });
+}
+
+#[test]
+fn a_machine_goes_back() {
+    caught("CONFIG", |r| {
+        // While it need not have the new version yet, it had shown it before.
+        let Fate::Acknowledged(acked) = r.changes[1].fate else { panic!("acknowledged") };
+        let n = one(r, "r-tiro", 16);
+        let t = &mut r.tries[n];
+        (t.sent, t.answer.as_mut().expect("answered").at) = (acked + 2 * SECOND, acked + 2100 * MS);
+        let a = &mut t.arrivals[0];
+        (a.sent, a.at, a.ran) = (acked + 2 * SECOND, acked + 2010 * MS, Some(acked + 2010 * MS));
+        let early = t.clone();
+        r.tries[n].arrivals[0].service = "tiro".into();
+        let mut first = early;
+        first.sent = acked + 50 * MS;
+        (first.arrivals[0].at, first.arrivals[0].ran) = (acked + 60 * MS, Some(acked + 60 * MS));
+        let number = r.tries.len() as u64;
+        first.answer = Some(Answer { at: acked + 70 * MS, status: 200, seal: Some(number) });
+        r.tries.push(first);
+    });
+}
+
+#[test]
+fn two_changes_of_one_version_are_acknowledged() {
+    caught("CONFIG", |r| {
+        let mut twin = r.changes[1].clone();
+        twin.version += 1;
+        r.changes.push(twin);
+    });
+}
+
+#[test]
+fn an_invalid_configuration_is_acknowledged() {
+    caught("CONFIG", |r| r.changes[1].invalid = true);
+}
+
+#[test]
+fn an_older_version_is_read_back() {
+    caught("CONFIG", |r| {
+        let older = r.changes[1].config.clone();
+        r.read_back.iter_mut().for_each(|b| b.config = Some(older.clone()));
+    });
+}
+
+#[test]
+fn something_else_is_read_back() {
+    caught("CONFIG", |r| {
+        let mut other = (*r.changes[1].config).clone();
+        other.version = r.changes.last().expect("there").version;
+        r.read_back.iter_mut().for_each(|b| b.config = Some(Rc::new(other.clone())));
+    });
+}
+
+#[test]
+fn an_acknowledged_change_is_gone_after_the_closing_fault() {
+    caught("LOST", |r| {
+        let older = r.changes[1].config.clone();
+        r.read_back.iter_mut().for_each(|b| b.config = Some(older.clone()));
+        r.closing = Some(Closing { at: 34 * SECOND, back: 35 * SECOND });
+    });
+}
+
+#[test]
+fn proper_requests_are_denied() {
+    caught("DENIED", |r| {
+        for _ in 0..8 {
+            let n = one(r, "r-utu", 16);
+            let t = &mut r.tries[n];
+            t.answer.as_mut().expect("answered").status = 404;
+            t.arrivals.clear();
+        }
+    });
+}
+
+#[test]
+fn an_order_is_not_acknowledged_in_time() {
+    caught("ACK", |r| r.changes[1].fate = Fate::Acknowledged(19 * SECOND));
+}
+
+#[test]
+fn a_server_that_left_is_reached() {
+    caught("DRAIN", |r| {
+        let (server, at) = (r.leaves[0].server.clone(), r.leaves[0].at + 3_200 * MS);
+        let n = one(r, "r-utu", 16);
+        let a = &mut r.tries[n].arrivals[0];
+        (a.server, a.sent, a.at) = (server, at, at);
+    });
+}
+
+#[test]
+fn an_evacuated_zone_is_reached() {
+    caught("EVAC", |r| {
+        let n = one(r, "r-utu", 20);
+        r.tries[n].arrivals[0].zone = "b".into();
+    });
+}
+
+#[test]
+fn a_request_leaves_its_homes() {
+    caught("HOME", |r| {
+        let n = one(r, "r-kawe", 36);
+        r.tries[n].arrivals[0].region = "south".into();
+    });
+}
+
+#[test]
+fn a_tenant_gets_more_than_its_share() {
+    caught("QUOTA", |r| {
+        let n = one(r, "r-tiro", 16);
+        (0..450).for_each(|_| again(r, n, |_| {}));
+    });
+}
+
+#[test]
+fn too_many_further_tries() {
+    caught("BUDGET", |r| {
+        let n = one(r, "r-tiro", 16);
+        (0..200).for_each(|_| again(r, n, |a| a.turned_away = Some(503)));
+    });
+}
+
+#[test]
+fn a_cold_server_gets_too_much() {
+    caught("FAILBACK", |r| {
+        let n = one(r, "r-tiro", 16);
+        let server = r.tries[n].arrivals[0].server.clone();
+        let (from, until) = (0, 46 * SECOND);
+        r.colds.push(Cold { server, from, until, rate: 4.0 });
+        (0..12).for_each(|_| again(r, n, |_| {}));
+    });
+}
+
+#[test]
+fn a_request_is_cut_off_around_an_end_in_order() {
+    caught("LOST", |r| {
+        let n = one(r, "r-tiro", 16);
+        let t = &mut r.tries[n];
+        let at = t.answer.take().expect("answered").at;
+        t.broken = Some(at);
+        let (from, until) = (at - SECOND, at + 6 * SECOND);
+        r.troubles.push(Trouble { host: t.edge, from, until, planned: true, what: "asked to end".into() });
+    });
+}
+
+#[test]
+fn nothing_is_served_after_the_closing_fault() {
+    caught("RECOVER", |r| {
+        r.closing = Some(Closing { at: 14 * SECOND, back: 15 * SECOND });
+        r.requests.iter_mut().filter(|q| q.sent > 30 * SECOND).for_each(|q| q.served = None);
+    });
+}
+
+/// The same seed is the same day.
+#[test]
+fn chance_comes_from_the_seed_alone() {
+    let text = dryfit::hunt::draw(11);
+    let scenario = Scenario::read(&text).expect("a scenario");
+    let of = |seed| format!("{:?}", play(&scenario, seed, false).record);
+    assert_eq!(of(3), of(3));
+    assert_ne!(of(3), of(4));
+}
