--- a/crates/dryfit/src/hunt.rs
+++ b/crates/dryfit/src/hunt.rs
@@ -63,8 +63,8 @@
     out
 }
 
-/// A day of faults drawn from `seed`, as the text of a scenario. What is lost at one time stays within what may
-/// be.
+/// A day of faults drawn from `seed`, as the text of a scenario. What is lost at one time stays within what
+/// may be.
 pub fn draw(seed: u64) -> String {
     let mut rng = fastrand::Rng::with_seed(seed ^ 0xd1f1);
     let mut text = String::new();
--- a/crates/dryfit/src/judge.rs
+++ b/crates/dryfit/src/judge.rs
@@ -28,7 +28,7 @@
     Go { services: BTreeSet<&'c str>, tenant: Option<&'c str>, homes: Vec<&'c [String]> },
 }
 
-/// When a try was sent, when it was seen handled, by which versions at least and at most, and which try it is.
+/// When a try was sent, when it was seen handled, by which versions at least and at most, and which try.
 type Effect = (Micros, Micros, u32, u32, u64);
 
 /// How a request was seen to be handled.
@@ -147,8 +147,8 @@
         ran.chain(refused.map(|a| (a.at, Seen::Refused(a.status)))).collect()
     }
 
-    /// Versions that may be in force for a request sent at `sent` and seen at `at`, and those among them that are not
-    /// too old for it.
+    /// Versions that may be in force for a request sent at `sent` and seen at `at`, and those among them that
+    /// are not too old for it.
     fn in_force(&self, sent: Micros, at: Micros) -> (Vec<usize>, Vec<usize>) {
         let apply = self.r.bounds.config_apply;
         let acked = |c: &Change| matches!(c.fate, Fate::Acknowledged(a) if a + apply < sent);
