--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -31,6 +31,9 @@
         fall_multiple: rules.number("fallMultiple")?,
         fall_us: rules.whole("fallUs")?,
         services: 1,
+        starts_empty: false,
+        loose_under: 0.0,
+        loose_burst: 0.0,
     })
 }
 
--- a/crates/pegboard/src/board.rs
+++ b/crates/pegboard/src/board.rs
@@ -2,12 +2,15 @@
 //! registries and to the proxies come in; answers and messages go out. No I/O, no clock.
 
 use crate::calls::{self, Answer, Request};
+use crate::meter::Meter;
 use crate::presence::Presence;
+use crate::show::View;
 use jig::api::{self, Beat, Call};
 use jig::config::if_match;
 use rack::copy::{Copy, Took};
-use rack::state::{Change, Command, Done, Node, NodeChange, Server, ServerChange};
-use rack::talk::{Down, FromStore, Gossip, News, ToStore, Unsure, Up};
+use rack::follow::Followers;
+use rack::state::{Change, Command, Done, NodeChange, Server, ServerChange};
+use rack::talk::{Down, FromStore, Gossip, Head, News, Seen, Standing, ToStore, Unsure, Up, Usage};
 use rack::{Micros, Rev};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
@@ -49,6 +52,10 @@
 
 /// Beats between two messages of the registry's own, as a part of the servers' beat.
 const PARTS: Micros = 3;
+/// Reports of tenants' use are gathered for so long before the proxies are told the sum.
+const METER_US: Micros = 60_000;
+/// For each proxy, where there are many: each round goes to all of them.
+const METER_EACH_US: Micros = 4_000;
 /// A call's caller moves on after a second of silence.
 const CALL_US: Micros = 900_000;
 /// A server is written off after so many beats unheard, a proxy after so many times the catching up.
@@ -70,15 +77,6 @@
     wait: Wait,
 }
 
-/// A follower of the news.
-struct Follower {
-    node: Node,
-    /// How far it was sent the news.
-    rev: Rev,
-    /// It told to be behind that when it last reported.
-    behind: Option<Rev>,
-}
-
 pub struct Board {
     terms: Terms,
     now: Micros,
@@ -92,7 +90,12 @@
     leads: bool,
     leads_since: Micros,
     pub presence: Presence,
-    followers: BTreeMap<u64, Follower>,
+    meter: Meter,
+    /// Readings go out ahead of time, as a proxy has reported ahead of time.
+    meter_at: Micros,
+    followers: Followers,
+    /// The greatest that was told of each region.
+    heads: BTreeMap<String, Head>,
     waiting: BTreeMap<u64, Waiting>,
     tickets: u64,
     /// Changes of servers and proxies on their way into the log: those gathered for the next command, its number, and
@@ -120,7 +123,10 @@
             leads: false,
             leads_since: now,
             presence: Presence::new(now, terms.beat_us),
-            followers: BTreeMap::new(),
+            meter: Meter::new(terms.beat_us / PARTS),
+            meter_at: Micros::MAX,
+            followers: Followers::default(),
+            heads: BTreeMap::new(),
             waiting: BTreeMap::new(),
             tickets: 0,
             servers: Vec::new(),
@@ -137,7 +143,7 @@
     /// When it wants to be called again, whatever comes.
     pub fn wake_at(&self) -> Micros {
         let calls = self.waiting.values().map(|w| w.until).min();
-        calls.unwrap_or(Micros::MAX).min(self.next_round)
+        calls.unwrap_or(Micros::MAX).min(self.next_round).min(self.meter_at)
     }
 
     pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
@@ -164,10 +170,16 @@
             Input::Peer(gossip) => {
                 self.places.insert(gossip.ip, gossip.zone.clone());
                 self.presence.told(self.now, &gossip);
+                for usage in gossip.usage {
+                    self.usage(usage, true);
+                }
+                for (region, head) in gossip.heads {
+                    self.head(region, head);
+                }
             }
             Input::Proxy(link, up) => self.proxy(link, up, out),
             Input::ProxyDown(link) => {
-                self.followers.remove(&link);
+                self.followers.gone(link);
             }
         }
         self.round(out);
@@ -221,13 +233,30 @@
                     Some(Answer::error(404, &format!("no zone {argument:?}")))
                 }
             }
-            _ => Some(Answer::error(404, "not served here")),
+            Call::Status => Some(self.view().status()),
+            Call::ListInstances => Some(self.view().instances()),
+            Call::ListNodes => Some(self.view().nodes()),
+            Call::Ready => Some(Answer::error(404, "not served here")),
         };
         if let Some(answer) = answer {
             out.push(Output::Answer(id, answer));
         }
     }
 
+    fn view(&self) -> View<'_> {
+        View {
+            now: self.now,
+            me: self.terms.me,
+            state: &self.copy.state,
+            presence: &self.presence,
+            core: &self.core,
+            places: &self.places,
+            fresh: self.fresh && self.store_up,
+            leads: self.leads && self.store_up,
+            followers: self.followers.iter().map(|(_, f)| (&f.node, f.rev())).collect(),
+        }
+    }
+
     fn ticket(&mut self) -> u64 {
         self.tickets += 1;
         self.tickets
@@ -330,10 +359,12 @@
             FromStore::Proposed { ticket, result } => {
                 if self.under_way.is_some_and(|(t, _)| t == ticket) {
                     self.under_way = None;
-                    if let Ok((rev, _)) = result {
-                        (self.landed, self.landed_at) = (self.batch - 1, rev);
+                    let number = self.batch - 1;
+                    match result {
+                        Ok((rev, _)) => (self.landed, self.landed_at) = (number, rev),
+                        // Its callers come again; the next to land must not pass for this one.
+                        Err(_) => self.lose(number, out),
                     }
-                    // Else its callers are not answered, and come again.
                     return;
                 }
                 let found = self.waiting.iter_mut().find_map(|(id, w)| match &mut w.wait {
@@ -363,6 +394,14 @@
         }
     }
 
+    fn lose(&mut self, batch: u64, out: &mut Vec<Output>) {
+        let of = |w: &Waiting| matches!(w.wait, Wait::Batch(number) if number == batch);
+        let callers: Vec<u64> = self.waiting.iter().filter(|(_, w)| of(w)).map(|(id, _)| *id).collect();
+        for id in callers {
+            self.answer(id, Answer::unavailable("not agreed, or perhaps: tell it again"), out);
+        }
+    }
+
     fn news(&mut self, news: News, out: &mut Vec<Output>) {
         match self.copy.take(self.now, news) {
             Took::Changed => {}
@@ -373,19 +412,11 @@
             }
         }
         self.presence.known(self.now, &self.copy.state);
-        let links: Vec<u64> = self.followers.keys().copied().collect();
-        for link in links {
-            self.feed(link, out);
-        }
+        self.feed(out);
     }
 
-    /// Sends a follower what it does not have yet.
-    fn feed(&mut self, link: u64, out: &mut Vec<Output>) {
-        let Some(f) = self.followers.get_mut(&link) else { return };
-        if let Some(news) = self.copy.since(self.now, f.rev) {
-            f.rev = self.copy.rev();
-            out.push(Output::Proxy(link, Down::News(news)));
-        }
+    fn feed(&mut self, out: &mut Vec<Output>) {
+        self.followers.feed(self.now, &self.copy, |link, down| out.push(Output::Proxy(link, down)));
     }
 
     /// Hands what was gathered of servers and proxies to the store, one command at a time.
@@ -441,22 +472,22 @@
                 if self.copy.state.nodes.get(&node.ip) != Some(&node) {
                     self.nodes.push(NodeChange::Up(node.clone()));
                 }
-                // One that is ahead of this registry keeps what it has, and hears of news from there on.
-                self.followers.insert(link, Follower { node, rev, behind: None });
-                out.push(Output::Proxy(link, self.standing()));
-                self.feed(link, out);
+                out.push(Output::Proxy(link, self.standing(&node.region)));
+                self.followers.hello(link, node, rev);
+                self.feed(out);
             }
-            Up::Report { rev, seen } => {
+            Up::Report { rev, head, seen, usage } => {
+                for u in usage {
+                    self.usage(u, false);
+                }
                 for s in seen {
                     self.presence.seen(self.now, s);
                 }
-                let Some(f) = self.followers.get_mut(&link) else { return };
-                // A copy that stays behind what was sent is mended from where it is.
-                if rev > f.rev || (rev < f.rev && f.behind == Some(rev)) {
-                    f.rev = rev;
-                }
-                f.behind = (rev < f.rev).then_some(rev);
+                let Some(f) = self.followers.reported(link, rev) else { return };
                 let node = f.node.clone();
+                if let Some(head) = head {
+                    self.head(node.region.clone(), head);
+                }
                 let on_its_way = |n: &NodeChange| matches!(n, NodeChange::Up(n) if *n == node);
                 if self.copy.state.nodes.get(&node.ip) != Some(&node)
                     && self.under_way.is_none()
@@ -464,32 +495,87 @@
                 {
                     self.nodes.push(NodeChange::Up(node));
                 }
-                self.feed(link, out);
+                self.feed(out);
             }
         }
     }
 
-    fn standing(&self) -> Down {
+    /// What followers of a region are told.
+    fn standing(&self, region: &str) -> Down {
         let place = |ip: &Ipv4Addr| (*ip, self.places.get(ip).cloned().unwrap_or_default());
-        Down::Standing { core: self.core.iter().map(place).collect(), fresh: self.fresh && self.store_up }
+        let nodes = self.copy.state.nodes.values().filter(|n| n.region == region);
+        let away = nodes.map(|n| n.ip).filter(|ip| !self.presence.alive(self.now, &self.copy.state, *ip));
+        Down::Standing(Standing {
+            rev: self.copy.rev(),
+            fresh_ms: (self.fresh && self.store_up).then_some(0),
+            core: self.core.iter().map(place).collect(),
+            path: Vec::new(),
+            head: self.heads.get(region).copied(),
+            away: away.collect(),
+        })
+    }
+
+    fn head(&mut self, region: String, head: Head) {
+        let known = self.heads.entry(region).or_insert(head);
+        *known = head.max(*known);
+    }
+
+    fn usage(&mut self, usage: Usage, told: bool) {
+        self.meter.take(self.now, usage, told);
+        let gather = METER_US.max(METER_EACH_US * self.copy.state.nodes.len() as Micros);
+        self.meter_at = self.meter_at.min(self.now + gather);
+    }
+
+    /// Tells the other registries what was reported here, and the proxies what it all comes to.
+    fn tell_meter(&mut self, out: &mut Vec<Output>) {
+        self.meter_at = Micros::MAX;
+        let usage = self.meter.news();
+        if !usage.is_empty() {
+            self.gossip(Vec::new(), Vec::new(), usage, Vec::new(), out);
+        }
+        let readings = self.meter.read(self.now, &self.copy.state);
+        if !readings.is_empty() {
+            for link in self.followers.links() {
+                out.push(Output::Proxy(link, Down::Meter(readings.clone())));
+            }
+        }
+    }
+
+    fn gossip(
+        &self,
+        servers: Vec<(String, u64)>,
+        nodes: Vec<Seen>,
+        usage: Vec<Usage>,
+        heads: Vec<(String, Head)>,
+        out: &mut Vec<Output>,
+    ) {
+        let (me, zone) = (self.terms.me, &self.terms.zone);
+        for ip in self.core.iter().filter(|c| **c != me) {
+            let (zone, servers) = (zone.clone(), servers.clone());
+            let (nodes, usage, heads) = (nodes.clone(), usage.clone(), heads.clone());
+            let gossip = Gossip { ip: me, zone, servers, nodes, usage, heads };
+            out.push(Output::Peer(*ip, gossip));
+        }
     }
 
     /// What is done from time to time.
     fn round(&mut self, out: &mut Vec<Output>) {
+        if self.now >= self.meter_at.min(self.next_round) {
+            self.tell_meter(out);
+        }
         if self.now < self.next_round {
             return;
         }
         self.next_round = self.now + self.terms.beat_us / PARTS;
-        for link in self.followers.keys() {
-            out.push(Output::Proxy(*link, self.standing()));
+        let mut standings = BTreeMap::new();
+        for (link, f) in self.followers.iter() {
+            let region = f.node.region.as_str();
+            let standing = standings.entry(region).or_insert_with(|| self.standing(region));
+            out.push(Output::Proxy(link, standing.clone()));
         }
         let (servers, nodes) = self.presence.news();
-        let others: Vec<Ipv4Addr> = self.core.iter().copied().filter(|c| *c != self.terms.me).collect();
-        for ip in others {
-            let (me, zone) = (self.terms.me, self.terms.zone.clone());
-            let gossip = Gossip { ip: me, zone, servers: servers.clone(), nodes: nodes.clone() };
-            out.push(Output::Peer(ip, gossip));
-        }
+        let heads = self.heads.iter().map(|(region, head)| (region.clone(), *head)).collect();
+        self.gossip(servers, nodes, Vec::new(), heads, out);
         self.write_off();
     }
 
--- a/crates/planchest/src/main.rs
+++ b/crates/planchest/src/main.rs
@@ -1,7 +1,7 @@
 //! The shell of the store of configuration: links, disk and time around `planchest::chest`.
 
 use miette::{Result, miette};
-use planchest::chest::{Chest, Input, Output, Peer};
+use planchest::chest::{Chest, Input, Output, Peer, Standing};
 use rack::talk::{STORE_LOCAL, STORE_PEERS, ToStore};
 use ratchet::disk::Store;
 use ratchet::{Saved, Write};
@@ -92,6 +92,7 @@
         out,
         over,
         ends_at: None,
+        stood: Standing::default(),
     };
     turn::turn(clock, alarm, inbox, shell);
     ended.recv().map_err(|_| miette!("the work has ended by a fault"))
@@ -146,6 +147,7 @@
     out: Vec<Output>,
     over: Sender<()>,
     ends_at: Option<Micros>,
+    stood: Standing,
 }
 
 impl Machine for Shell {
@@ -204,6 +206,11 @@
         };
         if let Some(input) = input {
             self.chest.handle(now, input, &mut self.out);
+            let stands = self.chest.standing();
+            if stands != self.stood {
+                log::info!("{stands}");
+                self.stood = stands;
+            }
         }
         for output in std::mem::take(&mut self.out) {
             match output {
@@ -221,10 +228,13 @@
                 Output::Write(write) => drop(self.writes.send(write)),
             }
         }
+        let port = self.peers_port;
         for ip in self.chest.fellows() {
-            let port = self.peers_port;
-            let tie = self.fellows.entry(ip).or_insert_with(|| Tie::new((ip, port).into()));
-            let inbox = self.inbox.clone();
+            self.fellows.entry(ip).or_insert_with(|| Tie::new((ip, port).into()));
+        }
+        // Also to those that are no fellows yet: a leader brings a newcomer up to date before it is one.
+        for (ip, tie) in &mut self.fellows {
+            let (ip, inbox) = (*ip, self.inbox.clone());
             tie.tend(now, SILENCE, move |link, event| inbox.post(Told::FellowLink(ip, link, event)));
         }
         if self.ends_at.is_some_and(|at| now >= at) {
--- a/crates/shuttle/src/book.rs
+++ b/crates/shuttle/src/book.rs
@@ -5,6 +5,7 @@
 use curlewfront::{Class, Effect, Entry, Micros, Plan, Settings, State as Standing};
 use jig::config::{Config, Service};
 use rack::state::{Node, Server, State};
+use rack::talk::tenant_key;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -18,18 +19,55 @@
     pub region: String,
     /// Zones and their regions.
     pub zones: BTreeMap<String, String>,
+    pub leeway: Leeway,
+}
+
+/// By how much quotas may be exceeded, as the settings tell: by a part of what they allow and some requests more.
+/// It makes good that proxies know of each other only after a while.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Leeway {
+    pub excess: f64,
+    pub margin: f64,
+    pub period_s: f64,
+}
+
+/// What of the leeway is given out in advance, as bursts: half of what the burst itself brings, and a part of the
+/// fixed margin. What remains covers the time until a reading tells of a rise.
+const MARGIN_AHEAD: f64 = 0.4;
+
+impl Leeway {
+    /// What a tenant may use a second over a long time before the leeway is used up by half.
+    fn bears(&self, rate: f64) -> f64 {
+        let margin = if self.period_s > 0.0 { self.margin / self.period_s } else { 0.0 };
+        rate * (1.0 + self.excess / 2.0) + margin / 2.0
+    }
+
+    fn burst(&self, rate: f64, burst: f64) -> f64 {
+        if rate <= 0.0 {
+            return burst;
+        }
+        burst * (1.0 + self.excess / 2.0) + MARGIN_AHEAD * self.margin
+    }
 }
 
 /// What an answer past the aim is taken to be worth: enough that it is waited for.
 const LATE_WORTH: f64 = 0.2;
 /// So many proxies of its zone share what a cold server bears; the others leave it alone until it is warm.
 const COLD_SHARERS: usize = 3;
-/// What is expected to come through here of the work of servers elsewhere, while this zone has some of its own: a part
-/// of the even one in this region, and in another.
-const ELSEWHERE: [f64; 2] = [0.5, 0.25];
+/// What is expected to come through here of the work of servers that are not the nearest: an even part of it.
+const ELSEWHERE: f64 = 1.0;
+/// How far a server of another zone of this region is.
+pub const REGION: u32 = 1;
+/// While less than this part of a tenant's quota is used everywhere, so many of its requests may come at once here.
+const LOOSE_UNDER: f64 = 0.85;
+const LOOSE_BURST: f64 = 4.0;
 const TICK_US: Micros = 1_000;
 const RETRY_AFTER_US: Micros = 1_000_000;
 
+/// The decisions split a burst over n proxies by this power of n, which is more than there is; so they are told of less,
+/// and all parts together come to the burst itself.
+const BURST_SPLIT: f64 = 0.8;
+
 #[derive(Default)]
 struct Numbers(HashMap<String, u32>);
 
@@ -54,6 +92,7 @@
     class_of: Numbers,
     plans: Vec<Plan>,
     plan_of: Numbers,
+    keys: Vec<u32>,
     services: Numbers,
     zones: Numbers,
     servers: HashMap<String, u64>,
@@ -68,6 +107,9 @@
     pub id: Arc<str>,
     pub addr: SocketAddr,
     pub service: String,
+    /// The number of its zone, and how far that is.
+    pub zone: u32,
+    pub near: u32,
 }
 
 /// The list as it is now, and when it will be another one though nothing new is heard.
@@ -99,6 +141,7 @@
             class_of,
             plans: vec![Plan::default()],
             plan_of,
+            keys: vec![0],
             services: Numbers::default(),
             zones,
             servers: HashMap::new(),
@@ -116,6 +159,17 @@
         self.plan_of.known(tenant).unwrap_or(0) as usize
     }
 
+    /// The plans that have a quota, and the rate that they may come to.
+    pub fn quotas(&self) -> Vec<(usize, f64)> {
+        let all = self.plans.iter().enumerate();
+        all.filter(|(_, p)| p.rate > 0.0).map(|(n, p)| (n, self.place.leeway.bears(p.rate))).collect()
+    }
+
+    /// What a plan's tenant is called in reports.
+    pub fn key(&self, plan: usize) -> u32 {
+        self.keys.get(plan).copied().unwrap_or(0)
+    }
+
     pub fn service(&self, name: &str) -> Option<u32> {
         self.services.known(name)
     }
@@ -129,8 +183,8 @@
         inside.filter_map(|(z, _)| self.zones.known(z)).filter(|n| *n < 64).fold(0, |set, n| set | 1 << n)
     }
 
-    /// Takes a configuration over.
-    pub fn learn(&mut self, config: &Config) {
+    /// Takes a configuration over, at so many proxies.
+    pub fn learn(&mut self, config: &Config, nodes: usize) {
         for route in &config.routes {
             let class = Class {
                 aim_us: (route.target_ms * 1000).max(1),
@@ -141,8 +195,12 @@
             put(&mut self.classes, self.class_of.of(&route.name) as usize, class);
         }
         for tenant in config.tenants.iter().flatten() {
-            let plan = Plan { rate: tenant.rate, burst: tenant.burst, ..Plan::default() };
-            put(&mut self.plans, self.plan_of.of(&tenant.name) as usize, plan);
+            let burst = self.place.leeway.burst(tenant.rate, tenant.burst);
+            let burst = burst * (nodes.max(1) as f64).powf(BURST_SPLIT - 1.0);
+            let plan = Plan { rate: tenant.rate, burst, ..Plan::default() };
+            let number = self.plan_of.of(&tenant.name) as usize;
+            put(&mut self.plans, number, plan);
+            put(&mut self.keys, number, tenant_key(&tenant.name));
         }
         for service in &config.services {
             self.services.of(&service.name);
@@ -155,12 +213,15 @@
             index,
             classes: self.classes.clone(),
             plans: self.plans.clone(),
-            meter_us: beat_us,
+            meter_us: beat_us / 3,
             tick_us: TICK_US,
             may_cancel: true,
             retry_after: true,
             max_retry_after_us: RETRY_AFTER_US,
             attempts_cap: 2,
+            starts_empty: true,
+            loose_under: LOOSE_UNDER,
+            loose_burst: LOOSE_BURST,
             cold_from: 0.25,
             cold_us: 1,
             fall_multiple: 1.0,
@@ -180,11 +241,28 @@
         let services: BTreeMap<&str, &Service> =
             config.iter().flat_map(|c| &c.services).map(|s| (s.name.as_str(), s)).collect();
         let mut list = List { entries: Vec::new(), peers: BTreeMap::new(), changes_at: None };
-        // Where each service has servers that may be used: the nearest place tells what part of them is ours.
-        let mut nearest: BTreeMap<&str, u32> = BTreeMap::new();
-        for s in state.servers.values().filter(|s| usable(s, state)) {
-            let near = self.near(&s.zone);
-            nearest.entry(&s.service).and_modify(|n| *n = near.min(*n)).or_insert(near);
+        // For each zone's proxies, how near the nearest servers of each service are; so, how many proxies go first to
+        // the servers of a service in a zone.
+        let mut places: BTreeMap<&str, usize> = BTreeMap::new();
+        state.nodes.values().for_each(|n| *places.entry(&n.zone).or_default() += 1);
+        let used: BTreeSet<(&str, &str)> = state
+            .servers
+            .values()
+            .filter(|s| usable(s, state))
+            .map(|s| (s.service.as_str(), s.zone.as_str()))
+            .collect();
+        let mut nearest: BTreeMap<(&str, &str), u32> = BTreeMap::new();
+        for (zone, (service, at)) in places.keys().flat_map(|z| used.iter().map(move |u| (*z, *u))) {
+            let near = self.near(zone, at);
+            nearest.entry((zone, service)).and_modify(|n| *n = near.min(*n)).or_insert(near);
+        }
+        let mut users: BTreeMap<(&str, &str), usize> = BTreeMap::new();
+        for (zone, count) in &places {
+            for (service, at) in &used {
+                if nearest.get(&(*zone, *service)) == Some(&self.near(zone, at)) {
+                    *users.entry((*service, *at)).or_default() += count;
+                }
+            }
         }
         let all = state.nodes.len().max(1) as f64;
         for s in state.servers.values() {
@@ -197,12 +275,11 @@
                     self.next_server
                 }
             };
-            let near = self.near(&s.zone);
+            let near = self.near(&self.place.zone, &s.zone);
             let sharers = self.sharers(state, &s.zone);
-            let part = match near.saturating_sub(*nearest.get(s.service.as_str()).unwrap_or(&0)) {
-                0 => all / self.as_near(state, near).max(1) as f64,
-                n => ELSEWHERE[(n as usize - 1).min(1)],
-            };
+            let users = users.get(&(s.service.as_str(), s.zone.as_str())).copied().unwrap_or(0);
+            let mine = nearest.get(&(self.place.zone.as_str(), s.service.as_str())) == Some(&near);
+            let part = if mine { all / users.max(1) as f64 } else { ELSEWHERE };
             let cold_until = self.cold_until(s, services.get(s.service.as_str()).copied(), state);
             let cold = now < cold_until;
             let rate = services.get(s.service.as_str()).and_then(|c| c.cold_rate_s).unwrap_or(0.0);
@@ -215,9 +292,10 @@
                 up &= share.is_some();
                 cold_rate = rate / share.unwrap_or(1) as f64;
             }
+            let zone = self.zones.of(&s.zone);
             list.entries.push(Entry {
                 server: number,
-                zone: self.zones.of(&s.zone),
+                zone,
                 state: if up { Standing::Up } else { Standing::Draining },
                 service: self.services.of(&s.service),
                 near,
@@ -227,30 +305,22 @@
                 ..Entry::default()
             });
             let (id, service) = (s.id.as_str().into(), s.service.clone());
-            list.peers.insert(number, Peer { id, addr: s.addr, service });
+            list.peers.insert(number, Peer { id, addr: s.addr, service, zone, near });
         }
         self.servers.retain(|id, _| state.servers.contains_key(id));
         self.misled.retain(|n| list.peers.contains_key(n));
         list
     }
 
-    fn near(&self, zone: &str) -> u32 {
-        match self.place.zones.get(zone) {
-            _ if zone == self.place.zone => 0,
-            Some(region) if *region == self.place.region => 1,
+    /// How far it is from one zone to another: the same, the same region, another.
+    fn near(&self, from: &str, to: &str) -> u32 {
+        match (self.place.zones.get(from), self.place.zones.get(to)) {
+            _ if from == to => 0,
+            (Some(one), Some(other)) if one == other => 1,
             _ => 2,
         }
     }
 
-    /// How many proxies are as near to those servers as this one.
-    fn as_near(&self, state: &State, near: u32) -> usize {
-        match near {
-            0 => state.nodes.values().filter(|n| n.zone == self.place.zone).count(),
-            1 => state.nodes.values().filter(|n| n.region == self.place.region).count(),
-            _ => state.nodes.len(),
-        }
-    }
-
     /// Who brings up a zone's cold servers: its own proxies, or all if it has none.
     fn sharers<'s>(&self, state: &'s State, zone: &str) -> Vec<&'s Node> {
         let own: Vec<&Node> = state.nodes.values().filter(|n| n.zone == zone).collect();
--- a/crates/shuttle/src/front.rs
+++ b/crates/shuttle/src/front.rs
@@ -4,14 +4,15 @@
 //! What a status says is kept apart from how it came about: 429 and 503 promise that a request has not run and will not
 //! ([`Promise`]), so they go out only where that is known or where the request may run more than once anyway.
 
-use crate::book::{Book, List, Peer, Place};
+use crate::book::{Book, List, Peer, Place, REGION};
+use crate::tenants::Tenants;
 use curlewfront::{Action, Decider, Event, ListKind, Micros, NewRequest, Outcome, Return};
 use jig::config::{Config, Index, Kind, Route, Tenant};
 use rack::copy::{Copy, Took};
-use rack::talk::News;
+use rack::talk::{News, Reading, Use};
 use std::cmp::Reverse;
 use std::collections::hash_map::Entry::Occupied;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use tongs::limits::Held;
 use tongs::pool::Passage;
@@ -63,6 +64,7 @@
     Withdrawn(u64),
     Ended { id: u64, attempt: u32, end: End },
     News(News),
+    Meter(Vec<Reading>),
 }
 
 pub enum Output {
@@ -130,6 +132,7 @@
     /// The request without what differs from server to server.
     passage: Arc<Passage>,
     until: Micros,
+    plan: usize,
     tries: Vec<Try>,
     /// The last answer that a server gave though it is no success.
     spare: Option<Answer>,
@@ -162,6 +165,7 @@
     timer: Option<Micros>,
     peers: BTreeMap<u64, (Peer, bool)>,
     relist_at: Option<Micros>,
+    tenants: Tenants,
     acts: Vec<Action>,
     back: VecDeque<(u64, u32, Outcome)>,
     pub counts: Counts,
@@ -185,6 +189,7 @@
             timer: None,
             peers: BTreeMap::new(),
             relist_at: None,
+            tenants: Tenants::new(beat_us / 3),
             acts: Vec::new(),
             back: VecDeque::new(),
             counts: Counts::default(),
@@ -230,6 +235,7 @@
             }
             Input::Ended { id, attempt, end } => self.ended(id, attempt, end, out),
             Input::News(news) => self.news(news, out),
+            Input::Meter(readings) => self.meter(&readings, out),
         }
         self.settle(out);
         self.due(out);
@@ -269,10 +275,12 @@
         };
         let left_us = ask.left_us.unwrap_or(Micros::MAX).min(route.deadline_ms * 1000);
         let plan = tenant.map_or(0, |t| self.book.plan(&t.name));
+        self.tenants.asked(plan);
         let open = Open {
             name: ask.name.clone(),
             passage: Arc::new(Passage { head: head(&ask, tenant), body: ask.body }),
             until: self.now + left_us,
+            plan,
             tries: Vec::new(),
             spare: None,
             timed_out: false,
@@ -284,26 +292,26 @@
             plan,
             customer: plan as u64,
             left_us,
-            spread: (self.copy.state.nodes.len() as u32).max(1),
+            spread: self.tenants.spread(self.now, plan, self.copy.state.nodes.len()),
             service,
             zones,
             attempts: route.attempts,
-            reach: self.reach(route, service),
+            reach: self.reach(route, service, zones),
             ..NewRequest::default()
         };
         self.open.insert(ask.id, open);
         Ok(request)
     }
 
-    /// Large answers stay in their region while it has a server: carried far they cost more than they are worth.
-    fn reach(&self, route: &Route, service: u32) -> u32 {
-        let here = |(p, up): &(Peer, bool)| *up && self.book.service(&p.service) == Some(service);
-        let mine = |p: &Peer| {
-            let zone = self.copy.state.servers.get(&*p.id).map(|s| &s.zone);
-            zone.and_then(|z| self.place.zones.get(z)) == Some(&self.place.region)
+    /// Large answers stay in their region while it has a server for them: carried far they cost more than they are
+    /// worth.
+    fn reach(&self, route: &Route, service: u32, zones: u64) -> u32 {
+        let here = |(p, up): &(Peer, bool)| {
+            *up && self.book.service(&p.service) == Some(service)
+                && p.near <= REGION
+                && (p.zone >= 64 || zones & 1 << p.zone != 0)
         };
-        let near = route.kind == Kind::Download && self.peers.values().any(|p| here(p) && mine(&p.0));
-        if near { 1 } else { u32::MAX }
+        if route.kind == Kind::Download && self.peers.values().any(here) { REGION } else { u32::MAX }
     }
 
     fn ended(&mut self, id: u64, attempt: u32, end: End, out: &mut Vec<Output>) {
@@ -369,9 +377,10 @@
     fn act(&mut self, act: Action, out: &mut Vec<Output>) {
         match act {
             Action::Send { id, server, timeout_us } => self.send(id, server, timeout_us, out),
-            Action::Refuse { id, retry_after_us } => {
+            Action::Refuse { id, retry_after_us, over } => {
                 self.counts.refused += 1;
-                self.answer(id, Answer::later(503, "not now", retry_after_us), out);
+                let (status, why) = if over { (429, "beyond the quota") } else { (503, "not now") };
+                self.answer(id, Answer::later(status, why, retry_after_us), out);
             }
             Action::Fail { id } => {
                 self.counts.failed += 1;
@@ -389,6 +398,9 @@
         let Some(open) = self.open.get_mut(&id) else { return };
         let attempt = open.tries.len() as u32;
         let until = self.now.saturating_add(timeout_us).min(open.until);
+        if attempt == 0 {
+            self.tenants.sent(open.plan);
+        }
         open.tries.push(Try { server, sent_at: self.now, out: true });
         self.timeouts.push(Reverse((until, id, attempt)));
         self.counts.sent += 1;
@@ -444,6 +456,30 @@
         }
     }
 
+    // ---- the meter ----
+
+    /// What is done here for tenants, for the next report.
+    pub fn uses(&mut self, now: Micros) -> Vec<Use> {
+        self.tenants.uses(now, &self.book)
+    }
+
+    /// Others should hear soon of what is asked here.
+    pub fn hurries(&mut self) -> bool {
+        std::mem::take(&mut self.tenants.hurries)
+    }
+
+    fn meter(&mut self, readings: &[Reading], out: &mut Vec<Output>) {
+        let nodes = self.copy.state.nodes.len();
+        for (plan, rate) in self.book.quotas() {
+            let key = self.book.key(plan);
+            if let Some(reading) = readings.iter().find(|r| r.tenant == key) {
+                self.tenants.read(self.now, plan, reading, nodes);
+                let used = f64::from(reading.used) / 1000.0 / rate;
+                self.decide(Event::Used { customer: plan as u64, used }, out);
+            }
+        }
+    }
+
     // ---- news ----
 
     fn news(&mut self, news: News, out: &mut Vec<Output>) {
@@ -454,10 +490,12 @@
         if let Some(config) = &self.copy.state.config
             && self.config.as_ref().is_none_or(|(c, _)| !Arc::ptr_eq(c, config))
         {
-            self.book.learn(config);
             self.config = Some((config.clone(), config.index()));
         }
         let nodes = &self.copy.state.nodes;
+        if let Some((config, _)) = &self.config {
+            self.book.learn(config, nodes.len());
+        }
         let index = nodes.keys().position(|ip| *ip == self.place.ip).unwrap_or(0) as u32;
         let settings = self.book.settings((nodes.len() as u32).max(index + 1), index, self.beat_us);
         // What was sane before stays in force: a configuration that is taken makes sane settings.
@@ -473,12 +511,12 @@
             self.peers.remove(&server);
             out.push(Output::Gone { server });
         }
-        for (entry, (server, peer)) in entries.iter().zip(peers) {
-            let up = entry.state == curlewfront::State::Up;
-            debug_assert!(entry.server == server || entries.iter().any(|e| e.server == server));
-            let now = (peer, up);
+        let up: HashSet<u64> =
+            entries.iter().filter(|e| e.state == curlewfront::State::Up).map(|e| e.server).collect();
+        for (server, peer) in peers {
+            let now = (peer, up.contains(&server));
             if self.peers.get(&server) != Some(&now) {
-                out.push(Output::Server { server, peer: now.0.clone(), up });
+                out.push(Output::Server { server, peer: now.0.clone(), up: now.1 });
                 self.peers.insert(server, now);
             }
         }
--- a/crates/shuttle/src/main.rs
+++ b/crates/shuttle/src/main.rs
@@ -4,11 +4,12 @@
 use miette::{Result, miette};
 use rack::Micros;
 use rack::state::Node;
-use rack::talk::{Down, REGISTRY_NEWS};
-use shuttle::book::Place;
+use rack::talk::{Down, Here, PROXY_NEWS, PROXY_WATCH, REGISTRY_NEWS, Up};
+use shuttle::book::{Leeway, Place};
 use shuttle::feed::{self, Feed};
 use shuttle::front::{self, Ask, End, Front, Reached, Served};
-use std::collections::HashMap;
+use shuttle::watch::Watch;
+use std::collections::{BTreeMap, HashMap};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -22,6 +23,7 @@
 use tongs::limits::Held;
 use tongs::pool::{self, Ended, Job, Peer, Wire};
 use tongs::room::Room;
+use vise::datagram::{self, Datagrams};
 use vise::link::{self, Event, Line};
 use vise::turn::{Inbox, Machine};
 use vise::{Asked, Start, turn};
@@ -35,14 +37,17 @@
 const SERVER_IDLE_US: Micros = 8_000_000;
 /// The largest answer of a server that is carried.
 const ANSWER: Bounds = Bounds { head: 16 * 1024, body: 32 << 20 };
+/// Requests of one client's connection that are carried at once.
+const ABREAST: usize = 16;
 /// Until a configuration says otherwise.
 const LIMITS: (usize, usize, u64, u64) = (16 * 1024, 1 << 20, 3_000_000, 15_000_000);
 const SOCKETS: u64 = 1024;
 const MEMORY_MB: u64 = 128;
 /// Descriptors for files, and other than connections.
 const KEPT: u64 = 232;
-/// New connections keep coming for a while after a signal to end; so long is left at least after the last look.
+/// New connections keep coming for a while after a signal to end; what has come by the end of it is still taken.
 const STILL_COMING_US: Micros = 1_500_000;
+const SHUT_US: Micros = 50_000;
 /// What is left of the platform's patience when what still runs is given up.
 const SPARE_US: Micros = 500_000;
 const GRACE_S: f64 = 5.0;
@@ -52,6 +57,9 @@
     Withdrawn(u64),
     Ended(u64, u32, End),
     Link(u64, Event<Down>),
+    FollowerTaken(Line),
+    FollowerSays(u64, Event<Up>),
+    Here(Ipv4Addr, Here),
     Signal(Asked),
 }
 
@@ -74,7 +82,8 @@
     let shown = Arc::new(Shown::default());
     let desk = Arc::new(Requests { inbox: inbox.clone(), shown: shown.clone() });
     let listen = s.front_plain()?;
-    Door::start(listen, room.clone(), desk).map_err(|e| miette!("cannot listen on {listen}: {e}"))?;
+    let door = Door::start(listen, room.clone(), desk);
+    let door = door.map_err(|e| miette!("cannot listen on {listen}: {e}"))?;
     if let Ok(listen) = s.readiness() {
         let desk = Arc::new(Readiness { shown: shown.clone() });
         Door::start(listen, room.clone(), desk).map_err(|e| miette!("cannot listen on {listen}: {e}"))?;
@@ -82,8 +91,26 @@
     let posts = inbox.clone();
     start.watch(move |asked| posts.post(Told::Signal(asked)))?;
 
+    let (posts, relay) = (inbox.clone(), start.internal(PROXY_NEWS)?);
+    link::listen(relay, SILENCE, move |line, _| {
+        posts.post(Told::FollowerTaken(line));
+        let posts = posts.clone();
+        move |link, event| posts.post(Told::FollowerSays(link, event))
+    })
+    .map_err(|e| miette!("cannot listen on {relay}: {e}"))?;
+    let (posts, listen) = (inbox.clone(), start.internal(PROXY_WATCH)?);
+    let datagrams = datagram::open(listen, move |from, here| posts.post(Told::Here(from, here)))
+        .map_err(|e| miette!("cannot take datagrams on {listen}: {e}"))?;
+
     let s = &start.settings;
-    let place = Place { ip: s.ip, zone: s.zone.clone(), region: s.region.clone(), zones: s.zones.clone() };
+    let b = &s.bounds;
+    let leeway = Leeway {
+        excess: b.quota_excess.unwrap_or(0.0),
+        margin: b.quota_margin.unwrap_or(0.0),
+        period_s: b.quota_period_s.unwrap_or(0.0),
+    };
+    let (zone, region, zones) = (s.zone.clone(), s.region.clone(), s.zones.clone());
+    let place = Place { ip: s.ip, zone, region, zones, leeway };
     let node = Node {
         ip: s.ip,
         name: s.name.clone(),
@@ -96,9 +123,13 @@
     let grace_us = (s.bounds.grace_period_s.unwrap_or(GRACE_S) * 1e6) as Micros;
     let shell = Shell {
         front: Front::new(place, beat_us, start.life, now),
+        watch: Watch::new(node.clone(), beat_us / 3, start.life, now),
+        datagrams,
         feed: Feed::new(node, s.zones.clone(), start.seeds(), beat_us, start.life, now),
-        news_port: start.internal(REGISTRY_NEWS)?.port(),
-        line: None,
+        registry_port: start.internal(REGISTRY_NEWS)?.port(),
+        relay_port: relay.port(),
+        lines: BTreeMap::new(),
+        followers: BTreeMap::new(),
         wire: Arc::new(Servers { inbox: inbox.clone() }),
         peers: HashMap::new(),
         replies: HashMap::new(),
@@ -107,6 +138,7 @@
         inbox: inbox.clone(),
         out: Vec::new(),
         news: Vec::new(),
+        door,
         over,
         grace_us,
         asked_at: None,
@@ -194,6 +226,10 @@
         self.inbox.post(Told::Asked(Ask { id, body, ..ask }, reply));
     }
 
+    fn abreast(&self) -> usize {
+        ABREAST
+    }
+
     fn withdrawn(&self, id: u64) {
         self.inbox.post(Told::Withdrawn(id));
     }
@@ -309,8 +345,13 @@
 struct Shell {
     front: Front,
     feed: Feed,
-    news_port: u16,
-    line: Option<(Ipv4Addr, Option<Line>)>,
+    watch: Watch,
+    datagrams: Datagrams,
+    registry_port: u16,
+    relay_port: u16,
+    /// Links to those who are followed, by the feed's numbers; links of followers by their own.
+    lines: BTreeMap<u64, Line>,
+    followers: BTreeMap<u64, Line>,
     wire: Arc<Servers>,
     peers: HashMap<u64, Peer<Servers>>,
     replies: HashMap<u64, Reply>,
@@ -319,6 +360,7 @@
     inbox: Inbox<Told>,
     out: Vec<front::Output>,
     news: Vec<feed::Output>,
+    door: Arc<Door<Requests>>,
     over: Sender<()>,
     grace_us: Micros,
     asked_at: Option<Micros>,
@@ -382,30 +424,66 @@
     }
 
     fn feed(&mut self, now: Micros, input: feed::Input) {
-        self.feed.handle(now, input, &mut self.news);
+        if self.feed.reports(now) {
+            self.feed.uses(self.front.uses(now));
+        }
+        self.feed.handle(now, input, &self.front.copy, &mut self.news);
         for output in std::mem::take(&mut self.news) {
             match output {
-                feed::Output::Link(ip) => {
-                    let inbox = self.inbox.clone();
-                    let addr = SocketAddr::from((ip, self.news_port));
-                    let told = move |link, event| inbox.post(Told::Link(link, event));
-                    let line = link::dial(addr, SILENCE, told);
-                    self.line = Some((ip, line.map_err(|e| log::info!("cannot link to {addr}: {e}")).ok()));
+                feed::Output::Link { link, ip, relay } => self.link(link, ip, relay),
+                feed::Output::Unlink(link) => {
+                    self.lines.remove(&link);
                 }
-                feed::Output::Say(up) => {
-                    if let Some((_, Some(line))) = &self.line {
+                feed::Output::Say(link, up) => {
+                    if let Some(line) = self.lines.get(&link) {
                         line.send(&up);
                     }
+                    self.watch(now, true);
+                }
+                feed::Output::Tell(link, down) => {
+                    if let Some(line) = self.followers.get(&link) {
+                        line.send(&down);
+                    }
                 }
+                feed::Output::Refuse(link) => {
+                    self.followers.remove(&link);
+                }
+                feed::Output::Meter(readings) => self.front(now, front::Input::Meter(readings)),
                 feed::Output::News(news) => {
                     self.front(now, front::Input::News(news));
-                    self.feed.at(self.front.copy.rev());
+                    self.feed(now, feed::Input::Changed);
+                    self.watch.known(now, &self.front.copy.state.nodes);
                     self.show();
                 }
             }
         }
     }
 
+    /// Tells the watchers that this proxy is there, if it is time.
+    fn watch(&mut self, now: Micros, soon: bool) {
+        if let Some((here, watchers)) = self.watch.round(now, soon) {
+            for ip in watchers {
+                self.datagrams.send(*ip, &here);
+            }
+            self.feed.suspects(self.watch.suspects());
+        }
+    }
+
+    fn link(&mut self, link: u64, ip: Ipv4Addr, relay: bool) {
+        let (what, port) = if relay { ("relay", self.relay_port) } else { ("registry", self.registry_port) };
+        log::info!("follows the {what} on {ip} from revision {}", self.front.copy.rev());
+        let (inbox, addr) = (self.inbox.clone(), SocketAddr::from((ip, port)));
+        match link::dial(addr, SILENCE, move |_, event| inbox.post(Told::Link(link, event))) {
+            Ok(line) => {
+                self.lines.insert(link, line);
+            }
+            Err(e) => {
+                log::info!("cannot link to {addr}: {e}");
+                self.inbox.post(Told::Link(link, Event::Down));
+            }
+        }
+    }
+
     /// What has changed for the connections.
     fn show(&mut self) {
         if let Some(limits) = self.front.limits() {
@@ -415,7 +493,7 @@
             self.shown.header_wait_us.store(limits.header_wait_ms * 1000, Ordering::Relaxed);
             self.shown.idle_us.store(limits.idle_limit_ms * 1000, Ordering::Relaxed);
         }
-        let ready = self.front.ready() && self.feed.was_fresh && self.asked_at.is_none();
+        let ready = self.front.ready() && self.feed.was_fresh() && self.asked_at.is_none();
         self.shown.ready.store(ready, Ordering::Relaxed);
         if self.feed.ready != ready {
             self.feed.ready = ready;
@@ -423,12 +501,15 @@
         }
     }
 
-    /// Whether all is answered after a signal to end, and nothing more will come.
+    /// Whether all is over after a signal to end. New connections are taken for a while, as clients still come by what
+    /// they were told before; then the listener is shut, and each open connection ends with its last answer.
     fn over(&self, now: Micros) -> bool {
         let Some(asked_at) = self.asked_at else { return false };
+        if now >= asked_at + STILL_COMING_US {
+            self.door.shut();
+        }
         let late = now >= asked_at + self.grace_us.saturating_sub(SPARE_US);
-        let quiet = self.replies.is_empty() && now >= asked_at + STILL_COMING_US;
-        late || quiet
+        late || (now >= asked_at + STILL_COMING_US + SHUT_US && self.door.count() == 0)
     }
 }
 
@@ -439,6 +520,7 @@
         match told {
             None => {
                 self.front(now, front::Input::Tick);
+                self.watch(now, false);
                 self.feed(now, feed::Input::Tick);
             }
             Some(Told::Asked(ask, reply)) => {
@@ -453,29 +535,35 @@
                 self.front(now, front::Input::Ended { id, attempt, end });
             }
             Some(Told::Link(link, event)) => {
-                // What an earlier link says is no longer of interest.
-                let mine = matches!(&self.line, Some((_, Some(line))) if line.number == link);
-                if mine {
-                    if matches!(event, Event::Down) {
-                        self.line = None;
-                    }
-                    let input = match event {
-                        Event::Up => feed::Input::Linked,
-                        Event::Got(down) => feed::Input::Got(down),
-                        Event::Down => feed::Input::Broken,
-                    };
-                    self.feed(now, input);
-                }
+                let input = match event {
+                    Event::Up => feed::Input::Linked(link),
+                    Event::Got(down) => feed::Input::Got(link, down),
+                    Event::Down => feed::Input::Broken(link),
+                };
+                self.feed(now, input);
+            }
+            Some(Told::FollowerTaken(line)) => {
+                self.followers.insert(line.number, line);
+            }
+            Some(Told::FollowerSays(link, Event::Got(up))) => self.feed(now, feed::Input::Below(link, up)),
+            Some(Told::FollowerSays(link, Event::Down)) => {
+                self.followers.remove(&link);
+                self.feed(now, feed::Input::BelowGone(link));
             }
+            Some(Told::FollowerSays(_, Event::Up)) => {}
+            Some(Told::Here(from, here)) => self.watch.heard(now, from, here),
             Some(Told::Signal(Asked::Settings(settings))) => self.feed.reseed(vise::seeds(&settings)),
             Some(Told::Signal(Asked::Stop)) => {
                 self.asked_at.get_or_insert(now);
                 self.shown.draining.store(true, Ordering::Relaxed);
                 self.show();
-                self.feed(now, feed::Input::Tick);
+                self.feed(now, feed::Input::Ends);
             }
         }
         self.show();
+        if self.front.hurries() {
+            self.feed.hurry();
+        }
         if self.over(now) {
             let _ = self.over.send(());
         }
@@ -485,6 +573,6 @@
         // After a signal to end, whether all is over is looked at again and again.
         const LOOK_US: Micros = 50_000;
         let ends = self.asked_at.map_or(Micros::MAX, |_| self.room.clock.now() + LOOK_US);
-        self.front.wake_at().min(self.feed.wake_at()).min(ends)
+        self.front.wake_at().min(self.feed.wake_at()).min(self.watch.wake_at()).min(ends)
     }
 }
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -10,6 +10,7 @@
 const HOLD: f64 = 2.0;
 const BELIEVE_OVER: f64 = 3.0;
 const FEW: f64 = 4.0;
+const FLOOD: f64 = 1.1;
 /// A burst is split by this power of the number of gateways at the most; 1 would be evenly.
 const BURST_SPLIT: f64 = 0.8;
 /// First tries, in excess of later ones, that make their usual time left known.
@@ -22,11 +23,9 @@
         if self.requests.contains_key(&id) {
             return;
         }
-        if service as usize >= self.fleets.len()
-            || class >= self.set.classes.len()
-            || n.plan >= self.set.plans.len()
-        {
-            return acts.push(Action::Refuse { id, retry_after_us: 0 });
+        let known = (service as usize) < self.fleets.len() && class < self.set.classes.len();
+        if !known || n.plan >= self.set.plans.len() {
+            return acts.push(Action::Refuse { id, retry_after_us: 0, over: false });
         }
         let (tried_for, fleet) = (self.tried_for(&n), service as usize);
         let (kind, plan) = (&self.set.classes[class], &self.set.plans[n.plan]);
@@ -38,10 +37,11 @@
         let units = if n.units.is_finite() { n.units.max(0.0) } else { 1.0 };
         let spread = n.spread.clamp(1, self.set.balancers);
         let (rate, ceiling) = (plan.rate / spread as f64, self.fresh_ceiling(plan, spread));
+        let level = if self.set.starts_empty { 1.0 + rate * self.age() } else { f64::INFINITY };
         self.forget_some();
         let c = self.customers.entry(key).or_insert_with(|| {
             self.roster.push_back(key);
-            Customer { level: f64::INFINITY, ceiling, filled_at: self.now, used: 1.0, ..Customer::default() }
+            Customer { level, ceiling, filled_at: self.now, used: 1.0, ..Customer::default() }
         });
         (c.plan, c.spread, c.first) = (n.plan, spread, n.first);
         let level = self.refill(key);
@@ -50,11 +50,11 @@
             // Over its quota: the only refusal by customer, whatever the request is worth.
             self.turn_away();
             let retry_after_us = self.advice((units - level) / rate * 1e6);
-            return acts.push(Action::Refuse { id, retry_after_us });
+            return acts.push(Action::Refuse { id, retry_after_us, over: true });
         }
         let mean = self.fleets[fleet].load.mean;
         if best_by < self.now + mean as Micros / 2 {
-            return acts.push(Action::Refuse { id, retry_after_us: self.advice(mean) });
+            return acts.push(Action::Refuse { id, retry_after_us: self.advice(mean), over: false });
         }
         let c = self.customers.get_mut(&key).expect("just seen");
         c.level -= units;
@@ -126,14 +126,19 @@
     /// The part of its burst for this slice; more than the even one, as gateways seldom need it all at once.
     fn burst_here(&self, c: &Customer) -> f64 {
         let (s, burst) = (self.slice(c), self.set.plans[c.plan].burst);
-        burst * s.max((c.spread as f64).powf(-BURST_SPLIT))
+        let loose = if self.loose(c) { self.set.loose_burst } else { 0.0 };
+        (burst * s.max((c.spread as f64).powf(-BURST_SPLIT))).max(loose)
+    }
+
+    /// While the meter reads little use, many gateways would else refuse what the quota has room for.
+    fn loose(&self, c: &Customer) -> bool {
+        self.meter_speaks(c) && c.used < self.set.loose_under
     }
 
     /// What a gateway may count on in a ceiling's store that it sees first now. One that starts again cannot
     /// know what its earlier life spent, so its share was empty when it started.
     fn fresh_ceiling(&self, plan: &Plan, spread: u32) -> f64 {
-        let age = (self.now - self.started.unwrap_or(self.now)) as f64 / 1e6;
-        (plan.ceiling_rate * age).min(plan.ceiling_burst) / spread as f64
+        (plan.ceiling_rate * self.age()).min(plan.ceiling_burst) / spread as f64
     }
 
     pub(super) fn refill(&mut self, key: u64) -> f64 {
@@ -197,9 +202,11 @@
     /// A reading of the meter: the customer's use by all gateways, as a part of its quota.
     pub(super) fn read(&mut self, key: u64, used: f64) {
         self.refill(key);
-        let Some(c) = self.customers.get_mut(&key).filter(|_| used.is_finite() && used >= 0.0) else {
-            return;
-        };
+        let sane = used >= 0.0 && used.is_finite();
+        let Some(c) = self.customers.get_mut(&key).filter(|_| sane) else { return };
+        if self.set.loose_under > 0.0 && c.used <= FLOOD && used > FLOOD {
+            c.level = c.level.min(0.0); // what a calm reading let it save up is spent by now, elsewhere
+        }
         // More use is believed at once, less over some periods: the reading is late, and room granted on
         // a calm past is what a flood spends first.
         let first = if self.set.plans[c.plan].rate > 0.0 { 1.0 - 1.0 / rarely(c.spread) } else { 0.0 };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -31,6 +31,12 @@
     pub cold_us: Micros,
     pub fall_multiple: f64,
     pub fall_us: Micros,
+    /// A gateway that starts counts on one request of a customer's burst: an earlier life may have spent the rest.
+    pub starts_empty: bool,
+    /// While the meter reads less than this part of a quota used, a customer may use so many units at once at any
+    /// gateway; 0: off.
+    pub loose_under: f64,
+    pub loose_burst: f64,
     /// Separate fleets of servers, numbered from 0; 0 and 1 both mean one.
     pub services: u32,
 }
@@ -294,6 +300,8 @@
     Refuse {
         id: u64,
         retry_after_us: Micros,
+        /// Its customer has asked for more than its quota.
+        over: bool,
     },
     /// Final answer that promises nothing.
     Fail {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -32,6 +32,9 @@
         fall_multiple: 2.0,
         fall_us: 2 * SEC,
         services: 1,
+        starts_empty: false,
+        loose_under: 0.0,
+        loose_burst: 0.0,
     }
 }
 
