--- a/crates/dryfit/src/lib.rs
+++ b/crates/dryfit/src/lib.rs
@@ -1,6 +1,7 @@
 //! Days of the whole system in one process, on simulated time, by chance that a seed decides: the state
-//! machines of the three programs, with everything that their shells and the world do put in by [`world`]; the
-//! servers, clients and operators outside; what they saw ([`record`]) and whether that keeps the rules ([`judge`]).
+//! machines of the three programs, with everything that their shells and the world do put in by [`world`];
+//! the servers, clients and operators outside; what they saw ([`record`]), and whether that keeps the rules
+//! ([`judge`]).
 
 pub mod hunt;
 pub mod judge;
--- a/crates/dryfit/src/net.rs
+++ b/crates/dryfit/src/net.rs
@@ -1,6 +1,6 @@
 //! Connections between hosts, as far as TCP shows them: in order, held up by a cut and sent again when it
-//! heals, ended when nothing is acknowledged for too long, reset when nobody is there, silent when a host has no
-//! power.
+//! heals, ended when nothing is acknowledged for too long, reset when nobody is there, silent when a host has
+//! no power.
 
 use crate::world::{Ev, World};
 use crate::{MS, Micros, SECOND};
