Serve a try whose aim is lost where the fleet is idle

Change: where a late answer is worth something, and nobody waits and less than half of the target is out, it is served.

--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -53,6 +53,9 @@
             return acts.push(Action::Refuse { id, retry_after_us, over: true });
         }
         let mean = self.fleets[fleet].load.mean;
+        let lost = best_by < self.now + mean as Micros / 2;
+        // A late answer earns little, but where nobody waits it takes nothing from anybody.
+        let best_by = if lost && self.fleets[fleet].idle(&self.set) { end } else { best_by };
         if best_by < self.now + mean as Micros / 2 {
             return acts.push(Action::Refuse { id, retry_after_us: self.advice(mean), over: false });
         }
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -313,7 +313,11 @@
 
 /// Shows a gateway a hundred first tries, all with two seconds left, half of them refused for want of quota.
 fn gateway_that_knows_first_tries() -> Gateway {
-    let mut g = Gateway::with_servers(settings(rate(20.0, 20.0)), 8);
+    learns_first_tries(settings(rate(20.0, 20.0)))
+}
+
+fn learns_first_tries(set: Settings) -> Gateway {
+    let mut g = Gateway::with_servers(set, 8);
     for id in 0..100 {
         for server in sent(&g.ask(NewRequest { left_us: 2 * SEC, ..request(id) })) {
             g.back(answer(id, 0, server, Outcome::Ok));
@@ -334,6 +338,20 @@
     assert_eq!((sent(&early).len(), refused(&early)), (1, 0));
 }
 
+#[test]
+fn what_is_still_worth_something_late_is_served_by_a_fleet_that_is_idle_and_by_no_other() {
+    let mut set = settings(rate(20.0, 20.0));
+    set.classes[0].late_worth = 0.2;
+    for busy in [false, true] {
+        let mut g = learns_first_tries(set.clone());
+        if busy {
+            (200..212).for_each(|n| _ = g.ask(NewRequest { customer: n, left_us: 2 * SEC, ..request(n) }));
+        }
+        let late = g.ask(NewRequest { customer: 9, left_us: 1400 * MS, ..request(1000) });
+        assert_eq!((sent(&late).len(), refused(&late)), if busy { (0, 1) } else { (1, 0) }, "busy: {busy}");
+    }
+}
+
 #[test]
 fn odd_times_left_do_no_harm_where_nobody_was_turned_away() {
     let mut g = Gateway::with_servers(settings(free()), 8);
