Hold a tenant's flood to its quota from the first second on

Change: in a flood a request draws as much more as the even shares are too large; what is wanted counts as used; less is given out as bursts.

--- a/crates/shuttle/src/book.rs
+++ b/crates/shuttle/src/book.rs
@@ -31,9 +31,9 @@
     pub period_s: f64,
 }
 
-/// What of the leeway is given out in advance, as bursts: half of what the burst itself brings, and a part of the
-/// fixed margin. What remains covers the time until a reading tells of a rise.
-const MARGIN_AHEAD: f64 = 0.4;
+/// The part of the leeway's fixed margin that is given out in advance, as bursts. What remains covers the time until a
+/// reading tells of a rise.
+const MARGIN_AHEAD: f64 = 0.2;
 
 impl Leeway {
     /// What a tenant may use a second over a long time before the leeway is used up by half.
@@ -46,7 +46,7 @@
         if rate <= 0.0 {
             return burst;
         }
-        burst * (1.0 + self.excess / 2.0) + MARGIN_AHEAD * self.margin
+        burst + MARGIN_AHEAD * self.margin
     }
 }
 
--- a/crates/shuttle/src/front.rs
+++ b/crates/shuttle/src/front.rs
@@ -293,6 +293,7 @@
             customer: plan as u64,
             left_us,
             spread: self.tenants.spread(self.now, plan, self.copy.state.nodes.len()),
+            units: self.tenants.draws(self.now, plan, self.copy.state.nodes.len()),
             service,
             zones,
             attempts: route.attempts,
@@ -473,8 +474,7 @@
         for (plan, rate) in self.book.quotas() {
             let key = self.book.key(plan);
             if let Some(reading) = readings.iter().find(|r| r.tenant == key) {
-                self.tenants.read(self.now, plan, reading, nodes);
-                let used = f64::from(reading.used) / 1000.0 / rate;
+                let used = self.tenants.read(self.now, plan, reading, nodes, rate);
                 self.decide(Event::Used { customer: plan as u64, used }, out);
             }
         }
--- a/crates/shuttle/src/tenants.rs
+++ b/crates/shuttle/src/tenants.rs
@@ -15,6 +15,9 @@
 const ROUNDED: f64 = 0.999;
 /// So many requests beyond what was last reported are told ahead of time.
 const JUMP: f64 = 4.0;
+/// A tenant floods that uses this part of its quota and wants more than it by that factor.
+const NEAR: f64 = 0.75;
+const FLOODED: f64 = 1.2;
 
 #[derive(Clone, Default)]
 struct Tenant {
@@ -25,6 +28,8 @@
     /// One over the share, and when it was read.
     spread: f64,
     read_at: Option<Micros>,
+    /// More is used than the quota brings.
+    flooded: bool,
 }
 
 pub struct Tenants {
@@ -78,12 +83,17 @@
         uses
     }
 
-    pub fn read(&mut self, now: Micros, plan: usize, reading: &Reading, nodes: usize) {
+    /// `rate`: what the quota brings a second. Tells what counts as used of it: in a flood what is wanted, as what is used
+    /// says only how well it is held back.
+    pub fn read(&mut self, now: Micros, plan: usize, reading: &Reading, nodes: usize, rate: f64) -> f64 {
         let t = self.of(plan);
         let wanted = f64::from(reading.wanted) / 1000.0;
         let part = (t.wanted / wanted.max(0.001)).max(1.0 / nodes.max(1) as f64).min(1.0);
         t.spread = f64::from(reading.shares) / 1000.0 / part;
         t.read_at = Some(now);
+        let used = f64::from(reading.used) / 1000.0 / rate;
+        t.flooded = used > NEAR && wanted > FLOODED * rate;
+        if t.flooded { used.max(wanted / rate) } else { used }
     }
 
     /// Over how many proxies a tenant's quota is spread, as this one sees it.
@@ -96,4 +106,14 @@
             _ => nodes,
         }
     }
+
+    /// What a request draws from the bucket here. In a flood all is spent that is granted, so the even shares of those
+    /// that want less must not come on top of the others': they too are scaled, which the spread cannot tell, as it is
+    /// no larger than the number of proxies.
+    pub fn draws(&mut self, now: Micros, plan: usize, nodes: usize) -> f64 {
+        let hold = HOLD * self.every_us;
+        let t = self.of(plan);
+        let speaks = t.read_at.is_some_and(|at| now <= at + hold);
+        if speaks && t.flooded { (t.spread / nodes.max(1) as f64).max(1.0) } else { 1.0 }
+    }
 }
--- a/crates/shuttle/tests/tenants.rs
+++ b/crates/shuttle/tests/tenants.rs
@@ -45,7 +45,7 @@
     fn share(&self, tenants: &mut Tenants, reading: Option<&Reading>) -> f64 {
         let (now, all) = (SECOND + EVERY, self.copy.state.nodes.len());
         if let Some(reading) = reading {
-            tenants.read(now, self.plan, reading, all);
+            tenants.read(now, self.plan, reading, all, f64::INFINITY);
         }
         1.0 / f64::from(tenants.spread(now, self.plan, all))
     }
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -114,18 +114,12 @@
             return 1.0 / spread;
         }
         let room = if self.meter_speaks(c) { (1.0 - c.used).max(0.0) } else { 0.0 };
-        // Where going beyond the quota earns no less than it costs, the even share guards only the load,
-        // which the target does too; with many gateways it would refuse most of what the quota has room
-        // for. It could harm where the fleet is short and such a plan's excess takes the place of others'
-        // requests.
+        // Where going beyond the quota earns no less than it costs, the even share guards only the load, which
+        // the target does too; many gateways would refuse what the quota has room for. It could harm where the
+        // fleet is short and such a plan's excess takes the place of others' requests.
         let earns = plan.over_worth > 0.0 && plan.over_cost <= plan.over_worth;
-        let floor = if earns {
-            1.0 - FEW / spread
-        } else if self.loose(c) {
-            room / FEW
-        } else {
-            0.0
-        };
+        let calm = if self.loose(c) { room / FEW } else { 0.0 };
+        let floor = if earns { 1.0 - FEW / spread } else { calm };
         ((1.0 + room * rarely(c.spread)) / spread).max(floor).min(1.0)
     }
 
