--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -1,5 +1,4 @@
-//! Quotas: whether a customer's request is let in, what part of its quota is granted here, and how much of
-//! its work may be out at once.
+//! Quotas: whether a request is let in, what part of a quota is granted here, how much may be out at once.
 
 use super::Decider;
 use super::records::{Customer, Request, Task};
@@ -53,10 +52,11 @@
             return acts.push(Action::Refuse { id, retry_after_us, over: true });
         }
         let mean = self.fleets[fleet].load.mean;
-        let lost = best_by < self.now + mean as Micros / 2;
-        // A late answer earns little, but where nobody waits it takes nothing from anybody.
-        let best_by = if lost && self.fleets[fleet].idle(&self.set) { end } else { best_by };
-        if best_by < self.now + mean as Micros / 2 {
+        let (f, soon) = (&self.fleets[fleet], self.now + mean as Micros / 2);
+        // A late answer earns little, but where nobody waits and half the target is free it costs nothing.
+        let idle = f.ring.is_empty() && 2.0 * f64::from(f.load.out) < f.target(&self.set);
+        let best_by = if best_by < soon && idle { end } else { best_by };
+        if best_by < soon {
             return acts.push(Action::Refuse { id, retry_after_us: self.advice(mean), over: false });
         }
         let c = self.customers.get_mut(&key).expect("just seen");
@@ -117,9 +117,8 @@
             return 1.0 / spread;
         }
         let room = if self.meter_speaks(c) { (1.0 - c.used).max(0.0) } else { 0.0 };
-        // Where going beyond the quota earns no less than it costs, the even share guards only the load, which
-        // the target does too; many gateways would refuse what the quota has room for. It could harm where the
-        // fleet is short and such a plan's excess takes the place of others' requests.
+        // Where an excess earns what it costs, the even share guards only the load, as the target does; many
+        // gateways would refuse what has room. It could harm a short fleet, where the excess displaces others.
         let earns = plan.over_worth > 0.0 && plan.over_cost <= plan.over_worth;
         let calm = if self.loose(c) { room / FEW } else { 0.0 };
         let floor = if earns { 1.0 - FEW / spread } else { calm };
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -5,9 +5,6 @@
 use crate::interface::*;
 use std::collections::BTreeMap;
 
-/// A fleet with less than this part of its target out is idle.
-const IDLE_PART: f64 = 0.5;
-
 impl Fleet {
     pub fn new(set: &Settings) -> Fleet {
         let aim = set.classes.iter().map(|c| c.aim_us).min().unwrap_or(1) as f64;
@@ -19,11 +16,6 @@
         self.load.at(self.strength, set.balancers)
     }
 
-    /// Nobody waits for it, and less than half of the target is out.
-    pub fn idle(&self, set: &Settings) -> bool {
-        self.ring.is_empty() && f64::from(self.load.out) < self.target(set) * IDLE_PART
-    }
-
     pub fn tier(&mut self, near: u32) -> &mut Tier {
         let place = self.tiers.partition_point(|t| t.near < near);
         if self.tiers.get(place).is_none_or(|t| t.near != near) {
--- a/src/decide/target.rs
+++ b/src/decide/target.rs
@@ -1,5 +1,4 @@
-//! The target concurrency of one fleet: permits that grow slowly while they are used, and are cut when the
-//! outcomes of the last second say that the servers have too much (AIMD).
+//! The target concurrency of one fleet: permits that grow slowly in use and are cut on overload (AIMD).
 
 use crate::interface::*;
 use std::collections::{BTreeMap, VecDeque};
