--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -118,7 +118,7 @@
         }
         let room = if self.meter_speaks(c) { (1.0 - c.used).max(0.0) } else { 0.0 };
         // Where an excess earns what it costs, the even share guards only the load, as the target does; many
-        // gateways would refuse what has room. It could harm a short fleet, where the excess displaces others.
+        // gateways would refuse what has room. It could harm a fleet that is short.
         let earns = plan.over_worth > 0.0 && plan.over_cost <= plan.over_worth;
         let calm = if self.loose(c) { room / FEW } else { 0.0 };
         let floor = if earns { 1.0 - FEW / spread } else { calm };
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,8 +1,8 @@
 //! All decisions of a curlewfront gateway, and every tuned value. Its types, events and actions stand in
 //! `interface.rs`. The module does no I/O, reads no clock and shares nothing: equal events, equal actions.
 //!
-//! The path of a request: `admit` (token bucket of its customer) -> waiting line of the customer for its fleet
-//! -> `pump` (cap on what the customer has out, target of the fleet, ceiling) -> `pick` (server) -> `returned`
+//! The path of a request: `admit` (token bucket of its customer) -> its line, one for each customer and fleet
+//! -> `pump` (cap on what the customer has out, target of the fleet, ceiling) -> `pick` -> `returned`
 //! (answer, or a further attempt on the retry budget) -> `close`. docs/design.md tells why.
 
 mod admission;
