Split the budget of further tries over the proxies, by what the settings tell

Change: ratio and slack come from the settings, a proxy has its part of them; a try after a reset costs a whole one.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -32,6 +32,7 @@
         fall_us: rules.whole("fallUs")?,
         services: 1,
         starts_empty: false,
+        retry: None,
         loose_under: 0.0,
         loose_burst: 0.0,
     })
--- a/crates/dryfit/src/process.rs
+++ b/crates/dryfit/src/process.rs
@@ -222,7 +222,14 @@
                 let front = SocketAddr::from((ip, 8686));
                 let b = &self.record.bounds;
                 let period_s = b.quota_period as f64 / 1e6;
-                let leeway = Leeway { excess: b.quota_excess, margin: b.quota_margin, period_s };
+                let (retry_ratio, retry_slack) = (b.retry_ratio, b.retry_slack);
+                let leeway = Leeway {
+                    excess: b.quota_excess,
+                    margin: b.quota_margin,
+                    period_s,
+                    retry_ratio,
+                    retry_slack,
+                };
                 let (name, place) = (
                     format!("edge{}", n + 1),
                     Place { ip, zone: zone.0.clone(), region: zone.1.clone(), zones: zones.clone(), leeway },
--- a/crates/shuttle/src/book.rs
+++ b/crates/shuttle/src/book.rs
@@ -29,13 +29,24 @@
     pub excess: f64,
     pub margin: f64,
     pub period_s: f64,
+    /// Further tries of all proxies at a service: a part of the requests for it, and so many more.
+    pub retry_ratio: f64,
+    pub retry_slack: f64,
 }
 
 /// The part of the leeway's fixed margin that is given out in advance, as bursts. What remains covers the time until a
 /// reading tells of a rise.
 const MARGIN_AHEAD: f64 = 0.2;
 
+/// What of the budget of further tries is used: it counts over windows that slide, and by what was sent elsewhere.
+const RETRY_PART: f64 = 0.6;
+
 impl Leeway {
+    /// A proxy's part of the budget of further tries. What was sent may have arrived, however it ended.
+    fn retry(&self, proxies: u32) -> [f64; 3] {
+        [RETRY_PART * self.retry_ratio, RETRY_PART * self.retry_slack / f64::from(proxies.max(1)), 1.0]
+    }
+
     /// What a tenant may use a second over a long time before the leeway is used up by half.
     fn bears(&self, rate: f64) -> f64 {
         let margin = if self.period_s > 0.0 { self.margin / self.period_s } else { 0.0 };
@@ -220,6 +231,7 @@
             max_retry_after_us: RETRY_AFTER_US,
             attempts_cap: 2,
             starts_empty: true,
+            retry: Some(self.place.leeway.retry(balancers)),
             loose_under: LOOSE_UNDER,
             loose_burst: LOOSE_BURST,
             cold_from: 0.25,
--- a/crates/shuttle/src/main.rs
+++ b/crates/shuttle/src/main.rs
@@ -51,6 +51,8 @@
 /// What is left of the platform's patience when what still runs is given up.
 const SPARE_US: Micros = 500_000;
 const GRACE_S: f64 = 5.0;
+/// The budget of further tries where the settings name none.
+const RETRY: (f64, f64) = (0.2, 50.0);
 
 enum Told {
     Asked(Ask, Reply),
@@ -108,6 +110,8 @@
         excess: b.quota_excess.unwrap_or(0.0),
         margin: b.quota_margin.unwrap_or(0.0),
         period_s: b.quota_period_s.unwrap_or(0.0),
+        retry_ratio: b.retry_ratio.unwrap_or(RETRY.0),
+        retry_slack: b.retry_slack.unwrap_or(RETRY.1),
     };
     let (zone, region, zones) = (s.zone.clone(), s.region.clone(), s.zones.clone());
     let place = Place { ip: s.ip, zone, region, zones, leeway };
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -1,7 +1,7 @@
 //! The fleets: which servers each service has, as discovery lists them, and what stands for each fleet.
 
 use super::records::{Decider, Fleet, Server, Task, Tier};
-use super::{target::Target, target::WINDOW, tries::RETRY_SAVED};
+use super::{target::Target, target::WINDOW, tries::RETRY};
 use crate::interface::*;
 use std::collections::BTreeMap;
 
@@ -9,7 +9,7 @@
     pub fn new(set: &Settings) -> Fleet {
         let aim = set.classes.iter().map(|c| c.aim_us).min().unwrap_or(1) as f64;
         let (tiers, load) = (vec![Tier::default()], Target::new(aim));
-        Fleet { tiers, load, retries: RETRY_SAVED, ..Fleet::default() }
+        Fleet { tiers, load, retries: set.retry.unwrap_or(RETRY)[1], ..Fleet::default() }
     }
 
     pub fn target(&self, set: &Settings) -> f64 {
--- a/src/decide/tries.rs
+++ b/src/decide/tries.rs
@@ -3,10 +3,8 @@
 use super::records::{Attempt, Decider, Request, Server, Task};
 use crate::interface::*;
 
-/// Retry budget: further attempts for each first one, how many may be saved up, what one after a reset costs.
-const RETRY_PART: f64 = 0.1;
-pub(super) const RETRY_SAVED: f64 = 10.0;
-const RETRY_RESET: f64 = 0.5;
+/// Retry budget: further attempts for each first one, how many are saved up, what one after a reset costs.
+pub(super) const RETRY: [f64; 3] = [0.1, 10.0, 0.5];
 
 impl Request {
     pub(super) fn fleet(&self) -> usize {
@@ -46,7 +44,8 @@
             if self.set.plans[c.plan].ceiling_rate > 0.0 {
                 c.ceiling -= r.asked.units;
             }
-            fleet.retries = (fleet.retries + RETRY_PART).min(RETRY_SAVED);
+            let [part, saved, _] = self.set.retry.unwrap_or(RETRY);
+            fleet.retries = (fleet.retries + part).min(saved);
         }
         r.waits = false;
         let (zone, cell, sent_at) = (s.zone, s.cell, self.now);
@@ -91,8 +90,8 @@
 
     /// After a failure: another attempt if in time, allowed and in the budget; free after no connection.
     fn again(&mut self, id: u64, last: Outcome, acts: &mut Vec<Action>) {
-        let cost =
-            if last == Outcome::Reset { RETRY_RESET } else { f64::from(last != Outcome::ConnectFailed) };
+        let reset = self.set.retry.unwrap_or(RETRY)[2];
+        let cost = if last == Outcome::Reset { reset } else { f64::from(last != Outcome::ConnectFailed) };
         let r = self.requests.get_mut(&id).expect("just seen");
         let (n, fleet) = (r.fleet(), &mut self.fleets[r.fleet()]);
         let cap = if r.asked.attempts > 0 { r.asked.attempts } else { self.set.attempts_cap };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -37,6 +37,8 @@
     /// gateway; 0: off.
     pub loose_under: f64,
     pub loose_burst: f64,
+    /// Further attempts for each first one, how many may be saved up, what one after a reset costs; None: as usual.
+    pub retry: Option<[f64; 3]>,
     /// Separate fleets of servers, numbered from 0; 0 and 1 both mean one.
     pub services: u32,
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -33,6 +33,7 @@
         fall_us: 2 * SEC,
         services: 1,
         starts_empty: false,
+        retry: None,
         loose_under: 0.0,
         loose_burst: 0.0,
     }
