Drop what the meter kept and never told, and ask once whether a reading holds

Read again: the meter evened out what is wanted beside what is used, and no one read it; whether a reading holds stood in two places of the tenants' shares; the sharers of every server were gathered for each list, though only cold ones need them; a comment named a type that does not exist. Change: each is gone or stands once. Behaviour is the same.

--- a/crates/pegboard/src/meter.rs
+++ b/crates/pegboard/src/meter.rs
@@ -27,8 +27,8 @@
 pub struct Meter {
     every_us: Micros,
     reports: BTreeMap<Ipv4Addr, Report>,
-    /// By tenant: when it was last read, and the means of what was wanted and used.
-    sums: HashMap<u32, (Micros, f64, f64)>,
+    /// By tenant: when it was last read, and the mean of what was used.
+    sums: HashMap<u32, (Micros, f64)>,
 }
 
 impl Meter {
@@ -85,20 +85,16 @@
             let unheard = silent as f64 * t.rate / nodes as f64;
             let sum = |of: fn(&Use) -> u32| uses.iter().map(|u| f64::from(of(u)) / 1000.0).sum::<f64>();
             let (all_wanted, all_used) = (sum(|u| u.wanted) + unheard, sum(|u| u.used) + unheard);
-            let sums = self.sums.entry(tenant).or_insert((now, all_wanted, all_used));
-            let passed = now.saturating_sub(sums.0) as f64;
-            *sums = (now, steady(sums.1, all_wanted, passed), steady(sums.2, all_used, passed));
+            let (at, mean) = self.sums.entry(tenant).or_insert((now, all_used));
+            *mean = steady(*mean, all_used, now.saturating_sub(*at) as f64);
+            *at = now;
             // Rounded once: with many proxies each part is only a few thousandths.
             let even = 1.0 / nodes as f64;
             let part = |u: &Use| (f64::from(u.wanted) / 1000.0 / all_wanted.max(0.001)).max(even);
             let shares = uses.iter().map(part).sum::<f64>() + (nodes - uses.len().min(nodes)) as f64 * even;
             let short = |n: f64| (n * 1000.0).ceil().min(f64::from(u32::MAX)) as u32;
-            readings.push(Reading {
-                tenant,
-                wanted: short(all_wanted),
-                used: short(sums.2),
-                shares: short(shares),
-            });
+            let (wanted, used, shares) = (short(all_wanted), short(*mean), short(shares));
+            readings.push(Reading { tenant, wanted, used, shares });
         }
         readings
     }
--- a/crates/shuttle/src/book.rs
+++ b/crates/shuttle/src/book.rs
@@ -288,7 +288,6 @@
                 }
             };
             let near = self.near(&self.place.zone, &s.zone);
-            let sharers = self.sharers(state, &s.zone);
             let users = users.get(&(s.service.as_str(), s.zone.as_str())).copied().unwrap_or(0);
             let mine = nearest.get(&(self.place.zone.as_str(), s.service.as_str())) == Some(&near);
             let part = if mine { all / users.max(1) as f64 } else { ELSEWHERE };
@@ -299,7 +298,7 @@
             let mut cold_rate = 0.0;
             if cold {
                 list.changes_at = Some(list.changes_at.map_or(cold_until, |at| at.min(cold_until)));
-                let share = share(&sharers, &s.id, self.place.ip);
+                let share = share(&self.sharers(state, &s.zone), &s.id, self.place.ip);
                 // Those that another zone's proxies bring up are theirs alone until they are warm.
                 up &= share.is_some();
                 cold_rate = rate / share.unwrap_or(1) as f64;
--- a/crates/shuttle/src/front.rs
+++ b/crates/shuttle/src/front.rs
@@ -1,8 +1,8 @@
 //! The proxy's decisions on requests, as a state machine: requests, outcomes of attempts and news come in; attempts to
 //! send and answers go out.
 //!
-//! What a status says is kept apart from how it came about: 429 and 503 promise that a request has not run and will not
-//! ([`Promise`]), so they go out only where that is known or where the request may run more than once anyway.
+//! What a status says is kept apart from how it came about: 429 and 503 promise that a request has not run and will not,
+//! so they go out only where that is known or where the request may run more than once anyway.
 
 use crate::book::{Book, List, Peer, Place, REGION};
 use crate::tenants::Tenants;
--- a/crates/shuttle/src/tenants.rs
+++ b/crates/shuttle/src/tenants.rs
@@ -97,23 +97,22 @@
     }
 
     /// Over how many proxies a tenant's quota is spread, as this one sees it.
-    pub fn spread(&mut self, now: Micros, plan: usize, nodes: usize) -> u32 {
-        let hold = HOLD * self.every_us;
-        let t = self.of(plan);
+    pub fn spread(&self, now: Micros, plan: usize, nodes: usize) -> u32 {
         let nodes = nodes.max(1) as u32;
-        match t.read_at {
-            Some(at) if now <= at + hold => ((t.spread * ROUNDED).ceil() as u32).clamp(1, nodes),
-            _ => nodes,
-        }
+        self.read_of(now, plan).map_or(nodes, |t| ((t.spread * ROUNDED).ceil() as u32).clamp(1, nodes))
     }
 
     /// What a request draws from the bucket here. In a flood all is spent that is granted, so the even shares of those
     /// that want less must not come on top of the others': they too are scaled, which the spread cannot tell, as it is
     /// no larger than the number of proxies.
-    pub fn draws(&mut self, now: Micros, plan: usize, nodes: usize) -> f64 {
+    pub fn draws(&self, now: Micros, plan: usize, nodes: usize) -> f64 {
+        let flood = self.read_of(now, plan).filter(|t| t.flooded);
+        flood.map_or(1.0, |t| (t.spread / nodes.max(1) as f64).max(1.0))
+    }
+
+    /// A tenant of which the meter has spoken lately.
+    fn read_of(&self, now: Micros, plan: usize) -> Option<&Tenant> {
         let hold = HOLD * self.every_us;
-        let t = self.of(plan);
-        let speaks = t.read_at.is_some_and(|at| now <= at + hold);
-        if speaks && t.flooded { (t.spread / nodes.max(1) as f64).max(1.0) } else { 1.0 }
+        self.all.get(plan).filter(|t| t.read_at.is_some_and(|at| now <= at + hold))
     }
 }
