--- a/crates/fleet/src/disk.rs
+++ b/crates/fleet/src/disk.rs
@@ -4,11 +4,11 @@
 
 use crate::birth::Group;
 use crate::mirror::{Hard, LogEntry, Saved, Snap, Write};
+use ratchet::file::{self, Opened};
 use redb::backends::FileBackend;
-use redb::{Builder, Database, Durability, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition};
+use redb::{Builder, Database, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
-use std::fmt;
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -29,20 +29,7 @@
     pub disk: u64,
 }
 
-/// What is wrong with a store: the file, and what of it.
-#[derive(Debug)]
-pub struct DiskError {
-    pub file: PathBuf,
-    pub what: String,
-    /// The system gives no more room: nothing is lost, and it may get better.
-    pub full: bool,
-}
-
-impl fmt::Display for DiskError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: {}", self.file.display(), self.what)
-    }
-}
+pub use ratchet::file::DiskError;
 
 pub struct Store {
     db: Database,
@@ -71,32 +58,12 @@
         fresh: u64,
         unsynced: Unsynced,
     ) -> Result<Store, DiskError> {
-        let file = dir.join(FILE);
-        let bad = |what: String| DiskError { file: file.clone(), what, full: false };
-        std::fs::create_dir_all(dir).map_err(|e| DiskError {
-            file: dir.to_path_buf(),
-            what: format!("cannot make the folder: {e}"),
-            full: false,
-        })?;
-        let lock = std::fs::File::create(dir.join(LOCK))
-            .map_err(|e| bad(format!("cannot make {LOCK} beside it: {e}")))?;
-        lock.try_lock().map_err(|_| bad("is in use by another process".into()))?;
-        let made = !file.exists();
-        let open =
-            std::fs::OpenOptions::new().read(true).write(true).create(true).truncate(false).open(&file);
-        let handle = open.map_err(|e| bad(format!("cannot open for writing: {e}")))?;
-        let length = handle.metadata().map_err(|e| bad(e.to_string()))?.len();
-        if !made && length == 0 {
-            return Err(
-                bad("is empty: its content was lost; move it away to come back as a new disk".into()),
-            );
-        }
-        let backend = FileBackend::new(handle).map_err(|e| bad(opening(&e)))?;
+        let Opened { backend, file, lock, made } = file::open(dir, FILE, LOCK)?;
         let db = match unsynced {
             Unsynced::System => Builder::new().create_with_backend(backend),
             Unsynced::Held => Builder::new().create_with_backend(Held::new(backend)),
         };
-        let db = db.map_err(|e| bad(opening(&e)))?;
+        let db = db.map_err(|e| DiskError::opening(&file, &e))?;
         let mut store = Store::on(db, file, installation, name, fresh, made)?;
         store._lock = Some(lock);
         Ok(store)
@@ -112,7 +79,7 @@
         let file = PathBuf::from("(memory)");
         let made = backend.len().is_ok_and(|n| n == 0);
         let db = Builder::new().create_with_backend(backend);
-        let db = db.map_err(|e| DiskError { file: file.clone(), what: opening(&e), full: false })?;
+        let db = db.map_err(|e| DiskError::opening(&file, &e))?;
         Store::on(db, file, installation, name, fresh, made)
     }
 
@@ -165,7 +132,7 @@
     }
 
     fn bad(&self, what: String) -> DiskError {
-        DiskError { file: self.file.clone(), what, full: false }
+        DiskError::new(&self.file, what)
     }
 
     fn meta<T: for<'a> Deserialize<'a>>(&self, key: &str) -> Result<Option<T>, DiskError> {
@@ -187,17 +154,7 @@
         &self,
         work: impl FnOnce(&redb::WriteTransaction) -> Result<(), redb::Error>,
     ) -> Result<(), DiskError> {
-        let run = || -> Result<(), redb::Error> {
-            let mut t = self.db.begin_write()?;
-            t.set_durability(Durability::Immediate)?;
-            work(&t)?;
-            t.commit()?;
-            Ok(())
-        };
-        run().map_err(|e| {
-            let full = matches!(&e, redb::Error::Io(io) if io.kind() == io::ErrorKind::StorageFull);
-            DiskError { file: self.file.clone(), what: format!("cannot write: {e}"), full }
-        })
+        file::transact(&self.db, &self.file, work)
     }
 
     /// What it holds, and the group it was born into (number 0: none yet).
@@ -265,14 +222,6 @@
     postcard::to_stdvec(value).expect("plain data")
 }
 
-fn opening(e: &redb::DatabaseError) -> String {
-    match e {
-        redb::DatabaseError::DatabaseAlreadyOpen => "is in use by another process".into(),
-        redb::DatabaseError::UpgradeRequired(v) => format!("is in an older form ({v}) of the store"),
-        e => format!("cannot be read: {e}; restore it, or move it away to come back as a new disk"),
-    }
-}
-
 /// Holds writes back until the sync, so that what a process has not synced is gone with it.
 #[derive(Debug)]
 struct Held {
--- a/crates/ratchet/src/disk.rs
+++ b/crates/ratchet/src/disk.rs
@@ -2,12 +2,10 @@
 //! starts afresh in place of a store that cannot be read: every such error names the file and what is wrong
 //! with it.
 
+use crate::file::{self, Opened};
 use crate::{Disk, Entry, Hard, Member, Saved, Snapshot, Write};
-use redb::backends::FileBackend;
-use redb::{Builder, Database, Durability, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition};
+use redb::{Builder, Database, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition};
 use serde::{Deserialize, Serialize};
-use std::fmt;
-use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
@@ -27,22 +25,7 @@
     disk: Disk,
 }
 
-/// What is wrong with a store: the file, and what of it.
-#[derive(Debug)]
-pub struct DiskError {
-    pub file: PathBuf,
-    pub what: String,
-    /// The system gives no more room: nothing is lost, and it may get better.
-    pub full: bool,
-}
-
-impl fmt::Display for DiskError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: {}", self.file.display(), self.what)
-    }
-}
-
-impl std::error::Error for DiskError {}
+pub use crate::file::DiskError;
 
 pub struct Store {
     db: Database,
@@ -60,32 +43,12 @@
         member: Member,
         fresh: impl FnOnce() -> (Disk, Saved),
     ) -> Result<(Store, Saved), DiskError> {
-        let file = dir.join(FILE);
-        let bad = |what: String| DiskError { file: file.clone(), what, full: false };
-        std::fs::create_dir_all(dir).map_err(|e| DiskError {
-            file: dir.to_path_buf(),
-            what: format!("cannot make the folder: {e}"),
-            full: false,
-        })?;
-        let lock = std::fs::File::create(dir.join(LOCK))
-            .map_err(|e| bad(format!("cannot make {LOCK} beside it: {e}")))?;
-        lock.try_lock().map_err(|_| bad("is in use by another process".into()))?;
-        let made = !file.exists();
-        let open =
-            std::fs::OpenOptions::new().read(true).write(true).create(true).truncate(false).open(&file);
-        let handle = open.map_err(|e| bad(format!("cannot open for writing: {e}")))?;
-        let length = handle.metadata().map_err(|e| bad(e.to_string()))?.len();
-        if !made && length == 0 {
-            return Err(
-                bad("is empty: its content was lost; move it away to come back as a new disk".into()),
-            );
-        }
-        let backend = FileBackend::new(handle).map_err(|e| bad(opening(&e)))?;
-        let (mut store, saved) = Store::on(backend, file.clone(), member, fresh, made)?;
+        let Opened { backend, file, lock, made } = file::open(dir, FILE, LOCK)?;
+        let (mut store, saved) = Store::on(backend, file, member, fresh, made)?;
         if made {
             // The file's name, too, has to outlive a loss of power.
             let synced = std::fs::File::open(dir).and_then(|d| d.sync_all());
-            synced.map_err(|e| bad(format!("cannot sync its folder: {e}")))?;
+            synced.map_err(|e| store.bad(format!("cannot sync its folder: {e}")))?;
         }
         store._lock = Some(lock);
         Ok((store, saved))
@@ -109,7 +72,7 @@
         made: bool,
     ) -> Result<(Store, Saved), DiskError> {
         let db = Builder::new().set_cache_size(CACHE_BYTES).create_with_backend(backend);
-        let db = db.map_err(|e| DiskError { file: file.clone(), what: opening(&e), full: false })?;
+        let db = db.map_err(|e| DiskError::opening(&file, &e))?;
         let mut store = Store { db, file, disk: 0, _lock: None };
         match store.meta::<Owner>("owner")? {
             Some(found) if found.format != FORMAT => {
@@ -201,7 +164,7 @@
     }
 
     fn bad(&self, what: String) -> DiskError {
-        DiskError { file: self.file.clone(), what, full: false }
+        DiskError::new(&self.file, what)
     }
 
     fn meta<T: for<'a> Deserialize<'a>>(&self, key: &str) -> Result<Option<T>, DiskError> {
@@ -221,17 +184,7 @@
         &self,
         work: impl FnOnce(&redb::WriteTransaction) -> Result<(), redb::Error>,
     ) -> Result<(), DiskError> {
-        let run = || -> Result<(), redb::Error> {
-            let mut t = self.db.begin_write()?;
-            t.set_durability(Durability::Immediate)?;
-            work(&t)?;
-            t.commit()?;
-            Ok(())
-        };
-        run().map_err(|e| {
-            let full = matches!(&e, redb::Error::Io(io) if io.kind() == io::ErrorKind::StorageFull);
-            DiskError { file: self.file.clone(), what: format!("cannot write: {e}"), full }
-        })
+        file::transact(&self.db, &self.file, work)
     }
 }
 
@@ -251,11 +204,3 @@
     }
     postcard::from_bytes(bytes).map_err(|e| e.to_string())
 }
-
-fn opening(e: &redb::DatabaseError) -> String {
-    match e {
-        redb::DatabaseError::DatabaseAlreadyOpen => "is in use by another process".into(),
-        redb::DatabaseError::UpgradeRequired(v) => format!("is in an older form ({v}) of the store"),
-        e => format!("cannot be read: {e}; restore it, or move it away to come back as a new disk"),
-    }
-}
--- a/crates/ratchet/src/lib.rs
+++ b/crates/ratchet/src/lib.rs
@@ -46,6 +46,7 @@
 
 mod core;
 pub mod disk;
+pub mod file;
 mod log;
 #[cfg(test)]
 mod sim;
