--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -6,9 +6,8 @@
 use crate::servers::{self, Back};
 use curlewfront::{Action, Decider, Entry, Event, ListKind, Micros, NewRequest, Outcome, Return, State};
 use curlewfront_config::Members;
-use std::cmp::Reverse;
 use std::collections::hash_map::Entry::Occupied;
-use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -17,6 +16,7 @@
 use tongs::errors::AttemptError;
 use tongs::limits::Side;
 use tongs::pool::{Job, Passage, Peer};
+use tongs::timeouts::Timeouts;
 
 struct Open {
     name: Arc<[u8]>,
@@ -72,7 +72,7 @@
     /// The names of open requests: one that comes under the name of another would be taken for its second copy.
     names: HashSet<Arc<[u8]>>,
     /// Time-outs of attempts; those of ended ones are passed over.
-    timeouts: BinaryHeap<Reverse<(Micros, u64, u32)>>,
+    timeouts: Timeouts,
     /// When the decisions want to be called.
     timer: Option<Micros>,
     list: HashMap<String, Entry>,
@@ -144,7 +144,7 @@
             now,
             open: HashMap::new(),
             names: HashSet::new(),
-            timeouts: BinaryHeap::new(),
+            timeouts: Timeouts::default(),
             timer: None,
             list: HashMap::new(),
             peers: HashMap::new(),
@@ -314,7 +314,7 @@
         });
         open.tries.push(Try { server, to, sent_at: self.now, out: true });
         self.counts.sent += 1;
-        self.timeouts.push(Reverse((until, id, attempt)));
+        self.timeouts.add(until, id, attempt);
         if !sent {
             self.back.push_back(Ended::bare(id, attempt, Outcome::ConnectFailed));
         }
@@ -339,10 +339,7 @@
 
     /// All that is due by now.
     fn due(&mut self) {
-        while let Some(Reverse((_, id, attempt))) =
-            self.timeouts.peek().copied().filter(|t| t.0.0 <= self.now)
-        {
-            self.timeouts.pop();
+        while let Some((id, attempt)) = self.timeouts.due(self.now) {
             self.give_up(id, attempt, Outcome::TimedOut);
             self.settle();
         }
@@ -358,14 +355,11 @@
     }
 
     fn next_due(&mut self) -> Option<Micros> {
-        while let Some(Reverse((_, id, attempt))) = self.timeouts.peek().copied() {
-            let out = |o: &Open| o.tries.get(attempt as usize).is_some_and(|t| t.out);
-            if self.open.get(&id).is_some_and(out) {
-                break;
-            }
-            self.timeouts.pop();
-        }
-        let timeout = self.timeouts.peek().map(|t| t.0.0);
+        let open = &self.open;
+        let out = |id, attempt: u32| {
+            open.get(&id).and_then(|o| o.tries.get(attempt as usize)).is_some_and(|t| t.out)
+        };
+        let timeout = self.timeouts.next(out);
         [timeout, self.timer, Some(self.report_at)].into_iter().flatten().min()
     }
 
--- a/crates/shuttle/src/front.rs
+++ b/crates/shuttle/src/front.rs
@@ -10,12 +10,12 @@
 use jig::config::{Config, Index, Kind, Route, Tenant};
 use rack::copy::{Copy, Took};
 use rack::talk::{News, Reading, Use};
-use std::cmp::Reverse;
 use std::collections::hash_map::Entry::Occupied;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use tongs::limits::Held;
 use tongs::pool::Passage;
+use tongs::timeouts::Timeouts;
 
 /// A client's request, whole.
 pub struct Ask {
@@ -161,7 +161,7 @@
     beat_us: Micros,
     place: Place,
     open: HashMap<u64, Open>,
-    timeouts: BinaryHeap<Reverse<(Micros, u64, u32)>>,
+    timeouts: Timeouts,
     timer: Option<Micros>,
     peers: BTreeMap<u64, (Peer, bool)>,
     relist_at: Option<Micros>,
@@ -185,7 +185,7 @@
             beat_us,
             place,
             open: HashMap::new(),
-            timeouts: BinaryHeap::new(),
+            timeouts: Timeouts::default(),
             timer: None,
             peers: BTreeMap::new(),
             relist_at: None,
@@ -210,14 +210,11 @@
     }
 
     pub fn wake_at(&mut self) -> Micros {
-        while let Some(Reverse((_, id, attempt))) = self.timeouts.peek().copied() {
-            let out = |o: &Open| o.tries.get(attempt as usize).is_some_and(|t| t.out);
-            if self.open.get(&id).is_some_and(out) {
-                break;
-            }
-            self.timeouts.pop();
-        }
-        let timeout = self.timeouts.peek().map(|t| t.0.0);
+        let open = &self.open;
+        let out = |id, attempt: u32| {
+            open.get(&id).and_then(|o| o.tries.get(attempt as usize)).is_some_and(|t| t.out)
+        };
+        let timeout = self.timeouts.next(out);
         [timeout, self.timer, self.relist_at].into_iter().flatten().min().unwrap_or(Micros::MAX)
     }
 
@@ -403,7 +400,7 @@
             self.tenants.sent(open.plan);
         }
         open.tries.push(Try { server, sent_at: self.now, out: true });
-        self.timeouts.push(Reverse((until, id, attempt)));
+        self.timeouts.add(until, id, attempt);
         self.counts.sent += 1;
         let Some((peer, _)) = self.peers.get(&server) else {
             return self.back.push_back((id, attempt, Outcome::ConnectFailed));
@@ -440,10 +437,7 @@
     }
 
     fn due(&mut self, out: &mut Vec<Output>) {
-        while let Some(Reverse((_, id, attempt))) =
-            self.timeouts.peek().copied().filter(|t| t.0.0 <= self.now)
-        {
-            self.timeouts.pop();
+        while let Some((id, attempt)) = self.timeouts.due(self.now) {
             self.give_up(id, attempt, Outcome::TimedOut, out);
             self.settle(out);
         }
--- a/crates/tongs/src/lib.rs
+++ b/crates/tongs/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod pool;
 pub mod ring;
 pub mod room;
+pub mod timeouts;
 
 pub use clock::Micros;
 
