--- a/crates/pegboard/src/main.rs
+++ b/crates/pegboard/src/main.rs
@@ -11,25 +11,18 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Sender, channel};
-use std::time::Duration;
 use tongs::Micros;
-use tongs::clock::{Alarm, Alarms, Clock};
 use tongs::door::{Answer, Desk, Door, Heard, Patience, Reply};
 use tongs::http::{self, Bad, Bounds};
 use tongs::limits::Held;
-use tongs::room::Room;
-use vise::link::{self, Event, Line, Tie};
+use vise::link::{Event, Line, SILENCE, Tie};
 use vise::turn::{Inbox, Machine};
-use vise::{Asked, Start, turn};
+use vise::{Asked, Start};
 
-const SILENCE: Duration = Duration::from_millis(1000);
 /// What is left to callers that are being answered when the program is asked to end.
 const PARTING_US: Micros = 700_000;
 /// A configuration may be as large as the links between the processes carry.
 const BOUNDS: Bounds = Bounds { head: 16 * 1024, body: 4 << 20 };
-/// Sockets and memory where the settings name none.
-const SOCKETS: u64 = 1024;
-const MEMORY_MB: u64 = 128;
 /// Descriptors for files, and other than connections.
 const KEPT: u64 = 64;
 
@@ -50,17 +43,9 @@
 }
 
 fn work(mut start: Start) -> Result<()> {
-    tongs::set_up();
-    let cannot = |what: &'static str| move |e: std::io::Error| miette!("cannot {what}: {e}");
-    let clock = Clock::start();
-    let alarm = Alarm::new(clock).map_err(cannot("set up timers"))?;
-    let alarms = Alarms::start(clock).map_err(cannot("set up timers"))?;
-    let inbox: Inbox<Told> = turn::inbox(&alarm);
+    let stage = start.stage::<Told>()?;
+    let (inbox, room) = (stage.inbox.clone(), start.room(stage.clock, KEPT)?);
     let s = &start.settings;
-    let sockets = s.limits.descriptor_limit.unwrap_or(SOCKETS).saturating_sub(KEPT) as usize;
-    let memory = s.limits.memory_size_mb.unwrap_or(MEMORY_MB);
-    let warn = Box::new(|what: std::fmt::Arguments| log::warn!("{what}"));
-    let room = Arc::new(Room::new(sockets, memory, clock, alarms, warn));
     let terms = Terms {
         me: s.ip,
         zone: s.zone.clone(),
@@ -77,40 +62,27 @@
         Door::start(listen, room.clone(), desk.clone())
             .map_err(|e| miette!("cannot listen on {listen}: {e}"))?;
     }
-    let (posts, listen) = (inbox.clone(), start.internal(REGISTRY_PEERS)?);
-    link::listen(listen, SILENCE, move |line, _| {
-        posts.post(Told::PeerTaken(line));
-        let posts = posts.clone();
-        move |link, event| posts.post(Told::PeerSays(link, event))
-    })
-    .map_err(|e| miette!("cannot listen on {listen}: {e}"))?;
-    let (posts, listen) = (inbox.clone(), start.internal(REGISTRY_NEWS)?);
-    link::listen(listen, SILENCE, move |line, _| {
-        posts.post(Told::ProxyTaken(line));
-        let posts = posts.clone();
-        move |link, event| posts.post(Told::ProxySays(link, event))
-    })
-    .map_err(|e| miette!("cannot listen on {listen}: {e}"))?;
+    let peers = start.listen(REGISTRY_PEERS, &inbox, Told::PeerTaken, Told::PeerSays)?;
+    start.listen(REGISTRY_NEWS, &inbox, Told::ProxyTaken, Told::ProxySays)?;
     let posts = inbox.clone();
     start.watch(move |asked| posts.post(Told::Asked(asked)))?;
 
     let (over, ended) = channel();
     let shell = Shell {
-        board: Board::new(terms, clock.now()),
+        board: Board::new(terms, stage.clock.now()),
         store: Tie::new(start.internal(STORE_LOCAL)?),
-        peers_port: start.internal(REGISTRY_PEERS)?.port(),
+        peers_port: peers.port(),
         peers: BTreeMap::new(),
         taken: BTreeMap::new(),
         proxies: BTreeMap::new(),
         replies: BTreeMap::new(),
-        inbox: inbox.clone(),
+        inbox,
         out: Vec::new(),
         draining,
         over,
         ends_at: None,
     };
-    turn::turn(clock, alarm, inbox, shell);
-    ended.recv().map_err(|_| miette!("the work has ended by a fault"))
+    stage.work(shell, &ended)
 }
 
 const TTL_S: f64 = 5.0;
--- a/crates/planchest/src/main.rs
+++ b/crates/planchest/src/main.rs
@@ -12,13 +12,10 @@
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::Duration;
 use tongs::Micros;
-use tongs::clock::{Alarm, Clock};
-use vise::link::{self, Event, Line, Tie};
+use vise::link::{Event, Line, SILENCE, Tie};
 use vise::turn::{Inbox, Machine};
-use vise::{Asked, Start, turn};
+use vise::{Asked, Start};
 
-/// What was sent and not acknowledged for so long ends a link.
-const SILENCE: Duration = Duration::from_millis(1000);
 /// Between tries of a write that the disk refused.
 const REFUSED: Duration = Duration::from_millis(250);
 /// A leader that is asked to end waits so long for another to take over.
@@ -39,10 +36,8 @@
 }
 
 fn work(mut start: Start) -> Result<()> {
-    tongs::set_up();
-    let clock = Clock::start();
-    let alarm = Alarm::new(clock).map_err(|e| miette!("cannot set up timers: {e}"))?;
-    let inbox: Inbox<Told> = turn::inbox(&alarm);
+    let stage = start.stage::<Told>()?;
+    let inbox = stage.inbox.clone();
     let (me, seeds) = (start.settings.ip, start.seeds());
     let dir = start.settings.data_directory.clone();
     let dir = dir.ok_or_else(|| miette!("self_node.data_directory: the store needs a disk"))?;
@@ -53,33 +48,20 @@
         false => (life, Saved::blank()),
     };
     let (store, saved) = Store::open(&dir, me, fresh).map_err(|e| miette!("{e}"))?;
-    let chest = Chest::new(me, store.disk(), saved, seeds, start.life, clock.now());
+    let chest = Chest::new(me, store.disk(), saved, seeds, start.life, stage.clock.now());
     let chest = chest.map_err(|e| miette!("{}: {e}", dir.display()))?;
     log::info!("disk {} at revision {}", chest.disk(), chest.copy.rev());
 
     let (writes, to_write) = channel();
     write(store, dir, me, to_write, inbox.clone())?;
-    let (posts, listen) = (inbox.clone(), start.internal(STORE_PEERS)?);
-    link::listen(listen, SILENCE, move |line, _| {
-        posts.post(Told::FellowTaken(line));
-        let posts = posts.clone();
-        move |link, event| posts.post(Told::FellowSays(link, event))
-    })
-    .map_err(|e| miette!("cannot listen on {listen}: {e}"))?;
-    let (posts, listen) = (inbox.clone(), start.internal(STORE_LOCAL)?);
-    link::listen(listen, SILENCE, move |line, _| {
-        posts.post(Told::LocalTaken(line));
-        let posts = posts.clone();
-        move |link, event| posts.post(Told::LocalSays(link, event))
-    })
-    .map_err(|e| miette!("cannot listen on {listen}: {e}"))?;
+    let peers_port = start.listen(STORE_PEERS, &inbox, Told::FellowTaken, Told::FellowSays)?.port();
+    start.listen(STORE_LOCAL, &inbox, Told::LocalTaken, Told::LocalSays)?;
     let posts = inbox.clone();
     start.watch(move |asked| posts.post(Told::Asked(asked)))?;
 
     let (over, ended) = channel();
-    let peers_port = start.internal(STORE_PEERS)?.port();
     let (fellows, taken, locals) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
-    let (inbox_here, out) = (inbox.clone(), Vec::new());
+    let out = Vec::new();
     let shell = Shell {
         chest,
         me,
@@ -88,14 +70,13 @@
         taken,
         locals,
         writes,
-        inbox: inbox_here,
+        inbox,
         out,
         over,
         ends_at: None,
         stood: Standing::default(),
     };
-    turn::turn(clock, alarm, inbox, shell);
-    ended.recv().map_err(|_| miette!("the work has ended by a fault"))
+    stage.work(shell, &ended)
 }
 
 /// Writes on a thread of its own: a disk may take long. A write that is refused is tried again, on the store opened
--- a/crates/shuttle/src/main.rs
+++ b/crates/shuttle/src/main.rs
@@ -15,8 +15,6 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{Sender, channel};
-use std::time::Duration;
-use tongs::clock::{Alarm, Alarms, Clock};
 use tongs::door::{Answer, Desk, Door, Heard, Patience, Reply};
 use tongs::errors::AttemptError;
 use tongs::http::{self, Bad, Bounds};
@@ -24,11 +22,10 @@
 use tongs::pool::{self, Ended, Job, Peer, Wire};
 use tongs::room::Room;
 use vise::datagram::{self, Datagrams};
-use vise::link::{self, Event, Line};
+use vise::link::{self, Event, Line, SILENCE};
 use vise::turn::{Inbox, Machine};
-use vise::{Asked, Start, turn};
+use vise::{Asked, Start};
 
-const SILENCE: Duration = Duration::from_millis(1000);
 /// For a server to take a connection.
 const DIAL_US: Micros = 600_000;
 /// For an answer that has begun to bring its next piece.
@@ -41,8 +38,6 @@
 const ABREAST: usize = 16;
 /// Until a configuration says otherwise.
 const LIMITS: (usize, usize, u64, u64) = (16 * 1024, 1 << 20, 3_000_000, 15_000_000);
-const SOCKETS: u64 = 1024;
-const MEMORY_MB: u64 = 128;
 /// Descriptors for files, and other than connections.
 const KEPT: u64 = 232;
 /// New connections keep coming for a while after a signal to end; what has come by the end of it is still taken.
@@ -70,17 +65,9 @@
 }
 
 fn work(mut start: Start) -> Result<()> {
-    tongs::set_up();
-    let cannot = |what: &'static str| move |e: std::io::Error| miette!("cannot {what}: {e}");
-    let clock = Clock::start();
-    let alarm = Alarm::new(clock).map_err(cannot("set up timers"))?;
-    let alarms = Alarms::start(clock).map_err(cannot("set up timers"))?;
-    let inbox: Inbox<Told> = turn::inbox(&alarm);
+    let stage = start.stage::<Told>()?;
+    let (inbox, room) = (stage.inbox.clone(), start.room(stage.clock, KEPT)?);
     let s = &start.settings;
-    let sockets = s.limits.descriptor_limit.unwrap_or(SOCKETS).saturating_sub(KEPT) as usize;
-    let memory = s.limits.memory_size_mb.unwrap_or(MEMORY_MB);
-    let warn = Box::new(|what: std::fmt::Arguments| log::warn!("{what}"));
-    let room = Arc::new(Room::new(sockets, memory, clock, alarms, warn));
     let shown = Arc::new(Shown::default());
     let desk = Arc::new(Requests { inbox: inbox.clone(), shown: shown.clone() });
     let listen = s.front_plain()?;
@@ -93,13 +80,7 @@
     let posts = inbox.clone();
     start.watch(move |asked| posts.post(Told::Signal(asked)))?;
 
-    let (posts, relay) = (inbox.clone(), start.internal(PROXY_NEWS)?);
-    link::listen(relay, SILENCE, move |line, _| {
-        posts.post(Told::FollowerTaken(line));
-        let posts = posts.clone();
-        move |link, event| posts.post(Told::FollowerSays(link, event))
-    })
-    .map_err(|e| miette!("cannot listen on {relay}: {e}"))?;
+    let relay = start.listen(PROXY_NEWS, &inbox, Told::FollowerTaken, Told::FollowerSays)?;
     let (posts, listen) = (inbox.clone(), start.internal(PROXY_WATCH)?);
     let datagrams = datagram::open(listen, move |from, here| posts.post(Told::Here(from, here)))
         .map_err(|e| miette!("cannot take datagrams on {listen}: {e}"))?;
@@ -122,7 +103,7 @@
         region: s.region.clone(),
         front: s.front_plain()?,
     };
-    let (beat_us, now) = (s.beat_period_ms * 1000, clock.now());
+    let (beat_us, now) = (s.beat_period_ms * 1000, stage.clock.now());
     let (over, ended) = channel();
     let grace_us = (s.bounds.grace_period_s.unwrap_or(GRACE_S) * 1e6) as Micros;
     let shell = Shell {
@@ -139,7 +120,7 @@
         replies: HashMap::new(),
         room,
         shown,
-        inbox: inbox.clone(),
+        inbox,
         out: Vec::new(),
         news: Vec::new(),
         door,
@@ -147,8 +128,7 @@
         grace_us,
         asked_at: None,
     };
-    turn::turn(clock, alarm, inbox, shell);
-    ended.recv().map_err(|_| miette!("the work has ended by a fault"))
+    stage.work(shell, &ended)
 }
 
 /// What the connections see of the proxy.
--- a/crates/vise/src/lib.rs
+++ b/crates/vise/src/lib.rs
@@ -6,13 +6,21 @@
 pub mod ring;
 pub mod turn;
 
+use crate::link::{Event, Line};
+use crate::turn::{Inbox, Machine};
 use jig::Settings;
 use miette::{Report, Result, miette};
+use serde::de::DeserializeOwned;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::mpsc::Receiver;
+use tongs::clock::{Alarm, Alarms, Clock};
+use tongs::mailbox::Mailbox;
+use tongs::room::Room;
 
 /// What a program is started with.
 pub struct Start {
@@ -23,6 +31,25 @@
     pub life: u64,
 }
 
+/// Sockets and memory where the settings name none.
+const SOCKETS: u64 = 1024;
+const MEMORY_MB: u64 = 128;
+
+/// What a program's machine works on.
+pub struct Stage<T> {
+    pub clock: Clock,
+    alarm: Alarm,
+    pub inbox: Inbox<T>,
+}
+
+impl<T: Send + 'static> Stage<T> {
+    /// Turns the machine until it says on the other end of `ended` that all is over.
+    pub fn work(self, machine: impl Machine<Told = T>, ended: &Receiver<()>) -> Result<()> {
+        turn::turn(self.clock, self.alarm, self.inbox, machine);
+        ended.recv().map_err(|_| miette!("the work has ended by a fault"))
+    }
+}
+
 /// What the platform asks of a running program.
 pub enum Asked {
     /// End in order.
@@ -117,6 +144,46 @@
         started.map(|_| ()).map_err(|e| miette!("cannot start a thread: {e}"))
     }
 
+    /// Sets up the coroutines, the clock, and where a machine's messages go. Once in a program.
+    pub fn stage<T>(&self) -> Result<Stage<T>> {
+        tongs::set_up();
+        let clock = Clock::start();
+        let alarm = Alarm::new(clock).map_err(|e| miette!("cannot set up timers: {e}"))?;
+        let inbox = Arc::new(Mailbox::new(alarm.bell()));
+        Ok(Stage { clock, alarm, inbox })
+    }
+
+    /// What listeners and pools share: so many of the descriptors that the settings grant are kept for other things.
+    pub fn room(&self, clock: Clock, kept: u64) -> Result<Arc<Room>> {
+        let alarms = Alarms::start(clock).map_err(|e| miette!("cannot set up timers: {e}"))?;
+        let limits = &self.settings.limits;
+        let sockets = limits.descriptor_limit.unwrap_or(SOCKETS).saturating_sub(kept) as usize;
+        let memory = limits.memory_size_mb.unwrap_or(MEMORY_MB);
+        let warn = Box::new(|what: std::fmt::Arguments| log::warn!("{what}"));
+        Ok(Arc::new(Room::new(sockets, memory, clock, alarms, warn)))
+    }
+
+    /// Takes links on one of this machine's internal ports: each is posted first, then what becomes of it.
+    pub fn listen<I, T>(
+        &self,
+        port: u16,
+        inbox: &Inbox<T>,
+        taken: fn(Line) -> T,
+        says: fn(u64, Event<I>) -> T,
+    ) -> Result<SocketAddr>
+    where
+        I: DeserializeOwned + 'static,
+        T: Send + 'static,
+    {
+        let (addr, inbox) = (self.internal(port)?, inbox.clone());
+        let listens = link::listen(addr, link::SILENCE, move |line, _| {
+            inbox.post(taken(line));
+            let inbox = inbox.clone();
+            move |link, event| inbox.post(says(link, event))
+        });
+        listens.map(|()| addr).map_err(|e| miette!("cannot listen on {addr}: {e}"))
+    }
+
     /// The address of one of this machine's internal ports.
     pub fn internal(&self, port: u16) -> Result<SocketAddr> {
         internal(&self.settings, self.settings.ip, port)
--- a/crates/vise/src/link.rs
+++ b/crates/vise/src/link.rs
@@ -22,6 +22,9 @@
 const MOST_WAITING: usize = 16 << 20;
 const BACKLOG: i32 = 256;
 
+/// What was sent and not acknowledged for so long ends a link, by the usual measure.
+pub const SILENCE: Duration = Duration::from_millis(1000);
+
 enum Told {
     Send(Vec<u8>),
     End,
--- a/crates/vise/src/turn.rs
+++ b/crates/vise/src/turn.rs
@@ -21,11 +21,7 @@
 /// Where a machine's messages go.
 pub type Inbox<T> = Arc<Mailbox<T>>;
 
-pub fn inbox<T>(alarm: &Alarm) -> Inbox<T> {
-    Arc::new(Mailbox::new(alarm.bell()))
-}
-
-pub fn turn<M: Machine>(clock: Clock, mut alarm: Alarm, inbox: Inbox<M::Told>, mut machine: M) {
+pub(crate) fn turn<M: Machine>(clock: Clock, mut alarm: Alarm, inbox: Inbox<M::Told>, mut machine: M) {
     may::go!(move || {
         let mut batch = Vec::with_capacity(BATCH);
         loop {
