Set the proxy's decisions anew only when configuration or proxies change

Read again: each news, most of it of servers, took the whole configuration over again and set the decisions' classes and plans anew. Change: only a new configuration, or another number of proxies, does.

--- a/crates/shuttle/src/front.rs
+++ b/crates/shuttle/src/front.rs
@@ -164,6 +164,8 @@
     timeouts: Timeouts,
     timer: Option<Micros>,
     peers: BTreeMap<u64, (Peer, bool)>,
+    /// How many proxies there are, and the place of this one, as the decisions know it.
+    among: (usize, usize),
     relist_at: Option<Micros>,
     tenants: Tenants,
     acts: Vec<Action>,
@@ -188,6 +190,7 @@
             timeouts: Timeouts::default(),
             timer: None,
             peers: BTreeMap::new(),
+            among: (1, 0),
             relist_at: None,
             tenants: Tenants::new(beat_us / 3),
             acts: Vec::new(),
@@ -481,20 +484,32 @@
         if self.copy.take(self.now, news) != Took::Changed {
             return;
         }
-        if let Some(config) = &self.copy.state.config
-            && self.config.as_ref().is_none_or(|(c, _)| !Arc::ptr_eq(c, config))
-        {
-            self.config = Some((config.clone(), config.index()));
-        }
+        let newer = self.copy.state.config.as_ref();
+        let newer = newer.filter(|new| self.config.as_ref().is_none_or(|(c, _)| !Arc::ptr_eq(c, new)));
         let nodes = &self.copy.state.nodes;
+        let index = nodes.keys().position(|ip| *ip == self.place.ip).unwrap_or(0);
+        let among = (nodes.len(), index);
+        // Most news is of servers, which the settings of the decisions do not depend on.
+        if newer.is_some() || among != self.among {
+            if let Some(config) = newer {
+                self.config = Some((config.clone(), config.index()));
+            }
+            self.among = among;
+            self.settle_in();
+        }
+        self.relist(out);
+    }
+
+    /// Sets the decisions by the configuration and by how many proxies there are.
+    fn settle_in(&mut self) {
+        let (nodes, index) = self.among;
         if let Some((config, _)) = &self.config {
-            self.book.learn(config, nodes.len());
+            self.book.learn(config, nodes);
         }
-        let index = nodes.keys().position(|ip| *ip == self.place.ip).unwrap_or(0) as u32;
-        let settings = self.book.settings((nodes.len() as u32).max(index + 1), index, self.beat_us);
+        let balancers = nodes.max(index + 1) as u32;
+        let settings = self.book.settings(balancers, index as u32, self.beat_us);
         // What was sane before stays in force: a configuration that is taken makes sane settings.
         let _ = self.decider.reconfigure(settings);
-        self.relist(out);
     }
 
     fn relist(&mut self, out: &mut Vec<Output>) {
