Call discovery again at once where lists are pushed

Ruled out: the shared network code and the split decisions. Change: where lists are pushed the next call follows within 0.1 s; where they are asked for nothing changes.

--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -4,6 +4,9 @@
 //! harm; hundreds that lose their watch in one moment and all do so keep its line full: calls are turned away, or
 //! answered after their caller has left, and nobody hears of drained servers for as long as that lasts. So all
 //! waits here grow with the number of gateways and have chance in them.
+//!
+//! Where lists are pushed there is no such line: the agent on the gateway's machine answers by itself, and once it has
+//! heard something that counts as told. A gateway that waits between two calls then misses it, so it calls on at once.
 
 use curlewfront::Micros;
 
@@ -21,14 +24,17 @@
 pub struct Calls {
     rng: fastrand::Rng,
     spread: Micros,
+    /// Lists are pushed.
+    pushed: bool,
     /// Calls in a row that brought nothing.
     failed: u32,
 }
 
 impl Calls {
-    pub fn new(gateways: u32, seed: u64) -> Calls {
+    pub fn new(gateways: u32, pushed: bool, seed: u64) -> Calls {
+        let gateways = if pushed { 0 } else { gateways };
         let spread = EACH_US.saturating_mul(u64::from(gateways)).clamp(LEAST_SPREAD_US, MOST_SPREAD_US);
-        Calls { rng: fastrand::Rng::with_seed(seed), spread, failed: 0 }
+        Calls { rng: fastrand::Rng::with_seed(seed), spread, pushed, failed: 0 }
     }
 
     /// After a watch that brought something and has ended: all others may have ended with it.
@@ -40,6 +46,7 @@
     /// After a call that brought nothing: doubled from call to call, as much again by chance.
     pub fn after_failure(&mut self) -> Micros {
         let most = (self.spread * MOST_TIMES).clamp(LEAST_PAUSE_US, MOST_PAUSE_US);
+        let most = if self.pushed { self.spread } else { most };
         let pause = (self.spread << self.failed.min(8)).min(most);
         self.failed += 1;
         pause / 2 + self.rng.u64(0..=pause)
@@ -94,7 +101,7 @@
     /// served before long; asking again within a second and leaving the line as soon, as they did, most never are.
     #[test]
     fn a_fleet_that_calls_at_once_is_served_before_long() {
-        let mut calls: Vec<Calls> = (0..FLEET).map(|n| Calls::new(FLEET, u64::from(n))).collect();
+        let mut calls: Vec<Calls> = (0..FLEET).map(|n| Calls::new(FLEET, false, u64::from(n))).collect();
         let paced = served(|n| calls[n].after_failure(), 3_000_000);
         assert!(paced.iter().all(|at| at.is_some_and(|at| at < 20_000_000)), "{paced:?}");
         let early = paced.iter().flatten().filter(|at| **at < 10_000_000).count();
@@ -117,7 +124,7 @@
     /// Instances that differ in nothing but their seed come back in no common rhythm.
     #[test]
     fn three_hundred_gateways_come_back_spread_out() {
-        let mut calls: Vec<Calls> = (0..300).map(|n| Calls::new(300, n)).collect();
+        let mut calls: Vec<Calls> = (0..300).map(|n| Calls::new(300, false, n)).collect();
         for round in 0..4 {
             let mut waits: Vec<Micros> = calls.iter_mut().map(Calls::after_failure).collect();
             waits.sort_unstable();
@@ -132,7 +139,7 @@
     /// Where few call there is no crowd to keep out of, and what is told late is worth less.
     #[test]
     fn a_few_gateways_call_again_soon_and_ever_later_while_it_fails() {
-        let mut calls = Calls::new(2, 7);
+        let mut calls = Calls::new(2, false, 7);
         assert!(calls.after_end() <= 100_000);
         assert!(calls.after_failure() <= 75_000);
         let later: Vec<Micros> = (0..20).map(|_| calls.after_failure()).collect();
@@ -141,4 +148,13 @@
         calls.after_end();
         assert!(calls.after_failure() <= 75_000, "counts anew after a watch that held");
     }
+
+    /// What the agent hears counts as told: a call must stand again before it is late, however long it was silent.
+    #[test]
+    fn where_lists_are_pushed_each_call_follows_on_the_last() {
+        let mut calls = Calls::new(300, true, 7);
+        let mut waits: Vec<Micros> = (0..40).map(|_| calls.after_failure()).collect();
+        waits.push(calls.after_end());
+        assert!(waits.iter().all(|w| (20_000..=100_000).contains(w)), "{waits:?}");
+    }
 }
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -31,7 +31,8 @@
 const MOST_LINE: usize = 4 * 1024 * 1024;
 
 pub fn start(gate: Arc<Gate>, mut pause: Alarm) -> io::Result<()> {
-    let mut calls = Calls::new(gate.config.settings.balancers, gate.config.seed);
+    let settings = &gate.config.settings;
+    let mut calls = Calls::new(settings.balancers, !settings.ask_for_list, gate.config.seed);
     let work = move || {
         let (mut host, mut version) = (gate.config.discovery, gate.config.known.version);
         // The first call at once: the list saved here may name servers long gone, and whatever the agent holds of that
