--- a/crates/jig/src/config.rs
+++ b/crates/jig/src/config.rs
@@ -122,6 +122,11 @@
         Ok(Config { version, routes, services, limits, tenants, text })
     }
 
+    /// The version that a whole configuration or a patch would make.
+    pub fn version_in(bytes: &[u8]) -> Option<u32> {
+        version_of(&parse(bytes).ok()?).ok()
+    }
+
     /// The whole configuration, laid out as it is put.
     pub fn write(&self) -> String {
         self.text.clone()
--- a/crates/pegboard/src/board.rs
+++ b/crates/pegboard/src/board.rs
@@ -261,7 +261,7 @@
             Call::Evacuate | Call::Restore => {
                 if self.terms.zones.contains_key(&argument) {
                     let on = call == Call::Evacuate;
-                    self.command(id, Command::Evacuate { zone: argument, on }, out)
+                    self.order(id, Command::Evacuate { zone: argument, on }, out)
                 } else {
                     Some(Answer::error(404, &format!("no zone {argument:?}")))
                 }
@@ -278,7 +278,7 @@
                 if self.copy.state.drills.0.contains_key(&argument) {
                     let why = "stopped by an operator".to_string();
                     let stop = DrillChange::Stop { name: argument, epoch: None, why };
-                    self.command(id, Command::Drill(stop), out)
+                    self.order(id, Command::Drill(stop), out)
                 } else {
                     Some(Answer::error(404, &format!("no drill {argument:?}")))
                 }
@@ -321,7 +321,7 @@
         }
         self.asked.retain(|(_, ends)| *ends > self.now);
         self.asked.push((drill.clone(), self.now + Micros::from(drill.for_ms) * 1000));
-        self.command(id, Command::Drill(DrillChange::Start(Box::new(drill))), out)
+        self.order(id, Command::Drill(DrillChange::Start(Box::new(drill))), out)
     }
 
     /// Drills that were asked for here have begun: all are told how long they have.
@@ -415,6 +415,12 @@
         None
     }
 
+    /// A command that names no version of what it changes: this copy's revision is its fencing token.
+    fn order(&mut self, id: u64, order: Command, out: &mut Vec<Output>) -> Option<Answer> {
+        let seen = self.copy.rev();
+        self.command(id, Command::Fenced { seen, order: Box::new(order) }, out)
+    }
+
     fn command(&mut self, id: u64, command: Command, out: &mut Vec<Output>) -> Option<Answer> {
         let ticket = self.ticket();
         let refused = self.wait(id, Wait::Command { ticket, at: None, done: None });
--- a/crates/pegboard/src/board/booking.rs
+++ b/crates/pegboard/src/board/booking.rs
@@ -115,7 +115,7 @@
                 .dump(),
             ));
         }
-        self.command(id, Command::Book(BookChange::Put { booking, base, room }), out)
+        self.order(id, Command::Book(BookChange::Put { booking, base, room }), out)
     }
 
     fn asked(&self, name: &str, body: &[u8]) -> Result<(Booking, Meant), Answer> {
@@ -156,7 +156,7 @@
         match dry_run(&request.target) {
             Err(why) => Some(Answer::error(400, &why.to_string())),
             Ok(true) => Some(self.read_booking(name)),
-            Ok(false) => self.command(id, Command::Book(BookChange::Cancel { name: name.to_string() }), out),
+            Ok(false) => self.order(id, Command::Book(BookChange::Cancel { name: name.to_string() }), out),
         }
     }
 
--- a/crates/pegboard/src/calls.rs
+++ b/crates/pegboard/src/calls.rs
@@ -43,6 +43,13 @@
                 Answer::error(412, &format!("another version is current: {}", show_version(*current)))
             }
             Done::Invalid(why) => Answer::error(400, why),
+            Done::Overtaken => Answer::unavailable(
+                "something newer was ordered meanwhile: send it again if it is still wanted",
+            ),
+            Done::Forgotten { from } => Answer::unavailable(&format!(
+                "older than what is remembered, which is from {} on: perhaps it was taken; read what is current",
+                show_version(*from)
+            )),
             Done::Unbooked(why) => crate::bookings::unbooked(why),
         }
     }
--- a/crates/planchest/src/store.rs
+++ b/crates/planchest/src/store.rs
@@ -174,14 +174,21 @@
         Payload::Data(data) => postcard::from_bytes::<Command>(data),
     };
     match command {
-        Ok(Command::Configure(c)) => {
+        Ok(command) => command_words(command),
+        Err(e) => format!("no command of this program: {e}"),
+    }
+}
+
+fn command_words(command: Command) -> String {
+    match command {
+        Command::Configure(c) => {
             let what = if c.patch { "patch" } else { "configuration" };
             format!("{what} on {:08x}, {} bytes", c.base, c.body.len())
         }
-        Ok(Command::Evacuate { zone, on }) => {
+        Command::Evacuate { zone, on } => {
             format!("{} {zone}", if on { "evacuate" } else { "return" })
         }
-        Ok(Command::Servers(changes)) => {
+        Command::Servers(changes) => {
             let one = |c: &ServerChange| match c {
                 ServerChange::Up(s) => format!("{} up", s.id),
                 ServerChange::Draining { id } => format!("{id} drains"),
@@ -190,14 +197,14 @@
             };
             format!("servers: {}", changes.iter().map(one).collect::<Vec<_>>().join(", "))
         }
-        Ok(Command::Nodes(changes)) => {
+        Command::Nodes(changes) => {
             let one = |c: &NodeChange| match c {
                 NodeChange::Up(n) => format!("{} up", n.name),
                 NodeChange::Gone { ip } => format!("{ip} gone"),
             };
             format!("proxies: {}", changes.iter().map(one).collect::<Vec<_>>().join(", "))
         }
-        Ok(Command::Book(change)) => match change {
+        Command::Book(change) => match change {
             BookChange::Put { booking, .. } => format!("booking {}", booking.name),
             BookChange::Cancel { name } => format!("booking {name} cancelled"),
             BookChange::Phase { name, epoch, .. } => format!("booking {name} goes on from phase {epoch}"),
@@ -205,12 +212,12 @@
                 format!("booking {name} divided over {}, number {number}", parts.len())
             }
         },
-        Ok(Command::Drill(change)) => match change {
+        Command::Drill(change) => match change {
             DrillChange::Start(drill) => format!("drill {}", drill.name),
             DrillChange::Stop { name, why, .. } => format!("drill {name} ended: {why}"),
             DrillChange::Rows(rows) => format!("drills: told by {} proxies", rows.len()),
         },
-        Err(e) => format!("no command of this program: {e}"),
+        Command::Fenced { seen, order } => format!("{}, as of {seen}", command_words(*order)),
     }
 }
 
--- a/crates/rack/src/copy.rs
+++ b/crates/rack/src/copy.rs
@@ -79,12 +79,21 @@
 
     /// What a follower needs that has come as far as `rev`; None: nothing.
     pub fn since(&self, now: Micros, rev: Rev) -> Option<News> {
+        self.news(rev, || self.state.write(now))
+    }
+
+    /// The same for one that answers no operator.
+    pub fn since_without_calls(&self, now: Micros, rev: Rev) -> Option<News> {
+        self.news(rev, || self.state.write_without_calls(now))
+    }
+
+    fn news(&self, rev: Rev, whole: impl FnOnce() -> Vec<u8>) -> Option<News> {
         let to = self.state.rev;
         if rev >= to {
             return None;
         }
         if rev < self.kept_from {
-            return Some(News::Whole(self.state.write(now)));
+            return Some(News::Whole(whole()));
         }
         let commands = self.kept.iter().filter(|(at, _)| *at > rev).cloned().collect();
         Some(News::Run { from: rev, to, commands })
--- a/crates/rack/src/follow.rs
+++ b/crates/rack/src/follow.rs
@@ -1,4 +1,4 @@
-//! Those who follow a copy, at a registry or at a relay: what each was sent, and what it still lacks.
+//! The proxies that follow a copy, at a registry or at a relay: what each was sent, and what it still lacks.
 
 use crate::copy::Copy;
 use crate::state::Node;
@@ -52,7 +52,7 @@
         let mut last: Option<(Rev, News)> = None;
         for (link, f) in self.links.iter_mut().filter(|(_, f)| f.rev < copy.rev()) {
             if last.as_ref().is_none_or(|(from, _)| *from != f.rev) {
-                last = copy.since(now, f.rev).map(|news| (f.rev, news));
+                last = copy.since_without_calls(now, f.rev).map(|news| (f.rev, news));
             }
             if let Some((_, news)) = &last {
                 f.rev = copy.rev();
--- a/crates/rack/src/state.rs
+++ b/crates/rack/src/state.rs
@@ -1,23 +1,22 @@
 //! The agreed state and the commands that change it.
 
-use crate::booking::{BookChange, Booked, Bookings, Unbooked};
+use crate::booking::{BookChange, Booked, Bookings, Phase, Unbooked};
 use crate::drill::{DrillChange, Drills};
+use crate::orders::{self, Changes, Subjects, Taken};
 use crate::{Micros, Rev};
 use jig::config::{Config, show_version};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// The forms of a state on disk and between processes. A newer one is refused. One that has nothing of what came later is
 /// written in the first form, so that it costs no byte more.
-pub const FORMAT: u32 = 2;
+pub const FORMAT: u32 = 3;
 const FIRST: u32 = 1;
+const SECOND: u32 = 2;
 /// Servers that have left are remembered, so that a late call of theirs does not bring them back.
 const MOST_GONE: usize = 2048;
-/// Versions whose exact call is remembered, so that its repeat gets its answer.
-const MOST_TAKEN: usize = 256;
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Command {
@@ -31,6 +30,12 @@
     Nodes(Vec<NodeChange>),
     Book(BookChange),
     Drill(DrillChange),
+    /// An order as a registry took it whose copy had come to `seen`: without effect if what it is about was changed after
+    /// that, for then it is a late copy, or its operator could not know.
+    Fenced {
+        seen: Rev,
+        order: Box<Command>,
+    },
 }
 
 /// A configuration as an operator sent it: whole, or the items that change.
@@ -110,14 +115,21 @@
     /// It can never be taken; why.
     Invalid(String),
     Unbooked(Unbooked),
+    /// Nothing became of it, as something newer was ordered meanwhile: whether an earlier copy of it was taken is not said.
+    Overtaken,
+    /// It builds on a version before this one, older than what is remembered: perhaps it was taken.
+    Forgotten {
+        from: u32,
+    },
 }
 
 #[derive(Clone, Debug, Default)]
 pub struct State {
     pub rev: Rev,
     pub config: Option<Arc<Config>>,
-    /// The calls that were taken, by the version that they made: their check sums.
-    taken: VecDeque<(u32, u64)>,
+    /// The calls that were taken.
+    pub changes: Changes,
+    pub subjects: Subjects,
     pub evacuated: BTreeSet<String>,
     /// Zones whose evacuation was taken back, and when this process learned it: their servers may be cold.
     pub returned: BTreeMap<String, Micros>,
@@ -155,9 +167,16 @@
 
     /// Whether this change could be taken now; what `apply` would say of it.
     pub fn consider(&self, change: &Change) -> Result<Option<Config>, Done> {
-        let sum = sum(change);
-        if self.taken.iter().any(|t| t.1 == sum) {
-            return Ok(None);
+        let wanted = || Config::version_in(&change.body);
+        match self.changes.find(change.base, orders::fingerprint(change), wanted) {
+            Taken::Yes => return Ok(None),
+            // What is invalid at any version was never taken.
+            Taken::Perhaps if !change.patch => {
+                Config::read(&change.body).map_err(|e| Done::Invalid(e.to_string()))?;
+                return Err(Done::Forgotten { from: self.changes.from() });
+            }
+            Taken::Perhaps => return Err(Done::Forgotten { from: self.changes.from() }),
+            Taken::No => {}
         }
         let made = match (&self.config, change.patch) {
             (_, false) => Config::read(&change.body),
@@ -185,14 +204,16 @@
             return Done::Taken;
         }
         self.rev = rev;
+        self.order(now, rev, command)
+    }
+
+    fn order(&mut self, now: Micros, rev: Rev, command: &Command) -> Done {
         match command {
+            Command::Fenced { seen, order } => self.fenced(now, rev, *seen, order),
             Command::Configure(change) => match self.consider(change) {
                 Ok(None) => Done::Taken,
                 Ok(Some(config)) => {
-                    self.taken.push_back((config.version, sum(change)));
-                    if self.taken.len() > MOST_TAKEN {
-                        self.taken.pop_front();
-                    }
+                    self.changes.take(config.version, orders::fingerprint(change));
                     self.config = Some(Arc::new(config));
                     Done::Taken
                 }
@@ -236,6 +257,46 @@
         }
     }
 
+    /// An order that holds already is acknowledged, also one that comes late.
+    fn fenced(&mut self, now: Micros, rev: Rev, seen: Rev, order: &Command) -> Done {
+        let Some(subject) = orders::subject(order) else { return self.order(now, rev, order) };
+        let mut call = None;
+        // Whether it holds already, and whether what is known of its subject decides without the fence.
+        let (holds, decides) = match order {
+            Command::Evacuate { zone, on } => (self.evacuated.contains(zone) == *on, false),
+            Command::Book(BookChange::Put { booking, base, .. }) => {
+                let fingerprint = orders::booking_fingerprint(booking, *base);
+                call = Some(fingerprint);
+                let known = self.bookings.get(&booking.name);
+                let took = self.subjects.took(&subject, fingerprint);
+                let holds = known.is_some_and(|k| (k.booking == *booking && !k.cancelled) || took);
+                (holds, known.is_some())
+            }
+            Command::Book(BookChange::Cancel { name }) => {
+                (self.bookings.get(name).is_some_and(|b| b.phase >= Phase::Closing), false)
+            }
+            Command::Drill(DrillChange::Start(drill)) => {
+                let known = self.drills.0.get(&drill.name);
+                (known.is_some_and(|h| h.drill == **drill), known.is_some())
+            }
+            Command::Drill(DrillChange::Stop { name, .. }) => {
+                (self.drills.0.get(name).is_some_and(|h| h.ended.is_some()), false)
+            }
+            _ => (false, true),
+        };
+        if holds {
+            return Done::Taken;
+        }
+        if !decides && self.subjects.changed_after(&subject, seen) {
+            return Done::Overtaken;
+        }
+        let done = self.order(now, rev, order);
+        if done == Done::Taken {
+            self.subjects.change(&subject, rev, call);
+        }
+        done
+    }
+
     fn server(&mut self, now: Micros, change: &ServerChange) {
         match change {
             ServerChange::Up(server) => {
@@ -285,26 +346,48 @@
 
     /// The state as bytes, for a disk or another process.
     pub fn write(&self, now: Micros) -> Vec<u8> {
+        self.written(now, true)
+    }
+
+    /// The state for a process that answers no operator: without the calls that were taken, which change nothing more.
+    pub fn write_without_calls(&self, now: Micros) -> Vec<u8> {
+        self.written(now, false)
+    }
+
+    fn written(&self, now: Micros, with_calls: bool) -> Vec<u8> {
         let left = |s: &Server| {
             let ms = s.cold_until().saturating_sub(now).div_ceil(1000);
             Server { cold_ms: u32::try_from(ms).unwrap_or(u32::MAX), ..s.clone() }
         };
         let later = Later { bookings: self.bookings.written(now), drills: self.drills.clone() };
         let plain = later.bookings.is_empty() && later.drills.0.is_empty();
+        let older = (!with_calls || self.changes.plain()) && self.subjects.is_empty();
         let written = Written {
-            format: if plain { FIRST } else { FORMAT },
+            format: if !older {
+                FORMAT
+            } else if plain {
+                FIRST
+            } else {
+                SECOND
+            },
             rev: self.rev,
             config: self.config.as_ref().map(|c| c.write().into_bytes()),
-            taken: self.taken.iter().copied().collect(),
+            taken: if with_calls { self.changes.written() } else { Vec::new() },
             evacuated: self.evacuated.iter().cloned().collect(),
             servers: self.servers.values().map(left).collect(),
             gone: self.gone.iter().cloned().collect(),
             nodes: self.nodes.values().cloned().collect(),
         };
         let mut bytes = postcard::to_stdvec(&written).expect("plain data");
-        if !plain {
+        if !plain || !older {
             bytes.extend(postcard::to_stdvec(&later).expect("plain data"));
         }
+        if !older {
+            let without = Changes::of_old(Vec::new(), self.version());
+            let changes = if with_calls { &self.changes } else { &without };
+            let orders = orders::Written::of(changes, &self.subjects);
+            bytes.extend(postcard::to_stdvec(&orders).expect("plain data"));
+        }
         bytes
     }
 
@@ -315,9 +398,9 @@
             return Err(format!("state in form {format}: this program reads forms up to {FORMAT}"));
         }
         let (w, rest) = postcard::take_from_bytes::<Written>(bytes).map_err(|e| format!("state: {e}"))?;
-        let later = match format {
-            FIRST => Later::default(),
-            _ => postcard::from_bytes(rest).map_err(|e| format!("state: {e}"))?,
+        let (later, rest) = match format {
+            FIRST => (Later::default(), rest),
+            _ => postcard::take_from_bytes(rest).map_err(|e| format!("state: {e}"))?,
         };
         let config = match w.config {
             Some(bytes) => {
@@ -325,11 +408,19 @@
             }
             None => None,
         };
+        let version = config.as_ref().map_or(0, |c: &Arc<Config>| c.version);
+        let (changes, subjects) = match format {
+            FIRST | SECOND => (Changes::of_old(w.taken, version), Subjects::default()),
+            _ => postcard::from_bytes::<orders::Written>(rest)
+                .map_err(|e| format!("state: {e}"))?
+                .read(w.taken),
+        };
         let servers = w.servers.into_iter().map(|s| (s.id.clone(), Server { noted_at: now, ..s })).collect();
         Ok(State {
             rev: w.rev,
             config,
-            taken: w.taken.into(),
+            changes,
+            subjects,
             evacuated: w.evacuated.into_iter().collect(),
             returned: BTreeMap::new(),
             servers,
@@ -340,8 +431,3 @@
         })
     }
 }
-
-/// By this an unclear call that is repeated unchanged is known.
-fn sum(change: &Change) -> u64 {
-    xxh3_64_with_seed(&change.body, u64::from(change.base) << 1 | u64::from(change.patch))
-}
