--- a/crates/ratchet/src/core.rs
+++ b/crates/ratchet/src/core.rs
@@ -14,7 +14,11 @@
 const FULL: u64 = 32;
 /// Bytes of entries in one message, about.
 const BATCH_BYTES: usize = 128 << 10;
-const PART_BYTES: usize = if cfg!(test) { 1 << 10 } else { 256 << 10 };
+/// Bytes of entries on their way to a member: a link that carries little is not to hold seconds of them.
+const FLIGHT_BYTES: usize = 256 << 10;
+/// Bytes of a snapshot in one message, and on their way: a link of 1 Mbit/s carries a message within an election time.
+pub(crate) const PART_BYTES: usize = 64 << 10;
+const PARTS: u64 = 4;
 /// A learner this close to the end of the log is named in the roster.
 const CAUGHT_UP: u64 = 16;
 /// A learner that is silent for so long is forgotten.
@@ -36,6 +40,14 @@
     ReadUnconfirmed,
     /// A snapshot that comes late is taken over what is newer.
     SnapshotOverTail,
+    /// A snapshot is acknowledged before it is on disk.
+    AckInstallBeforeSync,
+    /// A transfer starts over with every newer snapshot.
+    TransferStartsOver,
+    /// What has come of another snapshot is kept as the beginning of this one.
+    PartOfAnother,
+    /// A member that hears of a leader by parts of a snapshot only takes what it has for all.
+    FreshByParts,
 }
 
 #[cfg(test)]
@@ -54,6 +66,37 @@
 /// What a vote says and stands on: term, standing, vote.
 type Safe = (u64, bool, Option<Member>);
 
+/// A snapshot on its way to a member.
+#[cfg_attr(test, derive(Clone, Hash))]
+struct Transfer {
+    /// The one that it began with, also when a newer one is made: a transfer that started over each time might never end.
+    snapshot: Arc<Snapshot>,
+    /// So much has come, and so much was sent; None: nothing yet, as where it has no bytes.
+    come: u64,
+    sent: Option<u64>,
+    /// The round of the last part: an answer to a later one shows what of the parts was lost, however slow the link is.
+    round: u64,
+}
+
+impl Transfer {
+    fn new(snapshot: Arc<Snapshot>) -> Transfer {
+        Transfer { snapshot, come: 0, sent: None, round: 0 }
+    }
+
+    fn total(&self) -> u64 {
+        self.snapshot.data.len() as u64
+    }
+
+    /// Whether the newest snapshot is to be sent instead: what comes after this one is no longer kept, or is more than
+    /// what is thrown away. Where a link carries more than there are changes, that comes to an end.
+    fn outdated(&self, log: &Log) -> bool {
+        let (at, newest) = (self.snapshot.index, &log.snapshot);
+        let spent = newest.data.len() as u64 + self.sent.unwrap_or_default();
+        let spared = spent.saturating_sub(self.total()) as usize + 1;
+        at < log.base() || at < newest.index && log.bytes(at + 1, newest.index + 1, spared) >= spared
+    }
+}
+
 /// A leader's picture of one disk.
 #[cfg_attr(test, derive(Clone, Hash))]
 struct Peer {
@@ -67,8 +110,8 @@
     standing: bool,
     /// Where its log parts from the leader's is still to be found: one try at a time.
     probing: bool,
-    /// A snapshot on its way: its index, how much has come, when a part was sent.
-    sending: Option<(u64, u64, Micros)>,
+    /// A snapshot on its way.
+    transfer: Option<Transfer>,
     /// A learner counts as alive with answers from this round on.
     since: u64,
 }
@@ -83,7 +126,7 @@
             heard: None,
             standing: false,
             probing: true,
-            sending: None,
+            transfer: None,
             since,
         }
     }
@@ -105,6 +148,14 @@
     reads: Vec<(u64, u64)>,
 }
 
+impl Lead {
+    /// The oldest snapshot that is on its way: what comes after it will be needed.
+    fn hold(&self) -> Option<u64> {
+        let all = self.peers.values().chain(self.learners.values());
+        all.filter_map(|p| p.transfer.as_ref()).map(|t| t.snapshot.index).min()
+    }
+}
+
 #[cfg_attr(test, derive(Clone, Hash))]
 pub struct Ratchet {
     me: Member,
@@ -138,12 +189,16 @@
     round: u64,
     /// An answer that waits for the disk: whether the log fits, and if not, where to try next.
     owes: Option<(bool, u64)>,
-    /// A snapshot that is coming in.
-    coming: Option<Snapshot>,
+    /// How far `told` shows what was acknowledged: not while only parts of a snapshot come from a leader.
+    told_by_leader: bool,
+    /// A snapshot that is coming in, and the term of the leader that sends it: another one's may have other bytes.
+    coming: Option<(u64, Snapshot)>,
     /// Entries up to here were handed to the host.
     given: u64,
     #[cfg(test)]
     pub(crate) fault: Option<Fault>,
+    #[cfg(test)]
+    pub(crate) part_bytes: usize,
 }
 
 impl Ratchet {
@@ -177,12 +232,15 @@
             lead: None,
             verified: 0,
             told: 0,
+            told_by_leader: false,
             round: 0,
             owes: None,
             coming: None,
             given,
             #[cfg(test)]
             fault: None,
+            #[cfg(test)]
+            part_bytes: 1 << 10,
         };
         if ratchet.hard.standing {
             ratchet.due = now + ratchet.draw(timing.election);
@@ -211,6 +269,16 @@
         self.told.max(self.hard.commit)
     }
 
+    /// Whether [`Ratchet::told`] reaches all that was acknowledged until lately: a leader of this term has told it, and has
+    /// committed an entry of its own, so that it knows what those before it have committed.
+    pub fn knows(&self) -> bool {
+        if fault!(self, FreshByParts) {
+            return self.leader.is_some();
+        }
+        let told = self.lead.is_some() || self.leader.is_some() && self.told_by_leader;
+        told && self.log.term(self.told().min(self.log.last())) == Some(self.hard.term)
+    }
+
     pub fn last(&self) -> u64 {
         self.log.last()
     }
@@ -259,7 +327,6 @@
         back(&mut lead.since);
         for peer in lead.peers.values_mut().chain(lead.learners.values_mut()) {
             peer.heard.iter_mut().for_each(back);
-            peer.sending.iter_mut().for_each(|s| back(&mut s.2));
         }
     }
 
@@ -300,7 +367,8 @@
             },
             Input::Snapshot { index, data } => {
                 if index <= self.given {
-                    self.log.compact(index, data, self.timing.tail);
+                    let hold = self.lead.as_ref().and_then(|lead| lead.hold());
+                    self.log.compact(index, data, self.timing.tail, hold);
                 }
             }
             Input::Seeds(seeds) => self.seeds = seeds,
@@ -445,7 +513,8 @@
         let fresh = term > self.hard.term;
         self.set_term(term);
         if self.role != Role::Follower || fresh {
-            (self.verified, self.round, self.owes, self.coming) = (0, 0, None, None);
+            // What has come of a snapshot stays: a member on a slow link may ask for votes between two parts.
+            (self.verified, self.round, self.owes, self.told_by_leader) = (0, 0, None, false);
             self.due = self.due.max(now + self.draw(self.timing.election));
         }
         self.role = Role::Follower;
@@ -583,7 +652,7 @@
                     self.refuse(from, round, out);
                 } else if self.lead.is_none() {
                     self.hear_leader(now, term, from, out);
-                    self.told = commit;
+                    (self.told, self.told_by_leader) = (commit, true);
                     self.appended(from, round, (prev, prev_term), commit, entries, out);
                 }
             }
@@ -591,7 +660,7 @@
             Message::Part { .. } if self.lead.is_some() => {}
             Message::Part { term, round, index, index_term, roster, roster_index, total, offset, bytes } => {
                 self.hear_leader(now, term, from, out);
-                self.round = round;
+                self.round = self.round.max(round);
                 let new = Snapshot { index, term: index_term, roster, roster_index, data: Vec::new() };
                 self.part(from, new, total, offset, &bytes, out);
             }
@@ -609,12 +678,15 @@
                     && let Some(peer) = self.peer(from, disk)
                 {
                     peer.heard = Some(now);
+                    let late = round < peer.round;
                     peer.round = peer.round.max(round);
-                    if let Some((i, at, sent)) = &mut peer.sending
-                        && *i == index
-                        && *at != offset
+                    if let Some(t) = &mut peer.transfer
+                        && t.snapshot.index == index
+                        && offset <= t.total()
+                        && (offset > t.come || !late)
                     {
-                        (*at, *sent) = (offset, 0);
+                        t.come = offset;
+                        t.sent = t.sent.max(Some(offset));
                     }
                 }
             }
@@ -770,30 +842,37 @@
     }
 
     fn part(&mut self, from: Member, new: Snapshot, total: u64, offset: u64, bytes: &[u8], out: &mut Output) {
-        let index = new.index;
+        let (index, leader_term) = (new.index, self.hard.term);
         if index <= self.hard.commit && !fault!(self, SnapshotOverTail) {
             // It is known already: go on with entries.
             self.verified = self.verified.max(index);
-            self.coming = None;
+            self.coming.take_if(|(_, c)| c.index <= index);
             self.ack(from, true, 0, out);
             return;
         }
-        if self.coming.as_ref().is_none_or(|c| (c.index, c.term) != (new.index, new.term)) {
-            self.coming = Some(new);
+        let same = |(t, c): &(u64, Snapshot)| (*t, c.index, c.term) == (leader_term, index, new.term);
+        match &self.coming {
+            // Doubled or overtaken: this leader has gone on to a newer one.
+            Some((t, c)) if *t == leader_term && c.index > index => return,
+            Some(coming) if same(coming) || fault!(self, PartOfAnother) => {}
+            _ => self.coming = Some((leader_term, new)),
         }
-        let coming = self.coming.as_mut().expect("just made");
+        let (_, coming) = self.coming.as_mut().expect("just made");
         if coming.data.len() as u64 == offset {
             coming.data.extend_from_slice(bytes);
         }
         let offset = coming.data.len() as u64;
+        // Also of the last part: what it waits for then is the disk.
+        if self.safe.0 == self.hard.term {
+            let (term, round) = (self.hard.term, self.round);
+            out.send.push((from, Message::Got { term, round, index, offset }));
+        }
         if offset < total {
-            if self.safe.0 == self.hard.term {
-                let (term, round) = (self.hard.term, self.round);
-                out.send.push((from, Message::Got { term, round, index, offset }));
-            }
             return;
         }
-        let snapshot = Arc::new(self.coming.take().expect("whole"));
+        let (_, snapshot) = self.coming.take().expect("whole");
+        let snapshot = Arc::new(snapshot);
+        let index = snapshot.index;
         if fault!(self, SnapshotOverTail) && (self.log.base()..self.log.last()).contains(&index) {
             self.log.truncate(index + 1);
         }
@@ -804,6 +883,11 @@
         out.installed = Some(snapshot);
         self.learn_commit(index);
         self.owes = Some((true, 0));
+        if fault!(self, AckInstallBeforeSync) {
+            let (term, round, commit) = (self.hard.term, self.round, index);
+            let standing = self.safe.1;
+            out.send.push((from, Message::Ack { term, round, fits: true, matched: index, commit, standing }));
+        }
     }
 
     // The leader
@@ -840,11 +924,23 @@
             return self.hello(now, from, disk, out);
         };
         peer.heard = Some(now);
+        let newest = round > peer.round;
         peer.round = peer.round.max(round);
         peer.standing |= standing;
         if !fits {
+            if let Some(t) = &mut peer.transfer {
+                // It had all of it and lacks it again: it ended before that was on disk.
+                if t.come == t.total() && t.sent.is_some() && newest && matched < t.snapshot.index {
+                    (t.come, t.sent) = (0, None);
+                }
+                return;
+            }
+            if newest && matched < peer.matched {
+                // What it had on disk is gone: an old copy. It counts again as far as it then has it again.
+                peer.matched = 0;
+            }
             // An answer that was overtaken says nothing; the next message finds out.
-            if matched < peer.next && peer.sending.is_none() {
+            if matched < peer.next {
                 peer.next = matched.max(peer.matched) + 1;
                 peer.probing = true;
                 self.send_to(now, from, disk, true, out);
@@ -855,7 +951,7 @@
         peer.next = peer.next.max(peer.matched + 1);
         peer.probing = false;
         if peer.next > base {
-            peer.sending = None;
+            peer.transfer = None;
         }
         let near = peer.matched >= base && peer.matched + CAUGHT_UP >= last && peer.round >= peer.since;
         let lead = self.lead.as_mut().expect("leads");
@@ -937,13 +1033,23 @@
 
     fn serve(&mut self, now: Micros, out: &mut Output) {
         let Some(lead) = &mut self.lead else { return };
-        lead.learners.retain(|_, p| p.heard.is_some_and(|at| now < at + LEARNER_SILENCE));
+        let silent = |p: &Peer| p.heard.is_none_or(|at| now >= at + LEARNER_SILENCE);
+        lead.learners.retain(|_, p| !silent(p));
+        // Nothing is held back in the log for one that is not there.
+        lead.peers.values_mut().filter(|p| silent(p)).for_each(|p| p.transfer = None);
         let beat = now >= lead.beat;
         if beat {
             lead.round += 1;
             lead.beat = now + self.timing.heartbeat;
         }
-        let peers = lead.peers.iter().chain(&lead.learners).map(|(m, p)| (*m, p.disk));
+        // A machine that learns with a new disk is not sent what its old one lacks: its answers would be taken for answers
+        // to what the new one was sent.
+        let limit = self.timing.election.1;
+        let gone = |(m, p): &(&Member, &Peer)| {
+            let learns = lead.learners.get(*m).is_some_and(|l| l.heard > p.heard);
+            learns && p.heard.is_none_or(|at| now >= at + limit)
+        };
+        let peers = lead.peers.iter().filter(|p| !gone(p)).chain(&lead.learners).map(|(m, p)| (*m, p.disk));
         for (member, disk) in peers.collect::<Vec<_>>() {
             self.send_to(now, member, disk, beat, out);
         }
@@ -952,6 +1058,10 @@
     /// Sends what this disk lacks, and at a beat something in any case.
     fn send_to(&mut self, now: Micros, member: Member, disk: Disk, beat: bool, out: &mut Output) {
         let (term, commit, last) = (self.hard.term, self.hard.commit, self.log.last());
+        #[cfg(test)]
+        let part_bytes = self.part_bytes;
+        #[cfg(not(test))]
+        let part_bytes = PART_BYTES;
         let Some(lead) = &mut self.lead else { return };
         let round = lead.round;
         let found = lead.learners.get_mut(&member).filter(|p| p.disk == disk);
@@ -959,30 +1069,45 @@
             return;
         };
         if peer.next <= self.log.base() {
-            let snapshot = self.log.snapshot.clone();
-            let (at, sent) = match peer.sending {
-                Some((index, at, sent)) if index == snapshot.index => (at, sent),
-                _ => (0, 0),
-            };
-            let total = snapshot.data.len() as u64;
-            // A part that got lost is sent again, but not while a slow link still carries it.
             let there = peer.heard.is_some_and(|at| now < at + self.timing.election.1);
-            if there && (sent == 0 || beat && now >= sent + self.timing.election.0) {
-                let end = (at as usize + PART_BYTES).min(snapshot.data.len());
-                let bytes = snapshot.data.get(at as usize..end).unwrap_or_default().to_vec();
-                peer.sending = Some((snapshot.index, at, now));
+            if let Some(t) = &mut peer.transfer
+                && peer.round > t.round
+                && t.sent.is_some_and(|sent| sent > t.come)
+            {
+                t.sent = if t.come > 0 { Some(t.come) } else { None };
+            }
+            let newest = &self.log.snapshot;
+            let over = fault!(self, TransferStartsOver);
+            peer.transfer.take_if(|t| over && t.snapshot.index < newest.index || t.outdated(&self.log));
+            let part = part_bytes as u64;
+            let mut sends = false;
+            if there && peer.transfer.is_none() {
+                peer.transfer = Some(Transfer::new(newest.clone()));
+            }
+            while let Some(t) = &mut peer.transfer
+                && there
+                && t.sent.is_none_or(|sent| sent < t.total().min(t.come + PARTS * part))
+            {
+                let offset = t.sent.unwrap_or_default();
+                let end = t.total().min(offset + part);
+                let bytes = t.snapshot.data[offset as usize..end as usize].to_vec();
+                (t.sent, t.round, sends) = (Some(end), round, true);
+                let Snapshot { index, term: index_term, ref roster, roster_index, .. } = *t.snapshot;
+                let (roster, total) = (roster.clone(), t.total());
                 let part = Message::Part {
                     term,
                     round,
-                    index: snapshot.index,
-                    index_term: snapshot.term,
-                    roster: snapshot.roster.clone(),
-                    roster_index: snapshot.roster_index,
+                    index,
+                    index_term,
+                    roster,
+                    roster_index,
                     total,
-                    offset: at,
+                    offset,
                     bytes,
                 };
                 out.send.push((member, part));
+            }
+            if sends {
                 return;
             }
             if !beat {
@@ -1003,11 +1128,12 @@
             return;
         }
         let room = WINDOW.saturating_sub(peer.next - 1 - peer.matched.min(peer.next - 1));
+        let flight = self.log.bytes(peer.matched + 1, peer.next, FLIGHT_BYTES);
         if !peer.probing || beat {
             let room = if peer.probing { room.min(1) } else { room };
-            while (entries.len() as u64) < room && bytes < BATCH_BYTES {
+            while (entries.len() as u64) < room && bytes < BATCH_BYTES && flight + bytes < FLIGHT_BYTES {
                 let Some(entry) = self.log.get(peer.next + entries.len() as u64) else { break };
-                bytes += 32 + if let Payload::Data(data) = &entry.payload { data.len() } else { 64 };
+                bytes += entry.size();
                 entries.push(entry.clone());
             }
         }
--- a/crates/ratchet/src/lib.rs
+++ b/crates/ratchet/src/lib.rs
@@ -95,6 +95,18 @@
     pub payload: Payload,
 }
 
+impl Entry {
+    /// About what it takes on a link or a disk.
+    pub fn size(&self) -> usize {
+        32 + if let Payload::Data(data) = &self.payload { data.len() } else { 64 }
+    }
+}
+
+/// So many bytes of entries are as dear as a state of this size: a snapshot is due, and no longer tail is kept.
+pub fn enough(state: usize) -> usize {
+    state.max(64 << 10)
+}
+
 /// The host's state when entry `index` was applied, and the roster at that point.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, Hash)]
 pub struct Snapshot {
--- a/crates/ratchet/src/log.rs
+++ b/crates/ratchet/src/log.rs
@@ -1,9 +1,12 @@
 //! The log in memory, the rosters in it, and what of it is not on disk yet.
 
-use crate::{Entry, Hard, Payload, Roster, Saved, Snapshot, Write};
+use crate::{Entry, Hard, Payload, Roster, Saved, Snapshot, Write, enough};
 use std::collections::VecDeque;
 use std::sync::Arc;
 
+/// What is held back for those that are sent an older snapshot; who needs more starts over with a newer one.
+const HELD_BYTES: usize = 16 << 20;
+
 #[cfg_attr(test, derive(Clone, Hash))]
 pub struct Log {
     pub snapshot: Arc<Snapshot>,
@@ -97,15 +100,37 @@
         self.writing = self.writing.min(from - 1);
     }
 
-    /// The host's own snapshot: what is well before it goes.
-    pub fn compact(&mut self, index: u64, data: Vec<u8>, tail: u64) {
+    /// Bytes of the entries from `from` to before `to`, or of so many of them that `most` is reached.
+    pub fn bytes(&self, from: u64, to: u64, most: usize) -> usize {
+        let mut bytes = 0;
+        for index in from.max(self.base.0 + 1)..to {
+            bytes += self.get(index).map_or(0, Entry::size);
+            if bytes >= most {
+                break;
+            }
+        }
+        bytes
+    }
+
+    /// The host's own snapshot: what is well before it goes. Of the tail no more stays than the snapshot has bytes, or it
+    /// would be dearer to send. What comes after entry `hold` stays while that is bounded.
+    pub fn compact(&mut self, index: u64, data: Vec<u8>, tail: u64, hold: Option<u64>) {
         let Some(term) = self.term(index).filter(|_| index > self.snapshot.index) else { return };
         let at = self.rosters.iter().rposition(|(i, _)| *i <= index).expect("the snapshot's at least");
         self.rosters.drain(..at);
         let (roster_index, roster) = self.rosters[0].clone();
         self.snapshot = Arc::new(Snapshot { index, term, roster, roster_index, data });
         self.dirty_snapshot = true;
-        let base = index.saturating_sub(tail);
+        let (mut base, mut room) = (index, enough(self.snapshot.data.len()));
+        while base > index.saturating_sub(tail) && base > self.base.0 {
+            let Some(rest) = room.checked_sub(self.get(base).map_or(0, Entry::size)) else { break };
+            (base, room) = (base - 1, rest);
+        }
+        if let Some(hold) = hold.filter(|hold| *hold < base)
+            && self.bytes(hold + 1, base + 1, HELD_BYTES) < HELD_BYTES
+        {
+            base = hold;
+        }
         if base > self.base.0 {
             let term = self.term(base).expect("kept until now");
             self.entries.drain(..(base - self.base.0) as usize);
--- a/crates/ratchet/src/sim.rs
+++ b/crates/ratchet/src/sim.rs
@@ -10,6 +10,7 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 
+mod catching_up;
 mod power;
 
 const MS: Micros = 1000;
