Say fresh only of what counts, refuse what cannot be read, send no run dearer than the state

It now takes no part any more, writes nothing of it, and logs the form. - The run of commands for a follower that was away had no bound in bytes: over 8 MB no link carries it, so a proxy cut off during 140 configurations of 60 KB would have linked again and again for ever. Copies keep 1 MB of commands, and send the whole state where that is shorter than the run. - A whole state did not tell which zones came back lately, so who took one treated their servers as warm.

--- a/crates/planchest/src/chest.rs
+++ b/crates/planchest/src/chest.rs
@@ -33,8 +33,9 @@
 const STANDING_US: Micros = 250_000;
 /// A call handed to the leader is given up after so long.
 const HANDED_US: Micros = 1_000_000;
-/// Entries applied between two snapshots.
+/// Entries applied between two snapshots, and, in states of this one's size, their bytes.
 const SNAPSHOT_EVERY: u64 = 256;
+const SNAPSHOT_STATES: usize = 4;
 /// Results kept until their callers are told.
 const RESULTS: usize = 1024;
 
@@ -93,6 +94,11 @@
     /// Committed here, not applied yet.
     settled: Vec<(Caller, Rev)>,
     snapshot_at: Rev,
+    /// Bytes of the last snapshot, and of the entries after it.
+    snapshot_bytes: usize,
+    since_bytes: usize,
+    /// What the others agree on that this program cannot read: it takes no part any more.
+    unreadable: Option<String>,
     stood: Option<(Vec<Ipv4Addr>, bool, bool)>,
     standing_at: Micros,
 }
@@ -112,7 +118,7 @@
             state = State::read(now, &saved.snapshot.data)?;
         }
         state.rev = state.rev.max(saved.snapshot.index);
-        let snapshot_at = state.rev;
+        let (snapshot_at, snapshot_bytes) = (state.rev, saved.snapshot.data.len());
         let ratchet = Ratchet::new(me, disk, saved, seed, Timing::default(), now);
         let mut chest = Chest {
             me,
@@ -129,6 +135,9 @@
             results: VecDeque::new(),
             settled: Vec::new(),
             snapshot_at,
+            snapshot_bytes,
+            since_bytes: 0,
+            unreadable: None,
             stood: None,
             standing_at: now,
         };
@@ -275,24 +284,12 @@
         let rev = self.copy.rev();
         let mut done = std::mem::take(&mut self.out);
         self.out.wake_at = done.wake_at;
-        if let Some(snapshot) = done.installed.take() {
-            // What cannot be read is not agreed by this program's form: the host's word goes on from the log alone.
-            if let Ok(mut state) = State::read(self.now, &snapshot.data) {
-                state.rev = state.rev.max(snapshot.index);
-                self.copy = Copy::of(state);
-                self.snapshot_at = self.copy.rev();
-            }
-        }
-        for entry in done.committed.drain(..) {
-            let command = match entry.payload {
-                Payload::Data(data) => postcard::from_bytes::<Command>(&data).ok(),
-                Payload::Nothing | Payload::Roster(_) => None,
-            };
-            let result = self.copy.apply(self.now, entry.index, command);
-            self.results.push_back((entry.index, result));
-            if self.results.len() > RESULTS {
-                self.results.pop_front();
-            }
+        if let Err(why) = self.take_over(&mut done) {
+            // Nothing of it goes to the disk, so that a program that can read it finds what was there before.
+            self.unreadable = Some(why);
+            (done.send, done.write) = (Vec::new(), None);
+            self.ratchet.handle(self.now, ratchet::Input::WriteFailed, &mut done);
+            self.out.wake_at = done.wake_at;
         }
         for (to, message) in done.send.drain(..) {
             out.push(Output::Peer(to, Peer::Agree { from_disk: self.disk, message }));
@@ -326,13 +323,47 @@
             let links: Vec<u64> = self.followers.keys().copied().collect();
             links.into_iter().for_each(|link| self.feed(link, out));
         }
-        if here >= self.snapshot_at + SNAPSHOT_EVERY {
-            self.snapshot_at = here;
+        let large = self.since_bytes >= SNAPSHOT_STATES * ratchet::enough(self.snapshot_bytes);
+        if here >= self.snapshot_at + SNAPSHOT_EVERY || here > self.snapshot_at && large {
             let data = self.copy.state.write(self.now);
+            (self.snapshot_at, self.snapshot_bytes, self.since_bytes) = (here, data.len(), 0);
             self.agree(ratchet::Input::Snapshot { index: here, data }, out);
         }
     }
 
+    /// Takes over what is agreed. Err: this program cannot read it; to go on without would be another state.
+    fn take_over(&mut self, done: &mut ratchet::Output) -> Result<(), String> {
+        if let Some(snapshot) = done.installed.take() {
+            let mut state = State::read(self.now, &snapshot.data)
+                .map_err(|why| format!("the others' state at entry {}: {why}", snapshot.index))?;
+            state.rev = state.rev.max(snapshot.index);
+            self.copy = Copy::of(state);
+            (self.snapshot_at, self.since_bytes) = (self.copy.rev(), 0);
+            self.snapshot_bytes = snapshot.data.len();
+        }
+        for entry in done.committed.drain(..) {
+            self.since_bytes += entry.size();
+            let command = match entry.payload {
+                Payload::Data(data) => Some(
+                    postcard::from_bytes::<Command>(&data)
+                        .map_err(|e| format!("entry {} is no command of this program: {e}", entry.index))?,
+                ),
+                Payload::Nothing | Payload::Roster(_) => None,
+            };
+            let result = self.copy.apply(self.now, entry.index, command);
+            self.results.push_back((entry.index, result));
+            if self.results.len() > RESULTS {
+                self.results.pop_front();
+            }
+        }
+        Ok(())
+    }
+
+    /// What the others agree on that this program cannot read.
+    pub fn unreadable(&self) -> Option<&str> {
+        self.unreadable.as_deref()
+    }
+
     // ---- those who follow ----
 
     fn feed(&mut self, link: u64, out: &mut Vec<Output>) {
@@ -346,7 +377,7 @@
     /// Whether this store holds all that was acknowledged until lately.
     pub fn fresh(&self) -> bool {
         // A leader that is heard but not answered tells of entries that do not come.
-        let all = self.copy.rev() >= self.ratchet.told();
+        let all = self.copy.rev() >= self.ratchet.told() && self.ratchet.knows();
         self.ratchet.leader().is_some() && self.ratchet.standing() && all
     }
 
--- a/crates/planchest/src/main.rs
+++ b/crates/planchest/src/main.rs
@@ -194,6 +194,10 @@
             if stands != self.stood {
                 log::info!("{stands}");
                 self.stood = stands;
+                if let Some(why) = self.chest.unreadable() {
+                    log::error!("{why}; start the program of the other stores on this disk");
+                    vise::ring::write_out("what the others agree on cannot be read");
+                }
             }
         }
         for output in std::mem::take(&mut self.out) {
--- a/crates/rack/src/copy.rs
+++ b/crates/rack/src/copy.rs
@@ -5,8 +5,11 @@
 use crate::{Micros, Rev};
 use std::collections::VecDeque;
 
-/// Commands kept for followers that come back.
+/// Commands kept for followers that come back, and their bytes: a message has to hold them all.
 const KEPT: usize = 512;
+const KEPT_BYTES: usize = 1 << 20;
+/// A run up to this is not compared with the whole state.
+const SHORT: usize = 16 << 10;
 
 /// What became of news.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,13 +27,15 @@
 pub struct Copy {
     pub state: State,
     kept: VecDeque<(Rev, Command)>,
+    /// About what they take on a link.
+    kept_bytes: usize,
     /// No command after this one is missing from `kept`.
     kept_from: Rev,
 }
 
 impl Copy {
     pub fn of(state: State) -> Copy {
-        Copy { kept_from: state.rev, state, kept: VecDeque::new() }
+        Copy { kept_from: state.rev, state, kept: VecDeque::new(), kept_bytes: 0 }
     }
 
     pub fn rev(&self) -> Rev {
@@ -47,9 +52,11 @@
             return Done::Taken;
         };
         let done = self.state.apply(now, rev, &command);
+        self.kept_bytes += command.size();
         self.kept.push_back((rev, command));
-        if self.kept.len() > KEPT {
-            self.kept_from = self.kept.pop_front().map_or(self.kept_from, |k| k.0);
+        while self.kept.len() > KEPT || self.kept_bytes > KEPT_BYTES {
+            let Some((rev, command)) = self.kept.pop_front() else { break };
+            (self.kept_from, self.kept_bytes) = (rev, self.kept_bytes - command.size());
         }
         done
     }
@@ -83,10 +90,15 @@
         if rev >= to {
             return None;
         }
-        if rev < self.kept_from {
-            return Some(News::Whole(self.state.write(now)));
+        let later = || self.kept.iter().filter(|(at, _)| *at > rev);
+        let run: usize = later().map(|(_, command)| command.size()).sum();
+        if rev < self.kept_from || run > SHORT {
+            let whole = self.state.write(now);
+            // Hundreds of configurations are more than the one that came of them.
+            if rev < self.kept_from || whole.len() < run {
+                return Some(News::Whole(whole));
+            }
         }
-        let commands = self.kept.iter().filter(|(at, _)| *at > rev).cloned().collect();
-        Some(News::Run { from: rev, to, commands })
+        Some(News::Run { from: rev, to, commands: later().cloned().collect() })
     }
 }
--- a/crates/rack/src/state.rs
+++ b/crates/rack/src/state.rs
@@ -12,8 +12,11 @@
 
 /// The forms of a state on disk and between processes. A newer one is refused. One that has nothing of what came later is
 /// written in the first form, so that it costs no byte more.
-pub const FORMAT: u32 = 2;
+pub const FORMAT: u32 = 3;
 const FIRST: u32 = 1;
+const SECOND: u32 = 2;
+/// How long it is written down that a zone has come back: servers are cold for seconds.
+const RETURNED_US: Micros = 600_000_000;
 /// Servers that have left are remembered, so that a late call of theirs does not bring them back.
 const MOST_GONE: usize = 2048;
 /// Versions whose exact call is remembered, so that its repeat gets its answer.
@@ -33,6 +36,20 @@
     Drill(DrillChange),
 }
 
+impl Command {
+    /// About what it takes on a link; more than that for those that are not configurations.
+    pub fn size(&self) -> usize {
+        16 + match self {
+            Command::Configure(change) => change.body.len(),
+            Command::Evacuate { zone, .. } => zone.len(),
+            Command::Servers(changes) => 120 * changes.len(),
+            Command::Nodes(changes) => 120 * changes.len(),
+            Command::Book(_) => 512,
+            Command::Drill(_) => 1024,
+        }
+    }
+}
+
 /// A configuration as an operator sent it: whole, or the items that change.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
@@ -148,6 +165,10 @@
     drills: Drills,
 }
 
+/// What follows that from the third form on: zones whose evacuation was taken back, and how many ms ago.
+#[derive(Default, Serialize, Deserialize)]
+struct Returned(Vec<(String, u32)>);
+
 impl State {
     pub fn version(&self) -> u32 {
         self.config.as_ref().map_or(0, |c| c.version)
@@ -290,7 +311,10 @@
             Server { cold_ms: u32::try_from(ms).unwrap_or(u32::MAX), ..s.clone() }
         };
         let later = Later { bookings: self.bookings.written(now), drills: self.drills.clone() };
-        let plain = later.bookings.is_empty() && later.drills.0.is_empty();
+        let ago = |at: &Micros| now.saturating_sub(*at);
+        let lately = self.returned.iter().filter(|(_, at)| ago(at) < RETURNED_US);
+        let returned = Returned(lately.map(|(zone, at)| (zone.clone(), (ago(at) / 1000) as u32)).collect());
+        let plain = later.bookings.is_empty() && later.drills.0.is_empty() && returned.0.is_empty();
         let written = Written {
             format: if plain { FIRST } else { FORMAT },
             rev: self.rev,
@@ -303,7 +327,7 @@
         };
         let mut bytes = postcard::to_stdvec(&written).expect("plain data");
         if !plain {
-            bytes.extend(postcard::to_stdvec(&later).expect("plain data"));
+            bytes.extend(postcard::to_stdvec(&(later, returned)).expect("plain data"));
         }
         bytes
     }
@@ -315,10 +339,12 @@
             return Err(format!("state in form {format}: this program reads forms up to {FORMAT}"));
         }
         let (w, rest) = postcard::take_from_bytes::<Written>(bytes).map_err(|e| format!("state: {e}"))?;
-        let later = match format {
-            FIRST => Later::default(),
+        let (later, Returned(returned)): (Later, Returned) = match format {
+            FIRST => Default::default(),
+            SECOND => (postcard::from_bytes(rest).map_err(|e| format!("state: {e}"))?, Returned::default()),
             _ => postcard::from_bytes(rest).map_err(|e| format!("state: {e}"))?,
         };
+        let since = |ms: u32| now.saturating_sub(Micros::from(ms) * 1000);
         let config = match w.config {
             Some(bytes) => {
                 Some(Arc::new(Config::read(&bytes).map_err(|e| format!("state: its configuration: {e}"))?))
@@ -331,7 +357,7 @@
             config,
             taken: w.taken.into(),
             evacuated: w.evacuated.into_iter().collect(),
-            returned: BTreeMap::new(),
+            returned: returned.into_iter().map(|(zone, ms)| (zone, since(ms))).collect(),
             servers,
             gone: w.gone.into(),
             nodes: w.nodes.into_iter().map(|n| (n.ip, n)).collect(),
