--- a/crates/rack/src/state.rs
+++ b/crates/rack/src/state.rs
@@ -15,6 +15,8 @@
 pub const FORMAT: u32 = 3;
 const FIRST: u32 = 1;
 const SECOND: u32 = 2;
+/// How long it is written down that a zone has come back: servers are cold for seconds.
+const RETURNED_US: Micros = 600_000_000;
 /// Servers that have left are remembered, so that a late call of theirs does not bring them back.
 const MOST_GONE: usize = 2048;
 
@@ -38,6 +40,21 @@
     },
 }
 
+impl Command {
+    /// About what it takes on a link; more than that for those that are not configurations.
+    pub fn size(&self) -> usize {
+        16 + match self {
+            Command::Configure(change) => change.body.len(),
+            Command::Evacuate { zone, .. } => zone.len(),
+            Command::Servers(changes) => 120 * changes.len(),
+            Command::Nodes(changes) => 120 * changes.len(),
+            Command::Book(_) => 512,
+            Command::Drill(_) => 1024,
+            Command::Fenced { order, .. } => order.size(),
+        }
+    }
+}
+
 /// A configuration as an operator sent it: whole, or the items that change.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
@@ -160,6 +177,10 @@
     drills: Drills,
 }
 
+/// What follows that from the third form on: zones whose evacuation was taken back, and how many ms ago.
+#[derive(Default, Serialize, Deserialize)]
+struct Returned(Vec<(String, u32)>);
+
 impl State {
     pub fn version(&self) -> u32 {
         self.config.as_ref().map_or(0, |c| c.version)
@@ -360,8 +381,12 @@
             Server { cold_ms: u32::try_from(ms).unwrap_or(u32::MAX), ..s.clone() }
         };
         let later = Later { bookings: self.bookings.written(now), drills: self.drills.clone() };
+        let ago = |at: &Micros| now.saturating_sub(*at);
+        let lately = self.returned.iter().filter(|(_, at)| ago(at) < RETURNED_US);
+        let returned = Returned(lately.map(|(zone, at)| (zone.clone(), (ago(at) / 1000) as u32)).collect());
         let plain = later.bookings.is_empty() && later.drills.0.is_empty();
-        let older = (!with_calls || self.changes.plain()) && self.subjects.is_empty();
+        let calls_fit = !with_calls || self.changes.plain();
+        let older = calls_fit && self.subjects.is_empty() && returned.0.is_empty();
         let written = Written {
             format: if !older {
                 FORMAT
@@ -386,7 +411,7 @@
             let without = Changes::of_old(Vec::new(), self.version());
             let changes = if with_calls { &self.changes } else { &without };
             let orders = orders::Written::of(changes, &self.subjects);
-            bytes.extend(postcard::to_stdvec(&orders).expect("plain data"));
+            bytes.extend(postcard::to_stdvec(&(orders, returned)).expect("plain data"));
         }
         bytes
     }
@@ -402,6 +427,7 @@
             FIRST => (Later::default(), rest),
             _ => postcard::take_from_bytes(rest).map_err(|e| format!("state: {e}"))?,
         };
+        let since = |ms: u32| now.saturating_sub(Micros::from(ms) * 1000);
         let config = match w.config {
             Some(bytes) => {
                 Some(Arc::new(Config::read(&bytes).map_err(|e| format!("state: its configuration: {e}"))?))
@@ -409,11 +435,13 @@
             None => None,
         };
         let version = config.as_ref().map_or(0, |c: &Arc<Config>| c.version);
-        let (changes, subjects) = match format {
-            FIRST | SECOND => (Changes::of_old(w.taken, version), Subjects::default()),
-            _ => postcard::from_bytes::<orders::Written>(rest)
-                .map_err(|e| format!("state: {e}"))?
-                .read(w.taken),
+        let ((changes, subjects), Returned(returned)) = match format {
+            FIRST | SECOND => ((Changes::of_old(w.taken, version), Subjects::default()), Returned::default()),
+            _ => {
+                let read = postcard::from_bytes::<(orders::Written, Returned)>(rest);
+                let (orders, returned) = read.map_err(|e| format!("state: {e}"))?;
+                (orders.read(w.taken), returned)
+            }
         };
         let servers = w.servers.into_iter().map(|s| (s.id.clone(), Server { noted_at: now, ..s })).collect();
         Ok(State {
@@ -422,7 +450,7 @@
             changes,
             subjects,
             evacuated: w.evacuated.into_iter().collect(),
-            returned: BTreeMap::new(),
+            returned: returned.into_iter().map(|(zone, ms)| (zone, since(ms))).collect(),
             servers,
             gone: w.gone.into(),
             nodes: w.nodes.into_iter().map(|n| (n.ip, n)).collect(),
