--- a/crates/dryfit/src/process.rs
+++ b/crates/dryfit/src/process.rs
@@ -25,7 +25,6 @@
 use tongs::limits::Held;
 
 /// As the shells have them.
-const HAND_OVER: Micros = 400 * MS;
 const PARTING: Micros = 700 * MS;
 const STILL_COMING: Micros = 1_500 * MS;
 const SHUT: Micros = 50 * MS;
@@ -197,18 +196,20 @@
         match owner {
             Owner::Store(n) => {
                 let founders = self.core_ips();
+                let size = Some(founders.len());
                 let initial = !std::mem::replace(&mut self.hosts[host].begun, true) && founders.contains(&ip);
                 let saved = self.disks[n].saved.get_or_insert_with(|| match initial {
                     true => (0, Saved::founding(founders)),
                     false => (life, Saved::blank()),
                 });
                 let (disk, saved) = saved.clone();
-                let chest = Chest::new(ip, disk, saved, seeds, life, 0).expect("a state as it was written");
+                let chest = Chest::new(ip, disk, saved, seeds.clone(), life, 0);
+                let chest = chest.expect("a state as it was written");
                 let (fellows, taken) = Default::default();
                 let (locals, writes) = Default::default();
                 let store = Store { chest, fellows, taken, locals, writes };
                 self.stores[n] = Some(Process::new(life, now, store));
-                self.store(n, None);
+                self.store(n, Some(chest::Input::Settings { size, seeds }));
             }
             Owner::Registry(n) => {
                 let terms = Terms {
@@ -311,10 +312,7 @@
     pub fn ask_to_end(&mut self, owner: Owner) {
         match owner {
             Owner::Store(n) => {
-                if let Some(p) = &mut self.stores[n] {
-                    p.ends_at.get_or_insert(p.clock(self.now) + HAND_OVER);
-                    self.store(n, Some(chest::Input::Stop));
-                }
+                self.store(n, Some(chest::Input::Stop));
             }
             Owner::Registry(n) => {
                 if let Some(p) = &mut self.registries[n] {
@@ -435,8 +433,8 @@
             }
         }
         let ties = s.fellows.values().map(Tie::wake_at).min().unwrap_or(Micros::MAX);
-        let wake = s.chest.wake_at().min(ties).min(p.ends_at.unwrap_or(Micros::MAX));
-        let over = p.ends_at.is_some_and(|at| now >= at);
+        let wake = s.chest.wake_at().min(ties);
+        let over = s.chest.ends_at().is_some_and(|at| now >= at);
         self.wake(me, &mut p, wake);
         self.stores[n] = Some(p);
         self.at_work = None;
--- a/crates/planchest/src/chest.rs
+++ b/crates/planchest/src/chest.rs
@@ -18,8 +18,13 @@
     LocalDown(u64),
     Written(u64),
     WriteFailed,
-    /// The program is about to end.
+    /// The program is about to end: it may once [`Chest::ends_at`] has come.
     Stop,
+    /// As the settings have it: how many members the core is to have, and who is asked for the group.
+    Settings {
+        size: Option<usize>,
+        seeds: Vec<Ipv4Addr>,
+    },
 }
 
 #[derive(Debug)]
@@ -33,6 +38,12 @@
 const STANDING_US: Micros = 250_000;
 /// A call handed to the leader is given up after so long.
 const HANDED_US: Micros = 1_000_000;
+/// A store that is asked to end waits so long for another to lead, or to take its place.
+const HAND_OVER_US: Micros = 400_000;
+/// While another is taking its place it goes on, so long at most, and this much beyond the moment that it is done: the
+/// others are to know it, too.
+const REPLACED_US: Micros = 2_500_000;
+const LINGER_US: Micros = 150_000;
 /// Entries applied between two snapshots.
 const SNAPSHOT_EVERY: u64 = 256;
 /// Results kept until their callers are told.
@@ -95,6 +106,8 @@
     snapshot_at: Rev,
     stood: Option<(Vec<Ipv4Addr>, bool, bool)>,
     standing_at: Micros,
+    /// When it was asked to end, and when it may.
+    stops: Option<(Micros, Micros)>,
 }
 
 impl Chest {
@@ -131,6 +144,7 @@
             snapshot_at,
             stood: None,
             standing_at: now,
+            stops: None,
         };
         chest.ratchet.handle(now, ratchet::Input::Seeds(seeds), &mut chest.out);
         Ok(chest)
@@ -148,7 +162,13 @@
 
     pub fn wake_at(&self) -> Micros {
         let handed = self.handed.values().map(|h| h.until).min().unwrap_or(Micros::MAX);
-        self.out.wake_at.min(handed).min(self.standing_at)
+        let ends = self.stops.map_or(Micros::MAX, |(_, at)| at);
+        self.out.wake_at.min(handed).min(self.standing_at).min(ends)
+    }
+
+    /// When the program may end, once it was asked to.
+    pub fn ends_at(&self) -> Option<Micros> {
+        self.stops.map(|(_, at)| at)
     }
 
     pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
@@ -157,7 +177,17 @@
             Input::Tick => self.agree(ratchet::Input::Tick, out),
             Input::Written(number) => self.agree(ratchet::Input::Written { number }, out),
             Input::WriteFailed => self.agree(ratchet::Input::WriteFailed, out),
-            Input::Stop => self.agree(ratchet::Input::Yield, out),
+            Input::Stop => {
+                self.stops.get_or_insert((self.now, self.now + HAND_OVER_US));
+                self.agree(ratchet::Input::Yield, out);
+            }
+            Input::Settings { size, seeds } => {
+                if let Some(size) = size {
+                    self.agree(ratchet::Input::Size(size), out);
+                }
+                self.seeds = seeds.clone();
+                self.agree(ratchet::Input::Seeds(seeds), out);
+            }
             Input::Peer(ip, peer) => self.peer(ip, peer, out),
             Input::Local(link, ToStore::Follow { rev }) => {
                 self.followers.insert(link, rev);
@@ -174,6 +204,11 @@
                 self.followers.remove(&link);
             }
         }
+        if let Some((asked, at)) = &mut self.stops
+            && self.ratchet.is_being_replaced()
+        {
+            *at = (*at).max(self.now + LINGER_US).min(*asked + REPLACED_US);
+        }
         self.give_up(out);
         self.stand(out);
     }
@@ -286,7 +321,7 @@
         for entry in done.committed.drain(..) {
             let command = match entry.payload {
                 Payload::Data(data) => postcard::from_bytes::<Command>(&data).ok(),
-                Payload::Nothing | Payload::Roster(_) => None,
+                Payload::Nothing | Payload::Roster(_) | Payload::Joint { .. } => None,
             };
             let result = self.copy.apply(self.now, entry.index, command);
             self.results.push_back((entry.index, result));
@@ -347,7 +382,7 @@
     pub fn fresh(&self) -> bool {
         // A leader that is heard but not answered tells of entries that do not come.
         let all = self.copy.rev() >= self.ratchet.told();
-        self.ratchet.leader().is_some() && self.ratchet.standing() && all
+        self.ratchet.leader().is_some() && self.ratchet.caught_up() && all
     }
 
     pub fn standing(&self) -> Standing {
--- a/crates/planchest/src/main.rs
+++ b/crates/planchest/src/main.rs
@@ -1,5 +1,6 @@
 //! The shell of the store of configuration: links, disk and time around `planchest::chest`.
 
+use jig::settings::Settings;
 use miette::{Result, miette};
 use planchest::chest::{Chest, Input, Output, Peer, Standing};
 use rack::talk::{STORE_LOCAL, STORE_PEERS, ToStore};
@@ -18,8 +19,6 @@
 
 /// Between tries of a write that the disk refused.
 const REFUSED: Duration = Duration::from_millis(250);
-/// A leader that is asked to end waits so long for another to take over.
-const HAND_OVER_US: Micros = 400_000;
 
 enum Told {
     FellowLink(Ipv4Addr, u64, Event<Peer>),
@@ -35,6 +34,12 @@
     vise::run("curlewfront-planchest", "Keeps what curlewfront's machines agree on", work)
 }
 
+/// So many that a majority is left when those are lost whose loss is to be borne; none: not told.
+fn core_size(settings: &Settings) -> Option<usize> {
+    let losses = usize::try_from(settings.tolerance.machines).ok().filter(|f| *f > 0)?;
+    Some(losses.saturating_mul(2).saturating_add(1))
+}
+
 fn work(mut start: Start) -> Result<()> {
     let stage = start.stage::<Told>()?;
     let inbox = stage.inbox.clone();
@@ -48,8 +53,11 @@
         false => (life, Saved::blank()),
     };
     let (store, saved) = Store::open(&dir, me, fresh).map_err(|e| miette!("{e}"))?;
-    let chest = Chest::new(me, store.disk(), saved, seeds, start.life, stage.clock.now());
-    let chest = chest.map_err(|e| miette!("{}: {e}", dir.display()))?;
+    let now = stage.clock.now();
+    let chest = Chest::new(me, store.disk(), saved, seeds.clone(), start.life, now);
+    let mut chest = chest.map_err(|e| miette!("{}: {e}", dir.display()))?;
+    let mut out = Vec::new();
+    chest.handle(now, Input::Settings { size: core_size(&start.settings), seeds }, &mut out);
     log::info!("disk {} at revision {}", chest.disk(), chest.copy.rev());
 
     let (writes, to_write) = channel();
@@ -61,7 +69,6 @@
 
     let (over, ended) = channel();
     let (fellows, taken, locals) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
-    let out = Vec::new();
     let shell = Shell {
         chest,
         me,
@@ -73,7 +80,6 @@
         inbox,
         out,
         over,
-        ends_at: None,
         stood: Standing::default(),
     };
     stage.work(shell, &ended)
@@ -127,7 +133,6 @@
     inbox: Inbox<Told>,
     out: Vec<Output>,
     over: Sender<()>,
-    ends_at: Option<Micros>,
     stood: Standing,
 }
 
@@ -182,11 +187,10 @@
             }
             Some(Told::FellowSays(_, Event::Up) | Told::LocalSays(_, Event::Up)) => None,
             Some(Told::Written(number)) => Some(Input::Written(number)),
-            Some(Told::Asked(Asked::Stop)) => {
-                self.ends_at.get_or_insert(now + HAND_OVER_US);
-                Some(Input::Stop)
+            Some(Told::Asked(Asked::Stop)) => Some(Input::Stop),
+            Some(Told::Asked(Asked::Settings(settings))) => {
+                Some(Input::Settings { size: core_size(&settings), seeds: vise::seeds(&settings) })
             }
-            Some(Told::Asked(Asked::Settings(_))) => None,
         };
         if let Some(input) = input {
             self.chest.handle(now, input, &mut self.out);
@@ -221,13 +225,13 @@
             let (ip, inbox) = (*ip, self.inbox.clone());
             tie.tend(now, SILENCE, move |link, event| inbox.post(Told::FellowLink(ip, link, event)));
         }
-        if self.ends_at.is_some_and(|at| now >= at) {
+        if self.chest.ends_at().is_some_and(|at| now >= at) {
             let _ = self.over.send(());
         }
     }
 
     fn wake_at(&mut self) -> Micros {
         let ties = self.fellows.values().map(Tie::wake_at).min().unwrap_or(Micros::MAX);
-        self.chest.wake_at().min(ties).min(self.ends_at.unwrap_or(Micros::MAX))
+        self.chest.wake_at().min(ties)
     }
 }
--- a/crates/planchest/src/store.rs
+++ b/crates/planchest/src/store.rs
@@ -170,7 +170,8 @@
 fn words(entry: &Entry) -> String {
     let command = match &entry.payload {
         Payload::Nothing => return "a leader begins".into(),
-        Payload::Roster(roster) => return format!("core: {}", core(roster)),
+        Payload::Roster(new) => return format!("core: {}", core(new)),
+        Payload::Joint { old, new } => return format!("core: {}; before: {}", core(new), core(old)),
         Payload::Data(data) => postcard::from_bytes::<Command>(data),
     };
     match command {
--- a/crates/ratchet/src/core.rs
+++ b/crates/ratchet/src/core.rs
@@ -14,12 +14,14 @@
 const FULL: u64 = 32;
 /// Bytes of entries in one message, about.
 const BATCH_BYTES: usize = 128 << 10;
-const PART_BYTES: usize = if cfg!(test) { 1 << 10 } else { 256 << 10 };
 /// A learner this close to the end of the log is named in the roster.
 const CAUGHT_UP: u64 = 16;
 /// A learner that is silent for so long is forgotten.
 const LEARNER_SILENCE: Micros = 5_000_000;
 const MAX_MEMBERS: usize = 9;
+const MAX_LEARNERS: usize = 9;
+/// A member that says that it is leaving is taken at its word for so long after it last said so.
+const LEAVING: Micros = 3_000_000;
 
 /// A fault planted for tests of the tests.
 #[cfg(test)]
@@ -36,6 +38,18 @@
     ReadUnconfirmed,
     /// A snapshot that comes late is taken over what is newer.
     SnapshotOverTail,
+    /// Who holds a new roster elects by it alone before it is committed.
+    SwapWithoutJoint,
+    /// A newcomer counts as holding all as soon as it is named.
+    LeaverDroppedEarly,
+    /// A roster is proposed before the one before it is committed.
+    SecondChangeEarly,
+    /// The roster before the last one elects on.
+    RemovedVotes,
+    /// A snapshot is taken without its roster.
+    RosterLost,
+    /// Nobody's place is ever taken from another address.
+    NeverReplaced,
 }
 
 #[cfg(test)]
@@ -67,10 +81,14 @@
     standing: bool,
     /// Where its log parts from the leader's is still to be found: one try at a time.
     probing: bool,
-    /// A snapshot on its way: its index, how much has come, when a part was sent.
-    sending: Option<(u64, u64, Micros)>,
+    /// A snapshot on its way, how much has come, when a part was sent.
+    sending: Option<(Arc<Snapshot>, u64, Micros)>,
     /// A learner counts as alive with answers from this round on.
     since: u64,
+    /// What it last said to be committed.
+    commit: u64,
+    /// When it last said that it is leaving.
+    leaving: Option<Micros>,
 }
 
 impl Peer {
@@ -85,8 +103,14 @@
             probing: true,
             sending: None,
             since,
+            commit: 0,
+            leaving: None,
         }
     }
+
+    fn leaves(&self, now: Micros) -> bool {
+        self.leaving.is_some_and(|at| now < at + LEAVING)
+    }
 }
 
 /// What only a leader has.
@@ -128,7 +152,7 @@
     heard: Option<Micros>,
     /// When to ask for votes, or to call again.
     due: Micros,
-    votes: BTreeSet<Member>,
+    votes: BTreeSet<(Member, Disk)>,
     /// A leader has asked to be followed up.
     urged: bool,
     lead: Option<Box<Lead>>,
@@ -142,6 +166,10 @@
     coming: Option<Snapshot>,
     /// Entries up to here were handed to the host.
     given: u64,
+    /// How many members there are to be.
+    size: usize,
+    /// When the host said that it is about to stop.
+    leaving: Option<Micros>,
     #[cfg(test)]
     pub(crate) fault: Option<Fault>,
 }
@@ -181,10 +209,12 @@
             owes: None,
             coming: None,
             given,
+            size: MAX_MEMBERS,
+            leaving: None,
             #[cfg(test)]
             fault: None,
         };
-        if ratchet.hard.standing {
+        if ratchet.campaigns() {
             ratchet.due = now + ratchet.draw(timing.election);
         }
         ratchet
@@ -224,6 +254,19 @@
         self.hard.standing
     }
 
+    /// Whether the leader's word on what is committed has come, and all of it is here: so for members and for learners.
+    pub fn caught_up(&self) -> bool {
+        let follows = self.leader.is_some() && (self.hard.standing || self.verified > 0 && self.told > 0);
+        self.lead.is_some() || follows && self.hard.commit >= self.told
+    }
+
+    /// Whether the host, which is about to stop, had better serve on: another is taking this member's place.
+    pub fn is_being_replaced(&self) -> bool {
+        let (index, roster) = self.log.roster();
+        let out = !roster.members.is_empty() && !roster.names(self.me, self.disk);
+        out && (index > self.hard.commit && self.hard.standing || self.lead.is_some())
+    }
+
     /// The latest roster in the log, committed or not.
     pub fn roster(&self) -> &Roster {
         self.log.roster().1
@@ -254,11 +297,13 @@
         back(&mut self.due);
         self.heard.iter_mut().for_each(back);
         self.writing.iter_mut().for_each(|w| back(&mut w.1));
+        self.leaving.iter_mut().for_each(back);
         let Some(lead) = &mut self.lead else { return };
         back(&mut lead.beat);
         back(&mut lead.since);
         for peer in lead.peers.values_mut().chain(lead.learners.values_mut()) {
             peer.heard.iter_mut().for_each(back);
+            peer.leaving.iter_mut().for_each(back);
             peer.sending.iter_mut().for_each(|s| back(&mut s.2));
         }
     }
@@ -304,11 +349,23 @@
                 }
             }
             Input::Seeds(seeds) => self.seeds = seeds,
-            Input::Yield => self.hand_over(now, out),
+            Input::Size(size) => self.size = size.min(MAX_MEMBERS),
+            Input::Yield => {
+                self.leaving = Some(now);
+                // A spare that has caught up takes this place while it still leads.
+                if !self.change(now) {
+                    self.hand_over(now, out);
+                    self.say_leaving(now, out);
+                }
+            }
         }
         self.timers(now, out);
         if self.lead.is_some() {
+            self.change(now);
             self.advance();
+            self.retire(now, out);
+        }
+        if self.lead.is_some() {
             self.answer_reads(now, out);
             self.serve(now, out);
         }
@@ -340,7 +397,7 @@
         if now < self.due {
             return;
         }
-        if self.hard.standing {
+        if self.campaigns() {
             let busy = self.writing.is_some_and(|(_, began, _)| now >= began + self.timing.election.0 / 2);
             if busy {
                 self.due = now + self.draw(self.timing.retry);
@@ -370,21 +427,10 @@
 
     // Who is a majority
 
-    /// The disks that elect and commit beside those of the latest roster, while that is not known to be
-    /// committed.
-    fn before(&self) -> Option<Roster> {
-        let (index, roster) = self.log.roster();
-        if index <= self.hard.commit {
-            return None;
-        }
-        let mut before = self.log.before()?.clone();
-        for (member, disk) in &mut before.members {
-            if roster.members.get(member).is_some_and(|new| new != disk) {
-                // A number that no disk has: it is one of the old roster and never counts.
-                *disk = Disk::MAX;
-            }
-        }
-        Some(before)
+    /// The roster before the latest one, while that is not known to be committed: a majority of each is needed.
+    fn before(&self) -> Option<&Roster> {
+        let (index, _) = self.log.roster();
+        if index <= self.hard.commit { None } else { self.log.before() }
     }
 
     /// The highest value that a majority of the roster's disks has.
@@ -394,45 +440,55 @@
         if values.is_empty() { 0 } else { values[(values.len() - 1) / 2] }
     }
 
-    /// Like [`Ratchet::majority`], of what a leader knows of its members, in the roster that commits now.
+    /// The highest value that majorities of all rosters in force have, of what a leader knows of its members.
     fn agreed(&self, mine: u64, of: impl Fn(&Peer) -> u64) -> u64 {
         let Some(lead) = &self.lead else { return 0 };
-        let before = if fault!(self, CountNewcomerEarly) { None } else { self.before() };
-        let roster = before.as_ref().unwrap_or(self.log.roster().1);
-        self.majority(roster, |member, disk| {
+        let of = |member: Member, disk: Disk| {
             if member == self.me {
                 return if disk == self.disk { mine } else { 0 };
             }
-            match lead.peers.get(&member) {
-                Some(p) if p.disk == disk && (p.standing || fault!(self, CountNewcomerEarly)) => of(p),
-                _ => 0,
+            match lead.peers.get(&member).filter(|p| p.disk == disk) {
+                Some(p) if fault!(self, LeaverDroppedEarly) && !p.standing => u64::MAX,
+                Some(p) => of(p),
+                None => 0,
             }
-        })
+        };
+        let latest = self.majority(self.log.roster().1, of);
+        match self.before().filter(|_| !fault!(self, CountNewcomerEarly)) {
+            Some(before) => latest.min(self.majority(before, of)),
+            None => latest,
+        }
     }
 
     fn elected(&self) -> bool {
-        let voted = |m: Member, _| u64::from(self.votes.contains(&m));
-        self.majority(self.log.roster().1, voted) > 0
-            || self.before().is_some_and(|b| {
-                self.majority(&b, |m, d| u64::from(d != Disk::MAX && self.votes.contains(&m))) > 0
-            })
+        let by = |r: &Roster| self.majority(r, |m, d| u64::from(self.votes.contains(&(m, d)))) > 0;
+        if fault!(self, RemovedVotes) && self.log.before().is_some_and(by) {
+            return true;
+        }
+        let before = self.before().filter(|_| !fault!(self, SwapWithoutJoint));
+        by(self.log.roster().1) && before.is_none_or(by)
     }
 
-    /// Whether a majority has answered within an election time.
+    /// Whether majorities have answered within an election time.
     fn hears_majority(&self, now: Micros) -> bool {
         let Some(lead) = &self.lead else { return false };
         let limit = self.timing.election.1;
-        let heard = |p: &Peer| u64::from(p.heard.unwrap_or(lead.since) + limit > now);
-        // A member that is not up to counting yet is no reason to give up while it is being waited for.
-        let live = |member: Member, _| match lead.peers.get(&member) {
-            Some(peer) => heard(peer),
-            None => u64::from(member == self.me),
+        let live = |member: Member, disk: Disk| match lead.peers.get(&member) {
+            Some(p) if p.disk == disk => u64::from(p.heard.unwrap_or(lead.since) + limit > now),
+            Some(_) => 0,
+            None => u64::from(member == self.me && disk == self.disk),
         };
-        self.majority(self.log.roster().1, live) > 0
+        let by = |r: &Roster| self.majority(r, live) > 0;
+        by(self.log.roster().1) && self.before().is_none_or(by)
     }
 
     // Roles
 
+    /// A member of either roster in force; a newcomer, too, as it may be the only one to hold its roster.
+    fn campaigns(&self) -> bool {
+        self.hard.standing || self.log.roster().1.names(self.me, self.disk)
+    }
+
     fn set_term(&mut self, term: u64) {
         if term > self.hard.term {
             (self.hard.term, self.hard.vote) = (term, None);
@@ -491,25 +547,26 @@
             self.due = now + self.draw(self.timing.election) / 2;
         }
         let mut to: BTreeSet<Member> = self.log.roster().1.members.keys().copied().collect();
-        to.extend(self.before().iter().flat_map(|b| b.members.keys().copied()));
+        let before = if fault!(self, RemovedVotes) { self.log.before() } else { self.before() };
+        to.extend(before.iter().flat_map(|b| b.members.keys().copied()));
         to.remove(&self.me);
         if pre {
             out.send.extend(to.into_iter().map(|m| (m, ask.clone())));
-            self.voted(now, self.me, out);
+            self.voted(now, (self.me, self.disk), out);
         } else {
             let number = self.writes + 1;
             self.held.extend(to.into_iter().map(|m| (number, m, ask.clone())));
         }
     }
 
-    fn voted(&mut self, now: Micros, by: Member, out: &mut Output) {
+    fn voted(&mut self, now: Micros, by: (Member, Disk), out: &mut Output) {
         self.votes.insert(by);
         if !self.elected() {
             return;
         }
         match self.role {
             Role::Asking => self.campaign(now, false, out),
-            Role::Candidate if self.votes.contains(&self.me) => self.win(now),
+            Role::Candidate if self.votes.contains(&(self.me, self.disk)) => self.win(now),
             _ => {}
         }
     }
@@ -519,7 +576,9 @@
         self.leader = Some(self.me);
         self.urged = false;
         let next = self.log.last() + 1;
-        let others = self.log.roster().1.members.iter().filter(|(m, _)| **m != self.me);
+        // Where both rosters name an address, the later one's disk is the one that is there.
+        let before = self.before().into_iter().flat_map(|r| &r.members);
+        let others = before.chain(&self.log.roster().1.members).filter(|(m, _)| **m != self.me);
         let peers = others.map(|(m, d)| (*m, Peer::new(*d, next, 0))).collect();
         self.lead = Some(Box::new(Lead {
             peers,
@@ -538,7 +597,9 @@
     fn hand_over(&mut self, now: Micros, out: &mut Output) {
         let Some(lead) = &self.lead else { return };
         let limit = now.saturating_sub(self.timing.election.0);
-        let able = lead.peers.iter().filter(|(_, p)| p.standing && p.heard.is_some_and(|at| at >= limit));
+        let roster = self.log.roster().1;
+        let heard = |p: &Peer| p.heard.is_some_and(|at| at >= limit);
+        let able = lead.peers.iter().filter(|(m, p)| p.standing && roster.names(**m, p.disk) && heard(p));
         if let Some((member, _)) = able.max_by_key(|(_, p)| p.matched) {
             out.send.push((*member, Message::Take { term: self.hard.term }));
         }
@@ -551,13 +612,19 @@
         match message {
             Message::Hello => self.hello(now, from, disk, out),
             Message::Leads(leader) => {
-                let lost = !self.hard.standing && self.leader.is_none();
+                // Also to one that takes itself for a member, and whose place another has taken.
+                let lost = self.leader.is_none() && self.lead.is_none();
                 if let Some(leader) = leader.filter(|l| lost && *l != self.me && *l != from) {
                     out.send.push((leader, Message::Hello));
                 }
             }
             Message::Ask { pre, urged, term, last, last_term } => {
-                self.asked(now, from, (pre, urged), term, (last_term, last), out)
+                self.asked(now, from, (pre, urged), term, (last_term, last), out);
+                let named = |r: &Roster| r.names(from, disk);
+                let strange = !named(self.log.roster().1) && !self.before().is_some_and(named);
+                if pre && strange && (self.lead.is_some() || self.leader.is_some()) {
+                    self.hello(now, from, disk, out);
+                }
             }
             Message::Vote { pre, term, granted, commit } => {
                 if !granted && term > self.hard.term {
@@ -569,10 +636,8 @@
                     Role::Candidate => !pre && term == self.hard.term,
                     _ => false,
                 };
-                let (_, roster) = self.log.roster();
-                let named = roster.names(from, disk) || self.before().is_some_and(|b| b.names(from, disk));
-                if granted && wanted && named {
-                    self.voted(now, from, out);
+                if granted && wanted {
+                    self.voted(now, (from, disk), out);
                     if self.lead.is_some() {
                         self.learn_commit(commit);
                     }
@@ -585,6 +650,7 @@
                     self.hear_leader(now, term, from, out);
                     self.told = commit;
                     self.appended(from, round, (prev, prev_term), commit, entries, out);
+                    self.say_leaving(now, out);
                 }
             }
             Message::Part { term, round, .. } if term < self.hard.term => self.refuse(from, round, out),
@@ -592,6 +658,8 @@
             Message::Part { term, round, index, index_term, roster, roster_index, total, offset, bytes } => {
                 self.hear_leader(now, term, from, out);
                 self.round = round;
+                // Until that is here, nothing here is what counts.
+                self.told = self.told.max(index);
                 let new = Snapshot { index, term: index_term, roster, roster_index, data: Vec::new() };
                 self.part(from, new, total, offset, &bytes, out);
             }
@@ -600,7 +668,7 @@
             }
             Message::Ack { term, round, fits, matched, commit, standing } => {
                 if term == self.hard.term && self.lead.is_some() {
-                    self.acked(now, (from, disk), round, fits, matched, standing, out);
+                    self.acked(now, (from, disk), round, fits, matched, (standing, commit), out);
                     self.learn_commit(commit);
                 }
             }
@@ -610,8 +678,8 @@
                 {
                     peer.heard = Some(now);
                     peer.round = peer.round.max(round);
-                    if let Some((i, at, sent)) = &mut peer.sending
-                        && *i == index
+                    if let Some((snapshot, at, sent)) = &mut peer.sending
+                        && snapshot.index == index
                         && *at != offset
                     {
                         (*at, *sent) = (offset, 0);
@@ -619,11 +687,18 @@
                 }
             }
             Message::Take { term } => {
-                if term == self.hard.term && self.leader == Some(from) && self.hard.standing {
+                if term == self.hard.term && self.leader == Some(from) && self.campaigns() {
                     self.urged = true;
                     self.campaign(now, true, out);
                 }
             }
+            Message::Leave { term } => {
+                if term == self.hard.term
+                    && let Some(peer) = self.peer(from, disk)
+                {
+                    peer.leaving = Some(now);
+                }
+            }
         }
     }
 
@@ -644,15 +719,18 @@
 
     fn hello(&mut self, now: Micros, from: Member, disk: Disk, out: &mut Output) {
         let (_, roster) = self.log.roster();
-        let (named, full) = (roster.names(from, disk), roster.members.len() >= MAX_MEMBERS);
-        let member = roster.members.contains_key(&from);
+        let named = |r: &Roster| r.names(from, disk);
+        // A founder's disk that another has followed at its address is never that disk again.
+        let stale = disk == 0 && roster.members.contains_key(&from);
+        let known = named(roster) || self.before().is_some_and(named);
         let next = self.log.last() + 1;
         let Some(lead) = &mut self.lead else {
             out.send.push((from, Message::Leads(self.leader)));
             return;
         };
-        let known = lead.learners.get(&from).is_some_and(|p| p.disk == disk);
-        if disk == 0 || named || known || (full && !member) {
+        let learns = lead.learners.get(&from);
+        let full = learns.is_none() && lead.learners.len() >= MAX_LEARNERS;
+        if stale || known || full || learns.is_some_and(|p| p.disk == disk) {
             return;
         }
         // Only answers to what is sent from now on show that the machine has this disk after the one in the
@@ -671,9 +749,7 @@
         end: (u64, u64),
         out: &mut Output,
     ) {
-        if !self.hard.standing {
-            return;
-        }
+        // Named or not: one that lags may not know the candidate, or be named itself without knowing it yet.
         let window = self.timing.election.0.saturating_sub(self.timing.heartbeat);
         let live = self.lead.is_some() || self.heard.is_some_and(|at| now < at + window);
         let live = live && !urged;
@@ -683,19 +759,18 @@
         let new_enough = end >= (self.log.last_term(), self.log.last());
         let free = match pre {
             true => term > self.hard.term,
-            false => {
-                term == self.hard.term && self.hard.vote.is_none_or(|v| v == from) && self.lead.is_none()
-            }
+            // Once, not again to the same address either: it may have another disk by now.
+            false => term == self.hard.term && self.hard.vote.is_none() && self.lead.is_none(),
         };
         let granted = !live && new_enough && free;
         let told = if granted { term } else { self.hard.term };
         let answer = Message::Vote { pre, term: told, granted, commit: self.hard.commit };
         if granted && !pre {
-            if self.hard.vote.is_none() {
-                self.hard.vote = Some(from);
-                self.hard_dirty = true;
+            self.hard.vote = Some(from);
+            self.hard_dirty = true;
+            if self.campaigns() {
+                self.due = now + self.draw(self.timing.election);
             }
-            self.due = now + self.draw(self.timing.election);
         }
         if self.safe_vote() || pre && self.safe.0 == self.hard.term {
             out.send.push((from, answer));
@@ -797,7 +872,12 @@
         if fault!(self, SnapshotOverTail) && (self.log.base()..self.log.last()).contains(&index) {
             self.log.truncate(index + 1);
         }
-        self.log.install(snapshot.clone());
+        if fault!(self, RosterLost) {
+            let roster = self.log.roster().1.clone();
+            self.log.install(Arc::new(Snapshot { roster, ..(*snapshot).clone() }));
+        } else {
+            self.log.install(snapshot.clone());
+        }
         self.verified = index;
         self.given = index;
         out.committed.clear();
@@ -828,20 +908,18 @@
         round: u64,
         fits: bool,
         matched: u64,
-        standing: bool,
+        (standing, commit): (bool, u64),
         out: &mut Output,
     ) {
-        let (last, base, commit) = (self.log.last(), self.log.base(), self.hard.commit);
-        let (roster_index, roster) = self.log.roster();
-        let mut roster = roster.clone();
-        let limit = self.timing.election.1;
+        let (last, base) = (self.log.last(), self.log.base());
         let Some(peer) = self.peer(from, disk) else {
             // What was meant for the disk before it has reached a new one.
             return self.hello(now, from, disk, out);
         };
         peer.heard = Some(now);
         peer.round = peer.round.max(round);
-        peer.standing |= standing;
+        peer.standing = standing;
+        peer.commit = peer.commit.max(commit);
         if !fits {
             // An answer that was overtaken says nothing; the next message finds out.
             if matched < peer.next && peer.sending.is_none() {
@@ -857,18 +935,88 @@
         if peer.next > base {
             peer.sending = None;
         }
-        let near = peer.matched >= base && peer.matched + CAUGHT_UP >= last && peer.round >= peer.since;
-        let lead = self.lead.as_mut().expect("leads");
-        let learner = lead.learners.get(&from).is_some_and(|p| p.disk == disk);
+    }
+
+    /// A learner that has caught up takes a member's place, or joins; whether a roster was proposed.
+    fn change(&mut self, now: Micros) -> bool {
+        let Some(lead) = &self.lead else { return false };
+        if lead.learners.is_empty() {
+            return false;
+        }
+        let (last, base, commit) = (self.log.last(), self.log.base(), self.hard.commit);
+        let (index, roster) = self.log.roster();
+        if commit < lead.first || index > commit && !fault!(self, SecondChangeEarly) {
+            return false;
+        }
+        let limit = self.timing.election.1;
+        let heard = |p: &Peer| p.heard.is_some_and(|at| now < at + limit);
+        let near = |p: &Peer| p.matched >= base && p.matched + CAUGHT_UP >= last && p.round >= p.since;
+        let ready = |p: &Peer| near(p) && !p.probing && heard(p) && !p.leaves(now);
+        let mut ready = lead.learners.iter().filter(|(_, p)| ready(p));
+        let own = ready.clone().find(|(m, _)| roster.members.contains_key(m));
+        let Some((newcomer, disk)) = own.or_else(|| ready.next()).map(|(m, p)| (*m, p.disk)) else {
+            return false;
+        };
+        let gone = match own {
+            Some(_) => Some(newcomer),
+            None => self.gone(now, lead, roster),
+        };
         // One more that raises the majority would weaken a group that is not whole.
-        let whole = |p: &Peer| p.standing && p.heard.is_some_and(|at| now < at + limit);
-        let adds = !roster.members.contains_key(&from) && roster.members.len() % 2 == 1;
-        let wanted = !adds || lead.peers.values().all(whole);
-        if learner && near && wanted && commit >= lead.first && roster_index <= commit {
-            let peer = lead.learners.remove(&from).expect("there");
-            lead.peers.insert(from, peer);
-            roster.members.insert(from, disk);
-            self.append(Payload::Roster(roster));
+        let whole = || roster.members.len() % 2 == 0 || lead.peers.values().all(|p| p.standing && heard(p));
+        if gone.is_none() && (roster.members.len() >= self.size || !whole()) {
+            return false;
+        }
+        let old = roster.clone();
+        let mut new = old.clone();
+        if let Some(gone) = gone {
+            new.members.remove(&gone);
+        }
+        new.members.insert(newcomer, disk);
+        let lead = self.lead.as_mut().expect("leads");
+        let peer = lead.learners.remove(&newcomer).expect("there");
+        lead.peers.insert(newcomer, peer);
+        self.append(Payload::Joint { old, new });
+        true
+    }
+
+    /// The member whose place is free: that leaves, or has been silent longest, for long enough.
+    fn gone(&self, now: Micros, lead: &Lead, roster: &Roster) -> Option<Member> {
+        if fault!(self, NeverReplaced) {
+            return None;
+        }
+        let leaves = |m: &&Member| match lead.peers.get(m) {
+            Some(peer) => peer.leaves(now),
+            None => self.leaving.is_some_and(|at| now < at + LEAVING),
+        };
+        let leaver = roster.members.keys().find(leaves).copied();
+        leaver.or_else(|| {
+            let heard = |p: &Peer| p.heard.unwrap_or(lead.since);
+            let peers = lead.peers.iter().filter(|(m, p)| roster.names(**m, p.disk));
+            let silent = peers.filter(|(_, p)| heard(p) + self.timing.gone <= now);
+            silent.min_by_key(|(_, p)| heard(p)).map(|(m, _)| *m)
+        })
+    }
+
+    /// A leader that no committed roster names goes once a majority that stays knows so.
+    fn retire(&mut self, now: Micros, out: &mut Output) {
+        let Some(lead) = &self.lead else { return };
+        let (index, roster) = self.log.roster();
+        if index > self.hard.commit || roster.names(self.me, self.disk) {
+            return;
+        }
+        let knows = |m: Member, d: Disk| {
+            let peer = lead.peers.get(&m).filter(|p| p.disk == d);
+            u64::from(peer.is_some_and(|p| p.standing && p.commit >= index))
+        };
+        if self.majority(roster, knows) > 0 {
+            self.hand_over(now, out);
+        }
+    }
+
+    fn say_leaving(&mut self, now: Micros, out: &mut Output) {
+        let leaves = self.leaving.is_some_and(|at| now < at + LEAVING);
+        if let Some(leader) = self.leader.filter(|l| leaves && *l != self.me) {
+            out.send.push((leader, Message::Leave { term: self.hard.term }));
         }
     }
 
@@ -900,15 +1048,18 @@
             && index <= to
             && index > before
         {
-            // A newcomer is to know at once.
+            // All are to know at once; whose place is taken, or is not, learns from now on.
             lead.beat = 0;
+            let out = lead.peers.extract_if(.., |m, p| !roster.names(*m, p.disk));
+            lead.learners.extend(out);
         }
         // The latest roster may still be open; the one before it then is not, or this one would not be there.
         let named = match index <= to {
             true => roster.names(self.me, self.disk),
             false => self.log.before().is_some_and(|b| b.names(self.me, self.disk)),
         };
-        if named != self.hard.standing {
+        // That a roster is committed is known only by the commit index: it must outlive a restart.
+        if named != self.hard.standing || index <= to && index > before {
             self.hard.standing = named;
             self.hard_dirty = true;
         }
@@ -959,18 +1110,21 @@
             return;
         };
         if peer.next <= self.log.base() {
-            let snapshot = self.log.snapshot.clone();
-            let (at, sent) = match peer.sending {
-                Some((index, at, sent)) if index == snapshot.index => (at, sent),
-                _ => (0, 0),
+            // One that is on its way goes on while the log begins before its end: on a slow link a newer one would
+            // come before it is through.
+            let (snapshot, at, sent) = match &peer.sending {
+                Some((under_way, at, sent)) if under_way.index >= self.log.base() => {
+                    (under_way.clone(), *at, *sent)
+                }
+                _ => (self.log.snapshot.clone(), 0, 0),
             };
             let total = snapshot.data.len() as u64;
             // A part that got lost is sent again, but not while a slow link still carries it.
             let there = peer.heard.is_some_and(|at| now < at + self.timing.election.1);
             if there && (sent == 0 || beat && now >= sent + self.timing.election.0) {
-                let end = (at as usize + PART_BYTES).min(snapshot.data.len());
+                let end = (at as usize + self.timing.part).min(snapshot.data.len());
                 let bytes = snapshot.data.get(at as usize..end).unwrap_or_default().to_vec();
-                peer.sending = Some((snapshot.index, at, now));
+                peer.sending = Some((snapshot.clone(), at, now));
                 let part = Message::Part {
                     term,
                     round,
@@ -1068,7 +1222,7 @@
             out.send.push((to, message));
         }
         if self.role == Role::Candidate && self.safe.0 == self.hard.term && self.hard.vote == Some(self.me) {
-            self.voted(now, self.me, out);
+            self.voted(now, (self.me, self.disk), out);
         }
         if let (Some((fits, hint)), Role::Follower, Some(leader)) = (self.owes, self.role, self.leader) {
             self.owes = (fits && self.log.synced < self.verified).then_some((true, 0));
--- a/crates/ratchet/src/lib.rs
+++ b/crates/ratchet/src/lib.rs
@@ -12,37 +12,30 @@
 //! on disk before it is sent; the leader counts its own disk by the same rule. An entry counts as committed
 //! when a majority has it and an entry of the leader's own term at or after it.
 //!
-//! # Disks, and why a wiped machine is no danger
+//! # Members, and why two majorities always meet
 //!
-//! A member's *disk* has a number, drawn when its store is made (0 for founders). Votes and acknowledgements
-//! count only if they come from the disk that the roster names. A machine whose disk was lost comes back with
-//! another number: it has forgotten its votes and entries, so it is a stranger that says Hello, is brought up
-//! to date as a learner, and is then named in a new roster entry R in place of the old disk. It *stands*
-//! (grants votes, campaigns, is counted) only once it knows R to be committed, and has that on its own disk.
+//! A member is a machine *and a disk*. A disk has a number, drawn when its store is made (0 for founders); one that
+//! was lost is gone for good, and what comes back at its address is a stranger. So no member ever forgets what it
+//! promised. A stranger says Hello, is brought up to date as a learner, and takes the place of the disk before it, of a
+//! member at another address that leaves or has fallen silent, or a free one; else it stays a learner, a spare.
 //!
-//! - *The old disk is dead when R is proposed.* The leader proposes R only after the newcomer has answered a
-//!   message that was sent after the leader's log named the old disk. So the machine had the new disk after
-//!   it had the old one. What the old disk promised was promised before; a late message of it says what was
-//!   true and harms no more than any late message does.
-//! - *R is committed by the others.* R, and all before it, needs a majority of the old roster in which the
-//!   replaced disk never counts. So when the newcomer stands, a majority's worth of the *other* members holds
-//!   R and every entry acknowledged before.
-//! - *Two majorities meet outside the newcomer.* Of n members let m be a majority. R is on m of the n-1
-//!   others. An election in which the newcomer votes has at least m-1 of the n-1 others, and m + (m-1) > n-1:
-//!   someone votes who holds R, and it refuses a candidate that does not. An election without the newcomer
-//!   has m of the n-1 others.
-//! - *No second leader in the term of R.* The newcomer learns of R from the leader of some term, and whoever
-//!   follows a leader without having voted in that term writes down that leader as its vote.
-//! - *One change at a time.* R is proposed only when the roster before it is committed and the leader has
-//!   committed an entry of its own term. Adding a member is the same with nobody replaced: a majority of n
-//!   and a majority of n+1 members meet. While R is not known to be committed a candidate may win by the
-//!   roster before it too; this majority meets that of R, and R's successor is only ever proposed once a
-//!   majority of the old roster holds R.
-//! - *An addition waits for a whole group* where it raises the majority: until it stands, a newcomer counts
-//!   as one that is down. The same holds for a second loss before the first newcomer stands.
-//! - *Who knows that R is committed says so.* Acknowledgements and votes carry the commit index of their
-//!   sender, which is kept on disk; an elected leader has all that is committed and believes it. So R does
-//!   not need the other members a second time after a restart.
+//! - *One entry R leads from the old roster O to the new one N.* Who holds R and does not know it to be committed
+//!   elects, commits and reads by a majority of O *and* one of N; who knows it, by one of N; who lacks R, by one of O.
+//! - *A later candidate that lacks R* needs a majority of O, which meets the one that committed R: someone there
+//!   refuses it. One that holds R, knowing it to be committed or not, needs a majority of N, as do all commits after R:
+//!   these meet. What O committed before R lies before R in every log that holds R.
+//! - *Nobody goes by N alone too early.* That R is committed is heard from a leader of the term that committed it or of
+//!   a later one, so who knows it campaigns in a later term.
+//! - *One change at a time.* R is proposed only when the roster before it is known to be committed and the leader has
+//!   committed an entry of its own term.
+//! - *A vote is given once*, and not again to the same address, which may have another disk by then. It is given to
+//!   anybody, by term and log: a voter that lags may not know who has taken another's place. A candidate counts
+//!   the votes of disks that its rosters name. Strangers unseat nobody, by the pre-vote.
+//! - *Who knows that R is committed says so.* Acknowledgements and votes carry the commit index of their sender, and a
+//!   member puts it on disk as soon as it passes a roster. So O is not needed a second time after a restart.
+//! - *Standing* says that a committed roster names this disk, as far as it knows.
+//!
+//! Ways weighed, who is replaced and when: `docs/system/membership.md`.
 
 mod core;
 pub mod disk;
@@ -86,6 +79,23 @@
     Nothing,
     Roster(Roster),
     Data(Vec<u8>),
+    /// From the old roster to the new one: both, as a newcomer may hold nothing of before. A kind of its own, so that a
+    /// program that goes by one majority at a time does not take it for what it knows ([`Payload::Roster`], which is
+    /// written no more).
+    Joint {
+        old: Roster,
+        new: Roster,
+    },
+}
+
+impl Payload {
+    /// The roster that it makes, if it does.
+    pub fn roster(&self) -> Option<&Roster> {
+        match self {
+            Payload::Roster(new) | Payload::Joint { new, .. } => Some(new),
+            Payload::Nothing | Payload::Data(_) => None,
+        }
+    }
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Hash)]
@@ -166,10 +176,7 @@
     /// The roster that counts last on this disk.
     pub fn roster(&self) -> &Roster {
         let mut later = self.entries.iter().rev().filter(|e| e.index > self.snapshot.index);
-        let made = later.find_map(|e| match &e.payload {
-            Payload::Roster(roster) => Some(roster),
-            _ => None,
-        });
+        let made = later.find_map(|e| e.payload.roster());
         made.unwrap_or(&self.snapshot.roster)
     }
 }
@@ -264,6 +271,10 @@
     Take {
         term: u64,
     },
+    /// The sender's host is about to stop; perhaps for good.
+    Leave {
+        term: u64,
+    },
 }
 
 /// A message as bytes, with the sender's disk.
@@ -304,7 +315,9 @@
     },
     /// Machines that may know the group.
     Seeds(Vec<Member>),
-    /// The host is about to stop: a leader hands over.
+    /// How many members there are to be; a newcomer beyond that waits for a place.
+    Size(usize),
+    /// The host is about to stop: a leader hands over, and a learner that has caught up takes this member's place.
     Yield,
 }
 
@@ -353,8 +366,12 @@
     pub disk: Micros,
     /// Between a stranger's calls.
     pub hello: Micros,
+    /// A member that is silent for so long gives way to a learner that has caught up.
+    pub gone: Micros,
     /// Entries kept before a snapshot.
     pub tail: u64,
+    /// Bytes of a snapshot in one message.
+    pub part: usize,
 }
 
 impl Default for Timing {
@@ -365,7 +382,9 @@
             retry: (120_000, 320_000),
             disk: 1_500_000,
             hello: 500_000,
+            gone: 1_500_000,
             tail: 256,
+            part: if cfg!(test) { 1 << 10 } else { 256 << 10 },
         }
     }
 }
--- a/crates/ratchet/src/log.rs
+++ b/crates/ratchet/src/log.rs
@@ -70,12 +70,16 @@
 
     /// The roster before the last one.
     pub fn before(&self) -> Option<&Roster> {
-        self.rosters.iter().rev().nth(1).map(|(_, roster)| roster)
+        let (index, _) = self.roster();
+        match self.get(index).map(|e| &e.payload) {
+            Some(Payload::Joint { old, .. }) => Some(old),
+            _ => self.rosters.iter().rev().nth(1).map(|(_, roster)| roster),
+        }
     }
 
     pub fn push(&mut self, entry: Entry) {
         debug_assert_eq!(entry.index, self.last() + 1);
-        if let Payload::Roster(roster) = &entry.payload
+        if let Some(roster) = entry.payload.roster()
             && entry.index > self.snapshot.index
         {
             self.rosters.push((entry.index, roster.clone()));
--- a/crates/ratchet/src/model.rs
+++ b/crates/ratchet/src/model.rs
@@ -7,7 +7,7 @@
 
 use crate::core::Fault;
 use crate::{
-    Disk, Entry, Input, Member, Message, Micros, Output, Payload, Ratchet, Role, Saved, Timing, Write,
+    Disk, Entry, Input, Member, Message, Micros, Output, Payload, Ratchet, Role, Roster, Saved, Timing, Write,
 };
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeMap, HashSet};
@@ -23,10 +23,14 @@
     retry: (120_000, 120_001),
     disk: 1_500_000,
     hello: 500_000,
+    gone: 1_500_000,
     tail: 0,
+    part: 1 << 10,
 };
 /// Disks that were made anew count from here.
 const ANEW: Disk = 100;
+/// Those of spares.
+const SPARE: Disk = 50;
 
 #[derive(Clone, Hash)]
 struct Node {
@@ -79,6 +83,7 @@
     reads: u8,
     doubles: u8,
     folds: u8,
+    leaves: u8,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -95,6 +100,8 @@
     Wipe(usize),
     /// The host hands a snapshot.
     Fold(usize),
+    /// The host is about to stop.
+    Leave(usize),
 }
 
 /// What has happened, as far as it has to hold later.
@@ -112,6 +119,7 @@
 #[derive(Clone)]
 struct World {
     nodes: Vec<Sum<Node>>,
+    founders: usize,
     /// In order of their hashes.
     net: Vec<Sum<Packet>>,
     left: Left,
@@ -135,9 +143,14 @@
 
 impl World {
     fn new(members: usize, fault: Option<Fault>) -> World {
+        World::with_spares(members, 0, fault)
+    }
+
+    fn with_spares(members: usize, spares: usize, fault: Option<Fault>) -> World {
         let founding = Saved::founding((0..members).map(member));
         let mut world = World {
             nodes: Vec::new(),
+            founders: members,
             net: Vec::new(),
             left: Left::default(),
             judge: Arc::default(),
@@ -145,8 +158,9 @@
             wrong: None,
         };
         let raw = |node| Sum::of(world.node(node, 0, founding.clone()));
-        world.nodes = (0..members).map(raw).collect();
-        (0..members).for_each(|node| world.seeds(node));
+        let spare = |spare| Sum::of(world.node(members + spare, SPARE + spare as Disk, Saved::blank()));
+        world.nodes = (0..members).map(raw).chain((0..spares).map(spare)).collect();
+        (0..members + spares).for_each(|node| world.seeds(node));
         world
     }
 
@@ -167,6 +181,9 @@
     fn seeds(&mut self, n: usize) {
         let seeds = (0..self.nodes.len()).filter(|other| *other != n).map(member).collect();
         self.input(n, NOW, Input::Seeds(seeds));
+        if self.nodes.len() > self.founders {
+            self.input(n, NOW, Input::Size(self.founders));
+        }
     }
 
     fn wrong(&mut self, what: String) {
@@ -211,6 +228,9 @@
             if left.folds > 0 && node.applied > node.ratchet.snapshot().index {
                 steps.push(Step::Fold(n));
             }
+            if left.leaves > 0 && node.ratchet.standing() {
+                steps.push(Step::Leave(n));
+            }
         }
         steps
     }
@@ -272,7 +292,7 @@
                 let judge = Arc::make_mut(&mut self.judge);
                 judge.wiped += 1;
                 let (disk, saved) = match self.fault {
-                    Some(Fault::WipedVotes) => (0, Saved::founding((0..self.nodes.len()).map(member))),
+                    Some(Fault::WipedVotes) => (0, Saved::founding((0..self.founders).map(member))),
                     _ => (ANEW + Disk::from(judge.wiped), Saved::blank()),
                 };
                 self.start(n, disk, saved);
@@ -282,6 +302,10 @@
                 let index = self.nodes[n].1.applied;
                 self.input(n, NOW, Input::Snapshot { index, data: Vec::new() });
             }
+            Step::Leave(n) => {
+                self.left.leaves -= 1;
+                self.input(n, NOW, Input::Yield);
+            }
         }
         self.check_disks();
     }
@@ -367,9 +391,13 @@
         if self.judge.wiped > 0 {
             return;
         }
+        let made = self.judge.committed.iter().rev().find_map(|e| e.payload.roster().cloned());
+        let founders = || Roster { members: (0..self.founders).map(|n| (member(n), 0)).collect() };
+        let roster = made.unwrap_or_else(founders);
+        let named = |(n, node): &(usize, &Sum<Node>)| roster.names(member(*n), node.1.disk);
         let lacking = self.judge.committed.iter().find(|entry| {
-            let have = self.nodes.iter().filter(|n| holds(&n.1.saved, entry)).count();
-            have <= self.nodes.len() / 2
+            let members = self.nodes.iter().enumerate().filter(named);
+            members.filter(|(_, n)| holds(&n.1.saved, entry)).count() <= roster.members.len() / 2
         });
         if let Some(index) = lacking.map(|e| e.index) {
             self.wrong(format!("entry {index} counts and is on no majority's disks"));
@@ -508,6 +536,163 @@
         world
     }
 
+    /// Spares have called the leader and hold all; `spares` of them.
+    fn spared(members: usize, spares: usize, fault: Option<Fault>) -> World {
+        let mut world = World::with_spares(members, spares, fault);
+        let all: Vec<usize> = (0..members).collect();
+        world.times(0, &all);
+        world.times(0, &all);
+        for spare in members..members + spares {
+            world.times(spare, &[0, spare]);
+        }
+        let everybody: Vec<usize> = (0..members + spares).collect();
+        world.times(0, &everybody);
+        assert!(world.nodes.iter().all(|n| n.1.applied == 1), "all hold the first entry");
+        world
+    }
+
+    /// This member says that it is leaving, and the leader has proposed the roster without it; nobody has got that.
+    fn says_leaving(&mut self, n: usize) {
+        self.left.leaves = 1;
+        self.step(Step::Leave(n));
+        if n != 0 {
+            let leave = |p: &Sum<Packet>| p.1.to == 0 && matches!(p.1.message, Message::Leave { .. });
+            let i = self.net.iter().position(leave).expect("it says so");
+            self.step(Step::Deliver(i));
+        }
+        self.left = Left::default();
+    }
+
+    /// A spare is to take the place of the last founder; nobody but the leader knows.
+    fn swapping(members: usize, fault: Option<Fault>) -> World {
+        let mut world = World::spared(members, 1, fault);
+        world.says_leaving(members - 1);
+        (1..members).for_each(|n| world.waits(n));
+        world
+    }
+
+    /// The same of the leader itself.
+    fn leader_leaves(members: usize, fault: Option<Fault>) -> World {
+        let mut world = World::spared(members, 1, fault);
+        world.says_leaving(0);
+        (1..members).for_each(|n| world.waits(n));
+        world
+    }
+
+    /// The leader, the newcomer and as few others as make a majority of the new roster; the others are one of the old.
+    fn sides(members: usize) -> (Vec<usize>, Vec<usize>) {
+        let far = members / 2;
+        ([0, members].into_iter().chain(1..far).collect(), (far..members).collect())
+    }
+
+    /// The new roster has gone round a majority of itself that is none of the old one.
+    fn half_swapped(members: usize, fault: Option<Fault>) -> World {
+        let mut world = World::swapping(members, fault);
+        let (near, _) = World::sides(members);
+        world.calm(&near);
+        world
+    }
+
+    /// The same with two that leave and two newcomers: of the new majority none but the leader was of the old one.
+    fn half_swapped_twice(members: usize, fault: Option<Fault>) -> World {
+        let mut world = World::spared(members, 2, fault);
+        let (mut near, far) = World::sides(members);
+        near.push(members + 1);
+        world.says_leaving(members - 1);
+        world.says_leaving(members - 2);
+        far.iter().for_each(|n| world.waits(*n));
+        world.calm(&near);
+        world
+    }
+
+    /// As above, and the others have gone on without the old leader, which was started again.
+    fn half_swapped_and_followed_up(members: usize, fault: Option<Fault>) -> World {
+        let mut world = World::half_swapped(members, fault);
+        let (near, far) = World::sides(members);
+        world.times(far[0], &far);
+        world.left.ends = 1;
+        world.step(Step::End(0, false));
+        near.iter().for_each(|n| world.waits(*n));
+        world.left = Left::default();
+        world
+    }
+
+    /// Only one that stays has not heard of the new roster. It counts; the leader knows, the newcomer, and who left.
+    fn swapped(members: usize, fault: Option<Fault>) -> World {
+        let mut world = World::spared(members, 2, fault);
+        let lags = members / 2;
+        let others: Vec<usize> = (0..=members).filter(|n| *n != lags).collect();
+        world.says_leaving(members - 1);
+        world.calm(&others);
+        world.times(0, &others);
+        assert!(world.nodes[members].1.ratchet.standing() && world.judge.committed.len() == 2);
+        (1..=members).for_each(|n| world.waits(n));
+        world
+    }
+
+    /// The same, the next who leaves has said so, and the leader has proposed that, too.
+    fn swapped_again(members: usize, fault: Option<Fault>) -> World {
+        let mut world = World::swapped(members, fault);
+        let lags = members / 2;
+        world.times(0, &(0..members).collect::<Vec<_>>());
+        world.times(0, &[0, members + 1]);
+        world.waits(lags);
+        world.says_leaving(lags);
+        assert!(world.nodes[0].1.ratchet.roster().members.contains_key(&member(members + 1)));
+        world
+    }
+
+    /// All know the new roster. A majority of it has one entry more, which counts; the others, with who left, wait.
+    fn swapped_and_parted(members: usize, fault: Option<Fault>) -> World {
+        let mut world = World::swapping(members, fault);
+        let all: Vec<usize> = (0..=members).collect();
+        let (near, far) = World::sides(members);
+        world.calm(&all);
+        world.times(0, &all);
+        world.propose(0, &near);
+        assert_eq!(world.judge.committed.len(), 3);
+        far.iter().for_each(|n| world.waits(*n));
+        world
+    }
+
+    /// One that lagged was given the new roster by a snapshot; the rest as before.
+    fn swapped_and_folded(members: usize, fault: Option<Fault>) -> World {
+        let mut world = World::swapped(members, fault);
+        let (near, far) = World::sides(members);
+        world.left.folds = 1;
+        world.step(Step::Fold(0));
+        let lags = members / 2;
+        world.calm(&[0, lags]);
+        world.times(0, &[0, lags]);
+        world.times(0, &[0, lags]);
+        assert_eq!(world.nodes[lags].1.applied, 2);
+        world.propose(0, &near);
+        far.iter().for_each(|n| world.waits(*n));
+        world
+    }
+
+    /// This member has asked these whether it would be voted for, and if so is about to ask for votes.
+    fn asking(mut self, n: usize, among: &[usize]) -> World {
+        self.left.times = 1;
+        self.step(Step::Time(n));
+        self.left = Left::default();
+        let first = |p: &Sum<Packet>| {
+            let pre = matches!(p.1.message, Message::Ask { pre: true, .. } | Message::Vote { pre: true, .. });
+            pre && among.contains(&p.1.to) && among.contains(&p.1.from)
+        };
+        while let Some(i) = self.net.iter().position(first) {
+            self.step(Step::Deliver(i));
+        }
+        self.net.retain(|p| among.contains(&p.1.to) && among.contains(&p.1.from));
+        self
+    }
+
+    /// The first of the far side asks the others there.
+    fn far_asks(self) -> World {
+        let (_, far) = World::sides(self.founders);
+        self.asking(far[0], &far)
+    }
+
     /// A disk was lost, its machine is back with another one, and has called the leader.
     fn wiped(members: usize, fault: Option<Fault>) -> World {
         let mut world = World::parted(members, fault);
@@ -581,7 +766,7 @@
             found.terms = found.terms.max(world.judge.leaders.len());
             found.committed = found.committed.max(world.judge.committed.len());
             found.reads = found.reads.max(world.judge.answered as usize);
-            let rosters = world.judge.committed.iter().filter(|e| matches!(e.payload, Payload::Roster(_)));
+            let rosters = world.judge.committed.iter().filter(|e| e.payload.roster().is_some());
             found.rosters = found.rosters.max(rosters.count());
             level.push((way, world));
         }
@@ -622,10 +807,10 @@
 type Start = fn(usize, Option<Fault>) -> World;
 
 const QUIET: Left =
-    Left { times: 0, beats: 0, ends: 0, wipes: 0, proposals: 0, reads: 0, doubles: 0, folds: 0 };
+    Left { times: 0, beats: 0, ends: 0, wipes: 0, proposals: 0, reads: 0, doubles: 0, folds: 0, leaves: 0 };
 
 /// Where courses begin, what may happen on them, how many steps are taken with three members and with five.
-const COURSES: [(&str, Start, Left, [usize; 2]); 8] = [
+const COURSES: [(&str, Start, Left, [usize; 2]); 14] = [
     ("founding", World::new, Left { times: 2, ends: 1, proposals: 1, ..QUIET }, [8, 6]),
     ("led", World::led, Left { times: 2, beats: 1, ends: 1, proposals: 1, reads: 1, ..QUIET }, [6, 4]),
     ("parted", World::parted, Left { times: 2, beats: 1, ends: 1, reads: 1, ..QUIET }, [6, 4]),
@@ -634,6 +819,17 @@
     ("succeeded", World::succeeded, Left { beats: 2, times: 1, proposals: 1, reads: 1, ..QUIET }, [6, 4]),
     ("rivals", World::rivals, Left { times: 1, ends: 1, doubles: 1, ..QUIET }, [5, 4]),
     ("belated", World::belated, Left { times: 1, beats: 1, ends: 1, doubles: 1, ..QUIET }, [6, 4]),
+    ("swapping", World::swapping, Left { times: 2, beats: 1, ends: 1, proposals: 1, ..QUIET }, [5, 4]),
+    ("leader leaves", World::leader_leaves, Left { times: 2, beats: 1, ends: 1, ..QUIET }, [5, 4]),
+    (
+        "half swapped",
+        World::half_swapped_and_followed_up,
+        Left { times: 2, beats: 1, ends: 1, ..QUIET },
+        [6, 4],
+    ),
+    ("swapped", World::swapped, Left { times: 2, beats: 1, ends: 1, leaves: 1, ..QUIET }, [5, 4]),
+    ("swapped again", World::swapped_again, Left { times: 2, beats: 1, ends: 1, ..QUIET }, [5, 4]),
+    ("swapped, a disk lost", World::swapped, Left { times: 2, beats: 1, wipes: 1, ..QUIET }, [5, 4]),
 ];
 
 fn every_course(five: bool, deeper: usize) {
@@ -670,18 +866,29 @@
 fn every_planted_fault_is_found() {
     let ends = Left { proposals: 1, ends: 1, ..QUIET };
     let once = Left { times: 1, ..QUIET };
-    let faults: [(Fault, Start, Left, usize); 5] = [
+    let near_asks: Start = |m, f| World::half_swapped_and_followed_up(m, f).asking(0, &World::sides(m).0);
+    let faults: [(Fault, Start, Left, usize); 11] = [
         (Fault::AckBeforeSync, World::led, ends, 6),
         (Fault::ForgetVote, World::rivals, ends, 8),
         (Fault::WipedVotes, World::parted, Left { wipes: 1, ..once }, 13),
         (Fault::ReadUnconfirmed, World::succeeded, Left { reads: 1, ..QUIET }, 2),
         (Fault::SnapshotOverTail, World::belated, QUIET, 2),
+        (Fault::SwapWithoutJoint, near_asks, QUIET, 14),
+        (Fault::CountNewcomerEarly, |m, f| World::half_swapped(m, f).far_asks(), QUIET, 14),
+        (Fault::LeaverDroppedEarly, World::swapping, QUIET, 8),
+        (Fault::SecondChangeEarly, |m, f| World::half_swapped_twice(m, f).far_asks(), QUIET, 14),
+        (Fault::RemovedVotes, |m, f| World::swapped_and_parted(m, f).far_asks(), QUIET, 14),
+        (Fault::RosterLost, |m, f| World::swapped_and_folded(m, f).far_asks(), QUIET, 14),
     ];
     for members in [3, 5] {
         for (fault, start, left, depth) in faults {
             let found = courses(start(members, Some(fault)), left, depth, 400_000);
             println!("{members} members, {fault:?}: {found:?}");
             assert!(found.wrong.is_some(), "{members} {fault:?}: {found:?}");
+            if left == QUIET {
+                let right = courses(start(members, None), left, found.levels, 400_000);
+                assert_eq!(right.wrong, None, "{members}, without {fault:?}");
+            }
         }
     }
 }
--- a/crates/ratchet/src/sim.rs
+++ b/crates/ratchet/src/sim.rs
@@ -10,6 +10,7 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 
+mod members;
 mod power;
 
 const MS: Micros = 1000;
@@ -18,14 +19,38 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
-    Deliver { to: usize, from: usize, bytes: Vec<u8> },
-    Synced { node: usize, life: u64, number: u64 },
-    Wake { node: usize, life: u64 },
-    Start { node: usize, life: u64 },
+    Deliver {
+        to: usize,
+        from: usize,
+        bytes: Vec<u8>,
+    },
+    Synced {
+        node: usize,
+        life: u64,
+        number: u64,
+    },
+    Wake {
+        node: usize,
+        life: u64,
+    },
+    Start {
+        node: usize,
+        life: u64,
+    },
     Client,
     Trouble,
-    Trap { leader: usize },
-    Thaw { node: usize },
+    Trap {
+        leader: usize,
+    },
+    Thaw {
+        node: usize,
+    },
+    /// A host that was told to stop looks whether it may.
+    Stopping {
+        node: usize,
+        life: u64,
+        until: Micros,
+    },
 }
 
 struct Node {
@@ -60,6 +85,14 @@
     fault: Option<Fault>,
     /// Sudden ends right after a vote.
     jumpy: bool,
+    /// What members are told of the size of the group, and who is told to whoever starts; none: the founders.
+    size: Option<usize>,
+    seeds: Option<Vec<usize>>,
+    /// Bytes beside each ticket, and how long a byte takes on a link.
+    pad: usize,
+    byte: Option<f64>,
+    /// Until when each link is taken.
+    links: BTreeMap<(usize, usize), Micros>,
     judge: Judge,
     wrong: Option<String>,
     /// What is wrong is only that the group did not come back.
@@ -140,6 +173,11 @@
             timing,
             fault,
             jumpy,
+            size: None,
+            seeds: None,
+            pad: 0,
+            byte: None,
+            links: BTreeMap::new(),
             judge: Judge::default(),
             wrong: None,
             stalled: false,
@@ -210,6 +248,7 @@
                 }
             }
             Event::Start { node, life } => self.start(node, life),
+            Event::Stopping { node, life, until } => self.stopping(node, life, until),
             Event::Client => self.client(),
             Event::Trouble if self.calm => {}
             Event::Trouble => self.trouble(),
@@ -240,12 +279,15 @@
         n.life += 1;
         n.wake = Micros::MAX;
         n.applied = n.saved.snapshot.index;
-        n.state = unpack(&n.saved.snapshot.data);
+        n.state = unpack(&n.saved.snapshot.data, self.pad);
         let mut ratchet = Ratchet::new(member(node), n.disk, n.saved.clone(), seed, self.timing, now);
         ratchet.fault = self.fault;
         n.ratchet = Some(ratchet);
-        let seeds = (0..self.founders).map(member).collect();
-        self.input(node, Input::Seeds(seeds));
+        let seeds = self.seeds.clone().unwrap_or_else(|| (0..self.founders).collect());
+        self.input(node, Input::Seeds(seeds.into_iter().map(member).collect()));
+        if let Some(size) = self.size {
+            self.input(node, Input::Size(size));
+        }
     }
 
     /// The process ends; a write under way is on disk as a whole or not at all.
@@ -326,7 +368,7 @@
         }
         if let Some(snapshot) = &out.installed {
             self.seen.installed += 1;
-            let state = unpack(&snapshot.data);
+            let state = unpack(&snapshot.data, self.pad);
             let wanted = values(self.judge.committed.range(..=snapshot.index).map(|(_, e)| e));
             if state != wanted {
                 self.wrong =
@@ -342,7 +384,7 @@
             n.applied = entry.index;
             n.state.extend(values(std::iter::once(&entry)));
             keep |= entry.index % (tail + 17) == 0;
-            self.seen.rosters += usize::from(matches!(entry.payload, Payload::Roster(_)));
+            self.seen.rosters += usize::from(entry.payload.roster().is_some());
             let index = entry.index;
             let first = self.judge.committed.entry(index).or_insert_with(|| entry.clone());
             if *first != entry {
@@ -352,7 +394,7 @@
         for (ticket, result) in out.proposed {
             if let Ok(index) = result {
                 let found = self.judge.committed.get(&index).map(|e| &e.payload);
-                if found != Some(&Payload::Data(ticket.to_le_bytes().to_vec())) {
+                if found != Some(&Payload::Data(pack(&[ticket], self.pad))) {
                     self.wrong = Some(format!("{ticket} is acknowledged as {index}, where it is not"));
                 }
                 self.judge.acked.insert(ticket);
@@ -394,7 +436,7 @@
             self.restart(node, MS, 4 * MS);
         } else if keep {
             let n = &self.nodes[node];
-            let (index, data) = (n.applied, pack(&n.state));
+            let (index, data) = (n.applied, pack(&n.state, self.pad));
             self.input(node, Input::Snapshot { index, data });
         }
     }
@@ -419,7 +461,13 @@
                 _ => MS / 2..=3 * MS,
             });
             let bytes = encode(disk, message);
-            self.at(self.now + delay, Event::Deliver { to, from, bytes });
+            let mut sent = self.now;
+            if let Some(byte) = self.byte {
+                let taken = self.links.entry((from, to)).or_default();
+                sent = sent.max(*taken) + (bytes.len() as f64 * byte) as Micros;
+                *taken = sent;
+            }
+            self.at(sent + delay, Event::Deliver { to, from, bytes });
         }
     }
 
@@ -437,7 +485,7 @@
                 continue;
             }
             if self.rng.bool() {
-                self.input(node, Input::Propose { ticket, data: ticket.to_le_bytes().to_vec() });
+                self.input(node, Input::Propose { ticket, data: pack(&[ticket], self.pad) });
             } else {
                 self.reads.insert((node, ticket), self.judge.acked_to);
                 self.input(node, Input::Read { ticket });
@@ -620,18 +668,20 @@
 
 fn values<'a>(entries: impl Iterator<Item = &'a Entry>) -> Vec<u64> {
     let data = entries.filter_map(|e| match &e.payload {
-        Payload::Data(data) => Some(u64::from_le_bytes(data[..].try_into().expect("a number"))),
+        Payload::Data(data) => Some(u64::from_le_bytes(data[..8].try_into().expect("a number"))),
         _ => None,
     });
     data.collect()
 }
 
-fn pack(state: &[u64]) -> Vec<u8> {
-    state.iter().flat_map(|v| v.to_le_bytes()).collect()
+/// Each value in eight bytes, and as many more as `pad` says.
+fn pack(state: &[u64], pad: usize) -> Vec<u8> {
+    let one = |v: &u64| v.to_le_bytes().into_iter().chain(std::iter::repeat_n(0, pad));
+    state.iter().flat_map(one).collect()
 }
 
-fn unpack(data: &[u8]) -> Vec<u64> {
-    data.chunks(8).map(|c| u64::from_le_bytes(c.try_into().expect("numbers"))).collect()
+fn unpack(data: &[u8], pad: usize) -> Vec<u64> {
+    data.chunks(8 + pad).map(|c| u64::from_le_bytes(c[..8].try_into().expect("numbers"))).collect()
 }
 
 /// What was seen, or what is wrong, and whether that is only that the group did not come back.
--- a/crates/ratchet/src/sim/power.rs
+++ b/crates/ratchet/src/sim/power.rs
@@ -64,7 +64,7 @@
     }
 
     /// Until a proposal is acknowledged that was made after now.
-    fn until_acked(&mut self) -> Option<Micros> {
+    pub(super) fn until_acked(&mut self) -> Option<Micros> {
         let (from, ticket) = (self.now, self.ticket);
         while self.now < from + 20_000 * MS {
             self.run(self.now + 5 * MS);
