--- a/crates/ratchet/src/sim/catching_up.rs
+++ b/crates/ratchet/src/sim/catching_up.rs
@@ -201,11 +201,10 @@
                 n.wake = Micros::MAX;
                 (n.applied, n.since) = (n.saved.snapshot.index, (0, 0));
                 (n.least, n.leads) = (self.acked, false);
-                let timing = Timing { tail: self.terms.tail, ..Timing::default() };
+                let timing = Timing { tail: self.terms.tail, part: 64 << 10, ..Timing::default() };
                 let seed = node as u64 + 7 * n.life;
                 let mut ratchet = Ratchet::new(member(node), n.disk, n.saved.clone(), seed, timing, self.now);
                 ratchet.fault = self.fault;
-                ratchet.part_bytes = crate::core::PART_BYTES;
                 n.ratchet = Some(ratchet);
                 let seeds = (0..self.nodes.len()).map(member).collect();
                 self.input(node, Input::Seeds(seeds));
