Let a cut-off core machine vouch for nothing, and fence duties by their term

Need: a registry answered the calls of known servers from its own copy, cut off or not, so they stayed with it while the majority's leader wrote them off. Fresh had no bound in time: a store that hung, or a registry that was stopped, kept it. A registry that was stopped beside a living leader would have written off all servers when it woke.

Change: a store asks the leader every 0.3 s how far the log is agreed, a registry its store every 0.25 s; what they hold counts for 1.5 s from when they asked. A registry that is not fresh answers 503 to servers, to orders and reads that a copy decides, and to the directory once no proxy comes to it. Duties bear the term in which the store leads, and land in it or never. An answer that comes later than its caller waits goes out as 503. A proxy leaves a registry that says it is cut off after a third of a beat.

--- a/crates/pegboard/src/board.rs
+++ b/crates/pegboard/src/board.rs
@@ -16,7 +16,7 @@
 use rack::drill::{DrillChange, Rows, Said};
 use rack::follow::Followers;
 use rack::state::{Change, Command, Done, NodeChange, Server, ServerChange};
-use rack::talk::{Down, FromStore, Gossip, Head, News, Seen, Standing, ToStore, Unsure, Up, Usage};
+use rack::talk::{Down, FRESH_US, FromStore, Gossip, Head, News, Seen, Standing, ToStore, Unsure, Up, Usage};
 use rack::{Micros, Rev};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
@@ -66,11 +66,15 @@
 const METER_US: Micros = 60_000;
 /// For each proxy, where there are many: each round goes to all of them.
 const METER_EACH_US: Micros = 4_000;
+/// Between two questions to the store of how it stands.
+const ASK_US: Micros = 250_000;
 /// A call's caller moves on after a second of silence.
 const CALL_US: Micros = 900_000;
 /// A server is written off after so many beats unheard, a proxy after so many times the catching up.
 const BEATS_GONE: Micros = 4;
 const SYNCS_GONE: Micros = 5;
+/// Told to callers that are to go on elsewhere at once.
+const CUT_OFF: &str = "this machine does not hear the majority";
 /// Another registry's time of day counts for so many beats.
 const CLOCK_BEATS: Micros = 2;
 
@@ -97,10 +101,19 @@
     core: Vec<Ipv4Addr>,
     /// Where the core's machines are, as far as they have said.
     places: BTreeMap<Ipv4Addr, String>,
-    fresh: bool,
+    /// Until when this registry may speak for what is agreed, if its store says nothing more; and since when it may
+    /// without a break.
+    fresh_until: Micros,
     fresh_since: Micros,
+    /// The store is asked again.
+    ask_at: Micros,
     leads: bool,
     leads_since: Micros,
+    /// The store's term: the fencing token of all that is done beside the leader.
+    term: u64,
+    /// Its ticket, and when it was sent; where the last of these landed.
+    under_way_duty: Option<(u64, Micros)>,
+    duty_landed: Rev,
     pub presence: Presence,
     meter: Meter,
     /// Readings go out ahead of time, as a proxy has reported ahead of time.
@@ -138,10 +151,14 @@
             store_up: false,
             core: Vec::new(),
             places: BTreeMap::from([(terms.me, terms.zone.clone())]),
-            fresh: false,
+            fresh_until: 0,
             fresh_since: now,
+            ask_at: now,
             leads: false,
             leads_since: now,
+            term: 0,
+            under_way_duty: None,
+            duty_landed: 0,
             presence: Presence::new(now, terms.beat_us),
             meter: Meter::new(terms.beat_us / PARTS),
             meter_at: Micros::MAX,
@@ -169,7 +186,8 @@
     /// When it wants to be called again, whatever comes.
     pub fn wake_at(&self) -> Micros {
         let calls = self.waiting.values().map(|w| w.until).min();
-        calls.unwrap_or(Micros::MAX).min(self.next_round).min(self.meter_at)
+        let ask = if self.store_up { self.ask_at } else { Micros::MAX };
+        calls.unwrap_or(Micros::MAX).min(self.next_round).min(self.meter_at).min(ask)
     }
 
     pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
@@ -182,11 +200,12 @@
             }
             Input::Store(message) => self.store(message, out),
             Input::StoreUp => {
-                self.store_up = true;
+                (self.store_up, self.ask_at) = (true, self.now);
                 out.push(Output::Store(ToStore::Follow { rev: self.copy.rev() }));
             }
             Input::StoreDown => {
-                (self.store_up, self.fresh, self.leads, self.under_way) = (false, false, false, None);
+                (self.store_up, self.fresh_until, self.leads) = (false, 0, false);
+                (self.under_way, self.under_way_duty) = (None, None);
                 self.forget_booked();
                 // What was under way may be lost: it is gathered anew as its callers come again.
                 let unsure: Vec<u64> = self.waiting.keys().copied().collect();
@@ -215,6 +234,10 @@
                 self.followers.gone(link);
             }
         }
+        if self.store_up && self.now >= self.ask_at {
+            self.ask_at = self.now + ASK_US;
+            out.push(Output::Store(ToStore::Stand { asked: self.now }));
+        }
         self.round(out);
         self.propose(out);
         self.settle(out);
@@ -228,7 +251,19 @@
             None => return out.push(Output::Answer(id, Answer::error(404, "no such call"))),
         };
         let argument = argument.unwrap_or_default();
+        // These are decided, and may be refused for good, by what this copy holds.
+        let by_copy = matches!(
+            call,
+            Call::PutBooking
+                | Call::CancelBooking
+                | Call::ReadBooking
+                | Call::ListBookings
+                | Call::PutDrill
+                | Call::StopDrill
+                | Call::ShowDrill
+        );
         let answer = match call {
+            _ if by_copy && !self.is_fresh() => Some(Answer::unavailable(CUT_OFF)),
             Call::Resolve => self.resolve(&request.target),
             Call::Beat => match Beat::read(&request.body) {
                 Err(why) => Some(Answer::error(400, &why.to_string())),
@@ -378,12 +413,11 @@
             return;
         }
         let over = self.leases.over(self.now, self.terms.beat_us, &self.copy.state.drills);
-        if !(self.leads && self.fresh) {
+        if !(self.leads && self.is_fresh()) {
             return;
         }
         for stop in over {
-            let ticket = self.ticket();
-            out.push(Output::Store(ToStore::Propose { ticket, command: Command::Drill(stop) }));
+            self.on_duty(Command::Drill(stop), out);
         }
     }
 
@@ -395,13 +429,25 @@
             presence: &self.presence,
             core: &self.core,
             places: &self.places,
-            fresh: self.fresh && self.store_up,
+            fresh: self.is_fresh(),
             leads: self.leads && self.store_up,
             leases: &self.leases,
             followers: self.followers.iter().map(|(_, f)| (&f.node, f.rev())).collect(),
         }
     }
 
+    /// Whether this registry may speak for what the majority has agreed: its copy held all of it within [`FRESH_US`].
+    fn is_fresh(&self) -> bool {
+        self.store_up && self.now < self.fresh_until
+    }
+
+    /// Something that only the registry beside the leader may do: it lands in this term or never.
+    fn on_duty(&mut self, command: Command, out: &mut Vec<Output>) -> u64 {
+        let (ticket, term) = (self.ticket(), self.term);
+        out.push(Output::Store(ToStore::Duty { ticket, term, command }));
+        ticket
+    }
+
     fn ticket(&mut self) -> u64 {
         self.tickets += 1;
         self.tickets
@@ -432,8 +478,16 @@
 
     /// A server tells of itself. Acknowledged once all that it tells is in the log; nearly always it is.
     fn beat(&mut self, id: u64, server: &str, beat: Beat) -> Option<Answer> {
-        if self.copy.state.has_gone(server) || !self.presence.beat(self.now, server, beat.sequence) {
-            return Some(Answer::ok()); // a late call of a life that has ended, or that has said more since
+        if self.copy.state.has_gone(server) {
+            return Some(Answer::ok()); // a late call of a life that has ended, which is never taken back
+        }
+        let latest = self.presence.beat(self.now, server, beat.sequence);
+        // The others do not hear what is said here: they would write off a server that stays.
+        if !self.is_fresh() {
+            return Some(Answer::unavailable(CUT_OFF));
+        }
+        if !latest {
+            return Some(Answer::ok()); // it has said more since
         }
         let draining = beat.state == api::State::Draining;
         let cold_ms = u32::try_from(beat.cold_left_ms).unwrap_or(u32::MAX);
@@ -468,6 +522,9 @@
         if self.copy.state.has_gone(server) {
             return Some(Answer::ok());
         }
+        if !self.is_fresh() {
+            return Some(Answer::unavailable(CUT_OFF));
+        }
         self.servers.push(ServerChange::Gone { id: server.into(), said: true });
         let batch = self.batch;
         self.wait(id, Wait::Batch(batch))
@@ -479,8 +536,14 @@
             Err(why) => return Some(Answer::error(400, &why.to_string())),
         };
         let region = query.region.or_else(|| self.terms.zones.get(query.zone.as_deref()?).cloned());
-        let nodes =
-            self.presence.choose(self.now, &self.copy.state, query.zone.as_deref(), region.as_deref());
+        let (zone, region) = (query.zone.as_deref(), region.as_deref());
+        // Cut off, nobody's silence says anything. Proxies that find a fresh registry are no longer heard of here; while
+        // some are, there is none, and what was agreed last holds.
+        let fresh = self.is_fresh();
+        if !fresh && !self.presence.hears_proxies(self.now) {
+            return Some(Answer::unavailable(CUT_OFF));
+        }
+        let nodes = self.presence.choose(self.now, &self.copy.state, zone, region, fresh);
         if nodes.is_empty() {
             return Some(Answer::unavailable("no proxy is known"));
         }
@@ -498,14 +561,18 @@
     fn store(&mut self, message: FromStore, out: &mut Vec<Output>) {
         match message {
             FromStore::News(news) => self.news(news, out),
-            FromStore::Standing { core, fresh, leads } => {
-                if fresh && !self.fresh {
+            FromStore::Standing { core, fresh_ms, leads, term, asked } => {
+                // Whatever waited on its way counts from when it was asked for.
+                let left = fresh_ms.and_then(|ms| FRESH_US.checked_sub(Micros::from(ms) * 1000));
+                let until = left.filter(|_| asked > 0).map_or(0, |left| asked + left);
+                if !self.is_fresh() && self.now < until {
                     self.fresh_since = self.now;
                 }
-                if leads && !self.leads {
+                if leads && (!self.leads || term != self.term) {
                     self.leads_since = self.now;
                 }
-                (self.core, self.fresh, self.leads) = (core, fresh, leads);
+                (self.core, self.leads, self.term) = (core, leads, term);
+                self.fresh_until = if fresh_ms.is_some() { self.fresh_until.max(until) } else { 0 };
             }
             FromStore::Proposed { ticket, result } => {
                 if self.under_way.is_some_and(|(t, _)| t == ticket) {
@@ -518,6 +585,11 @@
                     }
                     return;
                 }
+                if self.under_way_duty.is_some_and(|(t, _)| t == ticket) {
+                    self.under_way_duty = None;
+                    self.duty_landed = result.map_or(self.duty_landed, |(rev, _)| rev);
+                    return;
+                }
                 if self.under_way_booked.ended(ticket, result.as_ref().ok().map(|(rev, _)| *rev)) {
                     return;
                 }
@@ -603,6 +675,8 @@
         let mut answers = Vec::new();
         for (id, w) in &self.waiting {
             let answer = match &w.wait {
+                // Also when the answer is there by now: this process was stopped, and the caller has gone on.
+                _ if w.until <= self.now => Some(Answer::unavailable("not agreed in time")),
                 Wait::Batch(number) if *number <= landed && landed_at <= rev => Some(Answer::ok()),
                 Wait::Command { at: Some(at), done: Some(done), .. } if *at <= rev => {
                     Some(Answer::done(done))
@@ -611,7 +685,6 @@
                     Some(config) => Answer::json(200, config.write()),
                     None => Answer::error(404, "no configuration yet"),
                 }),
-                _ if w.until <= self.now => Some(Answer::unavailable("not agreed in time")),
                 _ => None,
             };
             answers.extend(answer.map(|a| (*id, a)));
@@ -665,7 +738,7 @@
         let away = nodes.map(|n| n.ip).filter(|ip| !self.presence.alive(self.now, &self.copy.state, *ip));
         Down::Standing(Standing {
             rev: self.copy.rev(),
-            fresh_ms: (self.fresh && self.store_up).then_some(0),
+            fresh_ms: self.is_fresh().then_some(0),
             core: self.core.iter().map(place).collect(),
             path: Vec::new(),
             head: self.heads.get(region).copied(),
@@ -740,27 +813,37 @@
         self.tell_leases(out);
         self.propose_rows(out);
         self.end_drills(out);
-        self.write_off();
+        self.write_off(out);
         self.tend_bookings(out);
     }
 
     /// Servers and proxies that nobody has heard of. Only beside a leader that has led long enough for all registries
     /// to have told it what they hear: the others' silence would look the same.
-    fn write_off(&mut self) {
+    fn write_off(&mut self, out: &mut Vec<Output>) {
         let (server_us, node_us) = (BEATS_GONE * self.terms.beat_us, SYNCS_GONE * self.terms.sync_us);
-        if !(self.leads && self.fresh) || self.under_way.is_some() {
+        if self.under_way_duty.is_some_and(|(_, at)| self.now > at + 2 * CALL_US) {
+            self.under_way_duty = None;
+        }
+        let busy = self.under_way.is_some() || self.under_way_duty.is_some();
+        if !(self.leads && self.is_fresh()) || busy || self.copy.rev() < self.duty_landed {
             return;
         }
         let since = self.fresh_since.max(self.leads_since);
-        if self.now > since + server_us {
-            let lost = self.presence.servers_unheard(self.now, server_us);
-            let lost = lost.into_iter().filter(|id| self.copy.state.servers.contains_key(id));
-            self.servers.extend(lost.map(|id| ServerChange::Gone { id, said: false }));
-        }
-        if self.now > since + node_us {
-            let lost = self.presence.nodes_unseen(self.now, node_us);
-            let lost = lost.into_iter().filter(|ip| self.copy.state.nodes.contains_key(ip));
-            self.nodes.extend(lost.map(|ip| NodeChange::Gone { ip }));
-        }
+        let state = &self.copy.state;
+        let lost = |after: Micros| self.now > since + after;
+        let servers: Vec<String> =
+            if lost(server_us) { self.presence.servers_unheard(self.now, server_us) } else { Vec::new() };
+        let nodes: Vec<Ipv4Addr> =
+            if lost(node_us) { self.presence.nodes_unseen(self.now, node_us) } else { Vec::new() };
+        let servers = servers.into_iter().filter(|id| state.servers.contains_key(id));
+        let servers: Vec<_> = servers.map(|id| ServerChange::Gone { id, said: false }).collect();
+        let nodes = nodes.into_iter().filter(|ip| state.nodes.contains_key(ip));
+        let nodes: Vec<_> = nodes.map(|ip| NodeChange::Gone { ip }).collect();
+        let command = match (servers.is_empty(), nodes.is_empty()) {
+            (false, _) => Command::Servers(servers),
+            (true, false) => Command::Nodes(nodes),
+            (true, true) => return,
+        };
+        self.under_way_duty = Some((self.on_duty(command, out), self.now));
     }
 }
--- a/crates/pegboard/src/board/booking.rs
+++ b/crates/pegboard/src/board/booking.rs
@@ -10,7 +10,6 @@
 use jzon::JsonValue;
 use rack::booking::{BookChange, Booking, DayMs, Phase, Unbooked, Unused};
 use rack::state::Command;
-use rack::talk::ToStore;
 use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 
@@ -204,7 +203,7 @@
         let since = self.fresh_since.max(self.leads_since);
         let settled = self.now > since + self.terms.beat_us && 2 * of > self.core.len();
         let busy = self.under_way_booked.sent.is_some() || self.copy.rev() < self.under_way_booked.landed;
-        if !(self.leads && self.fresh && self.store_up && settled) || busy {
+        if !(self.leads && self.is_fresh() && settled) || busy {
             return;
         }
         let state = &self.copy.state;
@@ -212,9 +211,8 @@
         let alive: BTreeSet<Ipv4Addr> = alive.copied().collect();
         let wanted = |key, ip| self.meter.use_of(self.now, key, ip).map_or(0, |u| u.wanted);
         let Some(change) = self.duty.due(self.now, day_ms, &state.bookings, &alive, wanted) else { return };
-        let ticket = self.ticket();
+        let ticket = self.on_duty(Command::Book(change), out);
         self.under_way_booked.sent = Some((ticket, self.now));
-        out.push(Output::Store(ToStore::Propose { ticket, command: Command::Book(change) }));
     }
 
     pub(super) fn forget_booked(&mut self) {
--- a/crates/planchest/src/chest.rs
+++ b/crates/planchest/src/chest.rs
@@ -2,7 +2,7 @@
 
 use rack::copy::Copy;
 use rack::state::{Command, Done, State};
-use rack::talk::{FromStore, StorePeer, ToStore, Unsure};
+use rack::talk::{FRESH_US, FromStore, StorePeer, ToStore, Unsure};
 use rack::{Micros, Rev};
 use ratchet::{Disk, Message, NotLeader, Payload, Ratchet, Role, Saved, Timing, Write};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -29,8 +29,12 @@
     Write(Write),
 }
 
-/// How often followers are told how this store stands, if nothing changes.
-const STANDING_US: Micros = 250_000;
+/// How often followers are told how this store stands, if nothing changes and none asks.
+const STANDING_US: Micros = 500_000;
+/// Between two questions to the leader of how far the log is agreed.
+const ASK_US: Micros = 300_000;
+/// Who was not called for so long, though it wanted to be, was stopped: its own timers come before what is waiting.
+const AWAY_US: Micros = 2 * ASK_US;
 /// A call handed to the leader is given up after so long.
 const HANDED_US: Micros = 1_000_000;
 /// Entries applied between two snapshots, and, in states of this one's size, their bytes.
@@ -42,8 +46,18 @@
 /// Who waits for an answer.
 #[derive(Clone, Copy, Debug)]
 enum Caller {
-    Local { link: u64, ticket: u64 },
-    Peer { ip: Ipv4Addr, ticket: u64 },
+    Local {
+        link: u64,
+        ticket: u64,
+    },
+    Peer {
+        ip: Ipv4Addr,
+        ticket: u64,
+    },
+    /// This store, to know whether it is fresh.
+    Own {
+        asked: Micros,
+    },
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -85,6 +99,8 @@
     pub copy: Copy,
     seeds: Vec<Ipv4Addr>,
     followers: BTreeMap<u64, Rev>,
+    /// The last question of each that was answered or is now.
+    asked: BTreeMap<u64, Micros>,
     /// Calls under way here, and those handed to the leader, by our ticket.
     calls: BTreeMap<u64, (Caller, Call)>,
     handed: BTreeMap<u64, Handed>,
@@ -99,8 +115,13 @@
     since_bytes: usize,
     /// What the others agree on that this program cannot read: it takes no part any more.
     unreadable: Option<String>,
-    stood: Option<(Vec<Ipv4Addr>, bool, bool)>,
+    stood: Option<(Vec<Ipv4Addr>, bool, bool, u64)>,
     standing_at: Micros,
+    ask_at: Micros,
+    /// Asked then, the log was agreed up to there.
+    agreed: VecDeque<(Micros, Rev)>,
+    /// The latest of those times whose entries are all in the copy here.
+    fresh_at: Option<Micros>,
 }
 
 impl Chest {
@@ -129,6 +150,7 @@
             copy: Copy::of(state),
             seeds: seeds.clone(),
             followers: BTreeMap::new(),
+            asked: BTreeMap::new(),
             calls: BTreeMap::new(),
             handed: BTreeMap::new(),
             tickets: 0,
@@ -140,6 +162,9 @@
             unreadable: None,
             stood: None,
             standing_at: now,
+            ask_at: now,
+            agreed: VecDeque::new(),
+            fresh_at: None,
         };
         chest.ratchet.handle(now, ratchet::Input::Seeds(seeds), &mut chest.out);
         Ok(chest)
@@ -157,11 +182,16 @@
 
     pub fn wake_at(&self) -> Micros {
         let handed = self.handed.values().map(|h| h.until).min().unwrap_or(Micros::MAX);
-        self.out.wake_at.min(handed).min(self.standing_at)
+        self.out.wake_at.min(handed).min(self.standing_at).min(self.ask_at)
     }
 
     pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
+        let away = now > self.now + AWAY_US;
         self.now = self.now.max(now);
+        if away {
+            // It leads no longer, if nobody has answered meanwhile: what comes now must not be taken as if it did.
+            self.agree(ratchet::Input::Tick, out);
+        }
         match input {
             Input::Tick => self.agree(ratchet::Input::Tick, out),
             Input::Written(number) => self.agree(ratchet::Input::Written { number }, out),
@@ -179,8 +209,26 @@
             Input::Local(link, ToStore::Read { ticket }) => {
                 self.read(Caller::Local { link, ticket }, true, out);
             }
+            Input::Local(link, ToStore::Stand { asked }) => {
+                self.asked.insert(link, asked);
+                self.stood = None;
+            }
+            Input::Local(link, ToStore::Duty { ticket, term, command }) => {
+                let caller = Caller::Local { link, ticket };
+                match self.leads() && self.ratchet.term() == term {
+                    true => self.propose(caller, command, false, out),
+                    false => self.tell(caller, Call::Propose, Err(Unsure::Not), out),
+                }
+            }
             Input::LocalDown(link) => {
                 self.followers.remove(&link);
+                self.asked.remove(&link);
+            }
+        }
+        if self.now >= self.ask_at {
+            self.ask_at = self.now + ASK_US;
+            if self.ratchet.standing() {
+                self.read(Caller::Own { asked: self.now }, true, out);
             }
         }
         self.give_up(out);
@@ -228,8 +276,18 @@
         }
     }
 
-    fn tell(&self, caller: Caller, call: Call, result: Result<(Rev, Done), Unsure>, out: &mut Vec<Output>) {
+    fn tell(
+        &mut self,
+        caller: Caller,
+        call: Call,
+        result: Result<(Rev, Done), Unsure>,
+        out: &mut Vec<Output>,
+    ) {
         let reads = result.as_ref().map(|(rev, _)| *rev).map_err(|e| *e);
+        if let Caller::Own { asked } = caller {
+            self.agreed.extend(reads.ok().map(|rev| (asked, rev)));
+            return;
+        }
         out.push(match (caller, call) {
             (Caller::Local { link, ticket }, Call::Propose) => {
                 Output::Local(link, FromStore::Proposed { ticket, result })
@@ -243,6 +301,7 @@
             (Caller::Peer { ip, ticket }, Call::Read) => {
                 Output::Peer(ip, Peer::Reads { ticket, result: reads })
             }
+            (Caller::Own { .. }, _) => return,
         });
     }
 
@@ -374,11 +433,22 @@
         }
     }
 
-    /// Whether this store holds all that was acknowledged until lately.
+    /// Whether this store held, within [`FRESH_US`], all that was acknowledged by then.
     pub fn fresh(&self) -> bool {
-        // A leader that is heard but not answered tells of entries that do not come.
-        let all = self.copy.rev() >= self.ratchet.told() && self.ratchet.knows();
-        self.ratchet.leader().is_some() && self.ratchet.standing() && all
+        self.fresh_ms().is_some()
+    }
+
+    fn fresh_ms(&self) -> Option<u32> {
+        let counts = self.ratchet.standing() && self.unreadable.is_none();
+        let at = self.fresh_at.filter(|at| counts && self.now < at + FRESH_US)?;
+        u32::try_from((self.now - at) / 1000).ok()
+    }
+
+    /// What was agreed when it was asked for, and has all come since.
+    fn catch_up(&mut self) {
+        while let Some((asked, _)) = self.agreed.pop_front_if(|(_, rev)| *rev <= self.copy.rev()) {
+            self.fresh_at = self.fresh_at.max(Some(asked));
+        }
     }
 
     pub fn standing(&self) -> Standing {
@@ -390,15 +460,17 @@
     }
 
     fn stand(&mut self, out: &mut Vec<Output>) {
+        self.catch_up();
         let core: Vec<Ipv4Addr> = self.ratchet.roster().members.keys().copied().collect();
-        let stands = (core, self.fresh(), self.leads());
+        let stands = (core, self.fresh(), self.leads(), self.ratchet.term());
         if self.now < self.standing_at && self.stood.as_ref() == Some(&stands) {
             return;
         }
         self.standing_at = self.now + STANDING_US;
         for link in self.followers.keys() {
-            let (core, fresh, leads) = stands.clone();
-            out.push(Output::Local(*link, FromStore::Standing { core, fresh, leads }));
+            let (core, _, leads, term) = stands.clone();
+            let (fresh_ms, asked) = (self.fresh_ms(), self.asked.get(link).copied().unwrap_or_default());
+            out.push(Output::Local(*link, FromStore::Standing { core, fresh_ms, leads, term, asked }));
         }
         self.stood = Some(stands);
     }
--- a/crates/rack/src/talk.rs
+++ b/crates/rack/src/talk.rs
@@ -9,9 +9,9 @@
 //!
 //! Stores speak the messages of the agreement among themselves, with [`StorePeer`] around them.
 
-use crate::Rev;
 use crate::drill::Rows;
 use crate::state::{Command, Done, Node};
+use crate::{Micros, Rev};
 use serde::{Deserialize, Deserializer, Serialize};
 use std::net::Ipv4Addr;
 
@@ -23,6 +23,11 @@
 pub const PROXY_NEWS: u16 = 4;
 pub const PROXY_WATCH: u16 = 5;
 
+/// A core machine speaks for what is agreed for so long after it asked the leader, and a majority followed that leader
+/// after it was asked. By its own clock, which no time of day moves, and from when it asked: a process that was stopped
+/// knows by that alone that what it holds may be old.
+pub const FRESH_US: Micros = 1_500_000;
+
 /// Runs of commands, or a whole state where the run is no longer kept.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum News {
@@ -46,17 +51,31 @@
     Read {
         ticket: u64,
     },
+    /// How does the store stand? `asked`: when that was, by the registry's clock.
+    Stand {
+        asked: Micros,
+    },
+    /// As [`ToStore::Propose`], if the store leads in this term: the fencing token of what only the registry beside the
+    /// leader may do. It is never handed on to another leader.
+    Duty {
+        ticket: u64,
+        term: u64,
+        command: Command,
+    },
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum FromStore {
     News(News),
-    /// About every beat: the core machines, whether this store heard lately from a leader that a majority follows, and
-    /// whether it is that leader.
+    /// The core machines; so many milliseconds ago this store asked, and was told since, how far the log is agreed, and
+    /// holds all of that (none: longer than [`FRESH_US`]); whether it leads, and in which term; the last
+    /// [`ToStore::Stand`] that it knew of.
     Standing {
         core: Vec<Ipv4Addr>,
-        fresh: bool,
+        fresh_ms: Option<u32>,
         leads: bool,
+        term: u64,
+        asked: Micros,
     },
     Proposed {
         ticket: u64,
--- a/crates/shuttle/src/feed.rs
+++ b/crates/shuttle/src/feed.rs
@@ -80,6 +80,8 @@
     fresh_at: Micros,
     /// It has said so since it is followed.
     proved: bool,
+    /// It says that it does not hold it, since.
+    cut_off_at: Option<Micros>,
     path: Vec<Ipv4Addr>,
     head: Option<Head>,
 }
@@ -194,7 +196,17 @@
         let silence = if p.relay { self.part() * RELAY_SILENT / 100 } else { MISSED * self.part() };
         // Each relay on the way has a little longer to find another source than those below it.
         let stale = MISSED * self.part() + p.path.len() as Micros * self.part() / 2;
-        (p.heard_at + silence).min(p.fresh_at + stale)
+        // Who says itself that it is cut off is left sooner, for one of which that is not known.
+        let left = match p.cut_off_at {
+            Some(at) if !p.relay && self.others(p.ip) => at + if p.proved { self.part() } else { 0 },
+            _ => Micros::MAX,
+        };
+        (p.heard_at + silence).min(p.fresh_at + stale).min(left)
+    }
+
+    /// Whether there is a registry beside this one that has not failed lately.
+    fn others(&self, ip: Ipv4Addr) -> bool {
+        self.registries().any(|r| r != ip && self.failed_at(r).is_none())
     }
 
     fn settled_at(&self) -> Micros {
@@ -331,6 +343,7 @@
         let now = self.now;
         let Some(p) = self.parent.iter_mut().chain(&mut self.next).find(|p| p.link == link) else { return };
         (p.path, p.head) = (s.path, s.head);
+        p.cut_off_at = if s.fresh_ms.is_none() { Some(p.cut_off_at.unwrap_or(now)) } else { None };
         // It is no fresher than what of its news is in the copy here.
         if let Some(ms) = s.fresh_ms.filter(|_| copy.rev() >= s.rev) {
             let at = now.saturating_sub(Micros::from(ms) * 1000);
@@ -401,7 +414,7 @@
         self.links += 1;
         let (link, since) = (self.links, self.now);
         out.push(Output::Link { link, ip, relay });
-        let others = !relay && self.registries().any(|r| r != ip && self.failed_at(r).is_none());
+        let others = !relay && self.others(ip);
         Parent {
             link,
             ip,
@@ -412,6 +425,7 @@
             heard_at: since,
             fresh_at: since,
             proved: false,
+            cut_off_at: None,
             path: Vec::new(),
             head: None,
         }
--- a/crates/shuttle/tests/feed.rs
+++ b/crates/shuttle/tests/feed.rs
@@ -88,6 +88,36 @@
     }
 }
 
+#[test]
+fn a_registry_that_says_that_it_is_cut_off_is_left_at_once_for_one_that_is_not_known_to_be() {
+    let mut feed = feed(&[1, 2]);
+    let first = link(&tell(&mut feed, SECOND, Input::Tick)).expect("links at once");
+    tell(&mut feed, SECOND, Input::Linked(1));
+    tell(&mut feed, SECOND, standing(1, true));
+    // An election is no reason; a third of a beat of it is.
+    tell(&mut feed, SECOND, standing(1, false));
+    assert_eq!(link(&tell(&mut feed, SECOND + BEAT / 3 - 1, Input::Tick)), None);
+    tell(&mut feed, SECOND + BEAT / 3 - 1, standing(1, true));
+    let now = SECOND + BEAT / 2;
+    tell(&mut feed, now, standing(1, false));
+    assert_eq!(feed.wake_at(), now + BEAT / 3);
+    let now = now + BEAT / 3;
+    let second = link(&tell(&mut feed, now, Input::Tick)).expect("goes on");
+    assert_ne!(second, first);
+    // One that says so from the beginning is not waited for; where all do, each has its time.
+    tell(&mut feed, now, Input::Linked(2));
+    let mut met = vec![first, second];
+    let mut number = 2;
+    while let Some(next) = link(&tell(&mut feed, now, standing(number, false))) {
+        number += 1;
+        met.push(next);
+        tell(&mut feed, now, Input::Linked(number));
+    }
+    met.sort();
+    assert_eq!(met, [ip(1), ip(2), ip(3)], "all were asked, none of them twice");
+    assert!(feed.wake_at() >= now + BEAT / 3, "and it does not go round without end");
+}
+
 #[test]
 fn it_follows_the_nearest_that_has_not_failed_and_comes_back_to_it() {
     let mut feed = feed(&[1]);
