Give a store its file's name once it is whole, and sync its folder at every start

After a loss of power each name that was made without a sync of its folder may be kept or lost by itself. A store's file had its name before its first sync, so a loss of power then could leave an empty file that ends every later start; and a process that ended between the file and the sync of the folder left a name that no later start made sure of. The file is now begun as ratchet.redb.new, renamed when its first content is synced, and the folder is synced at every start. A begun file that is whole is taken up (a founder is still one), a torn or empty one is begun again; a named one that is empty or torn is refused as before.

--- a/crates/fleet/src/disk.rs
+++ b/crates/fleet/src/disk.rs
@@ -4,7 +4,7 @@
 
 use crate::birth::Group;
 use crate::mirror::{Hard, LogEntry, Saved, Snap, Write};
-use ratchet::file::{self, Opened};
+use ratchet::file;
 use redb::backends::FileBackend;
 use redb::{Builder, Database, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition};
 use serde::{Deserialize, Serialize};
@@ -58,13 +58,14 @@
         fresh: u64,
         unsynced: Unsynced,
     ) -> Result<Store, DiskError> {
-        let Opened { backend, file, lock, made } = file::open(dir, FILE, LOCK)?;
-        let db = match unsynced {
-            Unsynced::System => Builder::new().create_with_backend(backend),
-            Unsynced::Held => Builder::new().create_with_backend(Held::new(backend)),
-        };
-        let db = db.map_err(|e| DiskError::opening(&file, &e))?;
-        let mut store = Store::on(db, file, installation, name, fresh, made)?;
+        let (mut store, lock) = file::open(dir, FILE, LOCK, |backend, file, made| {
+            let db = match unsynced {
+                Unsynced::System => Builder::new().create_with_backend(backend),
+                Unsynced::Held => Builder::new().create_with_backend(Held::new(backend)),
+            };
+            let db = db.map_err(|e| DiskError::opening(file, &e))?;
+            Store::on(db, file.to_path_buf(), installation, name, fresh, made)
+        })?;
         store._lock = Some(lock);
         Ok(store)
     }
--- a/crates/planchest/tests/catching_up.rs
+++ b/crates/planchest/tests/catching_up.rs
@@ -102,6 +102,27 @@
     assert_eq!(store.chest.copy.state.evacuated.len(), 91);
 }
 
+/// Of an older snapshot, which the leader has given up: it takes nothing from the newer one that is coming.
+#[test]
+fn a_part_that_was_overtaken_is_passed_over() {
+    let mut store = Store::new();
+    let (old, new) = (evacuated(256, 80), evacuated(300, 90));
+    store.part(256, &old, 0, 100);
+    store.part(300, &new, 0, 200);
+    store.part(256, &old, 100, 300);
+    store.part(256, &old, 0, 100);
+    store.part(300, &new, 0, 200);
+    store.part(300, &new, 200, new.len());
+    assert_eq!((store.chest.copy.rev(), store.chest.copy.state.evacuated.len()), (300, 90));
+    let got = |m: &Message| match m {
+        Message::Got { index, offset, .. } => Some((*index, *offset)),
+        _ => None,
+    };
+    let told: Vec<(u64, u64)> = store.sent.iter().filter_map(got).collect();
+    // Of the first part nothing is said: the term is not on disk yet.
+    assert_eq!(told, [(300, 200), (300, 200), (300, new.len() as u64)]);
+}
+
 #[test]
 fn a_leader_that_does_not_know_yet_what_counts_makes_nobody_fresh() {
     let mut store = Store::new();
--- a/crates/ratchet/src/disk.rs
+++ b/crates/ratchet/src/disk.rs
@@ -2,11 +2,12 @@
 //! starts afresh in place of a store that cannot be read: every such error names the file and what is wrong
 //! with it.
 
-use crate::file::{self, Opened};
+use crate::file;
 use crate::{Disk, Entry, Hard, Member, Saved, Snapshot, Write};
 use redb::backends::InMemoryBackend;
 use redb::{Builder, Database, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition};
 use serde::{Deserialize, Serialize};
+use std::cell::LazyCell;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
@@ -44,13 +45,10 @@
         member: Member,
         fresh: impl FnOnce() -> (Disk, Saved),
     ) -> Result<(Store, Saved), DiskError> {
-        let Opened { backend, file, lock, made } = file::open(dir, FILE, LOCK)?;
-        let (mut store, saved) = Store::on(backend, file, member, fresh, made)?;
-        if made {
-            // The file's name, too, has to outlive a loss of power.
-            let synced = std::fs::File::open(dir).and_then(|d| d.sync_all());
-            synced.map_err(|e| store.bad(format!("cannot sync its folder: {e}")))?;
-        }
+        let fresh = LazyCell::new(fresh);
+        let ((mut store, saved), lock) = file::open(dir, FILE, LOCK, |backend, file, made| {
+            Store::on(backend, file.to_path_buf(), member, || fresh.clone(), made)
+        })?;
         store._lock = Some(lock);
         Ok((store, saved))
     }
--- a/crates/ratchet/src/sim/catching_up.rs
+++ b/crates/ratchet/src/sim/catching_up.rs
@@ -75,6 +75,8 @@
     fault: Option<Fault>,
     /// When a link is free again, and the bytes that it has carried.
     links: BTreeMap<(usize, usize), (Micros, u64)>,
+    /// The longest that a message waited for the link to be free.
+    waited: Micros,
     luck: Lot,
     sent: usize,
     committed: BTreeMap<u64, Entry>,
@@ -113,6 +115,7 @@
             nodes: Vec::new(),
             fault,
             links: BTreeMap::new(),
+            waited: 0,
             luck: |_, _| Luck::Well,
             sent: 0,
             committed: BTreeMap::new(),
@@ -332,6 +335,7 @@
         for _ in 0..copies {
             let size = bytes.len() + FRAME;
             let (free, carried) = self.links.entry((from, to)).or_default();
+            self.waited = self.waited.max(free.saturating_sub(self.now));
             *free = (*free).max(self.now) + (size as f64 * 8.0 / self.terms.mbps) as Micros;
             *carried += size as u64;
             let at = *free + self.terms.delay + late;
@@ -471,6 +475,23 @@
     assert_eq!((w.leader(), w.nodes[node].saved.hard.term), (leader, term));
 }
 
+#[test]
+fn what_waits_for_a_slow_link_is_bounded() {
+    // 100 entries of 20 KB that no snapshot makes up for, and a state in many parts.
+    for (state, changes) in [(2_000_000, 100), (2_000_000, 600)] {
+        let terms = Terms { mbps: 4.0, entry: 20_000, state, pause: SECOND, ..LARGE };
+        let mut w = World::new(3, Terms { mbps: 1000.0, ..terms }, None);
+        w.change(5);
+        let node = (w.leader().expect("leads") + 1) % 3;
+        w.end(node, false);
+        w.change(changes);
+        (w.terms.mbps, w.waited, w.links) = (4.0, 0, BTreeMap::new());
+        w.start(node);
+        w.until(60 * SECOND, |w| w.level(node)).expect("level");
+        assert!(w.waited < 800 * MS, "{changes}: {} us", w.waited);
+    }
+}
+
 /// Of its parts, and the answers to them, some are lost, some come twice and some are overtaken.
 #[test]
 fn parts_that_are_lost_doubled_or_overtaken_harm_nothing() {
