Say the form of all messages first on every link, and refuse another one by name

Need: a frame is postcard without names, so a message that gained a field would be misread by the program before or after the change, not refused. Each side of a link now says `cfl` and the form first; another form ends the link with both forms in the log. A program without this reads the opening as a frame that is too long and ends the link.

--- a/crates/vise/src/link.rs
+++ b/crates/vise/src/link.rs
@@ -17,6 +17,12 @@
 use tongs::net::{self, events};
 use tongs::ring::{Outgoing, Ring};
 
+/// What each side says first: who it is, and the form of all messages behind it. It is counted up with each change of a
+/// message that an older program would misread.
+const MAGIC: [u8; 3] = *b"cfl";
+pub const FORM: u8 = 2;
+const OPENING: [u8; 4] = [MAGIC[0], MAGIC[1], MAGIC[2], FORM];
+
 /// The largest frame; and what may wait to be taken by the other side before the link is ended.
 const MOST_FRAME: usize = 8 << 20;
 const MOST_WAITING: usize = 16 << 20;
@@ -148,13 +154,18 @@
     dialing: bool,
     told: impl Fn(u64, Event<I>) + Send + 'static,
 ) {
-    let mut link = Link { io, inbox, dialing, incoming: Ring::default(), outgoing: Outgoing::default() };
+    let (incoming, mut outgoing) = (Ring::default(), Outgoing::default());
+    outgoing.push(&OPENING);
+    let mut link = Link { io, inbox, dialing, opened: false, incoming, outgoing };
     may::go!(move || {
         if !dialing {
             told(number, Event::Up);
         }
         if let Err(why) = link.run(&|event| told(number, event)) {
-            log::info!("link {number}: {why}");
+            match why.contains(OTHER_FORM) {
+                true => log::error!("link {number}: {why}"),
+                false => log::info!("link {number}: {why}"),
+            }
         }
         told(number, Event::Down);
     });
@@ -164,6 +175,8 @@
     io: CoIo<TcpStream>,
     inbox: Arc<Mailbox<Told>>,
     dialing: bool,
+    /// What the other side says first has come.
+    opened: bool,
     incoming: Ring,
     outgoing: Outgoing,
 }
@@ -228,6 +241,12 @@
         loop {
             let bytes = self.incoming.bytes();
             let Some(length) = bytes.first_chunk::<4>() else { return Ok(()) };
+            if !self.opened {
+                opens(*length)?;
+                self.opened = true;
+                self.incoming.consume(4);
+                continue;
+            }
             let length = u32::from_be_bytes(*length) as usize;
             if length > MOST_FRAME {
                 return Err(format!("a frame of {length} bytes"));
@@ -240,6 +259,21 @@
     }
 }
 
+const OTHER_FORM: &str = "speaks form";
+
+/// Whether the other side speaks as this one does.
+pub fn opens(said: [u8; 4]) -> Result<(), String> {
+    match said {
+        OPENING => Ok(()),
+        [a, b, c, form] if [a, b, c] == MAGIC => Err(format!(
+            "the other side {OTHER_FORM} {form}, this program form {FORM}: run one program everywhere"
+        )),
+        _ => Err(format!(
+            "the other side {OTHER_FORM} 1 or is no program of curlewfront, this program form {FORM}"
+        )),
+    }
+}
+
 /// How long until a link that broke is tried again.
 const AGAIN_US: Micros = 200_000;
 
