--- a/crates/ratchet/src/sim/catching_up.rs
+++ b/crates/ratchet/src/sim/catching_up.rs
@@ -3,7 +3,8 @@
 
 use crate::core::Fault;
 use crate::{
-    Disk, Entry, Input, Member, Message, Micros, Output, Payload, Ratchet, Role, Saved, Timing, Write, encode,
+    Disk, Entry, Input, Member, Message, Micros, Output, Payload, Ratchet, Role, Roster, Saved, Timing,
+    Write, encode,
 };
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -241,6 +242,10 @@
             if snapshot.data != state(snapshot.index, by.unwrap_or_default(), self.terms.state) {
                 self.wrong = Some(format!("node {node}: snapshot {} is not what was made", snapshot.index));
             }
+            if snapshot.roster != self.rosters(snapshot.index) {
+                self.wrong =
+                    Some(format!("node {node} takes another roster with snapshot {}", snapshot.index));
+            }
             if snapshot.index < self.nodes[node].applied {
                 self.wrong = Some(format!("node {node} goes back to {}", snapshot.index));
             }
@@ -289,6 +294,16 @@
         }
     }
 
+    /// The roster that counts after entry `index`.
+    fn rosters(&self, index: u64) -> Roster {
+        let founders = Roster { members: (0..3).map(|n| (member(n), 0)).collect() };
+        let made = self.committed.range(..=index).rev().find_map(|(_, e)| match &e.payload {
+            Payload::Roster(roster) => Some(roster.clone()),
+            _ => None,
+        });
+        made.unwrap_or(founders)
+    }
+
     /// What is acknowledged is on disk.
     fn check_ack(&mut self, node: usize, message: &Message) {
         let there = self.nodes[node].saved.last();
@@ -543,6 +558,32 @@
     assert!(e.contains("is not what was made"), "{e}");
 }
 
+/// A member is replaced while another is down: the other learns of that by a snapshot alone.
+#[test]
+fn a_snapshot_brings_the_roster_along() {
+    let replaced = |fault| {
+        let (mut w, node) = back(TERMS, fault);
+        w.end(node, false);
+        let leader = w.leader().expect("leads");
+        let other = 3 - leader - node;
+        w.start(node);
+        w.until(20 * SECOND, |w| w.level(node))?;
+        w.end(other, false);
+        (w.nodes[other].disk, w.nodes[other].saved) = (4711, Saved::blank());
+        w.start(other);
+        w.until(20 * SECOND, |w| w.level(other))?;
+        w.end(node, false);
+        w.change(600);
+        w.start(node);
+        w.until(20 * SECOND, |w| w.level(node))?;
+        let ratchet = w.nodes[node].ratchet.as_ref().expect("runs");
+        Ok(ratchet.roster().names(member(other), 4711))
+    };
+    assert_eq!(replaced(None), Ok(true));
+    let e: String = replaced(Some(Fault::RosterLost)).expect_err("seen");
+    assert!(e.contains("takes another roster"), "{e}");
+}
+
 /// Its power is lost at each of its syncs in turn, from its start until it is level, and in the middle of the transfer.
 fn cut_off_at_each_sync(fault: Option<Fault>) -> Result<usize, String> {
     let mut cuts = 0;
