--- a/crates/ratchet/src/sim/catching_up.rs
+++ b/crates/ratchet/src/sim/catching_up.rs
@@ -3,7 +3,8 @@
 
 use crate::core::Fault;
 use crate::{
-    Disk, Entry, Input, Member, Message, Micros, Output, Payload, Ratchet, Role, Saved, Timing, Write, encode,
+    Disk, Entry, Input, Member, Message, Micros, Output, Payload, Ratchet, Role, Roster, Saved, Timing,
+    Write, encode,
 };
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -75,6 +76,8 @@
     fault: Option<Fault>,
     /// When a link is free again, and the bytes that it has carried.
     links: BTreeMap<(usize, usize), (Micros, u64)>,
+    /// The longest that a message waited for the link to be free.
+    waited: Micros,
     luck: Lot,
     sent: usize,
     committed: BTreeMap<u64, Entry>,
@@ -113,6 +116,7 @@
             nodes: Vec::new(),
             fault,
             links: BTreeMap::new(),
+            waited: 0,
             luck: |_, _| Luck::Well,
             sent: 0,
             committed: BTreeMap::new(),
@@ -237,6 +241,10 @@
             if snapshot.data != state(snapshot.index, by.unwrap_or_default(), self.terms.state) {
                 self.wrong = Some(format!("node {node}: snapshot {} is not what was made", snapshot.index));
             }
+            if snapshot.roster != self.rosters(snapshot.index) {
+                self.wrong =
+                    Some(format!("node {node} takes another roster with snapshot {}", snapshot.index));
+            }
             if snapshot.index < self.nodes[node].applied {
                 self.wrong = Some(format!("node {node} goes back to {}", snapshot.index));
             }
@@ -285,6 +293,16 @@
         }
     }
 
+    /// The roster that counts after entry `index`.
+    fn rosters(&self, index: u64) -> Roster {
+        let founders = Roster { members: (0..3).map(|n| (member(n), 0)).collect() };
+        let made = self.committed.range(..=index).rev().find_map(|(_, e)| match &e.payload {
+            Payload::Roster(roster) => Some(roster.clone()),
+            _ => None,
+        });
+        made.unwrap_or(founders)
+    }
+
     /// What is acknowledged is on disk.
     fn check_ack(&mut self, node: usize, message: &Message) {
         let there = self.nodes[node].saved.last();
@@ -331,6 +349,7 @@
         for _ in 0..copies {
             let size = bytes.len() + FRAME;
             let (free, carried) = self.links.entry((from, to)).or_default();
+            self.waited = self.waited.max(free.saturating_sub(self.now));
             *free = (*free).max(self.now) + (size as f64 * 8.0 / self.terms.mbps) as Micros;
             *carried += size as u64;
             let at = *free + self.terms.delay + late;
@@ -470,6 +489,23 @@
     assert_eq!((w.leader(), w.nodes[node].saved.hard.term), (leader, term));
 }
 
+#[test]
+fn what_waits_for_a_slow_link_is_bounded() {
+    // 100 entries of 20 KB that no snapshot makes up for, and a state in many parts.
+    for (state, changes) in [(2_000_000, 100), (2_000_000, 600)] {
+        let terms = Terms { mbps: 4.0, entry: 20_000, state, pause: SECOND, ..LARGE };
+        let mut w = World::new(3, Terms { mbps: 1000.0, ..terms }, None);
+        w.change(5);
+        let node = (w.leader().expect("leads") + 1) % 3;
+        w.end(node, false);
+        w.change(changes);
+        (w.terms.mbps, w.waited, w.links) = (4.0, 0, BTreeMap::new());
+        w.start(node);
+        w.until(60 * SECOND, |w| w.level(node)).expect("level");
+        assert!(w.waited < 800 * MS, "{changes}: {} us", w.waited);
+    }
+}
+
 /// Of its parts, and the answers to them, some are lost, some come twice and some are overtaken.
 #[test]
 fn parts_that_are_lost_doubled_or_overtaken_harm_nothing() {
@@ -521,6 +557,32 @@
     assert!(e.contains("is not what was made"), "{e}");
 }
 
+/// A member is replaced while another is down: the other learns of that by a snapshot alone.
+#[test]
+fn a_snapshot_brings_the_roster_along() {
+    let replaced = |fault| {
+        let (mut w, node) = back(TERMS, fault);
+        w.end(node, false);
+        let leader = w.leader().expect("leads");
+        let other = 3 - leader - node;
+        w.start(node);
+        w.until(20 * SECOND, |w| w.level(node))?;
+        w.end(other, false);
+        (w.nodes[other].disk, w.nodes[other].saved) = (4711, Saved::blank());
+        w.start(other);
+        w.until(20 * SECOND, |w| w.level(other))?;
+        w.end(node, false);
+        w.change(600);
+        w.start(node);
+        w.until(20 * SECOND, |w| w.level(node))?;
+        let ratchet = w.nodes[node].ratchet.as_ref().expect("runs");
+        Ok(ratchet.roster().names(member(other), 4711))
+    };
+    assert_eq!(replaced(None), Ok(true));
+    let e: String = replaced(Some(Fault::RosterLost)).expect_err("seen");
+    assert!(e.contains("takes another roster"), "{e}");
+}
+
 /// Its power is lost at each of its syncs in turn, from its start until it is level, and in the middle of the transfer.
 fn cut_off_at_each_sync(fault: Option<Fault>) -> Result<usize, String> {
     let mut cuts = 0;
