Bound the silence of a connection that no event reaches, by two tests

Where the system's word of a connection is lost all the same, the actor still hears its bell: an idle client connection is read before it is closed, so a request waits no longer than the idle time that the desk leaves and a look (0.1 s); an attempt ends when whoever sent it gives it up. Both are forced by a socket whose watch is ended under its actor; without the store of the idle time, or the giving up, each test fails.

--- a/crates/tongs/tests/sockets.rs
+++ b/crates/tongs/tests/sockets.rs
@@ -1,9 +1,11 @@
 //! The whole of it on the loopback address: a desk that passes what it is asked to one server, by a wire that
 //! knows answers by their id. All waits are bounded.
 
+use may::io::CoIo;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::os::fd::{AsRawFd, RawFd};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
@@ -227,6 +229,7 @@
     asked: Mutex<Sender<(String, Held, Reply)>>,
     withdrawn: Mutex<Sender<u64>>,
     draining: AtomicBool,
+    idle_us: AtomicU64,
 }
 
 impl Desk for Hand {
@@ -237,7 +240,7 @@
     }
 
     fn patience(&self) -> Patience {
-        let idle_us = 30_000_000;
+        let idle_us = self.idle_us.load(Ordering::Relaxed);
         Patience { first_us: None, read_us: 200_000, write_us: 5_000_000, once_idle_us: idle_us, idle_us }
     }
 
@@ -282,7 +285,9 @@
 fn open_held() -> (Open, Arc<Door<Hand>>) {
     let ((tell, asked), (tell_gone, withdrawn)) = (channel(), channel());
     let draining = AtomicBool::new(false);
-    let desk = Arc::new(Hand { asked: Mutex::new(tell), withdrawn: Mutex::new(tell_gone), draining });
+    let (asked_by, idle_us) = (Mutex::new(tell), AtomicU64::new(30_000_000));
+    let desk = Hand { asked: asked_by, withdrawn: Mutex::new(tell_gone), draining, idle_us };
+    let desk = Arc::new(desk);
     let any = "127.0.0.1:0".parse().expect("an address");
     let room = room();
     let door = Door::start(any, room.clone(), desk.clone()).expect("a port");
@@ -337,7 +342,7 @@
     reply.send(Answer::text(200, "one"));
     let (head, body) = message(&mut client).expect("an answer");
     assert!(head.contains("Connection: close") && body == b"one", "{head}");
-    assert!(message(&mut client).is_none(), "ended");
+    assert_eq!(client.read(&mut [0]).expect("ended"), 0);
     assert!(door.asked.try_recv().is_err(), "not asked");
 }
 
@@ -442,3 +447,86 @@
     door.asked().2.send(Answer { cut: true, ..Answer::new(200, Vec::new(), Vec::new()) });
     assert_eq!(client.read_to_end(&mut Vec::new()).expect("up to the end"), 0);
 }
+
+// ---- where the system's word is lost all the same ----
+
+struct Number(RawFd);
+
+impl AsRawFd for Number {
+    fn as_raw_fd(&self) -> RawFd {
+        self.0
+    }
+}
+
+/// What the system tells of this program's socket at `at` whose other end is at `from`.
+fn row(at: SocketAddr, from: SocketAddr) -> Vec<String> {
+    let hex = |addr: SocketAddr| match addr {
+        SocketAddr::V4(v4) => format!("{:08X}:{:04X}", u32::from_ne_bytes(v4.ip().octets()), v4.port()),
+        SocketAddr::V6(_) => unreachable!("loopback"),
+    };
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("sockets");
+    let mut rows = table.lines().map(|l| l.split_whitespace().map(str::to_string).collect::<Vec<_>>());
+    rows.find(|r| r[1] == hex(at) && r[2] == hex(from)).expect("that one")
+}
+
+/// Ends the watch of that socket: from here on its actor hears of nothing but its bell.
+fn deafen(at: SocketAddr, from: SocketAddr) {
+    let link = format!("socket:[{}]", row(at, from)[9]);
+    let mut fds = std::fs::read_dir("/proc/self/fd").expect("descriptors").flatten();
+    let fd = fds.find(|e| std::fs::read_link(e.path()).is_ok_and(|to| to.as_os_str() == link.as_str()));
+    let number = fd.expect("open").file_name().into_string().expect("a number").parse().expect("a number");
+    // Watched already, it is refused, and what was made for it ends the watch as it is dropped.
+    assert!(CoIo::new(Number(number)).is_err());
+}
+
+/// Until so many bytes lie there unread.
+fn lie_unread(at: SocketAddr, from: SocketAddr, bytes: usize) {
+    let until = std::time::Instant::now() + WAIT;
+    let unread = || usize::from_str_radix(&row(at, from)[4][9..], 16).expect("a number");
+    while unread() != bytes {
+        assert!(std::time::Instant::now() < until, "they have come and were not read");
+        std::thread::yield_now();
+    }
+}
+
+/// Bound: the time that the desk leaves idle connections, and a look.
+#[test]
+fn a_request_that_no_event_tells_of_is_served_when_its_connection_is_looked_at() {
+    let door = open();
+    let mut client = door.connect();
+    say(&client, "GET /now HTTP/1.1\r\nHost: x\r\n\r\n");
+    message(&mut client).expect("an answer");
+    let (at, from) = (door.addr, client.get_ref().local_addr().expect("bound"));
+    deafen(at, from);
+    let request = "GET /late HTTP/1.1\r\nHost: x\r\n\r\n";
+    say(&client, request);
+    lie_unread(at, from, request.len());
+    door.desk.idle_us.store(1, Ordering::Relaxed);
+    let (asked, _, reply) = door.asked();
+    door.desk.idle_us.store(30_000_000, Ordering::Relaxed);
+    reply.send(Answer::text(200, "late"));
+    assert_eq!((asked.as_str(), message(&mut client).expect("an answer").1), ("/late", b"late".to_vec()));
+}
+
+/// Bound: the time of the attempt, which whoever sent it keeps.
+#[test]
+fn an_attempt_whose_answer_no_event_tells_of_can_be_given_up() {
+    let server = Server::start();
+    server.send(1, Vec::new());
+    let mut conn = server.accept();
+    message(&mut conn).expect("a request");
+    let (at, from) =
+        (conn.get_ref().peer_addr().expect("bound"), server.listener.local_addr().expect("bound"));
+    deafen(at, from);
+    say(&conn, answer(1, "one"));
+    lie_unread(at, from, answer(1, "one").len());
+    server.peer.give_up(1, 0, None);
+    // With an answer unread it ends by a reset.
+    let end = conn.read(&mut [0]);
+    assert!(matches!(end, Ok(0)) || end.is_err_and(|e| e.kind() == ErrorKind::ConnectionReset));
+    server.send(2, Vec::new());
+    let mut conn = server.accept();
+    message(&mut conn).expect("a request on another connection");
+    say(&conn, answer(2, "two"));
+    assert_eq!(server.served(), (2, b"two".to_vec()));
+}
