End a shut door after those who may have come before, however many go on connecting

Seen: the test of the shut door takes up to 3000 connections after the shut, all descriptors of its room; the answer to the one that was in then ends its connection, and the test waits for its next request in vain. A proxy or gateway that ends, and is connected to without a pause, kept its thread in that loop until descriptors ran out.

Now no more are taken once it is shut than the system lets wait. The older test says now as well how many may be taken.

--- a/crates/tongs/src/door.rs
+++ b/crates/tongs/src/door.rs
@@ -362,9 +362,12 @@
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes all connections that wait, as long as there are descriptors for them.
+    /// Takes all connections that wait, as long as there are descriptors for them. Once the door is shut, no more
+    /// than may have come before: clients that connect without a pause would hold it open.
     fn accept(self: &Arc<Self>, listener: &Watched<TcpListener>) {
-        loop {
+        let mut left = BACKLOG + 1;
+        while left > 0 {
+            left -= i32::from(self.shut.load(Ordering::Relaxed));
             let Some(fd) = self.room.fds.take(Side::Clients) else {
                 self.make_room(false);
                 self.desk.crowded(); // idle connections to servers give way too
--- a/crates/tongs/tests/sockets.rs
+++ b/crates/tongs/tests/sockets.rs
@@ -23,10 +23,14 @@
 
 /// Each test has its own: where one takes all descriptors, the answers of others would end their connections.
 fn room() -> Arc<Room> {
+    room_of(4000)
+}
+
+fn room_of(sockets: usize) -> Arc<Room> {
     tongs::set_up();
     let clock = Clock::start();
     let alarms = Alarms::start(clock).expect("a timer");
-    Arc::new(Room::new(4000, 1024, clock, alarms, Box::new(|what| eprintln!("{what}"))))
+    Arc::new(Room::new(sockets, 1024, clock, alarms, Box::new(|what| eprintln!("{what}"))))
 }
 
 // ---- the wire, alone ----
@@ -230,6 +234,8 @@
     withdrawn: Mutex<Sender<u64>>,
     draining: AtomicBool,
     idle_us: AtomicU64,
+    /// Called whenever it is asked for its patience.
+    asked_patience: OnceLock<Box<dyn Fn() + Send + Sync>>,
 }
 
 impl Desk for Hand {
@@ -240,6 +246,9 @@
     }
 
     fn patience(&self) -> Patience {
+        if let Some(call) = self.asked_patience.get() {
+            call();
+        }
         let idle_us = self.idle_us.load(Ordering::Relaxed);
         Patience { first_us: None, read_us: 200_000, write_us: 5_000_000, once_idle_us: idle_us, idle_us }
     }
@@ -283,13 +292,17 @@
 
 /// With the door itself.
 fn open_held() -> (Open, Arc<Door<Hand>>) {
+    open_held_in(room())
+}
+
+fn open_held_in(room: Arc<Room>) -> (Open, Arc<Door<Hand>>) {
     let ((tell, asked), (tell_gone, withdrawn)) = (channel(), channel());
     let draining = AtomicBool::new(false);
     let (asked_by, idle_us) = (Mutex::new(tell), AtomicU64::new(30_000_000));
-    let desk = Hand { asked: asked_by, withdrawn: Mutex::new(tell_gone), draining, idle_us };
+    let (withdrawn_by, asked_patience) = (Mutex::new(tell_gone), OnceLock::new());
+    let desk = Hand { asked: asked_by, withdrawn: withdrawn_by, draining, idle_us, asked_patience };
     let desk = Arc::new(desk);
     let any = "127.0.0.1:0".parse().expect("an address");
-    let room = room();
     let door = Door::start(any, room.clone(), desk.clone()).expect("a port");
     (Open { room, desk, addr: door.addr(), asked, withdrawn }, door)
 }
@@ -411,6 +424,8 @@
         late.push(stream);
         assert!(late.len() < 100_000, "the door stays open");
     }
+    // The early one, and what the system lets wait.
+    assert!(held.count() <= 1 + 1025, "{} taken", held.count());
     reply.send(Answer::text(200, "still"));
     assert_eq!(message(&mut early).expect("an answer").1, b"still");
     say(&early, "GET /more HTTP/1.1\r\nHost: x\r\n\r\n");
@@ -424,6 +439,29 @@
     }
 }
 
+/// Where descriptors are short the desk is asked for its patience with each connection that is taken. Here it
+/// shuts the door, and connects once more each time: there is always one that waits to be taken.
+#[test]
+fn a_door_that_is_shut_is_not_held_open_by_those_who_go_on_connecting() {
+    let (door, held) = open_held_in(room_of(40_000));
+    let fds = &door.room.fds;
+    let leaves: Vec<Fd> = std::iter::from_fn(|| (!fds.short()).then(|| fds.take(Side::Clients))?).collect();
+    let (connected, addr) = (Arc::new(Mutex::new(Vec::new())), door.addr);
+    let more = connected.clone();
+    let call = Box::new(move || {
+        held.shut();
+        more.lock().expect("whole").extend(TcpStream::connect(addr));
+    });
+    assert!(door.desk.asked_patience.set(call).is_ok());
+    let until = std::time::Instant::now() + WAIT;
+    while TcpStream::connect(addr).is_ok() {
+        assert!(std::time::Instant::now() < until, "the door stays open");
+    }
+    let connected = connected.lock().expect("whole").len();
+    assert!(connected <= 1100, "{connected} after it was shut");
+    drop(leaves);
+}
+
 #[test]
 fn a_cut_answer_cannot_pass_for_whole_and_a_paced_one_comes_whole() {
     let door = open();
