--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -308,9 +308,10 @@
         let attempt = open.tries.len() as u32;
         let until = self.now.saturating_add(timeout_us).min(open.until);
         let to = self.peers.get(&server).cloned();
+        let again = open.tries.iter().any(|t| t.server == server);
         let sent = to.as_ref().is_some_and(|to| {
             let (passage, carried) = (open.passage.clone(), Carried::one_more(&self.gate.carried));
-            to.send(Job { id, attempt, passage, until, note: carried })
+            to.send(Job { id, attempt, passage, again, until, note: carried })
         });
         open.tries.push(Try { server, to, sent_at: self.now, out: true });
         self.counts.sent += 1;
--- a/crates/shuttle/src/front.rs
+++ b/crates/shuttle/src/front.rs
@@ -114,6 +114,8 @@
     /// The one life of a server that may run it.
     pub instance: Arc<str>,
     pub passage: Arc<Passage>,
+    /// An earlier attempt of this request went to this server.
+    pub again: bool,
     pub until: Micros,
 }
 
@@ -488,6 +490,7 @@
                 self.booked.passes(open.booking as usize);
             }
         }
+        let again = open.tries.iter().any(|t| t.server == server);
         open.tries.push(Try { server, sent_at: self.now, out: true });
         self.timeouts.add(until, id, attempt);
         self.counts.sent += 1;
@@ -495,7 +498,7 @@
             return self.back.push_back((id, attempt, Outcome::ConnectFailed));
         };
         let (name, instance, passage) = (open.name.clone(), peer.id.clone(), open.passage.clone());
-        out.push(Output::Send(Job { id, attempt, server, name, instance, passage, until }));
+        out.push(Output::Send(Job { id, attempt, server, name, instance, passage, again, until }));
     }
 
     fn answer(&mut self, id: u64, answer: Answer, out: &mut Vec<Output>) {
--- a/crates/shuttle/src/main.rs
+++ b/crates/shuttle/src/main.rs
@@ -8,7 +8,8 @@
 use shuttle::book::{Leeway, Place};
 use shuttle::cramp::Times;
 use shuttle::feed::{self, Feed};
-use shuttle::front::{self, Ask, End, Front, Reached, Served};
+use shuttle::front::{self, Ask, End, Front, Reached};
+use shuttle::servers::{self, Note};
 use shuttle::watch::Watch;
 use std::collections::{BTreeMap, HashMap};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -17,10 +18,9 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{Sender, channel};
 use tongs::door::{Answer, Desk, Door, Heard, Patience, Reply};
-use tongs::errors::AttemptError;
 use tongs::http::{self, Bad, Bounds};
 use tongs::limits::Held;
-use tongs::pool::{self, Ended, Job, Peer, Wire};
+use tongs::pool::{self, Job, Peer};
 use tongs::room::Room;
 use vise::datagram::{self, Datagrams};
 use vise::link::{self, Event, Line, SILENCE};
@@ -121,7 +121,7 @@
         relay_port: relay.port(),
         lines: BTreeMap::new(),
         followers: BTreeMap::new(),
-        wire: Arc::new(Servers { inbox: inbox.clone() }),
+        wire: Arc::new(Servers::new(tell(inbox.clone()))),
         peers: HashMap::new(),
         replies: HashMap::new(),
         room,
@@ -275,61 +275,11 @@
     }
 }
 
-/// What is spoken with servers.
-struct Servers {
-    inbox: Inbox<Told>,
-}
-
-/// What goes with an attempt: the client's name for it and the life of a server that may run it.
-struct Note {
-    name: Arc<[u8]>,
-    instance: Arc<str>,
-}
-
-/// What is read out of an answer's head.
-struct Said {
-    not_run: bool,
-    headers: Vec<u8>,
-}
-
-impl Wire for Servers {
-    type Note = Note;
-    type Said = Said;
-
-    fn last_lines(&self, job: &Job<Note>, left_us: Micros, out: &mut Vec<u8>) {
-        let left_ms = (left_us / 1000).max(1);
-        out.extend_from_slice(
-            format!("X-Time-Left: {left_ms}\r\nX-Expected-Instance: {}\r\n", job.note.instance).as_bytes(),
-        );
-    }
-
-    fn heard(&self, job: &Job<Note>, head: &http::Response) -> pool::Heard<Said> {
-        let name = http::header(head.headers, "X-Attempt-Id");
-        if name.is_some_and(|n| n.trim_ascii() != &*job.note.name) {
-            return pool::Heard::Surplus;
-        }
-        let mut headers = Vec::new();
-        http::pass_on(head.headers, &["X-Not-Executed", "X-Instance-Id", "X-Cold-Time"], &mut headers);
-        let not_run = http::header(head.headers, "X-Not-Executed").is_some();
-        pool::Heard::Mine(Said { not_run, headers })
-    }
-
-    fn ended(&self, ended: Ended<Servers>) {
-        let end = match ended.outcome {
-            Ok(pool::Served { status, said, body }) => {
-                End::Answered(Served { status, not_run: said.not_run, headers: said.headers, body })
-            }
-            Err(why) => {
-                log::info!("{}.{}: {why}", ended.id, ended.attempt);
-                End::Broken { reached: reached(&why) }
-            }
-        };
-        self.inbox.post(Told::Ended(ended.id, ended.attempt, end));
-    }
-}
+/// What is spoken with servers; how attempts end comes to the shell.
+type Servers = servers::Servers<Box<dyn Fn(u64, u32, End) + Send + Sync>>;
 
-fn reached(why: &AttemptError) -> Reached {
-    if why.never_ran() { Reached::NeverRan } else { Reached::MayHaveRun }
+fn tell(inbox: Inbox<Told>) -> Box<dyn Fn(u64, u32, End) + Send + Sync> {
+    Box::new(move |id, attempt, end| inbox.post(Told::Ended(id, attempt, end)))
 }
 
 struct Shell {
@@ -373,12 +323,12 @@
         for output in std::mem::take(&mut self.out) {
             match output {
                 front::Output::Send(job) => {
-                    let front::Job { id, attempt, server, name, instance, passage, until } = job;
+                    let front::Job { id, attempt, server, name, instance, passage, again, until } = job;
                     let note = Note { name, instance };
                     let sent = self
                         .peers
                         .get(&server)
-                        .is_some_and(|p| p.send(Job { id, attempt, passage, until, note }));
+                        .is_some_and(|p| p.send(Job { id, attempt, passage, again, until, note }));
                     if !sent {
                         let end = End::Broken { reached: Reached::NeverRan };
                         self.inbox.post(Told::Ended(id, attempt, end));
--- a/crates/tongs/src/errors.rs
+++ b/crates/tongs/src/errors.rs
@@ -8,9 +8,9 @@
 pub enum Progress {
     /// No connection yet.
     Dialing,
-    /// Connected; the request's last byte is not written.
+    /// Connected; the last byte of the request's head is not written.
     Writing,
-    /// The request is written whole; no byte of an answer has come.
+    /// The head is written whole, which is enough for a server to act on it; its answer has not begun.
     Written,
     /// An answer has begun.
     Answering,
@@ -42,7 +42,7 @@
 }
 
 impl AttemptError {
-    /// Only what was not written whole is known not to have run.
+    /// Only a request whose head was not written whole is known not to have run.
     pub fn never_ran(&self) -> bool {
         self.progress < Progress::Written
     }
--- a/crates/tongs/src/http.rs
+++ b/crates/tongs/src/http.rs
@@ -83,8 +83,11 @@
     let headers: &'h [Header<'b>] = parsed.headers;
     let (method, target) = (parsed.method.unwrap_or(""), parsed.path.unwrap_or(""));
     let common = common(headers, parsed.version == Some(0))?;
-    if parsed.version == Some(1) && header(headers, "Host").is_none() {
-        return Err(bad("no Host"));
+    match headers.iter().filter(|h| h.name.eq_ignore_ascii_case("Host")).count() {
+        0 if parsed.version == Some(1) => return Err(bad("no Host")),
+        0 | 1 => {}
+        // Read in two ways by two machines, it would be routed as one request and run as another.
+        _ => return Err(bad("two Hosts")),
     }
     let framing = common.framing.unwrap_or(Framing::Length(0));
     if let Framing::Length(n) = framing
@@ -113,7 +116,12 @@
     };
     let headers: &'h [Header<'b>] = parsed.headers;
     let status = parsed.code.unwrap_or(0);
-    let common = common(headers, parsed.version == Some(0))?;
+    if status < 100 {
+        return Err(bad("no such status"));
+    }
+    let mut common = common(headers, parsed.version == Some(0))?;
+    // It may not have a body. Should one follow all the same, its bytes must not meet the next request.
+    common.close |= status == 204 && !matches!(common.framing, None | Some(Framing::Length(0)));
     let framing = match common.framing {
         _ if to_head || bodiless(status) => Framing::Length(0),
         Some(Framing::Length(n)) if n > bounds.body => return Err(TOO_LARGE),
--- a/crates/tongs/src/pool.rs
+++ b/crates/tongs/src/pool.rs
@@ -6,6 +6,7 @@
 //! died while idle, goes to another connection: no server can have seen any of it.
 
 mod connection;
+pub mod exchange;
 
 use crate::Micros;
 use crate::errors::{AttemptError, Cause, Progress};
@@ -65,6 +66,10 @@
     pub id: u64,
     pub attempt: u32,
     pub passage: Arc<Passage>,
+    /// An earlier attempt of this request went to this server. It goes over a connection that has carried
+    /// nothing yet: on one that carried the earlier attempt, a second answer to that one could not be told
+    /// from the answer to this one.
+    pub again: bool,
     /// When nobody waits any more.
     pub until: Micros,
     pub note: Note,
@@ -399,7 +404,9 @@
             return self.refuse(job, Cause::ServerGone);
         }
         self.retire();
-        while let Some(conn) = self.rested() {
+        while !job.again
+            && let Some(conn) = self.rested()
+        {
             if let Some(c) = self.conns.get_mut(&conn) {
                 c.job = Some((job.id, job.attempt));
                 self.busy.insert((job.id, job.attempt), conn);
@@ -509,6 +516,7 @@
             id: 5,
             attempt: 0,
             passage,
+            again: false,
             until: clock.now() + 1_000_000,
             note: (),
         }));
@@ -581,7 +589,7 @@
         server.settings.most = 1;
         let passage = Arc::new(Passage { head: b"GET / HTTP/1.1\r\n".to_vec(), body: Held::default() });
         let until = server.room.clock.now() + 1_000_000;
-        server.take(ToServer::Send(Job { id: 6, attempt: 0, passage, until, note: () }));
+        server.take(ToServer::Send(Job { id: 6, attempt: 0, passage, again: false, until, note: () }));
         assert!(!server.busy.contains_key(&(6, 0)) && server.conns.len() == 1);
     }
 }
--- a/crates/tongs/tests/sockets.rs
+++ b/crates/tongs/tests/sockets.rs
@@ -84,7 +84,14 @@
         let head = format!("{method} /{id} HTTP/1.1\r\nHost: x\r\n").into_bytes();
         let passage = Arc::new(Passage { head, body: Held { bytes: body, lease: None } });
         let until = room().clock.now() + 10_000_000;
-        assert!(self.peer.send(Job { id, attempt: 0, passage, until, note: id.to_string().into_bytes() }));
+        assert!(self.peer.send(Job {
+            id,
+            attempt: 0,
+            passage,
+            again: false,
+            until,
+            note: id.to_string().into_bytes()
+        }));
     }
 
     fn accept(&self) -> BufReader<TcpStream> {
