--- a/crates/tongs/src/door.rs
+++ b/crates/tongs/src/door.rs
@@ -3,6 +3,8 @@
 //! Malformed ones are answered here and never reach it.
 
 mod connection;
+#[cfg(test)]
+mod model;
 
 use crate::Micros;
 use crate::clock::Alarm;
--- a/crates/tongs/src/door/connection.rs
+++ b/crates/tongs/src/door/connection.rs
@@ -4,7 +4,7 @@
 use crate::Micros;
 use crate::http::{self, Bad, Body, Framing};
 use crate::limits::{Fd, Held, Lease};
-use crate::net::events;
+use crate::net::{Stream, events};
 use crate::ring::{Bytes, Filled, Outgoing, Ring};
 use may::io::{CoIo, WaitIo};
 use std::collections::VecDeque;
@@ -16,34 +16,13 @@
 
 /// Starts the actor of a connection that was just taken.
 pub(super) fn start<D: Desk>(all: Arc<Door<D>>, known: Arc<Known>, number: u64, io: CoIo<TcpStream>, fd: Fd) {
-    let mut client = Client {
-        io,
-        all,
-        known,
-        incoming: Ring::default(),
-        outgoing: Outgoing::default(),
-        part: None,
-        line: VecDeque::new(),
-        paced: None,
-        deaf: false,
-        moved: 0,
-        more: false,
-        held: false,
-        streak: 0,
-        paused: false,
-        closing: false,
-        hung: false,
-        ended: false,
-        _fd: fd,
-    };
+    let mut client = Client::new(io, all, known, fd);
     may::go!(move || {
         // A panic ends this connection alone; the request it held is answered and given up.
         if catch_unwind(AssertUnwindSafe(|| client.run())).is_err() {
             let _ = catch_unwind(AssertUnwindSafe(|| client.fall()));
         }
-        for due in client.line.drain(..).filter(|d| d.answer.is_none()) {
-            client.all.desk.withdrawn(due.id);
-        }
+        client.leave();
         let all = client.all.clone();
         all.open().remove(&number);
         drop(client);
@@ -83,8 +62,8 @@
 /// Pieces of a paced body.
 const PIECES: usize = 8;
 
-struct Client<D: Desk> {
-    io: CoIo<TcpStream>,
+pub(super) struct Client<D: Desk, S = CoIo<TcpStream>> {
+    io: S,
     all: Arc<Door<D>>,
     known: Arc<Known>,
     incoming: Ring,
@@ -137,92 +116,29 @@
 const NO_ROOM: Bad = Bad { status: 503, what: "no room" };
 const LOST: Bad = Bad { status: 502, what: "" };
 
+/// What a connection does next.
+#[derive(Debug, PartialEq, Eq)]
+pub(super) enum Turn {
+    /// Until something happens.
+    Wait,
+    /// It goes on at once.
+    Again,
+    /// All is said: it ends, and the client's end is awaited.
+    Part,
+    /// The client has gone, or is cut off; what waits is withdrawn.
+    Over,
+}
+
 impl<D: Desk> Client<D> {
     fn run(&mut self) {
         let mut seen = events::READABLE;
         loop {
-            while let Some(told) = self.known.inbox.pop() {
-                match told {
-                    ToClient::Answer { id, answer } => self.answer(id, answer),
-                    ToClient::Lost { id } => self.answer(id, self.all.desk.refusal(&LOST)),
-                    ToClient::GoOn => (self.streak, self.paused) = (0, false),
-                    ToClient::Piece => self.piece(),
-                    ToClient::Close(chosen_for) => {
-                        // Nothing is owed to one that is idle between requests: a request that crosses the
-                        // close is sent again by its client. But one that has come by now, or an answer to
-                        // it, is owed.
-                        self.more = true;
-                        self.read();
-                        if self.doing() != chosen_for {
-                            continue;
-                        }
-                        match chosen_for {
-                            Doing::Reading => {
-                                self.refuse(&Bad { status: 408, what: "request not whole in time" })
-                            }
-                            _ => match self.unheard(chosen_for) {
-                                Some(bad) => self.refuse(&bad),
-                                None => {
-                                    // At once: what comes between this look and the end is lost to its
-                                    // client.
-                                    let _ = self.io.inner().shutdown(Shutdown::Both);
-                                    return;
-                                }
-                            },
-                        }
-                    }
-                }
-            }
-            if seen & (events::READABLE | events::ENDED) != 0 {
-                self.more = true;
-                self.streak = if self.streak > MOST_STREAK { self.streak } else { 0 };
-            }
-            self.hung |= seen & events::ENDED != 0;
-            self.digest();
-            self.read();
-            if self.write().is_err() || self.ended {
-                return; // gone; what waits is withdrawn
-            }
-            if self.held && self.outgoing.len() < MOST_OUT {
-                (self.held, seen) = (false, 0);
-                continue;
-            }
-            if self.closing && self.outgoing.is_empty() && self.paced.is_none() {
-                return self.part_with();
+            match self.turn(seen) {
+                Turn::Wait => seen = self.io.wait_io(),
+                Turn::Again => seen = 0,
+                Turn::Part => return self.part_with(),
+                Turn::Over => return,
             }
-            self.show();
-            seen = self.io.wait_io();
-        }
-    }
-
-    /// What it is told if it ends now. Its first request may be on its way, and a client whose new connection
-    /// ends in silence cannot tell whether it was heard: told first, it reads that as the answer to what
-    /// crosses. Could harm a client that takes bytes it never asked for as an error.
-    fn unheard(&self, doing: Doing) -> Option<Bad> {
-        let (now, patience) = (self.all.room.clock.now(), self.all.desk.patience());
-        let expected = doing == Doing::Idle && self.known.expected(now, &patience);
-        self.all.desk.unheard().filter(|_| expected)
-    }
-
-    fn doing(&self) -> Doing {
-        let nothing = self.part.is_none() && self.incoming.is_empty();
-        match nothing {
-            _ if !self.line.is_empty() => Doing::Waiting,
-            _ if !self.outgoing.is_empty() || self.paced.is_some() => Doing::Writing,
-            true => Doing::Idle,
-            false => Doing::Reading,
-        }
-    }
-
-    /// Shows the others what this connection is doing, and since when.
-    fn show(&mut self) {
-        let doing = self.doing();
-        let more = self.moved >= http::PIECE;
-        self.moved %= http::PIECE;
-        if self.known.doing.swap(doing as u8, Ordering::Relaxed) != doing as u8 || more {
-            // One reading of the clock for each request, where it ends.
-            let since = if doing == Doing::Waiting { 0 } else { self.all.room.clock.now() };
-            self.known.since.store(since, Ordering::Relaxed);
         }
     }
 
@@ -267,6 +183,123 @@
             self.io.wait_io();
         }
     }
+}
+
+impl<D: Desk, S: Stream> Client<D, S> {
+    pub(super) fn new(io: S, all: Arc<Door<D>>, known: Arc<Known>, fd: Fd) -> Self {
+        Client {
+            io,
+            all,
+            known,
+            incoming: Ring::default(),
+            outgoing: Outgoing::default(),
+            part: None,
+            line: VecDeque::new(),
+            paced: None,
+            deaf: false,
+            moved: 0,
+            more: false,
+            held: false,
+            streak: 0,
+            paused: false,
+            closing: false,
+            hung: false,
+            ended: false,
+            _fd: fd,
+        }
+    }
+
+    /// What is still owed when it ends is not wanted any more.
+    pub(super) fn leave(&mut self) {
+        for due in self.line.drain(..).filter(|d| d.answer.is_none()) {
+            self.all.desk.withdrawn(due.id);
+        }
+    }
+
+    /// What the mailbox and the events `seen` call for.
+    pub(super) fn turn(&mut self, seen: usize) -> Turn {
+        while let Some(told) = self.known.inbox.pop() {
+            match told {
+                ToClient::Answer { id, answer } => self.answer(id, answer),
+                ToClient::Lost { id } => self.answer(id, self.all.desk.refusal(&LOST)),
+                ToClient::GoOn => (self.streak, self.paused) = (0, false),
+                ToClient::Piece => self.piece(),
+                ToClient::Close(chosen_for) => {
+                    // Nothing is owed to one that is idle between requests: a request that crosses the
+                    // close is sent again by its client. But one that has come by now, or an answer to
+                    // it, is owed.
+                    self.more = true;
+                    self.read();
+                    if self.doing() != chosen_for {
+                        continue;
+                    }
+                    match chosen_for {
+                        Doing::Reading => {
+                            self.refuse(&Bad { status: 408, what: "request not whole in time" })
+                        }
+                        _ => match self.unheard(chosen_for) {
+                            Some(bad) => self.refuse(&bad),
+                            None => {
+                                // At once: what comes between this look and the end is lost to its client.
+                                let _ = self.io.end(Shutdown::Both);
+                                return Turn::Over;
+                            }
+                        },
+                    }
+                }
+            }
+        }
+        if seen & (events::READABLE | events::ENDED) != 0 {
+            self.more = true;
+            self.streak = if self.streak > MOST_STREAK { self.streak } else { 0 };
+        }
+        self.hung |= seen & events::ENDED != 0;
+        self.digest();
+        self.read();
+        if self.write().is_err() || self.ended {
+            return Turn::Over;
+        }
+        if self.held && self.outgoing.len() < MOST_OUT {
+            self.held = false;
+            return Turn::Again;
+        }
+        if self.closing && self.outgoing.is_empty() && self.paced.is_none() {
+            return Turn::Part;
+        }
+        self.show();
+        Turn::Wait
+    }
+
+    /// What it is told if it ends now. Its first request may be on its way, and a client whose new connection
+    /// ends in silence cannot tell whether it was heard: told first, it reads that as the answer to what
+    /// crosses. Could harm a client that takes bytes it never asked for as an error.
+    fn unheard(&self, doing: Doing) -> Option<Bad> {
+        let (now, patience) = (self.all.room.clock.now(), self.all.desk.patience());
+        let expected = doing == Doing::Idle && self.known.expected(now, &patience);
+        self.all.desk.unheard().filter(|_| expected)
+    }
+
+    fn doing(&self) -> Doing {
+        let nothing = self.part.is_none() && self.incoming.is_empty();
+        match nothing {
+            _ if !self.line.is_empty() => Doing::Waiting,
+            _ if !self.outgoing.is_empty() || self.paced.is_some() => Doing::Writing,
+            true => Doing::Idle,
+            false => Doing::Reading,
+        }
+    }
+
+    /// Shows the others what this connection is doing, and since when.
+    fn show(&mut self) {
+        let doing = self.doing();
+        let more = self.moved >= http::PIECE;
+        self.moved %= http::PIECE;
+        if self.known.doing.swap(doing as u8, Ordering::Relaxed) != doing as u8 || more {
+            // One reading of the clock for each request, where it ends.
+            let since = if doing == Doing::Waiting { 0 } else { self.all.room.clock.now() };
+            self.known.since.store(since, Ordering::Relaxed);
+        }
+    }
 
     /// Ends the connection by an answer that says why: where the next request would begin is not known.
     fn refuse(&mut self, bad: &Bad) {
@@ -322,7 +355,7 @@
 
     /// One read: into a body of which much is still to come, or into the ring.
     fn fill(&mut self, most: usize) -> io::Result<Option<Filled>> {
-        let mut socket = self.io.inner();
+        let mut socket = self.io.socket();
         if self.incoming.is_empty()
             && let Some(part) = &mut self.part
             && let Some(filled) = part.body.fill(|room| socket.read(room))?
@@ -528,7 +561,7 @@
 
     fn write(&mut self) -> io::Result<()> {
         let held = self.outgoing.len();
-        let done = self.outgoing.flush(self.io.inner());
+        let done = self.outgoing.flush(self.io.socket());
         self.moved += held - self.outgoing.len();
         done
     }
--- a/crates/tongs/src/net.rs
+++ b/crates/tongs/src/net.rs
@@ -1,10 +1,27 @@
 //! Sockets as the coroutines use them.
 
 use may::io::CoIo;
-use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::time::Duration;
 
+/// What a connection is read from and written to. Not a socket where a model drives it.
+pub trait Stream {
+    fn socket(&self) -> impl Read + Write;
+
+    fn end(&self, how: Shutdown) -> io::Result<()>;
+}
+
+impl Stream for CoIo<TcpStream> {
+    fn socket(&self) -> impl Read + Write {
+        self.inner()
+    }
+
+    fn end(&self, how: Shutdown) -> io::Result<()> {
+        self.inner().shutdown(how)
+    }
+}
+
 /// Begins to connect. What is sent and not acknowledged for `silence` ends the connection: a machine that is
 /// gone says nothing.
 pub fn connect(addr: SocketAddr, silence: Option<Duration>) -> io::Result<CoIo<TcpStream>> {
