--- a/crates/dryfit/src/hunt.rs
+++ b/crates/dryfit/src/hunt.rs
@@ -280,6 +280,39 @@
     text
 }
 
+/// A day of servers that answer as they should not, lost and reset connections, machines that stand still or
+/// end in order, and changes of the configuration, at once and again and again.
+pub fn draw_answers(seed: u64) -> String {
+    let mut rng = fastrand::Rng::with_seed(seed ^ 0xa75e);
+    let services = ["tiro", "utu", "kawe"];
+    let edges = rng.usize(3..=8);
+    let mut text = format!("cores a b a\nedges {edges}\nrate {}\nseconds 60\n", rng.u32(20..60));
+    for _ in 0..rng.u32(12..30) {
+        let at = 9.0 + rng.f64() * 40.0;
+        let service = *rng.choice(&services).expect("some");
+        let one = format!("{service}{}", rng.u32(1..=4));
+        let server = if rng.bool() { service.to_string() } else { one.clone() };
+        let (part, last) = (rng.u32(2..60), 1.0 + rng.f64() * 6.0);
+        let edge = rng.usize(1..=edges);
+        let other = rng.choice(&services).expect("some");
+        let what = match rng.u32(0..14) {
+            0 | 1 => format!("grey {server} garble {part} for {last:.2}"),
+            2 | 3 => format!("grey {server} extra {part} for {last:.2}"),
+            4 => format!("grey {server} reset {part} for {last:.2}"),
+            5 => format!("grey {server} shed {part} for {last:.2}"),
+            6 => format!("lose {server} for {last:.2}"),
+            7 | 8 => format!("reset {server} {part}"),
+            9 => format!("freeze edge{edge} for {:.2}", last / 2.0),
+            10 => format!("term edge{edge} back {:.2}", 0.2 + rng.f64()),
+            11 => format!("replace {one} by {other} after 2"),
+            12 => format!("crash {one} {}back 2", if rng.bool() { "dark " } else { "" }),
+            _ => format!("patch r-{service} to {other}"),
+        };
+        let _ = writeln!(text, "at {at:.3} {what}");
+    }
+    text
+}
+
 /// What a reader needs of a day on which something does not hold.
 pub fn report(played: &Played) -> String {
     let mut out = String::new();
--- a/crates/dryfit/src/main.rs
+++ b/crates/dryfit/src/main.rs
@@ -15,6 +15,8 @@
     let unserved = Arg::new("unserved").long("unserved").value_name("N").value_parser(value_parser!(usize));
     let unserved = unserved.default_value("0").help("Tells of so many requests that were not served");
     let days = Arg::new("days").long("days").value_parser(value_parser!(u64)).default_value("200");
+    let answers = Arg::new("answers").long("answers").action(ArgAction::SetTrue);
+    let answers = answers.help("Days of servers that answer as they should not, and all that goes with it");
     let file = Arg::new("scenario").required(true).value_parser(value_parser!(PathBuf));
     Command::new("dryfit")
         .about("Plays days of curlewfront's programs on simulated time, and judges them")
@@ -28,7 +30,8 @@
         .subcommand(
             Command::new("hunt")
                 .about("Plays days drawn by chance")
-                .args([days, seed.clone().help("Of the first day; each further day has the next one")]),
+                .args([days, seed.clone().help("Of the first day; each further day has the next one")])
+                .arg(answers.clone()),
         )
         .subcommand(
             Command::new("seconds")
@@ -48,7 +51,7 @@
                 seed.clone(),
             ]),
         )
-        .subcommand(Command::new("day").about("Plays one drawn day").args([seed, log, unserved]))
+        .subcommand(Command::new("day").about("Plays one drawn day").args([seed, log, unserved, answers]))
 }
 
 fn main() -> ExitCode {
@@ -109,11 +112,15 @@
 
 fn day(args: &ArgMatches) -> Result<bool> {
     let seed = *args.get_one::<u64>("seed").expect("it has a default");
-    let text = hunt::draw(seed);
+    let text = drawn(args, seed);
     print!("{text}");
     one(args, &Scenario::read(&text)?)
 }
 
+fn drawn(args: &ArgMatches, seed: u64) -> String {
+    if args.get_flag("answers") { hunt::draw_answers(seed) } else { hunt::draw(seed) }
+}
+
 fn one(args: &ArgMatches, scenario: &Scenario) -> Result<bool> {
     let seed = *args.get_one::<u64>("seed").expect("it has a default");
     let played = hunt::play(scenario, seed, args.get_flag("log"));
@@ -161,7 +168,7 @@
     let mut bad = 0;
     let (mut served, mut all) = (0, 0);
     for seed in first..first + days {
-        let text = hunt::draw(seed);
+        let text = drawn(args, seed);
         let played = hunt::play(&Scenario::read(&text)?, seed, false);
         let (s, a) = played.record.served(0, played.record.ends);
         (served, all) = (served + s, all + a);
--- a/crates/dryfit/src/net.rs
+++ b/crates/dryfit/src/net.rs
@@ -64,9 +64,13 @@
 
 #[derive(Debug)]
 pub struct Worked {
+    /// The try that it answers.
+    pub name: u64,
     pub status: u16,
     pub not_run: bool,
     pub seal: Option<u64>,
+    /// Broken off, or bytes that are no answer.
+    pub garbled: bool,
 }
 
 #[derive(Debug)]
@@ -174,6 +178,20 @@
         }
     }
 
+    /// The host at which an event happens.
+    pub fn place_of(&self, event: &Ev) -> Option<usize> {
+        match event {
+            Ev::Wake(owner, _) => Some(self.host_of(*owner)),
+            Ev::Written(n, ..) => Some(*n),
+            Ev::Here(_, to, _) => Some(self.host_of(Owner::Proxy(*to))),
+            Ev::Syn(conn) => self.hosts(*conn, 0).map(|(_, to)| to),
+            Ev::SynAck(conn) | Ev::DialTimeout(conn) => self.hosts(*conn, 0).map(|(from, _)| from),
+            Ev::Packet(conn, side, ..) => self.hosts(*conn, *side).map(|(_, to)| to),
+            Ev::Reset(conn, side) | Ev::Silence(conn, side) => self.hosts(*conn, *side).map(|(of, _)| of),
+            _ => None,
+        }
+    }
+
     pub fn syn_ack(&mut self, id: ConnId) {
         let Some((a, b)) = self.hosts(id, 0) else { return };
         if self.net.is_cut(b, a) {
--- a/crates/dryfit/src/odd.rs
+++ b/crates/dryfit/src/odd.rs
@@ -1,13 +1,14 @@
 //! Stranger troubles: servers that are ill though they say that they are well, that go and come by turns or forget
 //! connections; machines that are ended in turn; settings files that change; clients that move.
 
-use crate::net::ConnId;
+use crate::net::{ConnId, Worked};
 use crate::record::Host;
 use crate::scenario::{What, Words};
 use crate::world::{Ev, World};
 use crate::{Micros, SECOND};
 use miette::{Result, miette};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 
 /// What an ill server does with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -20,6 +21,10 @@
     Hang,
     /// Runs it and ends the connection.
     Reset,
+    /// Runs it and breaks its answer off, or spoils it.
+    Garble,
+    /// Runs it and answers twice: right behind, or in the place of the next answer.
+    Extra,
 }
 
 #[derive(Clone, Debug)]
@@ -30,6 +35,10 @@
     Flap { server: String, every: Micros, last: Micros },
     /// Connections that have rested so long are forgotten without a word.
     Forget { server: String, after: Micros, last: Micros },
+    /// A server resets so many in a hundred of its connections.
+    Reset { server: String, part: f64 },
+    /// Machines stand still and then go on.
+    Freeze { who: String, last: Micros },
     /// Machines get SIGTERM one after the other, so many at a time.
     Roll { who: String, by: usize, every: Micros, back: Micros },
     /// Settings files name these machines from now on, and these processes are told so.
@@ -47,7 +56,11 @@
                 "shed" => Ill::Shed,
                 "hang" => Ill::Hang,
                 "reset" => Ill::Reset,
-                other => return Err(miette!("{other:?} is none of errors, shed, hang, reset")),
+                "garble" => Ill::Garble,
+                "extra" => Ill::Extra,
+                other => {
+                    return Err(miette!("{other:?} is none of errors, shed, hang, reset, garble, extra"));
+                }
             };
             let (part, last) = (w.number("the part")? / 100.0, w.last()?);
             let zone = if w.take("to") { Some(w.next("the zone")?.to_string()) } else { None };
@@ -63,6 +76,11 @@
             w.must("after")?;
             Odd::Forget { server, after: w.seconds("after")?, last: w.last()? }
         }
+        "reset" => {
+            let server = w.next("the server")?.to_string();
+            Odd::Reset { server, part: w.number("the part")? / 100.0 }
+        }
+        "freeze" => Odd::Freeze { who: w.next("who")?.to_string(), last: w.last()? },
         "roll" => {
             let who = w.next("who")?.to_string();
             w.must("by")?;
@@ -95,6 +113,10 @@
     forgets: Option<(Micros, Micros)>,
     /// When a connection was last used.
     pub rested: BTreeMap<ConnId, Micros>,
+    /// Connections whose answer is to be spoiled, or comes twice; second answers that are still to come.
+    pub garbles: BTreeSet<ConnId>,
+    pub doubles: BTreeSet<ConnId>,
+    pub owed: BTreeMap<ConnId, Rc<Worked>>,
 }
 
 impl Oddness {
@@ -143,6 +165,19 @@
                     }
                 }
             }
+            Odd::Reset { server, part } => {
+                for place in self.places_named(&server) {
+                    self.reset_some(place, part);
+                }
+            }
+            Odd::Freeze { who, last } => {
+                let hosts = self.hosts_named(&who);
+                self.trouble(hosts.iter().copied(), last, false, "freeze");
+                for host in hosts {
+                    let until = self.frozen.entry(host).or_default();
+                    *until = (*until).max(now + last);
+                }
+            }
             Odd::Roll { who, by, every, back } => {
                 let cores = self.record.cores;
                 let name = |h: Host| match h < cores {
--- a/crates/dryfit/src/outside.rs
+++ b/crates/dryfit/src/outside.rs
@@ -1,6 +1,6 @@
 //! Those outside: servers, clients and the operator, as the protocol has them.
 
-use crate::net::{Body, ConnId, Event, Kind, Owner, Work, Worked};
+use crate::net::{Body, Conn, ConnId, Event, Kind, Owner, Work, Worked};
 use crate::odd::{Ill, Oddness};
 use crate::plan::{DEADLINE, HOST, Plan, Wish};
 use crate::process::BEAT;
@@ -427,6 +427,10 @@
         if s.odd.forgot(now, conn) {
             return self.close(conn, Owner::Server(place)); // before anything was read
         }
+        if let Some(owed) = s.odd.owed.remove(&conn) {
+            self.send(conn, Owner::Server(place), Body::Worked(owed));
+        }
+        let Some(s) = &mut self.places[place].server else { return };
         let mut arrival = Arrival {
             sent: work.sent,
             at: now,
@@ -448,7 +452,7 @@
             _ => None,
         };
         arrival.turned_away = status;
-        if status.is_none() && ill.is_some() {
+        if status.is_none() && matches!(ill, Some(Ill::Reset | Ill::Hang | Ill::Errors)) {
             (arrival.ran, arrival.broke) = (Some(now), matches!(ill, Some(Ill::Reset | Ill::Hang)));
         }
         let cold = now < s.cold_until;
@@ -463,18 +467,23 @@
         let Some(s) = &mut self.places[place].server else { return };
         match status {
             Some(status) => {
-                let worked = Worked { status, not_run: true, seal: None };
+                let worked = Worked { name, status, not_run: true, seal: None, garbled: false };
                 self.send(conn, Owner::Server(place), Body::Worked(Rc::new(worked)));
             }
             None => match ill {
-                None | Some(Ill::Shed) => {
+                None | Some(Ill::Shed | Ill::Garble | Ill::Extra) => {
+                    match ill {
+                        Some(Ill::Garble) => _ = s.odd.garbles.insert(conn),
+                        Some(Ill::Extra) => _ = s.odd.doubles.insert(conn),
+                        _ => {}
+                    }
                     s.queue.push_back((conn, work, at));
                     self.next_work(place);
                 }
                 Some(Ill::Hang) => {}
                 Some(Ill::Reset) => self.close(conn, Owner::Server(place)),
                 Some(Ill::Errors) => {
-                    let worked = Worked { status: 500, not_run: false, seal: None };
+                    let worked = Worked { name, status: 500, not_run: false, seal: None, garbled: false };
                     self.send(conn, Owner::Server(place), Body::Worked(Rc::new(worked)));
                 }
             },
@@ -493,7 +502,8 @@
             let arrival = &mut self.record.tries[work.name as usize].arrivals[at];
             if work.until <= now {
                 arrival.turned_away = Some(503);
-                let worked = Worked { status: 503, not_run: true, seal: None };
+                let name = work.name;
+                let worked = Worked { name, status: 503, not_run: true, seal: None, garbled: false };
                 self.send(conn, Owner::Server(place), Body::Worked(Rc::new(worked)));
                 continue;
             }
@@ -508,6 +518,31 @@
         }
     }
 
+    /// The server broke off what it had run of this try.
+    pub fn broke_off(&mut self, name: u64) {
+        let tried = &mut self.record.tries[name as usize];
+        if let Some(a) = tried.arrivals.iter_mut().rev().find(|a| a.ran.is_some()) {
+            a.broke = true;
+        }
+    }
+
+    /// A server resets connections, each by this chance; what it worked on there is dropped.
+    pub fn reset_some(&mut self, place: usize, part: f64) {
+        let me = Owner::Server(place);
+        let held = |c: &Conn| c.kind == Kind::Work && c.ends[1].owner == me && c.ends[1].open;
+        let ids: Vec<ConnId> = self.net.conns.iter().filter(|(_, c)| held(c)).map(|(id, _)| *id).collect();
+        for conn in ids {
+            if self.chance(14).f64() >= part {
+                continue;
+            }
+            let Some(s) = &self.places[place].server else { return };
+            let names: Vec<u64> = s.work.values().filter(|(c, _)| *c == conn).map(|(_, w)| w.name).collect();
+            names.into_iter().for_each(|name| self.broke_off(name));
+            self.server_told(place, conn, Event::Down);
+            self.close(conn, me);
+        }
+    }
+
     pub fn worked(&mut self, place: usize, life: u64, number: u64) {
         let now = self.now;
         let Some(s) = self.server(place, life) else { return };
@@ -515,15 +550,24 @@
         s.odd.rested.insert(conn, now);
         if now < s.loses_until {
             // It ran, and its answer is lost.
-            let tried = &mut self.record.tries[work.name as usize];
-            if let Some(a) = tried.arrivals.iter_mut().rev().find(|a| a.ran.is_some()) {
-                a.broke = true;
-            }
+            self.broke_off(work.name);
             self.close(conn, Owner::Server(place));
         } else {
             let (status, seal) = if now <= work.until { (200, Some(work.name)) } else { (504, None) };
-            let worked = Worked { status, not_run: false, seal };
-            self.send(conn, Owner::Server(place), Body::Worked(Rc::new(worked)));
+            let how = if s.odd.garbles.remove(&conn) { Some(Ill::Garble) } else { None };
+            let how = if s.odd.doubles.remove(&conn) { Some(Ill::Extra) } else { how };
+            let late = how == Some(Ill::Extra) && self.chance(13).bool();
+            let garbled = how == Some(Ill::Garble);
+            if garbled {
+                self.broke_off(work.name);
+            }
+            let worked = Rc::new(Worked { name: work.name, status, not_run: false, seal, garbled });
+            self.send(conn, Owner::Server(place), Body::Worked(worked.clone()));
+            if late && let Some(s) = self.server(place, life) {
+                s.odd.owed.insert(conn, worked); // once the next request is on the connection
+            } else if how == Some(Ill::Extra) {
+                self.send(conn, Owner::Server(place), Body::Worked(worked));
+            }
         }
         self.next_work(place);
     }
--- a/crates/dryfit/src/process.rs
+++ b/crates/dryfit/src/process.rs
@@ -131,6 +131,8 @@
     server: u64,
     work: Rc<Work>,
     sent: bool,
+    /// An answer to another try has come on its connection.
+    surplus: bool,
 }
 
 fn frame<T: Serialize>(message: &T) -> Body {
@@ -617,8 +619,24 @@
                 }
             }
             (Kind::Work, Event::Got(Body::Worked(w))) => {
-                if let Some(c) = x.work.remove(&conn) {
-                    x.idle.entry(c.server).or_default().push(conn);
+                let mine = x.work.get(&conn).is_some_and(|c| c.work.name == w.name);
+                if !mine && let Some(c) = x.work.get_mut(&conn) {
+                    c.surplus = true; // another's: its own is awaited behind it
+                } else if !mine {
+                    // Nobody has asked: the connection is of no more use.
+                    x.idle.values_mut().for_each(|idle| idle.retain(|c| *c != conn));
+                    self.close(conn, Owner::Proxy(n));
+                } else if let Some(c) = x.work.remove(&conn) {
+                    if w.garbled {
+                        self.close(conn, Owner::Proxy(n));
+                        let end = End::Broken { reached: Reached::MayHaveRun };
+                        let input = front::Input::Ended { id: c.id, attempt: c.attempt, end };
+                        return self.front(n, Some(input));
+                    }
+                    match c.surplus {
+                        true => self.close(conn, Owner::Proxy(n)),
+                        false => x.idle.entry(c.server).or_default().push(conn),
+                    }
                     let seal = w.seal.map(|s| format!("X-Server-Seal: {s}\r\n")).unwrap_or_default();
                     let (headers, body) = (seal.into_bytes(), Vec::new());
                     let served = Served { status: w.status, not_run: w.not_run, headers, body };
@@ -749,13 +767,16 @@
                     let end = End::Broken { reached: Reached::NeverRan };
                     return Some(front::Input::Ended { id: job.id, attempt: job.attempt, end });
                 };
-                let kept = x.idle.get_mut(&job.server).and_then(Vec::pop);
+                let kept = x.idle.get_mut(&job.server).filter(|_| !job.again).and_then(Vec::pop);
                 let conn = kept.unwrap_or_else(|| self.dial(Kind::Work, me, Owner::Server(to)));
                 let (id, attempt, server) = (job.id, job.attempt, job.server);
                 if kept.is_some() {
                     self.send(conn, me, Body::Work(work.clone()));
                 }
-                x.work.insert(conn, Carried { id, attempt, server, work, sent: kept.is_some() });
+                x.work.insert(
+                    conn,
+                    Carried { id, attempt, server, work, sent: kept.is_some(), surplus: false },
+                );
             }
             front::Output::GiveUp { id, attempt, .. } => {
                 let found = x.work.iter().find(|(_, c)| c.id == id && c.attempt == attempt).map(|(c, _)| *c);
--- a/crates/dryfit/src/world.rs
+++ b/crates/dryfit/src/world.rs
@@ -125,6 +125,8 @@
     pub at_work: Option<(Owner, u64)>,
     /// Drills act at this proxy alone.
     pub one_node: Option<usize>,
+    /// Machines that stand still, and until when.
+    pub frozen: BTreeMap<Host, Micros>,
     pub log: Option<Vec<String>>,
 }
 
@@ -198,6 +200,7 @@
             at_work: None,
             one_node: None,
             log: None,
+            frozen: BTreeMap::new(),
             scenario,
         };
         world.seeds = world.core_ips();
@@ -329,6 +332,13 @@
     }
 
     fn event(&mut self, event: Ev) {
+        // What happens at a machine that stands still happens once it goes on.
+        if !self.frozen.is_empty()
+            && let Some(until) = self.place_of(&event).and_then(|host| self.frozen.get(&host).copied())
+            && until > self.now
+        {
+            return self.at(until, event);
+        }
         match event {
             Ev::Wake(owner, life) => self.woken(owner, life),
             Ev::Start(owner) => self.start(owner),
@@ -448,7 +458,13 @@
         found
     }
 
-    fn trouble(&mut self, hosts: impl IntoIterator<Item = Host>, last: Micros, planned: bool, what: &str) {
+    pub fn trouble(
+        &mut self,
+        hosts: impl IntoIterator<Item = Host>,
+        last: Micros,
+        planned: bool,
+        what: &str,
+    ) {
         let machines = self.record.cores + self.proxies.len();
         let (from, until) = (self.now, self.now + last);
         for host in hosts.into_iter().filter(|h| *h < machines).collect::<BTreeSet<_>>() {
--- a/crates/dryfit/tests/days.rs
+++ b/crates/dryfit/tests/days.rs
@@ -1,6 +1,6 @@
 //! Days drawn by chance keep every rule. What a seed breaks is played again by `dryfit day --seed N`.
 
-use dryfit::hunt::{draw, play, report};
+use dryfit::hunt::{draw, draw_answers, play, report};
 use dryfit::scenario::Scenario;
 
 const DAYS: u64 = if cfg!(debug_assertions) { 30 } else { 150 };
@@ -13,3 +13,12 @@
         assert!(played.unmet.is_empty(), "day {seed}:\n{text}{}", report(&played));
     }
 }
+
+#[test]
+fn so_do_days_of_answers_that_are_not_as_they_should_be() {
+    for seed in 1..=DAYS {
+        let text = draw_answers(seed);
+        let played = play(&Scenario::read(&text).expect("a scenario"), seed, false);
+        assert!(played.unmet.is_empty(), "day {seed}:\n{text}{}", report(&played));
+    }
+}
--- a/crates/dryfit/tests/odd.rs
+++ b/crates/dryfit/tests/odd.rs
@@ -79,3 +79,45 @@
     let (before, after) = (of_a(8, 12), of_a(30, 56));
     assert!(before > 0.1 && after < before / 2.0, "{before:.2} before, {after:.2} after");
 }
+
+#[test]
+fn garbled_and_second_answers_reach_nobody() {
+    let r = record("seconds 40\nat 12 grey tiro garble 100 for 8\nat 12 grey utu extra 100 for 8");
+    assert!(at(&r, "tiro", 12, 20).filter(|(_, a)| a.ran.is_some()).all(|(_, a)| a.broke));
+    assert!(!at(&r, "tiro", 21, 40).any(|(_, a)| a.broke));
+    // A second answer is nobody's: its connection ends, and all go on as if it had not come.
+    let calm = record("seconds 40");
+    let dialed = |r: &Record| at(r, "utu", 12, 20).filter(|(t, _)| t.answer.is_some()).count();
+    assert!(dialed(&r) > 0 && dialed(&calm) > 0);
+    let served = |t: &Try| r.requests[t.request as usize].served.is_some();
+    assert!(
+        at(&r, "utu", 12, 20).filter(|(t, _)| served(t)).count() * 10 > at(&r, "utu", 12, 20).count() * 9
+    );
+}
+
+#[test]
+fn reset_connections_lose_what_was_under_work_on_them() {
+    let r = record("seconds 40\nrate 60\nat 14 reset kawe 100\nat 15 reset kawe 100");
+    let broke: Vec<u64> = at(&r, "kawe", 9, 40).filter(|(_, a)| a.broke).map(|(_, a)| a.at / MS).collect();
+    assert!(!broke.is_empty() && broke.iter().all(|at| (13_000..15_000).contains(at)), "{broke:?}");
+}
+
+#[test]
+fn a_frozen_machine_stands_still_and_goes_on() {
+    let r = record("seconds 40\nat 14 freeze edge1 for 3");
+    let of = |from: u64, to: u64| {
+        let here = move |t: &&Try| t.edge == r.cores && (from * SECOND..to * SECOND).contains(&t.sent);
+        r.tries
+            .iter()
+            .flat_map(|t| t.arrivals.iter().map(move |a| (t, a)))
+            .filter(|(t, _)| here(t))
+            .map(|(_, a)| a.sent / MS)
+            .collect::<Vec<u64>>()
+    };
+    assert!(of(9, 14).len() > 3);
+    assert!(
+        of(9, 40).iter().all(|at| !(14_001..17_000).contains(at)),
+        "nothing is sent while it stands still"
+    );
+    assert!(of(18, 40).len() > 3, "it goes on");
+}
