Serve the corpus of answers over the gateway's own sockets

Each answer of the corpus that names nobody else, before a request that may run once: a success only with the whole body, and no second attempt.

--- a/crates/gateway/tests/attempts.rs
+++ b/crates/gateway/tests/attempts.rs
@@ -106,6 +106,34 @@
     may_have_run(Act::Say(format!("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n{}", "x".repeat(65537))));
 }
 
+/// The corpus of what reads answers, over the gateway's own sockets: a success only with the whole body, and nothing
+/// that may have run once is sent again. Answers here bear no names, so those of others are left out.
+#[test]
+fn the_corpus_of_answers_is_served_whole_or_not_at_all() {
+    let dir = concat!(env!("CARGO_MANIFEST_DIR"), "/../tongs/tests/corpus/answers");
+    let mut tried = 0;
+    for file in std::fs::read_dir(dir).expect("a corpus") {
+        let path = file.expect("a file").path();
+        let text = std::fs::read_to_string(&path).expect("text");
+        let (expected, bytes) = text.split_once("---\n").expect("two parts");
+        let (method, expected) = expected.trim_end().split_once('\n').expect("a method");
+        let bytes = bytes.strip_suffix('\n').unwrap_or(bytes).replace("\\\n", "\0").replace('\n', "\r\n");
+        let what = path.file_name().expect("a name").to_string_lossy().into_owned();
+        if method != "GET" || what.ends_with("-first.txt") || what == "only-nameless.txt" {
+            continue;
+        }
+        tried += 1;
+        let (server, answer) = once(Act::SayAndEnd(bytes.replace('\0', "")));
+        assert_eq!(server.requests(), 1, "sent again after {what}");
+        let mut words = expected.split(' ');
+        match (words.next(), words.next()) {
+            (Some("200"), Some(body)) => assert_eq!((answer.status(), &*answer.body), (200, body), "{what}"),
+            _ => assert!(![200, 429, 503].contains(&answer.status()), "{what}: {}", answer.head),
+        }
+    }
+    assert!(tried >= 12, "{tried} tried");
+}
+
 #[test]
 fn what_was_turned_away_unseen_is_tried_again() {
     for status in [503, 504] {
