--- a/crates/tongs/src/door/connection.rs
+++ b/crates/tongs/src/door/connection.rs
@@ -4,9 +4,8 @@
 use crate::Micros;
 use crate::http::{self, Bad, Body, Framing};
 use crate::limits::{Fd, Held, Lease};
-use crate::net::{Stream, events};
+use crate::net::{Stream, Watched, events};
 use crate::ring::{Bytes, Filled, Outgoing, Ring};
-use may::io::{CoIo, WaitIo};
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind, Read};
 use std::net::{Shutdown, TcpStream};
@@ -15,7 +14,13 @@
 use std::sync::atomic::Ordering;
 
 /// Starts the actor of a connection that was just taken.
-pub(super) fn start<D: Desk>(all: Arc<Door<D>>, known: Arc<Known>, number: u64, io: CoIo<TcpStream>, fd: Fd) {
+pub(super) fn start<D: Desk>(
+    all: Arc<Door<D>>,
+    known: Arc<Known>,
+    number: u64,
+    io: Watched<TcpStream>,
+    fd: Fd,
+) {
     let mut client = Client::new(io, all, known, fd);
     may::go!(move || {
         // A panic ends this connection alone; the request it held is answered and given up.
@@ -62,7 +67,7 @@
 /// Pieces of a paced body.
 const PIECES: usize = 8;
 
-pub(super) struct Client<D: Desk, S = CoIo<TcpStream>> {
+pub(super) struct Client<D: Desk, S = Watched<TcpStream>> {
     io: S,
     all: Arc<Door<D>>,
     known: Arc<Known>,
@@ -134,7 +139,7 @@
         let mut seen = events::READABLE;
         loop {
             match self.turn(seen) {
-                Turn::Wait => seen = self.io.wait_io(),
+                Turn::Wait => seen = self.io.wait(),
                 Turn::Again => seen = 0,
                 Turn::Part => return self.part_with(),
                 Turn::Over => return,
@@ -180,7 +185,7 @@
                 let known = self.known.clone();
                 self.all.room.alarms.after(wake_at - now, move || known.inbox.ring());
             }
-            self.io.wait_io();
+            self.io.wait();
         }
     }
 }
--- a/crates/tongs/src/pool/connection.rs
+++ b/crates/tongs/src/pool/connection.rs
@@ -5,9 +5,8 @@
 use crate::errors::Cause;
 use crate::limits::Fd;
 use crate::mailbox::Mailbox;
-use crate::net::events;
+use crate::net::{Watched, events};
 use crate::room::Room;
-use may::io::{CoIo, WaitIo};
 use may::sync::mpsc::Sender;
 use std::net::TcpStream;
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -25,7 +24,7 @@
 /// Starts the actor of a connection that is being opened for `job`.
 pub(super) fn start<W: Wire>(
     with: With<W>,
-    io: CoIo<TcpStream>,
+    io: Watched<TcpStream>,
     inbox: Arc<Mailbox<ToConn<W::Note>>>,
     job: Job<W::Note>,
     fd: Fd,
@@ -44,7 +43,7 @@
 
 struct Link<W: Wire> {
     with: With<W>,
-    io: CoIo<TcpStream>,
+    io: Watched<TcpStream>,
     inbox: Arc<Mailbox<ToConn<W::Note>>>,
     exchange: Exchange<W>,
     _fd: Fd,
@@ -73,7 +72,7 @@
                 }
             }
             match self.step(seen) {
-                Ok(false) => seen = self.io.wait_io(),
+                Ok(false) => seen = self.io.wait(),
                 Ok(true) => return None,
                 Err(cause) => return self.fail(cause),
             }
@@ -97,8 +96,9 @@
             match self.exchange.read(wire, &mut self.io.inner(), seen & events::ENDED != 0)? {
                 Then::Wait => {}
                 Then::Free { ended, keep_us } => {
-                    wire.ended(ended);
+                    // Before the answer is told: what is sent as soon as it is known finds this connection free.
                     let _ = self.with.server.send(ToServer::Free { conn: self.with.number, keep_us });
+                    wire.ended(ended);
                 }
                 Then::Over { ended } => {
                     if let Some(ended) = ended {
