--- a/crates/tongs/src/pool.rs
+++ b/crates/tongs/src/pool.rs
@@ -558,6 +558,21 @@
         assert_eq!(order, [2, 1, 4, 3]);
     }
 
+    /// On the connection that carried the first, a second answer to it could not be told from this one's.
+    #[test]
+    fn a_second_attempt_of_a_request_gets_a_connection_of_its_own() {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let mut server = server(&listener);
+        server.take(ToServer::Free { conn: 1, keep_us: None });
+        let passage = Arc::new(Passage { head: b"GET / HTTP/1.1\r\n".to_vec(), body: Held::default() });
+        let until = server.room.clock.now() + 1_000_000;
+        for (id, again, conn) in [(5, true, 2), (6, false, 1)] {
+            let passage = passage.clone();
+            server.take(ToServer::Send(Job { id, attempt: 1, passage, again, until, note: () }));
+            assert_eq!(server.busy[&(id, 1)], conn);
+        }
+    }
+
     /// Its request has had its answer: sent now it would run for nobody, or twice.
     #[test]
     fn an_attempt_given_up_meanwhile_is_not_sent() {
