--- a/crates/tongs/src/net.rs
+++ b/crates/tongs/src/net.rs
@@ -2,8 +2,8 @@
 
 use crate::mailbox::Bell;
 use may::io::{CoIo, WaitIo};
-use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::os::fd::{AsRawFd, RawFd};
 use std::time::Duration;
 
@@ -51,6 +51,23 @@
     }
 }
 
+/// What a connection is read from and written to. Not a socket where a model drives it.
+pub trait Stream {
+    fn socket(&self) -> impl Read + Write;
+
+    fn end(&self, how: Shutdown) -> io::Result<()>;
+}
+
+impl Stream for Watched<TcpStream> {
+    fn socket(&self) -> impl Read + Write {
+        self.inner()
+    }
+
+    fn end(&self, how: Shutdown) -> io::Result<()> {
+        self.inner().shutdown(how)
+    }
+}
+
 /// Begins to connect. What is sent and not acknowledged for `silence` ends the connection: a machine that is
 /// gone says nothing.
 pub fn connect(addr: SocketAddr, silence: Option<Duration>) -> io::Result<Watched<TcpStream>> {
--- a/crates/tongs/tests/sockets.rs
+++ b/crates/tongs/tests/sockets.rs
@@ -118,7 +118,14 @@
 fn job(clock: Clock, method: &str, id: u64, body: Vec<u8>) -> Job<Vec<u8>> {
     let head = format!("{method} /{id} HTTP/1.1\r\nHost: x\r\n").into_bytes();
     let passage = Arc::new(Passage { head, body: Held { bytes: body, lease: None } });
-    Job { id, attempt: 0, passage, until: clock.now() + 10_000_000, note: id.to_string().into_bytes() }
+    Job {
+        id,
+        attempt: 0,
+        passage,
+        again: false,
+        until: clock.now() + 10_000_000,
+        note: id.to_string().into_bytes(),
+    }
 }
 
 /// A head and its body of the length that it tells; None at the end.
