--- a/crates/dryfit/src/hunt.rs
+++ b/crates/dryfit/src/hunt.rs
@@ -272,6 +272,23 @@
             lines.push((from + last * rng.f64(), "drill-stop x".into()));
         }
     }
+    if rng.u32(0..3) == 0 {
+        let from = 9.0 + rng.f64() * (at - 9.0);
+        let last = 4.0 + rng.f64() * (at - from).max(1.0);
+        let (many, every) = (rng.u32(2..=8), pick(&mut rng, &["0.05", "0.2", "0.6"]));
+        lines.push((from, format!("storm {many} every {every} for {last:.2}")));
+        if rng.bool() {
+            lines.push((from, format!("lose-acks {} for {last:.2}", rng.u32(20..80))));
+        }
+        if rng.bool() {
+            lines.push((from, format!("copies {} late {} for {last:.2}", rng.u32(10..60), rng.u32(1..8))));
+        }
+        if rng.bool() {
+            let cut = from + last * rng.f64();
+            let one_way = if rng.bool() { " oneway" } else { "" };
+            lines.push((cut, format!("cut leader from cores for {:.2}{one_way}", 0.5 + rng.f64() * 3.0)));
+        }
+    }
     lines.sort_by(|a, b| a.0.total_cmp(&b.0));
     let _ = writeln!(text, "seconds {ends:.1}");
     for (at, line) in lines {
--- a/crates/dryfit/src/judge.rs
+++ b/crates/dryfit/src/judge.rs
@@ -1,8 +1,9 @@
 //! Whether a record keeps the rules, each by what clients, servers and operators saw alone.
 
 mod booked;
+mod history;
 
-use crate::record::{Answer, Arrival, Change, Fate, Record, Trouble, Try};
+use crate::record::{Answer, Arrival, Change, Fate, Kind, Record, Trouble, Try};
 use crate::{Micros, SECOND};
 use jig::Config;
 use jig::drill::Fault;
@@ -51,9 +52,11 @@
     j.going_back();
     j.denied();
     j.orders();
+    j.history();
     j.acknowledgements();
     j.draining();
     j.evacuations();
+    j.evacuated();
     j.quotas();
     j.budgets();
     j.cold();
@@ -231,9 +234,12 @@
         for (n, t) in self.r.tries.iter().enumerate() {
             let Some(a) = &t.answer else { continue };
             let mine = (300..500).contains(&a.status) && !matches!(a.status, 408 | 409 | 421 | 429);
+            if !mine {
+                continue;
+            }
             let (_, new) = self.in_force(t.sent, a.at);
             let proper = !new.is_empty() && new.iter().all(|c| matches!(self.says(*c, t), Says::Go { .. }));
-            if mine && proper && self.r.in_touch(t.edge, t.sent) {
+            if proper && self.r.in_touch(t.edge, t.sent) {
                 found.push((n as u64, a.status));
             }
         }
@@ -298,9 +304,14 @@
             Fate::Open => r.ends,
             Fate::Acknowledged(at) | Fate::Refused(at) => at,
         };
-        let changes = r.changes.iter().filter(|c| !c.invalid);
-        let changes = changes.map(|c| (c.sent, c.fate, format!("version {}", c.version)));
-        let moves = r.evacuations.iter().map(|e| (e.sent, e.fate, format!("evacuation of {}", e.zone)));
+        // An answer that was lost on its way is one of the system's.
+        let answered = |fate, of| r.lost_answers.get(&of).map_or(fate, |at| Fate::Acknowledged(*at));
+        let changes = r.changes.iter().enumerate().filter(|(_, c)| !c.invalid);
+        let changes = changes
+            .map(|(n, c)| (c.sent, answered(c.fate, (Kind::Change, n)), format!("version {}", c.version)));
+        let moves = r.evacuations.iter().enumerate().map(|(n, e)| {
+            (e.sent, answered(e.fate, (Kind::Evacuation, n)), format!("evacuation of {}", e.zone))
+        });
         let booked = r.bookings.iter().map(|b| (b.sent, b.fate, format!("booking {}", b.name)));
         let unbooked = r.bookings.iter().filter_map(|b| {
             b.ended.map(|(sent, fate)| (sent, fate, format!("the end of booking {}", b.name)))
@@ -355,6 +366,26 @@
         }
     }
 
+    /// At the end of the day the last order of each zone holds, whatever copies of earlier ones came late.
+    fn evacuated(&mut self) {
+        let r = self.r;
+        let Some(read) =
+            r.zones.iter().rfind(|z| r.calm(z.from.saturating_sub(r.bounds.contact), z.from, |_| true))
+        else {
+            return;
+        };
+        let zones: BTreeSet<&String> = r.evacuations.iter().map(|e| &e.zone).collect();
+        for zone in zones {
+            let of = || r.evacuations.iter().filter(|e| e.zone == *zone);
+            let clear = of().all(|e| matches!(e.fate, Fate::Acknowledged(at) if at + SECOND < read.from));
+            let last = of().next_back().is_some_and(|e| e.on);
+            if clear && last != read.evacuated.contains(zone) {
+                let what = if last { "its evacuation is gone" } else { "it is evacuated, though taken back" };
+                self.breach("EVAC", None, format!("{zone}: {what} at {:.3}", read.from as f64 / 1e6));
+            }
+        }
+    }
+
     // ---- what is counted over all machines ----
 
     fn quotas(&mut self) {
--- a/crates/dryfit/src/lib.rs
+++ b/crates/dryfit/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod load;
 mod net;
 mod odd;
+mod operators;
 mod outside;
 pub mod plan;
 mod process;
--- a/crates/dryfit/src/load.rs
+++ b/crates/dryfit/src/load.rs
@@ -141,7 +141,8 @@
 
 /// Plays the day of a size: its calm span and its wave, and the record.
 pub fn measure(size: Size, seed: u64) -> miette::Result<([Span; 2], crate::record::Record)> {
-    let scenario = crate::scenario::Scenario::read(&size.day())?;
+    let mut scenario = crate::scenario::Scenario::read(&size.day())?;
+    scenario.readers = 0; // the system's own traffic alone
     let mut world = World::new(scenario, seed);
     let mut spans = Vec::new();
     for (from, to) in [(CALM, WAVE), (WAVE, WAVED)] {
--- a/crates/dryfit/src/odd.rs
+++ b/crates/dryfit/src/odd.rs
@@ -1,5 +1,6 @@
 //! Stranger troubles: servers that are ill though they say that they are well, that go and come by turns or forget
-//! connections; machines that are ended in turn; settings files that change; clients that move.
+//! connections; machines that are ended in turn; settings files that change; clients that move; operators whose
+//! answers are lost or whose calls come twice.
 
 use crate::net::ConnId;
 use crate::record::Host;
@@ -36,10 +37,27 @@
     Settings { who: String, seeds: Vec<String> },
     /// So many in a hundred of a zone's clients are in another from now on.
     Move { part: f64, from: String, to: String },
+    /// So many operators change the configuration at once, each with a pause between.
+    Storm { operators: usize, gap: Micros, last: Micros },
+    /// So many in a hundred answers to operators are lost.
+    LoseAcks { part: f64, last: Micros },
+    /// Of so many in a hundred changes a copy comes late, to any machine.
+    Copies { part: f64, late: Micros, last: Micros },
 }
 
 pub(crate) fn read(word: &str, w: &mut Words) -> Result<Option<Odd>> {
     Ok(Some(match word {
+        "storm" => {
+            let operators = w.number("operators")? as usize;
+            w.must("every")?;
+            Odd::Storm { operators, gap: w.seconds("every")?, last: w.last()? }
+        }
+        "lose-acks" => Odd::LoseAcks { part: w.number("the part")? / 100.0, last: w.last()? },
+        "copies" => {
+            let part = w.number("the part")? / 100.0;
+            w.must("late")?;
+            Odd::Copies { part, late: w.seconds("late")?, last: w.last()? }
+        }
         "grey" => {
             let server = w.next("the server")?.to_string();
             let how = match w.next("how")? {
@@ -165,6 +183,9 @@
                     self.reseed(owner);
                 }
             }
+            Odd::Storm { operators, gap, last } => self.storm(operators, gap, last),
+            Odd::LoseAcks { part, last } => self.operators.loses = (part, now + last),
+            Odd::Copies { part, late, last } => self.operators.copies = (part, late, now + last),
             Odd::Move { part, from, to } => {
                 let (from, to) = (self.zone_named(&from), self.zone_named(&to));
                 for n in 0..self.clients.len() {
--- a/crates/dryfit/src/outside.rs
+++ b/crates/dryfit/src/outside.rs
@@ -18,12 +18,15 @@
 /// What every proper clock shows when a day begins, in milliseconds since 1970.
 pub const DAY_MS: u64 = 1_800_000_000_000;
 
+#[derive(Default)]
 pub struct Order {
-    request: Rc<calls::Request>,
+    pub request: Rc<calls::Request>,
     pub plan: Option<Plan>,
     /// Its place among the record's changes, or evacuations.
-    change: Option<usize>,
-    evacuation: Option<usize>,
+    pub change: Option<usize>,
+    /// One of a storm's operators sent it.
+    pub writer: Option<usize>,
+    pub evacuation: Option<usize>,
     /// Of a drill: its place among the record's, and whether it is to end.
     drill: Option<(usize, bool)>,
     /// Its place among the record's bookings, and whether it ends one.
@@ -34,6 +37,17 @@
     until: Micros,
 }
 
+impl Order {
+    pub fn of(request: calls::Request, until: Micros) -> Order {
+        Order { request: Rc::new(request), until, ..Order::default() }
+    }
+
+    /// A change by one of a storm's operators.
+    pub fn written(request: calls::Request, change: usize, writer: usize) -> Order {
+        Order { change: Some(change), writer: Some(writer), ..Order::of(request, Micros::MAX) }
+    }
+}
+
 // ---- servers ----
 
 pub struct Place {
@@ -69,12 +83,32 @@
 }
 
 pub enum CallFor {
-    Beat { place: usize, life: u64, draining: bool, cold: bool },
-    Leave { place: usize, life: u64 },
+    Beat {
+        place: usize,
+        life: u64,
+        draining: bool,
+        cold: bool,
+    },
+    Leave {
+        place: usize,
+        life: u64,
+    },
     Order(usize),
     ReadBack,
+    /// By a storm's operator, or by one that only reads.
+    Look {
+        from: Micros,
+        writer: Option<usize>,
+    },
+    Copy {
+        change: usize,
+        sent: Micros,
+    },
     ReadDrill(usize),
     Listed,
+    Status {
+        from: Micros,
+    },
     Resolve(usize),
 }
 
@@ -111,7 +145,7 @@
 impl World {
     // ---- calls on the system ----
 
-    fn call(&mut self, from: Owner, core: usize, request: Rc<calls::Request>, why: CallFor) {
+    pub fn call(&mut self, from: Owner, core: usize, request: Rc<calls::Request>, why: CallFor) {
         let conn = self.dial(Kind::Call, from, Owner::Registry(core));
         self.calls.insert(conn, (request, why));
         self.at(self.now + SECOND, Ev::CallTimeout(conn));
@@ -218,7 +252,10 @@
                 }
                 self.at(self.now + 500 * MS, Ev::ReadBack);
             }
+            CallFor::Look { from, writer } => self.looked(from, writer, answer.as_deref()),
+            CallFor::Copy { change, sent } => self.copied(change, sent, answer.as_deref()),
             CallFor::ReadDrill(number) => self.drill_read(number, answer.as_deref()),
+            CallFor::Status { from } => self.status_read(from, answer.as_deref()),
             CallFor::Listed => {
                 let read = answer.filter(|a| a.status == 200).and_then(|a| jzon::parse(&a.body).ok());
                 if let Some(read) = read {
@@ -785,7 +822,7 @@
 
     /// Plans and sends a change; `rival`: on the version that is known, whatever else is under way.
     pub fn wish(&mut self, wish: Wish, rival: bool) {
-        if !rival && self.orders.iter().any(|o| !o.done) {
+        if !rival && self.busy() {
             self.wishes.push_back(wish);
             return;
         }
@@ -797,17 +834,7 @@
             self.record.evacuations.push(record::Evacuation { sent, zone, on, fate: Fate::Open });
             let evacuation = Some(self.record.evacuations.len() - 1);
             let until = self.now + self.record.bounds.ack_limit;
-            return self.order(Order {
-                request: Rc::new(request),
-                plan: None,
-                change: None,
-                evacuation,
-                drill: None,
-                booking: None,
-                tries: 0,
-                done: false,
-                until,
-            });
+            return self.order(Order { evacuation, ..Order::of(request, until) });
         }
         if matches!(wish, Wish::Drill(_) | Wish::StopDrill { .. }) {
             return self.wish_drill(wish);
@@ -819,24 +846,17 @@
         let version = base + 1 + u32::from(rival) + self.chance(6).u32(0..3) * 2;
         let wished = self.plan.wished(&wish, version);
         let config = Rc::new(wished.config(&self.plan));
-        let (method, if_match, body) = wished.call(base);
+        // In a storm it cannot know what a part would be put into.
+        let whole = !self.operators.writers.is_empty();
+        let (method, if_match, body) = if whole { wished.put(base) } else { wished.call(base) };
         let (plan, invalid, if_match) = (wished.plan, wished.invalid, Some(if_match));
         let target = "/api/configuration".into();
         let request = calls::Request { method: method.into(), target, if_match, body: body.into_bytes() };
         let (sent, version) = (self.now, plan.version);
         self.record.changes.push(record::Change { sent, version, base, config, invalid, fate: Fate::Open });
         let change = Some(self.record.changes.len() - 1);
-        self.order(Order {
-            request: Rc::new(request),
-            plan: (!invalid).then_some(plan),
-            change,
-            evacuation: None,
-            drill: None,
-            booking: None,
-            tries: 0,
-            done: false,
-            until: Micros::MAX,
-        });
+        let plan = (!invalid).then_some(plan);
+        self.order(Order { plan, change, ..Order::of(request, Micros::MAX) });
     }
 
     /// Books room, or ends a booking.
@@ -886,17 +906,7 @@
         let target = format!("/api/bookings/{name}");
         let request =
             calls::Request { method: method.into(), target, if_match: None, body: body.into_bytes() };
-        self.order(Order {
-            request: Rc::new(request),
-            plan: None,
-            change: None,
-            evacuation: None,
-            drill: None,
-            booking: Some(place),
-            tries: 0,
-            done: false,
-            until: Micros::MAX,
-        });
+        self.order(Order { booking: Some(place), ..Order::of(request, Micros::MAX) });
     }
 
     fn wish_drill(&mut self, wish: Wish) {
@@ -921,10 +931,8 @@
         };
         let target = format!("/api/drills/{name}");
         let request = calls::Request { method: method.into(), target, if_match: None, body };
-        let request = Rc::new(request);
-        let (plan, change, evacuation) = (None, None, None);
-        let (drill, tries, done, until) = (Some(drill), 0, false, now + self.record.bounds.ack_limit);
-        self.order(Order { request, plan, change, evacuation, drill, booking: None, tries, done, until });
+        let until = now + self.record.bounds.ack_limit;
+        self.order(Order { drill: Some(drill), ..Order::of(request, until) });
     }
 
     pub fn read_drill(&mut self, number: usize) {
@@ -947,7 +955,7 @@
         self.at(self.now + 500 * MS, Ev::ReadDrill(number));
     }
 
-    fn order(&mut self, order: Order) {
+    pub fn order(&mut self, order: Order) {
         self.orders.push(order);
         self.send_order(self.orders.len() - 1);
     }
@@ -963,11 +971,15 @@
             o.done = true;
             return self.next_wish();
         }
+        if let Some(change) = self.orders[number].change {
+            self.copy_later(change);
+        }
         self.call(Owner::Operator, core, request, CallFor::Order(number));
     }
 
     fn ordered(&mut self, number: usize, answer: Option<&calls::Answer>) {
         let now = self.now;
+        let answer = answer.filter(|a| !self.ack_is_lost(number, a.status));
         let status = answer.map_or(0, |a| a.status);
         let o = &mut self.orders[number];
         let ends = matches!(status, 400 | 409 | 412 | 413 | 422);
@@ -982,8 +994,9 @@
         self.note(format!("order {number}: {fate:?} {}", answer.map_or("", |a| a.body.as_str())));
         if let Some(at) = change {
             self.record.changes[at].fate = fate;
-            if !ends && let Some(plan) = plan {
-                self.plan = plan;
+            if !ends {
+                let known = self.plan.version.max(self.record.changes[at].version);
+                self.plan = Plan { version: known, ..plan.unwrap_or_else(|| self.plan.clone()) };
             }
         }
         if let Some(at) = evacuation {
@@ -1010,21 +1023,34 @@
         if !ends {
             self.fire("order");
         }
-        self.next_wish();
+        match self.orders[number].writer {
+            Some(writer) => self.written_by(writer),
+            None => self.next_wish(),
+        }
     }
 
     fn next_wish(&mut self) {
-        if let Some(wish) = self.wishes.pop_front() {
+        // Beside a rival that is still open it would go behind the others.
+        if !self.busy()
+            && let Some(wish) = self.wishes.pop_front()
+        {
             self.wish(wish, false);
         }
     }
 
+    fn busy(&self) -> bool {
+        self.orders.iter().any(|o| !o.done && o.writer.is_none())
+    }
+
     pub fn read_back(&mut self) {
         let cores = self.record.cores;
         let core = self.chance(7).usize(0..cores);
         let target = "/api/configuration".into();
         let request = calls::Request { method: "GET".into(), target, if_match: None, body: Vec::new() };
         self.call(Owner::Operator, core, Rc::new(request), CallFor::ReadBack);
+        if !self.record.evacuations.is_empty() {
+            self.read_status(core);
+        }
         if !self.record.bookings.is_empty() {
             let target = "/api/bookings".into();
             let request = calls::Request { method: "GET".into(), target, if_match: None, body: Vec::new() };
--- a/crates/dryfit/src/plan.rs
+++ b/crates/dryfit/src/plan.rs
@@ -154,12 +154,17 @@
 
     /// The call that asks for it: its method, what it builds on, its body.
     pub fn call(&self, base: u32) -> (&'static str, String, String) {
-        let if_match = if base == 0 { "0".to_string() } else { show_version(base) };
         match &self.patch {
-            Some(route) if base > 0 => ("PATCH", if_match, self.plan.patch(route)),
-            _ => ("PUT", if_match, self.plan.whole()),
+            Some(route) if base > 0 => ("PATCH", show_version(base), self.plan.patch(route)),
+            _ => self.put(base),
         }
     }
+
+    /// The same, whole.
+    pub fn put(&self, base: u32) -> (&'static str, String, String) {
+        let if_match = if base == 0 { "0".to_string() } else { show_version(base) };
+        ("PUT", if_match, self.plan.whole())
+    }
 }
 
 impl Plan {
--- a/crates/dryfit/src/record.rs
+++ b/crates/dryfit/src/record.rs
@@ -3,6 +3,7 @@
 use crate::{MS, Micros, SECOND};
 use jig::Config;
 use jig::drill::Drill;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 /// The figures of the rules.
@@ -172,6 +173,36 @@
     pub config: Option<Rc<Config>>,
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Kind {
+    Change,
+    Evacuation,
+}
+
+/// The zones that are evacuated, as read at the end of the day.
+#[derive(Clone, Debug)]
+pub struct Zones {
+    pub from: Micros,
+    pub evacuated: Vec<String>,
+}
+
+/// The configuration as an operator read it in the middle of a day; None: there was none.
+#[derive(Clone, Debug)]
+pub struct Look {
+    pub from: Micros,
+    pub until: Micros,
+    pub config: Option<Rc<Config>>,
+}
+
+/// A change that was sent once more, by itself or by the network, and what that copy was answered.
+#[derive(Clone, Debug)]
+pub struct Repeat {
+    /// Its place among the changes.
+    pub change: usize,
+    pub sent: Micros,
+    pub status: u16,
+}
+
 #[derive(Clone, Debug)]
 pub struct Closing {
     pub at: Micros,
@@ -278,6 +309,11 @@
     pub colds: Vec<Cold>,
     pub troubles: Vec<Trouble>,
     pub read_back: Vec<ReadBack>,
+    pub looks: Vec<Look>,
+    pub repeats: Vec<Repeat>,
+    /// When a clear answer to a change or an evacuation, by its place among them, was first lost on its way.
+    pub lost_answers: BTreeMap<(Kind, usize), Micros>,
+    pub zones: Vec<Zones>,
     pub rehearsals: Vec<Rehearsal>,
     pub met: Vec<Met>,
     pub bookings: Vec<Booking>,
--- a/crates/dryfit/src/scenario.rs
+++ b/crates/dryfit/src/scenario.rs
@@ -31,6 +31,8 @@
     /// How long a server is cold, and what it bears meanwhile.
     pub cold: (f64, f64),
     pub rooms: Rooms,
+    /// Operators that read the configuration all day.
+    pub readers: usize,
     pub events: Vec<(Micros, What)>,
     pub expects: Vec<Expect>,
     /// Chance of each place is its own.
@@ -198,6 +200,7 @@
             far: 35 * MS,
             cold: (3.0, 4.0),
             rooms: Rooms::Agreed,
+            readers: 3,
             events: Vec::new(),
             expects: Vec::new(),
             apart: false,
@@ -290,6 +293,7 @@
             "tenants" => self.tenants = w.number("tenants")? as usize,
             "quota" => self.quota = w.number("quota")? as u32,
             "clients" => self.clients = w.number("clients")? as usize,
+            "readers" => self.readers = w.number("readers")? as usize,
             "rate" => self.rate = w.number("rate")?,
             "seconds" => self.ends = w.seconds("seconds")?,
             "work" => self.work = (w.number("work")? * MS as f64) as Micros,
--- a/crates/dryfit/src/world.rs
+++ b/crates/dryfit/src/world.rs
@@ -2,6 +2,7 @@
 
 use crate::load::Load;
 use crate::net::{Body, ConnId, Event, Net, Owner};
+use crate::operators::Operators;
 use crate::outside::{CallFor, Client, Order, Place, Wanted};
 use crate::plan::{Plan, Wish};
 use crate::process::{Disk, Process, Proxy, Registry, START, Store};
@@ -48,6 +49,9 @@
     Deadline(u64),
     Order(usize),
     ReadBack,
+    Look(usize),
+    Write(usize),
+    Copy(usize),
     ReadDrill(usize),
     /// A rehearsed answer that comes slowly is whole.
     Slowly(usize, u64, ConnId, Rc<shuttle::front::Answer>),
@@ -111,6 +115,9 @@
     pub plan: Plan,
     pub orders: Vec<Order>,
     pub wishes: VecDeque<Wish>,
+    pub operators: Operators,
+    /// Their chance.
+    pub others: fastrand::Rng,
     /// A tenant that sends more, until when, by how many times.
     pub hot: (usize, Micros, f64),
     /// Tenants that ask a service for so many more a second, until when, and whether nothing is owed for it.
@@ -188,6 +195,8 @@
             plan,
             orders: Vec::new(),
             wishes: VecDeque::new(),
+            operators: Operators::default(),
+            others: fastrand::Rng::with_seed(seed ^ 0x0be7_a705),
             hot: (0, 0, 0.0),
             crowds: Vec::new(),
             traffic_ends,
@@ -228,6 +237,10 @@
         }
         let contact = self.record.bounds.contact;
         self.at(self.scenario.ends.saturating_sub(contact), Ev::ReadBack);
+        for reader in 0..self.scenario.readers {
+            let first = self.others.u64(SECOND..3 * SECOND);
+            self.at(first, Ev::Look(reader));
+        }
     }
 
     /// Plays the day.
@@ -366,6 +379,9 @@
             Ev::Deadline(number) => self.deadline(number),
             Ev::Order(number) => self.send_order(number),
             Ev::ReadBack => self.read_back(),
+            Ev::Look(reader) => self.look(reader),
+            Ev::Write(writer) => self.write_begins(writer),
+            Ev::Copy(change) => self.copy(change),
             Ev::ReadDrill(number) => self.read_drill(number),
             Ev::Slowly(n, life, conn, answer) => {
                 if self.life(Owner::Proxy(n)) == Some(life) {
--- a/crates/rack/src/orders.rs
+++ b/crates/rack/src/orders.rs
@@ -69,10 +69,10 @@
     }
 
     pub(crate) fn take(&mut self, version: u32, call: u64) {
-        self.last.push_back((version, call));
-        if self.last.len() > MOST_CHANGES {
+        if self.last.len() >= MOST_CHANGES {
             self.forget_oldest();
         }
+        self.last.push_back((version, call));
     }
 
     fn forget_oldest(&mut self) {
