Judge what cut-off core machines vouch for, stop core programs in the simulator

Change: rule STALE judges each 200 to a server, an operator or a directory's client by the contact that the machine had with a majority. `stall` stops programs of the core, which go on with all that came meanwhile.

STALE found one fault on its first run: a directory beside a store that hung answered on, as other registries told it of proxies.

--- a/crates/dryfit/src/hunt.rs
+++ b/crates/dryfit/src/hunt.rs
@@ -311,3 +311,27 @@
     }
     out
 }
+
+/// What became of the tries, by the second in which they were sent: how many were served, and why the others were not.
+pub fn reasons(record: &Record) -> String {
+    let mut seconds: BTreeMap<u64, BTreeMap<String, usize>> = BTreeMap::new();
+    for t in &record.tries {
+        let full = t.arrivals.iter().filter(|a| a.turned_away.is_some()).count();
+        let what = match &t.answer {
+            Some(a) if a.status < 300 => "served".to_string(),
+            Some(a) if full > 0 => format!("{} turned away", a.status),
+            Some(a) if t.given => format!("{} given", a.status),
+            Some(a) => format!("{} not given", a.status),
+            None if t.broken.is_some() => "closed".to_string(),
+            None if t.read.is_none() => "not read".to_string(),
+            None => "no answer".to_string(),
+        };
+        *seconds.entry(t.sent / crate::SECOND).or_default().entry(what).or_default() += 1;
+    }
+    let mut out = String::new();
+    for (second, counts) in seconds {
+        let counts: Vec<String> = counts.iter().map(|(what, n)| format!("{what} {n}")).collect();
+        let _ = writeln!(out, "{second:>4} s: {}", counts.join(", "));
+    }
+    out
+}
--- a/crates/dryfit/src/judge.rs
+++ b/crates/dryfit/src/judge.rs
@@ -1,6 +1,7 @@
 //! Whether a record keeps the rules, each by what clients, servers and operators saw alone.
 
 mod booked;
+mod vouched;
 
 use crate::record::{Answer, Arrival, Change, Fate, Record, Trouble, Try};
 use crate::{Micros, SECOND};
@@ -60,6 +61,7 @@
     j.drills();
     j.recovery();
     j.bookings();
+    j.vouched();
     j.out
 }
 
--- a/crates/dryfit/src/main.rs
+++ b/crates/dryfit/src/main.rs
@@ -14,6 +14,8 @@
     let log = Arg::new("log").long("log").action(ArgAction::SetTrue).help("Tells what happened");
     let unserved = Arg::new("unserved").long("unserved").value_name("N").value_parser(value_parser!(usize));
     let unserved = unserved.default_value("0").help("Tells of so many requests that were not served");
+    let reasons = Arg::new("reasons").long("reasons").action(ArgAction::SetTrue);
+    let reasons = reasons.help("Counts by the second what became of the tries");
     let days = Arg::new("days").long("days").value_parser(value_parser!(u64)).default_value("200");
     let file = Arg::new("scenario").required(true).value_parser(value_parser!(PathBuf));
     Command::new("dryfit")
@@ -24,6 +26,7 @@
             seed.clone(),
             log.clone(),
             unserved.clone(),
+            reasons.clone(),
         ]))
         .subcommand(
             Command::new("hunt")
@@ -48,7 +51,7 @@
                 seed.clone(),
             ]),
         )
-        .subcommand(Command::new("day").about("Plays one drawn day").args([seed, log, unserved]))
+        .subcommand(Command::new("day").about("Plays one drawn day").args([seed, log, unserved, reasons]))
 }
 
 fn main() -> ExitCode {
@@ -125,6 +128,9 @@
         "{}",
         hunt::unserved(&played.record, *args.get_one::<usize>("unserved").expect("it has a default"))
     );
+    if args.get_flag("reasons") {
+        print!("{}", hunt::reasons(&played.record));
+    }
     println!("{}", summary(&played));
     Ok(played.unmet.is_empty())
 }
--- a/crates/dryfit/src/outside.rs
+++ b/crates/dryfit/src/outside.rs
@@ -4,7 +4,7 @@
 use crate::odd::{Ill, Oddness};
 use crate::plan::{DEADLINE, HOST, Plan, Wish};
 use crate::process::BEAT;
-use crate::record::{self, Arrival, Fate, ReadBack, Request, Try};
+use crate::record::{self, Arrival, Fate, ReadBack, Request, Spoken, Try, Vouched};
 use crate::scenario::{Rooms, route_of};
 use crate::world::{Ev, World};
 use crate::{MS, Micros, SECOND};
@@ -146,6 +146,16 @@
                     self.close(conn, owner);
                     let by = by.map_or(0, |o| self.host_of(o));
                     self.answered_by = by;
+                    let what = match why {
+                        CallFor::Beat { .. } => Some(Vouched::Beat),
+                        CallFor::Order(_) => Some(Vouched::Order),
+                        CallFor::ReadBack => Some(Vouched::Read),
+                        CallFor::Resolve(_) => Some(Vouched::Directory),
+                        _ => None,
+                    };
+                    if let Some(what) = what.filter(|_| (200..300).contains(&answer.status)) {
+                        self.record.spoken.push(Spoken { at: self.now, by, what });
+                    }
                     self.called(why, Some(answer), conn);
                 }
                 Event::Down => {
--- a/crates/dryfit/src/record.rs
+++ b/crates/dryfit/src/record.rs
@@ -165,6 +165,40 @@
     pub what: String,
 }
 
+/// What the first says was not heard by the second.
+#[derive(Clone, Copy, Debug)]
+pub struct Unheard {
+    pub from: Micros,
+    pub until: Micros,
+    pub by: Host,
+    pub of: Host,
+}
+
+/// A store that did not run, or was stopped.
+#[derive(Clone, Copy, Debug)]
+pub struct Dark {
+    pub host: Host,
+    pub from: Micros,
+    pub until: Micros,
+}
+
+/// What a core machine vouched for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Vouched {
+    /// A server's call.
+    Beat,
+    Order,
+    Read,
+    Directory,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Spoken {
+    pub at: Micros,
+    pub by: Host,
+    pub what: Vouched,
+}
+
 /// The configuration as read at the end of the day.
 #[derive(Clone, Debug)]
 pub struct ReadBack {
@@ -277,6 +311,9 @@
     pub leaves: Vec<Leave>,
     pub colds: Vec<Cold>,
     pub troubles: Vec<Trouble>,
+    pub unheard: Vec<Unheard>,
+    pub dark: Vec<Dark>,
+    pub spoken: Vec<Spoken>,
     pub read_back: Vec<ReadBack>,
     pub rehearsals: Vec<Rehearsal>,
     pub met: Vec<Met>,
--- a/crates/dryfit/src/world.rs
+++ b/crates/dryfit/src/world.rs
@@ -5,7 +5,7 @@
 use crate::outside::{CallFor, Client, Order, Place, Wanted};
 use crate::plan::{Plan, Wish};
 use crate::process::{Disk, Process, Proxy, Registry, START, Store};
-use crate::record::{Booking, Bounds, Closing, Host, Record, Trouble};
+use crate::record::{Booking, Bounds, Closing, Dark, Host, Record, Trouble, Unheard};
 use crate::scenario::{Scenario, What};
 use crate::{MS, Micros, SECOND};
 use pegboard::calls;
@@ -32,6 +32,8 @@
     Here(usize, usize, Here),
     CallTimeout(ConnId),
     Heal(Rc<BTreeSet<(Host, Host)>>),
+    /// Goes on after it was stopped.
+    Resume(Owner, u64),
     Do(Box<What>),
     Quick(usize),
     Beat(usize, u64, bool),
@@ -86,6 +88,13 @@
     }
 }
 
+/// A program of the core that is stopped: which life of it, until when, and what has come for it.
+struct Stalled {
+    life: u64,
+    until: Micros,
+    came: Vec<(ConnId, Event)>,
+}
+
 pub struct World {
     pub now: Micros,
     due: BinaryHeap<Reverse<Due>>,
@@ -120,6 +129,7 @@
     pub seeds: Vec<Ipv4Addr>,
     pub load: Load,
     armed: Vec<(String, What)>,
+    stalled: BTreeMap<Owner, Stalled>,
     lives: u64,
     /// The process that is being worked on, out of its place meanwhile.
     pub at_work: Option<(Owner, u64)>,
@@ -194,6 +204,7 @@
             seeds: Vec::new(),
             load: Load::default(),
             armed: Vec::new(),
+            stalled: BTreeMap::new(),
             lives: 0,
             at_work: None,
             one_node: None,
@@ -317,7 +328,38 @@
         }
     }
 
+    /// Stopped, its kernel goes on taking connections and what comes over them.
+    fn stalled_until(&self, owner: Owner) -> Option<Micros> {
+        let stalled = self.stalled.get(&owner)?;
+        (self.life(owner) == Some(stalled.life)).then_some(stalled.until)
+    }
+
+    fn stall(&mut self, owner: Owner, last: Micros) {
+        assert!(
+            matches!(owner, Owner::Store(_) | Owner::Registry(_)),
+            "{owner:?}: only programs of the core"
+        );
+        let Some(life) = self.life(owner) else { return };
+        self.stalled.insert(owner, Stalled { life, until: self.now + last, came: Vec::new() });
+        self.at(self.now + last, Ev::Resume(owner, life));
+        if let Owner::Store(host) = owner {
+            self.record.dark.push(Dark { host, from: self.now, until: self.now + last });
+        }
+    }
+
+    fn resume(&mut self, owner: Owner, life: u64) {
+        let Some(stalled) = self.stalled.remove(&owner) else { return };
+        if self.life(owner) == Some(life) {
+            self.note(format!("{owner:?} goes on"));
+            stalled.came.into_iter().for_each(|(conn, event)| self.told(owner, conn, event));
+        }
+    }
+
     pub fn told(&mut self, owner: Owner, conn: ConnId, event: Event) {
+        if self.stalled_until(owner).is_some() {
+            let stalled = self.stalled.get_mut(&owner).expect("just seen");
+            return stalled.came.push((conn, event));
+        }
         match owner {
             Owner::Store(_) | Owner::Registry(_) | Owner::Proxy(_)
                 if !self.calls.contains_key(&conn) || matches!(owner, Owner::Registry(_)) =>
@@ -330,7 +372,10 @@
 
     fn event(&mut self, event: Ev) {
         match event {
-            Ev::Wake(owner, life) => self.woken(owner, life),
+            Ev::Wake(owner, life) => match self.stalled_until(owner) {
+                Some(until) => self.at(until, Ev::Wake(owner, life)),
+                None => self.woken(owner, life),
+            },
             Ev::Start(owner) => self.start(owner),
             Ev::Kill(owner, life) => {
                 if self.life(owner) == Some(life) {
@@ -338,7 +383,10 @@
                 }
             }
             Ev::PowerOn(host) => self.hosts[host].power = true,
-            Ev::Written(n, life, number) => self.written(n, life, number),
+            Ev::Written(n, life, number) => match self.stalled_until(Owner::Store(n)) {
+                Some(until) => self.at(until, Ev::Written(n, life, number)),
+                None => self.written(n, life, number),
+            },
             Ev::Syn(conn) => self.syn(conn),
             Ev::SynAck(conn) => self.syn_ack(conn),
             Ev::DialTimeout(conn) => self.dial_timeout(conn),
@@ -348,6 +396,7 @@
             Ev::Here(from, to, here) => self.here(from, to, here),
             Ev::CallTimeout(conn) => self.call_timeout(conn),
             Ev::Heal(ways) => self.heal(&ways),
+            Ev::Resume(owner, life) => self.resume(owner, life),
             Ev::Do(what) => self.act(*what),
             Ev::Quick(n) => self.act(self.scenario.events[n].1.clone()),
             Ev::Beat(place, life, periodic) => self.beat(place, life, periodic),
@@ -465,6 +514,9 @@
                 self.at(self.now + back, Ev::ServerStarts(place, None, true));
             }
             _ => {
+                if let Owner::Store(host) = owner {
+                    self.record.dark.push(Dark { host, from: self.now, until: self.now + back + START });
+                }
                 self.end(owner, dark);
                 self.at(self.now + back + START, Ev::Start(owner));
             }
@@ -482,7 +534,12 @@
                     self.stop_owner(owner, false, back);
                 }
             }
-            What::Stall { who, .. } => panic!("the scenario stalls {who:?}, which only real processes can"),
+            What::Stall { who, last } => {
+                let owners = self.owners_named(&who);
+                let hosts: Vec<Host> = owners.iter().map(|o| self.host_of(*o)).collect();
+                self.trouble(hosts, last, false, "stopped");
+                owners.into_iter().for_each(|owner| self.stall(owner, last));
+            }
             What::Power { who, back } => self.lose_power(&who, back, false),
             What::Wipe { who, back } => self.lose_power(&who, back, true),
             What::Term { who, back } => {
@@ -514,6 +571,9 @@
                 let whole = b.len() == self.hosts.len();
                 let touched: Vec<Host> = touched.into_iter().filter(|h| !whole || a.contains(h)).collect();
                 self.trouble(touched, last, false, "cut");
+                let until = now + last;
+                let unheard = ways.iter().map(|(of, by)| Unheard { from: now, until, by: *by, of: *of });
+                self.record.unheard.extend(unheard);
                 self.cut(&ways);
                 self.at(now + last, Ev::Heal(Rc::new(ways)));
             }
--- a/crates/dryfit/tests/planted.rs
+++ b/crates/dryfit/tests/planted.rs
@@ -2,7 +2,9 @@
 
 use dryfit::hunt::{others_differ, play, without_drills};
 use dryfit::judge::judge;
-use dryfit::record::{Answer, Arrival, Closing, Cold, Fate, Record, Trouble, Try};
+use dryfit::record::{
+    Answer, Arrival, Closing, Cold, Dark, Fate, Record, Spoken, Trouble, Try, Unheard, Vouched,
+};
 use dryfit::scenario::Scenario;
 use dryfit::{MS, SECOND};
 use std::rc::Rc;
@@ -458,3 +460,42 @@
     other.tries[n].answer.as_mut().expect("answered").at += 1;
     assert!(others_differ(&twin, &other).is_some());
 }
+
+/// The first core machine hears nobody for 20 s, and nobody it.
+fn cut_off(r: &mut Record, one_way: bool) {
+    let (from, until) = (12 * SECOND, 32 * SECOND);
+    for other in 1..r.cores {
+        r.unheard.push(Unheard { from, until, by: other, of: 0 });
+        if !one_way {
+            r.unheard.push(Unheard { from, until, by: 0, of: other });
+        }
+    }
+    // What it really said in that time is not what is planted.
+    r.spoken.retain(|s| s.by != 0 || s.at < from || s.at >= until);
+}
+
+#[test]
+fn a_machine_that_is_cut_off_vouches_for_what_the_majority_agrees() {
+    for one_way in [false, true] {
+        for what in [Vouched::Beat, Vouched::Order, Vouched::Read] {
+            caught("STALE", |r| {
+                cut_off(r, one_way);
+                assert!(!judge(r).iter().any(|b| b.rule == "STALE"));
+                r.spoken.push(Spoken { at: 15 * SECOND, by: 0, what });
+            });
+        }
+    }
+    caught("STALE", |r| {
+        cut_off(r, false);
+        r.spoken.push(Spoken { at: 24 * SECOND, by: 0, what: Vouched::Directory });
+    });
+}
+
+#[test]
+fn a_registry_goes_on_vouching_beside_a_store_that_hangs() {
+    caught("STALE", |r| {
+        r.dark.push(Dark { host: 0, from: 12 * SECOND, until: 32 * SECOND });
+        r.spoken.retain(|s| s.by != 0 || s.at < 12 * SECOND || s.at >= 32 * SECOND);
+        r.spoken.push(Spoken { at: 15 * SECOND, by: 0, what: Vouched::Beat });
+    });
+}
