--- a/crates/planchest/src/chest.rs
+++ b/crates/planchest/src/chest.rs
@@ -18,8 +18,13 @@
     LocalDown(u64),
     Written(u64),
     WriteFailed,
-    /// The program is about to end.
+    /// The program is about to end: it may once [`Chest::ends_at`] has come.
     Stop,
+    /// As the settings have it: how many members the core is to have, and who is asked for the group.
+    Settings {
+        size: Option<usize>,
+        seeds: Vec<Ipv4Addr>,
+    },
 }
 
 #[derive(Debug)]
@@ -37,6 +42,12 @@
 const AWAY_US: Micros = 2 * ASK_US;
 /// A call handed to the leader is given up after so long.
 const HANDED_US: Micros = 1_000_000;
+/// A store that is asked to end waits so long for another to lead, or to take its place.
+const HAND_OVER_US: Micros = 400_000;
+/// While another is taking its place it goes on, so long at most, and this much beyond the moment that it is done: the
+/// others are to know it, too.
+const REPLACED_US: Micros = 2_500_000;
+const LINGER_US: Micros = 150_000;
 /// Entries applied between two snapshots, and, in states of this one's size, their bytes.
 const SNAPSHOT_EVERY: u64 = 256;
 const SNAPSHOT_STATES: usize = 4;
@@ -117,6 +128,8 @@
     unreadable: Option<String>,
     stood: Option<(Vec<Ipv4Addr>, bool, bool, u64)>,
     standing_at: Micros,
+    /// When it was asked to end, and when it may.
+    stops: Option<(Micros, Micros)>,
     ask_at: Micros,
     /// Asked then, the log was agreed up to there.
     agreed: VecDeque<(Micros, Rev)>,
@@ -162,6 +175,7 @@
             unreadable: None,
             stood: None,
             standing_at: now,
+            stops: None,
             ask_at: now,
             agreed: VecDeque::new(),
             fresh_at: None,
@@ -182,7 +196,13 @@
 
     pub fn wake_at(&self) -> Micros {
         let handed = self.handed.values().map(|h| h.until).min().unwrap_or(Micros::MAX);
-        self.out.wake_at.min(handed).min(self.standing_at).min(self.ask_at)
+        let ends = self.stops.map_or(Micros::MAX, |(_, at)| at);
+        self.out.wake_at.min(handed).min(self.standing_at).min(self.ask_at).min(ends)
+    }
+
+    /// When the program may end, once it was asked to.
+    pub fn ends_at(&self) -> Option<Micros> {
+        self.stops.map(|(_, at)| at)
     }
 
     pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
@@ -196,7 +216,17 @@
             Input::Tick => self.agree(ratchet::Input::Tick, out),
             Input::Written(number) => self.agree(ratchet::Input::Written { number }, out),
             Input::WriteFailed => self.agree(ratchet::Input::WriteFailed, out),
-            Input::Stop => self.agree(ratchet::Input::Yield, out),
+            Input::Stop => {
+                self.stops.get_or_insert((self.now, self.now + HAND_OVER_US));
+                self.agree(ratchet::Input::Yield, out);
+            }
+            Input::Settings { size, seeds } => {
+                if let Some(size) = size {
+                    self.agree(ratchet::Input::Size(size), out);
+                }
+                self.seeds = seeds.clone();
+                self.agree(ratchet::Input::Seeds(seeds), out);
+            }
             Input::Peer(ip, peer) => self.peer(ip, peer, out),
             Input::Local(link, ToStore::Follow { rev }) => {
                 self.followers.insert(link, rev);
@@ -227,10 +257,16 @@
         }
         if self.now >= self.ask_at {
             self.ask_at = self.now + ASK_US;
-            if self.ratchet.standing() {
+            // Spares ask, too: what was agreed and is here makes a copy fresh, whoever counts.
+            if self.ratchet.standing() || self.ratchet.leader().is_some() {
                 self.read(Caller::Own { asked: self.now }, true, out);
             }
         }
+        if let Some((asked, at)) = &mut self.stops
+            && self.ratchet.is_being_replaced()
+        {
+            *at = (*at).max(self.now + LINGER_US).min(*asked + REPLACED_US);
+        }
         self.give_up(out);
         self.stand(out);
     }
@@ -407,7 +443,7 @@
                     postcard::from_bytes::<Command>(&data)
                         .map_err(|e| format!("entry {} is no command of this program: {e}", entry.index))?,
                 ),
-                Payload::Nothing | Payload::Roster(_) => None,
+                Payload::Nothing | Payload::Roster(_) | Payload::Joint { .. } => None,
             };
             let result = self.copy.apply(self.now, entry.index, command);
             self.results.push_back((entry.index, result));
@@ -439,8 +475,8 @@
     }
 
     fn fresh_ms(&self) -> Option<u32> {
-        let counts = self.ratchet.standing() && self.unreadable.is_none();
-        let at = self.fresh_at.filter(|at| counts && self.now < at + FRESH_US)?;
+        let reads = self.unreadable.is_none();
+        let at = self.fresh_at.filter(|at| reads && self.now < at + FRESH_US)?;
         u32::try_from((self.now - at) / 1000).ok()
     }
 
