--- a/crates/dryfit/src/judge.rs
+++ b/crates/dryfit/src/judge.rs
@@ -2,6 +2,7 @@
 
 mod booked;
 mod history;
+mod vouched;
 
 use crate::record::{Answer, Arrival, Change, Fate, Kind, Record, Trouble, Try};
 use crate::{Micros, SECOND};
@@ -63,6 +64,7 @@
     j.drills();
     j.recovery();
     j.bookings();
+    j.vouched();
     j.out
 }
 
--- a/crates/dryfit/src/main.rs
+++ b/crates/dryfit/src/main.rs
@@ -14,6 +14,8 @@
     let log = Arg::new("log").long("log").action(ArgAction::SetTrue).help("Tells what happened");
     let unserved = Arg::new("unserved").long("unserved").value_name("N").value_parser(value_parser!(usize));
     let unserved = unserved.default_value("0").help("Tells of so many requests that were not served");
+    let reasons = Arg::new("reasons").long("reasons").action(ArgAction::SetTrue);
+    let reasons = reasons.help("Counts by the second what became of the tries");
     let days = Arg::new("days").long("days").value_parser(value_parser!(u64)).default_value("200");
     let answers = Arg::new("answers").long("answers").action(ArgAction::SetTrue);
     let answers = answers.help("Days of servers that answer as they should not, and all that goes with it");
@@ -26,6 +28,7 @@
             seed.clone(),
             log.clone(),
             unserved.clone(),
+            reasons.clone(),
         ]))
         .subcommand(
             Command::new("hunt")
@@ -51,7 +54,9 @@
                 seed.clone(),
             ]),
         )
-        .subcommand(Command::new("day").about("Plays one drawn day").args([seed, log, unserved, answers]))
+        .subcommand(
+            Command::new("day").about("Plays one drawn day").args([seed, log, unserved, answers, reasons]),
+        )
 }
 
 fn main() -> ExitCode {
@@ -132,6 +137,9 @@
         "{}",
         hunt::unserved(&played.record, *args.get_one::<usize>("unserved").expect("it has a default"))
     );
+    if args.get_flag("reasons") {
+        print!("{}", hunt::reasons(&played.record));
+    }
     println!("{}", summary(&played));
     Ok(played.unmet.is_empty())
 }
