--- a/crates/dryfit/src/lib.rs
+++ b/crates/dryfit/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod record;
 pub mod scenario;
 pub mod seconds;
+pub mod weigh;
 pub mod world;
 
 pub use plan::Wish;
--- a/crates/dryfit/src/load.rs
+++ b/crates/dryfit/src/load.rs
@@ -69,33 +69,42 @@
     }
 }
 
-/// A size of the system, and what its parts are: as many servers and tenants for each proxy as a grown deployment has.
+/// A size of the system. Each part can be varied alone; what is not said is as many servers and tenants for each proxy
+/// as a grown deployment has, and a route for each service.
 #[derive(Clone, Copy, Debug)]
 pub struct Size {
     pub edges: usize,
     pub servers: usize,
     pub tenants: usize,
+    pub routes: usize,
     pub rate: f64,
 }
 
+const SERVICES: [&str; 3] = ["tiro", "utu", "kawe"];
+
 impl Size {
     pub fn of(edges: usize) -> Size {
         let of = |each: f64| (edges as f64 * each).round() as usize;
-        Size { edges, servers: of(4.4), tenants: edges, rate: edges as f64 * 6.0 }
+        Size { edges, servers: of(4.4), tenants: edges, routes: SERVICES.len(), rate: edges as f64 * 6.0 }
+    }
+
+    /// A client at least for each tenant; the requests do not grow with the tenants.
+    fn clients(&self) -> usize {
+        self.tenants.max(self.edges * 6)
     }
 
     /// A calm day, and from [`WAVE`] on a change of the configuration and a third of the servers replaced in turn.
     pub fn day(&self) -> String {
-        let names = ["tiro", "utu", "kawe"];
         let mut text = format!("cores a b a b a\nedges {}\ntenants {}\n", self.edges, self.tenants);
+        let (clients, routes, ends) = (self.clients(), self.routes, ENDS / SECOND);
         text +=
-            &format!("clients {}\nrate {}\nquota 60\nseconds {}\n", self.edges * 6, self.rate, ENDS / SECOND);
-        for (i, name) in names.iter().enumerate() {
+            &format!("routes {routes}\nclients {clients}\nrate {}\nquota 60\nseconds {ends}\n", self.rate);
+        for (i, name) in SERVICES.iter().enumerate() {
             text += &format!("service {name} {}\n", (self.servers + i) / 3);
         }
         text += &format!("at {} shift r-tiro to kawe\n", WAVE / SECOND);
         for n in 0..self.servers / 3 / 3 {
-            for (i, name) in names.iter().enumerate() {
+            for (i, name) in SERVICES.iter().enumerate() {
                 let at = WAVE as f64 / 1e6 + 0.5 + 8.0 * (n * 3 + i) as f64 / (self.servers as f64 / 3.0);
                 text += &format!("at {at:.3} drain {name}{} back 0\n", n + 1);
             }
@@ -157,7 +166,7 @@
 }
 
 /// The head of the table that [`row`] fills.
-pub const COLUMNS: &str = "proxies,servers,tenants,span,requests_s,proxy_link_bytes_s,proxy_link_most_bytes_s,\
+pub const COLUMNS: &str = "proxies,servers,tenants,routes,span,requests_s,proxy_link_bytes_s,proxy_link_most_bytes_s,\
     core_link_bytes_s,messages_s,registry_proxy_bytes_s,proxy_proxy_bytes_s,watchers_bytes_s,gossip_bytes_s,\
     agreement_bytes_s,between_regions_bytes_s,syncs_s";
 
@@ -171,10 +180,11 @@
     let kinds = ["registry and proxy", "proxy and proxy", "watchers", "gossip", "agreement"];
     let kinds = kinds.map(|k| format!("{:.0}", kind(k).1 as f64 / s)).join(",");
     format!(
-        "{},{},{},{name},{:.0},{:.0},{most},{:.0},{:.0},{kinds},{:.0},{:.2}",
+        "{},{},{},{},{name},{:.0},{:.0},{most},{:.0},{:.0},{kinds},{:.0},{:.2}",
         size.edges,
         size.servers,
         size.tenants,
+        size.routes,
         span.requests as f64 / s,
         mean(proxies),
         mean(&l.hosts[..cores]),
--- a/crates/dryfit/src/main.rs
+++ b/crates/dryfit/src/main.rs
@@ -4,11 +4,14 @@
 use dryfit::hunt::{self, Played};
 use dryfit::load::{self, Size};
 use dryfit::scenario::Scenario;
-use dryfit::seconds;
+use dryfit::{seconds, weigh};
 use miette::{Result, miette};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+#[global_allocator]
+static HEAP: weigh::PeakAlloc = weigh::PeakAlloc;
+
 fn command() -> Command {
     let seed = Arg::new("seed").long("seed").value_parser(value_parser!(u64)).default_value("1");
     let log = Arg::new("log").long("log").action(ArgAction::SetTrue).help("Tells what happened");
@@ -40,17 +43,27 @@
                 ]),
         )
         .subcommand(
-            Command::new("scale").about("Counts what the system's own traffic comes to, by its size").args([
-                Arg::new("edges")
-                    .num_args(1..)
-                    .value_parser(value_parser!(u16).range(4..=240))
-                    .required(true),
-                seed.clone(),
-            ]),
+            Command::new("scale")
+                .about("Counts what the system's own traffic comes to, by its size; several numbers: each with each")
+                .arg(
+                    Arg::new("edges").num_args(1..).value_parser(value_parser!(u16).range(4..=1000)).required(true),
+                )
+                .args(["servers", "tenants", "routes"].map(several))
+                .arg(seed.clone()),
+        )
+        .subcommand(
+            Command::new("weigh")
+                .about("What one process holds and works at a size, by the processor time and memory of this one")
+                .args(["proxies", "servers", "tenants", "routes", "active"].map(several)),
         )
         .subcommand(Command::new("day").about("Plays one drawn day").args([seed, log, unserved]))
 }
 
+/// Sizes of one part of the system.
+fn several(name: &'static str) -> Arg {
+    Arg::new(name).long(name).num_args(1..).value_parser(value_parser!(u32).range(1..=100_000))
+}
+
 fn main() -> ExitCode {
     let given = command().get_matches();
     let done = match given.subcommand() {
@@ -59,6 +72,7 @@
         Some(("seconds", args)) => by_second(args),
         Some(("day", args)) => day(args),
         Some(("scale", args)) => scale(args),
+        Some(("weigh", args)) => weigh(args),
         _ => unreachable!("a subcommand is required"),
     };
     match done {
@@ -129,11 +143,33 @@
     Ok(played.unmet.is_empty())
 }
 
+/// The sizes that are asked for, each with each.
+fn sizes(args: &ArgMatches) -> Vec<Size> {
+    let edges = args.get_many::<u16>("edges").into_iter().flatten();
+    let mut sizes: Vec<Size> = edges.map(|n| Size::of(usize::from(*n))).collect();
+    let set: [(&str, fn(&mut Size, usize)); 3] = [
+        ("servers", |s, n| s.servers = n),
+        ("tenants", |s, n| s.tenants = n),
+        ("routes", |s, n| s.routes = n),
+    ];
+    for (name, set) in set {
+        if let Some(given) = args.get_many::<u32>(name) {
+            let given: Vec<usize> = given.map(|n| *n as usize).collect();
+            let with = |size: &Size, n: usize| {
+                let mut size = *size;
+                set(&mut size, n);
+                size
+            };
+            sizes = sizes.iter().flat_map(|s| given.iter().map(move |n| with(s, *n))).collect();
+        }
+    }
+    sizes
+}
+
 fn scale(args: &ArgMatches) -> Result<bool> {
     println!("{}", load::COLUMNS);
     let mut kept = true;
-    for edges in args.get_many::<u16>("edges").into_iter().flatten() {
-        let size = Size::of(usize::from(*edges));
+    for size in sizes(args) {
         let ([calm, wave], record) = load::measure(size, *args.get_one("seed").expect("it has a default"))?;
         println!(
             "{}\n{}",
@@ -142,13 +178,33 @@
         );
         let breaches = dryfit::judge::judge(&record);
         for b in breaches.iter().take(5) {
-            eprintln!("{edges} proxies: {}: {}", b.rule, b.what);
+            eprintln!("{} proxies: {}: {}", size.edges, b.rule, b.what);
         }
         kept &= breaches.is_empty();
     }
     Ok(kept)
 }
 
+fn weigh(args: &ArgMatches) -> Result<bool> {
+    println!("{}", weigh::COLUMNS);
+    let given = |name: &str, or: usize| -> Vec<usize> {
+        args.get_many::<u32>(name).map_or(vec![or], |all| all.map(|n| *n as usize).collect())
+    };
+    for proxies in given("proxies", 100) {
+        for servers in given("servers", 1000) {
+            for tenants in given("tenants", 1000) {
+                for routes in given("routes", 300) {
+                    for active in given("active", 50) {
+                        let lot = weigh::Lot { proxies, servers, tenants, routes, active };
+                        println!("{}", weigh::weigh(&lot, &HEAP)?.row(&lot));
+                    }
+                }
+            }
+        }
+    }
+    Ok(true)
+}
+
 fn summary(played: &Played) -> String {
     let r = &played.record;
     let (served, all) = r.served(0, r.ends);
--- a/crates/dryfit/src/plan.rs
+++ b/crates/dryfit/src/plan.rs
@@ -166,11 +166,16 @@
     /// With which a scenario begins.
     pub fn of(scenario: &Scenario) -> Plan {
         let kinds = ["safe", "unsafe", "download"];
-        let routes = scenario.servers.iter().enumerate().map(|(i, (service, _))| RoutePlan {
-            name: route_of(service),
-            kind: kinds[i % 3],
-            to: vec![(service.clone(), 1)],
-            homes: Vec::new(),
+        let services = scenario.servers.len();
+        let routes = (0..scenario.routes.max(services)).map(|n| {
+            let service = &scenario.servers[n % services].0;
+            let name = route_of(service);
+            RoutePlan {
+                name: if n < services { name } else { format!("{name}-{}", n / services + 1) },
+                kind: kinds[n % services % 3],
+                to: vec![(service.clone(), 1)],
+                homes: Vec::new(),
+            }
         });
         let tenants = (0..scenario.tenants).map(|t| TenantPlan {
             name: format!("t{t}"),
--- a/crates/dryfit/src/scenario.rs
+++ b/crates/dryfit/src/scenario.rs
@@ -18,6 +18,8 @@
     /// Servers of each service.
     pub servers: Vec<(String, usize)>,
     pub tenants: usize,
+    /// Those beyond one for each service go to the services in turn.
+    pub routes: usize,
     /// Requests a second that each tenant may send.
     pub quota: u32,
     pub clients: usize,
@@ -189,6 +191,7 @@
             edges: 8,
             servers: servers.map(|(s, n)| (s.into(), n)).to_vec(),
             tenants: 3,
+            routes: 0,
             quota: 60,
             clients: 36,
             rate: 30.0,
@@ -288,6 +291,7 @@
                 }
             }
             "tenants" => self.tenants = w.number("tenants")? as usize,
+            "routes" => self.routes = w.number("routes")? as usize,
             "quota" => self.quota = w.number("quota")? as u32,
             "clients" => self.clients = w.number("clients")? as usize,
             "rate" => self.rate = w.number("rate")?,
--- a/crates/dryfit/src/world.rs
+++ b/crates/dryfit/src/world.rs
@@ -143,7 +143,7 @@
             host([10, 0, 0, n as u8 + 1], zone(z), true);
         }
         for n in 0..edges {
-            host([10, 1, 0, n as u8 + 1], n % zones.len(), true);
+            host([10, 1, (n / 250) as u8, (n % 250) as u8 + 1], n % zones.len(), true);
         }
         let mut places = Vec::new();
         for (service, n) in &scenario.servers {
