--- a/crates/dryfit/src/weigh.rs
+++ b/crates/dryfit/src/weigh.rs
@@ -66,17 +66,17 @@
     pub fn row(&self, lot: &Lot) -> String {
         let ms = |us: u64| format!("{:.2}", us as f64 / 1000.0);
         let w = self;
+        let of = [lot.proxies, lot.servers, lot.tenants, lot.routes, lot.active].map(|n| n.to_string());
+        let state = [w.state.0.to_string(), ms(w.state.1), ms(w.state.2), w.state.3.to_string()];
+        let report = [w.report.0.to_string(), ms(w.report.1), ms(w.report.2), w.report.3.to_string()];
         [
-            vec![lot.proxies, lot.servers, lot.tenants, lot.routes, lot.active]
-                .iter()
-                .map(usize::to_string)
-                .collect(),
+            of.to_vec(),
             vec![w.config.0.to_string(), ms(w.config.1), w.config.2.to_string()],
             vec![w.patch.0.to_string(), ms(w.patch.1), w.patch.2.to_string()],
-            vec![w.state.0.to_string(), ms(w.state.1), ms(w.state.2), w.state.3.to_string()],
+            state.to_vec(),
             vec![ms(w.start.0), w.start.1.to_string(), w.start.2.to_string()],
             vec![w.server.0.to_string(), ms(w.server.1), ms(w.proxy_patch)],
-            vec![w.report.0.to_string(), ms(w.report.1), ms(w.report.2), w.report.3.to_string()],
+            report.to_vec(),
             vec![w.readings.0.to_string(), w.readings.1.to_string(), ms(w.readings.2)],
             vec![format!("{:.2}", w.beats.0), w.beats.1.to_string(), w.beats.2.to_string()],
         ]
@@ -146,7 +146,8 @@
 
 /// The tenants that this proxy has requests of: some that all have, some of its own.
 pub fn usage(lot: &Lot, n: usize, count: u64) -> Usage {
-    let of = |i: usize| if i % 2 == 0 { i / 2 } else { (n * lot.active + i) * 7919 } % lot.tenants;
+    let own = |i: usize| (n * lot.active + i) * 7919 % lot.tenants;
+    let of = |i: usize| if i.is_multiple_of(2) { i / 2 % lot.tenants } else { own(i) };
     let tenants: BTreeSet<usize> = (0..lot.active.min(lot.tenants)).map(of).collect();
     let each = |t: usize| Use { tenant: tenant_key(&tenant(t)), wanted: 1_000, used: 1_000 };
     Usage { ip: node(n).ip, life: n as u64 + 1, count, tenants: tenants.into_iter().map(each).collect() }
