--- a/crates/dryfit/src/main.rs
+++ b/crates/dryfit/src/main.rs
@@ -147,21 +147,15 @@
 fn sizes(args: &ArgMatches) -> Vec<Size> {
     let edges = args.get_many::<u16>("edges").into_iter().flatten();
     let mut sizes: Vec<Size> = edges.map(|n| Size::of(usize::from(*n))).collect();
-    let set: [(&str, fn(&mut Size, usize)); 3] = [
-        ("servers", |s, n| s.servers = n),
-        ("tenants", |s, n| s.tenants = n),
-        ("routes", |s, n| s.routes = n),
-    ];
-    for (name, set) in set {
-        if let Some(given) = args.get_many::<u32>(name) {
-            let given: Vec<usize> = given.map(|n| *n as usize).collect();
-            let with = |size: &Size, n: usize| {
-                let mut size = *size;
-                set(&mut size, n);
-                size
-            };
-            sizes = sizes.iter().flat_map(|s| given.iter().map(move |n| with(s, *n))).collect();
-        }
+    for name in ["servers", "tenants", "routes"] {
+        let Some(given) = args.get_many::<u32>(name) else { continue };
+        let given: Vec<usize> = given.map(|n| *n as usize).collect();
+        let with = |size: &Size, n: usize| match name {
+            "servers" => Size { servers: n, ..*size },
+            "tenants" => Size { tenants: n, ..*size },
+            _ => Size { routes: n, ..*size },
+        };
+        sizes = sizes.iter().flat_map(|s| given.iter().map(move |n| with(s, *n))).collect();
     }
     sizes
 }
