--- a/crates/dryfit/src/weigh.rs
+++ b/crates/dryfit/src/weigh.rs
@@ -153,7 +153,7 @@
     Usage { ip: node(n).ip, life: n as u64 + 1, count, tenants: tenants.into_iter().map(each).collect() }
 }
 
-/// Counts one lot. Memory is that of the program whose allocator `heap` is.
+/// Counts one lot. Memory is that of the program whose allocator `heap` is: nothing else may work in it meanwhile.
 pub fn weigh(lot: &Lot, heap: &PeakAlloc) -> Result<Weighed> {
     let (mut w, mut plan) = (Weighed::default(), plan(lot));
     let change = |plan: &Plan, patch: bool| {
--- a/crates/dryfit/tests/weigh.rs
+++ b/crates/dryfit/tests/weigh.rs
@@ -5,10 +5,18 @@
 use dryfit::scenario::Scenario;
 use dryfit::weigh::{Lot, PeakAlloc, Weighed, plan, usage, weigh};
 use std::collections::BTreeSet;
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 #[global_allocator]
 static HEAP: PeakAlloc = PeakAlloc;
 
+/// Memory is counted for the whole process, so these tests run one after the other.
+static ALONE: Mutex<()> = Mutex::new(());
+
+fn alone() -> MutexGuard<'static, ()> {
+    ALONE.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 const LOT: Lot = Lot { proxies: 9, servers: 40, tenants: 60, routes: 12, active: 10 };
 
 fn weighed(lot: Lot) -> Weighed {
@@ -17,6 +25,7 @@
 
 #[test]
 fn further_routes_go_to_the_services_in_turn_and_are_named_apart() {
+    let _alone = alone();
     let s = Scenario::read("routes 8\nservice tiro 2\nservice utu 2\nservice kawe 2").expect("a scenario");
     let plan = Plan::of(&s);
     let to: Vec<&str> = plan.routes.iter().map(|r| r.to[0].0.as_str()).collect();
@@ -31,6 +40,7 @@
 
 #[test]
 fn each_part_of_a_size_is_varied_alone_and_no_rule_is_broken() {
+    let _alone = alone();
     let size = Size { servers: 12, tenants: 40, routes: 6, ..Size::of(4) };
     let s = Scenario::read(&size.day()).expect("a day");
     assert_eq!(s.servers.iter().map(|x| x.1).sum::<usize>(), 12);
@@ -44,6 +54,7 @@
 
 #[test]
 fn what_is_weighed_follows_the_part_that_grows_and_no_other() {
+    let _alone = alone();
     let base = weighed(LOT);
     let servers = weighed(Lot { servers: 80, ..LOT });
     let tenants = weighed(Lot { tenants: 120, ..LOT });
@@ -72,6 +83,7 @@
 
 #[test]
 fn readings_are_of_the_tenants_that_anybody_has_requests_of() {
+    let _alone = alone();
     let w = weighed(Lot { active: 1, ..LOT });
     assert_eq!(w.readings.0, 1, "all have requests of the same one");
     let asked: BTreeSet<u32> =
