--- a/crates/dryfit/src/process.rs
+++ b/crates/dryfit/src/process.rs
@@ -198,7 +198,9 @@
         match owner {
             Owner::Store(n) => {
                 let founders = self.core_ips();
-                let size = Some(founders.len());
+                // As settings tell it: as many losses are borne as this core can.
+                let losses = self.record.cores.saturating_sub(1) / 2;
+                let size = (losses > 0).then_some(2 * losses + 1);
                 let initial = !std::mem::replace(&mut self.hosts[host].begun, true) && founders.contains(&ip);
                 let saved = self.disks[n].saved.get_or_insert_with(|| match initial {
                     true => (0, Saved::founding(founders)),
