Let models share the tape of picks, and registries' tests the proxy that is seen

Need: two models of connections each had the runner of courses written out, two places of the registries' tests the same report of a proxy, and one decision on old changes two arms that ended alike.

Change: one file holds the picks, which both crates' models include; one function makes the report; one arm decides. No behaviour, bound, case or assertion is changed.

--- a/crates/pegboard/tests/common/mod.rs
+++ b/crates/pegboard/tests/common/mod.rs
@@ -19,6 +19,11 @@
     Node { ip, name: format!("edge-{last}"), zone: zone.into(), region, front: (ip, 80).into() }
 }
 
+/// A proxy that is ready, in its only life here.
+pub fn seen(last: u8, count: u64) -> Seen {
+    Seen { ip: node(last, "north-a").ip, life: 9, count, ready: true, rev: 0, suspects: vec![] }
+}
+
 pub fn nodes(of: &[(u8, &str)]) -> Command {
     Command::Nodes(of.iter().map(|(last, zone)| NodeChange::Up(node(*last, zone))).collect())
 }
@@ -163,16 +168,8 @@
         while self.now < end {
             count += 1;
             self.now = self.board.wake_at().clamp(self.now, (self.now + BEAT / 3).min(end));
-            let seen = |n: &u8| Seen {
-                ip: node(*n, "north-a").ip,
-                life: 9,
-                count,
-                ready: true,
-                rev: 0,
-                suspects: vec![],
-            };
             let servers = servers.iter().map(|id| (id.to_string(), count)).collect();
-            let nodes = nodes.iter().map(seen).collect();
+            let nodes = nodes.iter().map(|n| seen(*n, count)).collect();
             let zone = "south-a".to_string();
             let (usage, heads) = (Vec::new(), Vec::new());
             self.tell(Input::Peer(Gossip {
--- a/crates/pegboard/tests/cut_off.rs
+++ b/crates/pegboard/tests/cut_off.rs
@@ -5,7 +5,7 @@
 use common::*;
 use pegboard::board::{Input, Output};
 use rack::state::{Command, Done, NodeChange, ServerChange};
-use rack::talk::{Down, FRESH_US, FromStore, Gossip, Seen, ToStore, Unsure, Up};
+use rack::talk::{Down, FRESH_US, FromStore, Gossip, ToStore, Unsure, Up};
 
 const KNOWN: &str = "/api/instances/i-1";
 
@@ -27,8 +27,7 @@
 }
 
 fn reports(r: &mut Registry, last: u8, count: u64) {
-    let seen = Seen { ip: node(last, "north-a").ip, life: 9, count, ready: true, rev: 0, suspects: vec![] };
-    let report = Up::Report { rev: 0, head: None, seen: vec![seen], usage: Vec::new() };
+    let report = Up::Report { rev: 0, head: None, seen: vec![seen(last, count)], usage: Vec::new() };
     r.tell(Input::Proxy(last.into(), report));
 }
 
@@ -159,16 +158,8 @@
 fn proxies_that_another_registry_told_of_are_given_time_when_it_falls_silent_itself() {
     let mut r = registry();
     let gossip = |count, nodes: &[u8]| {
-        let seen = |n: &u8| Seen {
-            ip: node(*n, "north-a").ip,
-            life: 9,
-            count,
-            ready: true,
-            rev: 0,
-            suspects: vec![],
-        };
         let (servers, usage, heads, leases) = Default::default();
-        let (zone, nodes) = ("south-a".to_string(), nodes.iter().map(seen).collect());
+        let (zone, nodes) = ("south-a".to_string(), nodes.iter().map(|n| seen(*n, count)).collect());
         Input::Peer(Gossip { ip: OTHER, zone, servers, nodes, usage, heads, day_ms: None, leases })
     };
     let named = |r: &mut Registry| {
--- a/crates/rack/src/state.rs
+++ b/crates/rack/src/state.rs
@@ -191,12 +191,13 @@
         let wanted = || Config::version_in(&change.body);
         match self.changes.find(change.base, orders::fingerprint(change), wanted) {
             Taken::Yes => return Ok(None),
-            // What is invalid at any version was never taken.
-            Taken::Perhaps if !change.patch => {
-                Config::read(&change.body).map_err(|e| Done::Invalid(e.to_string()))?;
+            Taken::Perhaps => {
+                // What is invalid at any version was never taken.
+                if !change.patch {
+                    Config::read(&change.body).map_err(|e| Done::Invalid(e.to_string()))?;
+                }
                 return Err(Done::Forgotten { from: self.changes.from() });
             }
-            Taken::Perhaps => return Err(Done::Forgotten { from: self.changes.from() }),
             Taken::No => {}
         }
         let made = match (&self.config, change.patch) {
--- a/crates/shuttle/tests/answers.rs
+++ b/crates/shuttle/tests/answers.rs
@@ -3,6 +3,8 @@
 //! The code is that of the proxy; of its shell, the loop that lends a socket is here made anew (`turn`, `send`).
 
 mod common;
+#[path = "../../tongs/tests/common/tape.rs"]
+mod tape;
 
 use common::*;
 use httparse::Header;
@@ -12,6 +14,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, ErrorKind, Read, Write};
 use std::sync::{Arc, Mutex};
+use tape::Tape;
 use tongs::errors::Cause;
 use tongs::http::{Bounds, Response};
 use tongs::limits::Held;
@@ -23,38 +26,6 @@
 
 const BOUNDS: Bounds = Bounds { head: 4096, body: 4096 };
 const ANSWER_US: Micros = 300_000;
-/// What is open in a course: the picks of one after the other, in all combinations or by chance.
-struct Tape {
-    at: usize,
-    picks: Vec<(usize, usize)>,
-    rng: Option<fastrand::Rng>,
-}
-
-impl Tape {
-    fn pick(&mut self, of: usize) -> usize {
-        if let Some(rng) = &mut self.rng {
-            return rng.usize(0..of);
-        }
-        if self.at == self.picks.len() {
-            self.picks.push((0, of));
-        }
-        self.at += 1;
-        assert_eq!(self.picks[self.at - 1].1, of, "equal picks, equal courses");
-        self.picks[self.at - 1].0
-    }
-
-    /// The next combination, if there is one.
-    fn turn_over(&mut self) -> bool {
-        self.at = 0;
-        while let Some((n, of)) = self.picks.pop() {
-            if n + 1 < of {
-                self.picks.push((n + 1, of));
-                return true;
-            }
-        }
-        false
-    }
-}
 
 /// A rule broken on purpose between the parts; the judge must see it.
 #[derive(Clone, Copy, PartialEq, Debug)]
@@ -573,7 +544,7 @@
 
 /// All courses; how many, and the first in which something is broken.
 fn all(size: &Size, plant: Option<Plant>) -> (u64, Option<String>) {
-    let mut tape = Tape { at: 0, picks: Vec::new(), rng: None };
+    let mut tape = Tape::new(None);
     for count in 1.. {
         let (after, breaches) = course(tape, size, plant);
         if let Some(first) = breaches.first() {
@@ -613,7 +584,7 @@
     let (troubles, each_byte, blind) = (rng.usize(2..=12), rng.bool(), rng.u32(0..4) == 0);
     let size = Size { servers, asks: &[], troubles, each_byte, blind };
     let (asks, at_once) = (rng.u64(2..=8), rng.u64(1..=4));
-    let tape = Tape { at: 0, picks: Vec::new(), rng: Some(rng) };
+    let tape = Tape::new(Some(rng));
     let mut world = World::new(tape, &size, None);
     for id in 1..=asks {
         let once = world.tape.pick(3) > 0;
--- a/crates/tongs/src/door/model.rs
+++ b/crates/tongs/src/door/model.rs
@@ -2,6 +2,9 @@
 //! What comes may be split at each byte; the desk's answers may fail, be cut, or end the connection; the client
 //! may close its side, and the desk may drain, at any step.
 
+#[path = "../../tests/common/tape.rs"]
+mod tape;
+
 use super::connection::{Client, Turn};
 use super::*;
 use crate::clock::{Alarms, Clock};
@@ -12,6 +15,7 @@
 use std::io::{Read, Write};
 use std::net::Shutdown;
 use std::rc::Rc;
+use tape::Tape;
 
 const BOUNDS: Bounds = Bounds { head: 2048, body: 2048 };
 
@@ -111,41 +115,10 @@
     }
 }
 
-struct Tape {
-    at: usize,
-    picks: Vec<(usize, usize)>,
-    rng: Option<fastrand::Rng>,
-}
-
-impl Tape {
-    fn pick(&mut self, of: usize) -> usize {
-        if let Some(rng) = &mut self.rng {
-            return rng.usize(0..of);
-        }
-        if self.at == self.picks.len() {
-            self.picks.push((0, of));
-        }
-        self.at += 1;
-        assert_eq!(self.picks[self.at - 1].1, of, "equal picks, equal courses");
-        self.picks[self.at - 1].0
-    }
-
-    /// Yes or no; by chance seldom yes.
-    fn seldom(&mut self) -> bool {
-        let of = if self.rng.is_some() { 8 } else { 2 };
-        self.pick(of) == 1
-    }
-
-    fn turn_over(&mut self) -> bool {
-        self.at = 0;
-        while let Some((n, of)) = self.picks.pop() {
-            if n + 1 < of {
-                self.picks.push((n + 1, of));
-                return true;
-            }
-        }
-        false
-    }
+/// Yes or no; by chance seldom yes.
+fn seldom(tape: &mut Tape) -> bool {
+    let of = if tape.rng.is_some() { 8 } else { 2 };
+    tape.pick(of) == 1
 }
 
 /// What a client sends; what its answer must bear; whether the connection must end with it.
@@ -206,7 +179,7 @@
         if let Some(part) = parts.pop() {
             pipe.0.borrow_mut().to_door.extend(part);
             seen = events::READABLE;
-        } else if !left && tape.seldom() {
+        } else if !left && seldom(tape) {
             left = true;
             pipe.0.borrow_mut().closed = true;
             seen = events::READABLE | events::ENDED;
@@ -304,7 +277,7 @@
 /// All courses of what is sent; how many, and the first with a fault.
 fn all(sent: &[usize], plant: Option<Plant>) -> (u64, Option<String>) {
     let (room, alarm) = (room(), Alarm::new(Clock::start()).expect("a timer"));
-    let mut tape = Tape { at: 0, picks: Vec::new(), rng: None };
+    let mut tape = Tape::new(None);
     let mut count = 0;
     loop {
         count += 1;
@@ -333,7 +306,7 @@
     for seed in 0..4000 {
         let mut rng = fastrand::Rng::with_seed(seed);
         let sent: Vec<usize> = (0..rng.usize(2..7)).map(|_| rng.usize(0..REQUESTS.len())).collect();
-        let mut tape = Tape { at: 0, picks: Vec::new(), rng: Some(rng) };
+        let mut tape = Tape::new(Some(rng));
         let fault = course(&room, &alarm, &mut tape, &sent, None);
         assert_eq!(fault, None, "seed {seed}: {sent:?}");
     }
