Pay back in a flood what proxies sent ahead, and hear of a flood at once

Cause: each of n proxies may send 2 requests ahead of its even share whatever the tenant's leeway (174 over 87 proxies, where the leeway is 26 to 160), and each reading forgave that anew, in a flood too. Change: a reading that tells of a flood forgives nothing, nor do those of the next 3 s; a proxy then sends only what its scaled share earns, at 0.92 of it; where the even burst is under one request proxies begin at a drawn point of it, not all at once. The meter tells at once when what is wanted of a tenant passes its quota, by the sum over all proxies and not by one proxy's rise.

--- a/crates/pegboard/src/meter.rs
+++ b/crates/pegboard/src/meter.rs
@@ -17,6 +17,8 @@
 const CHANCE: f64 = 3.0;
 /// A rise at one proxy that is more than chance: twice what it was, and so much in thousandths of a request a second.
 const RISE: u32 = 4_000;
+/// More than so many times its rate is wanted of a tenant in a flood.
+const FLOOD: f64 = 1.05;
 
 struct Report {
     usage: Usage,
@@ -29,12 +31,14 @@
     reports: BTreeMap<Ipv4Addr, Report>,
     /// By tenant: when it was last read, and the mean of what was used.
     sums: HashMap<u32, (Micros, f64)>,
+    /// By tenant with a quota: what is reported to be wanted, and from where on that is a flood.
+    floods: HashMap<u32, (u64, u64)>,
 }
 
 impl Meter {
     /// `every_us`: how often proxies report.
     pub fn new(every_us: Micros) -> Meter {
-        Meter { every_us, reports: BTreeMap::new(), sums: HashMap::new() }
+        Meter { every_us, reports: BTreeMap::new(), sums: HashMap::new(), floods: HashMap::new() }
     }
 
     /// A report, from the proxy itself or by another registry (`told`). An older one than is known is passed over. True
@@ -49,11 +53,31 @@
             uses.filter(|u| u.tenant == tenant).map(|u| u.wanted).sum::<u32>()
         };
         let rises = |u: &Use| u.wanted > before(u.tenant).saturating_mul(2).saturating_add(RISE);
-        let rises = usage.tenants.iter().any(rises);
+        let rises = usage.tenants.iter().any(rises) | self.floods_now(&usage);
         self.reports.insert(usage.ip, Report { usage, heard_at: now, told });
         rises
     }
 
+    /// Whether a report makes what is wanted of a tenant a flood, which it was not before.
+    fn floods_now(&mut self, usage: &Usage) -> bool {
+        let before = self.reports.get(&usage.ip).into_iter().flat_map(|r| &r.usage.tenants);
+        let mut was: HashMap<u32, u64> = before.map(|u| (u.tenant, u64::from(u.wanted))).collect();
+        let mut floods = false;
+        for used in &usage.tenants {
+            let was = was.remove(&used.tenant).unwrap_or(0);
+            let Some((sum, from)) = self.floods.get_mut(&used.tenant) else { continue };
+            let now = (*sum + u64::from(used.wanted)).saturating_sub(was);
+            floods |= *sum <= *from && now > *from;
+            *sum = now;
+        }
+        for (tenant, wanted) in was {
+            if let Some((sum, _)) = self.floods.get_mut(&tenant) {
+                *sum = sum.saturating_sub(wanted);
+            }
+        }
+        floods
+    }
+
     /// What was reported here since the last time, for the other registries.
     pub fn news(&mut self) -> Vec<Usage> {
         let fresh = self.reports.values_mut().filter(|r| !r.told);
@@ -98,6 +122,8 @@
             let Some(uses) = uses.get(&tenant) else { continue };
             let unheard = silent as f64 * t.rate / nodes as f64;
             let sum = |of: fn(&Use) -> u32| uses.iter().map(|u| f64::from(of(u)) / 1000.0).sum::<f64>();
+            let wanted = uses.iter().map(|u| u64::from(u.wanted)).sum();
+            self.floods.insert(tenant, (wanted, (FLOOD * t.rate * 1000.0) as u64));
             let (all_wanted, all_used) = (sum(|u| u.wanted) + unheard, sum(|u| u.used) + unheard);
             let (at, mean) = self.sums.entry(tenant).or_insert((now, all_used));
             *mean = steady(*mean, all_used, now.saturating_sub(*at) as f64);
--- a/crates/shuttle/src/front.rs
+++ b/crates/shuttle/src/front.rs
@@ -7,7 +7,7 @@
 use crate::book::{Book, List, Peer, Place, REGION};
 use crate::cramp::{Cramp, Shown};
 use crate::drill::{Drills, Meeting, Met, Verdict};
-use crate::tenants::Tenants;
+use crate::tenants::{Quota, Tenants};
 use curlewfront::{Action, Decider, Event, Hold, ListKind, Micros, NewRequest, Outcome, Return};
 use jig::config::{Config, Index, Kind, Route, Tenant};
 use jig::drill::{Fault, Ran};
@@ -223,7 +223,7 @@
             held: BTreeMap::new(),
             late: BTreeMap::new(),
             cramp: Cramp::new(place.ip, place.times),
-            booked: Tenants::new(beat_us / 3),
+            booked: Tenants::new(beat_us / 3, seed),
             holds: Vec::new(),
             look_at: Micros::MAX,
             place,
@@ -233,7 +233,7 @@
             peers: BTreeMap::new(),
             among: (1, 0),
             relist_at: None,
-            tenants: Tenants::new(beat_us / 3),
+            tenants: Tenants::new(beat_us / 3, seed),
             spent: Vec::new(),
             acts: Vec::new(),
             back: VecDeque::new(),
@@ -335,6 +335,11 @@
         let left_us = ask.left_us.unwrap_or(Micros::MAX).min(route.deadline_ms * 1000);
         let plan = tenant.map_or(0, |t| self.book.plan(&t.name));
         self.tenants.asked(plan);
+        let nodes = self.copy.state.nodes.len();
+        if !self.tenants.may_send(self.now, plan, self.book.even(plan, nodes), nodes) {
+            self.counts.refused += 1;
+            return Err(Answer::later(429, "beyond the quota", RETRY_US));
+        }
         let booking = self.come_under(tenant, route, service);
         if booking > 0 {
             self.booked.asked(booking as usize);
@@ -646,7 +651,8 @@
         for (plan, rate) in self.book.quotas() {
             let key = self.book.key(plan);
             if let Some(reading) = readings.iter().find(|r| r.tenant == key) {
-                let used = self.tenants.read(self.now, plan, reading, nodes, rate);
+                let quota = Quota { rate, burst: self.book.even(plan, nodes).burst };
+                let used = self.tenants.read(self.now, plan, reading, nodes, quota);
                 self.decide(Event::Used { customer: plan as u64, used }, out);
             }
         }
--- a/crates/shuttle/tests/tenants.rs
+++ b/crates/shuttle/tests/tenants.rs
@@ -7,7 +7,7 @@
 use rack::copy::Copy;
 use rack::talk::{Reading, Usage, tenant_key};
 use shuttle::book::{Book, Even};
-use shuttle::tenants::Tenants;
+use shuttle::tenants::{Quota, Tenants};
 
 const EVERY: u64 = SECOND / 3;
 
@@ -29,7 +29,7 @@
 impl Site {
     /// A proxy that is asked so often between two reports, and its report.
     fn proxy(&self, last: u8, asked: u32) -> (Tenants, Usage) {
-        let mut tenants = Tenants::new(EVERY);
+        let mut tenants = Tenants::new(EVERY, 7);
         tenants.uses(SECOND, |plan| self.book.key(plan));
         (0..asked).for_each(|_| tenants.asked(self.plan));
         let told = tenants.uses(SECOND + EVERY, |plan| self.book.key(plan));
@@ -45,7 +45,7 @@
     fn share(&self, tenants: &mut Tenants, reading: Option<&Reading>) -> f64 {
         let (now, all) = (SECOND + EVERY, self.copy.state.nodes.len());
         if let Some(reading) = reading {
-            tenants.read(now, self.plan, reading, all, f64::INFINITY);
+            tenants.read(now, self.plan, reading, all, Quota { rate: f64::INFINITY, burst: 1.0 });
         }
         1.0 / f64::from(tenants.spread(now, self.plan, all))
     }
@@ -114,7 +114,7 @@
 #[test]
 fn a_rise_is_told_ahead_of_time_and_the_rate_is_that_of_the_requests() {
     let site = site(10);
-    let mut tenants = Tenants::new(EVERY);
+    let mut tenants = Tenants::new(EVERY, 7);
     let mut wanted = |asked: u32, at: u64| {
         (0..asked).for_each(|_| tenants.asked(site.plan));
         let hurries = std::mem::take(&mut tenants.hurries);
