--- a/crates/pegboard/tests/meter.rs
+++ b/crates/pegboard/tests/meter.rs
@@ -76,3 +76,23 @@
     assert_eq!(told.count(), 1);
     assert!(r.now <= SECOND + BEAT / 3 + 100_000, "well before its usual round");
 }
+
+/// Each of many proxies sees too little to call it a rise; all together it is a flood.
+#[test]
+fn what_many_proxies_want_a_little_more_of_is_told_at_once() {
+    let mut copy = Copy::default();
+    for (rev, command) in (1..).zip(commands()) {
+        copy.apply(SECOND, rev, Some(command));
+    }
+    let mut meter = Meter::new(BEAT / 3);
+    for last in 1..=4 {
+        meter.take(SECOND, usage(last, 1, 1, 3_000, 3_000), false);
+    }
+    let quota = 20_000; // reed's, in thousandths of a request a second
+    assert!(meter.read(SECOND, &copy.state)[0].wanted < quota);
+    let told: Vec<bool> =
+        (1..=4).map(|last| meter.take(SECOND, usage(last, 1, 2, 9_000, 3_000), false)).collect();
+    assert_eq!(told, [false, true, false, false], "once, when the sum passes the quota");
+    let again = meter.take(SECOND, usage(1, 1, 3, 9_500, 3_000), false);
+    assert!(!again, "it is a flood already");
+}
--- a/crates/shuttle/tests/tenants.rs
+++ b/crates/shuttle/tests/tenants.rs
@@ -178,3 +178,66 @@
     site.share(&mut tenants, Some(&reading));
     assert!(until(&mut tenants, now + SECOND / 2).is_some_and(|n| n > 1), "told, read and forgiven");
 }
+
+/// A reading that says that more is wanted than the quota brings, or one that does not.
+fn reading(flood: bool) -> Reading {
+    let wanted = if flood { 900_000 } else { 30_000 };
+    Reading { tenant: tenant_key("sedge"), wanted, used: 60_000, shares: 1_000 }
+}
+
+/// What was sent ahead before the flood was read is paid back, whatever readings come: none of them forgives it.
+#[test]
+fn in_a_flood_a_proxy_sends_what_its_share_earns_and_pays_back_first() {
+    let site = site(10);
+    let even = Even { rate: 6.0, burst: 2.0, ahead: 3.0 };
+    let quota = Quota { rate: 60.0, burst: even.burst };
+    for seed in 0..20 {
+        let mut tenants = Tenants::new(EVERY, seed);
+        let mut now = SECOND;
+        tenants.read(now, site.plan, &reading(false), 10, quota);
+        let before = (0..5).filter(|_| !tenants.sent(now, site.plan, even, 10)).count();
+        assert!(before >= 3, "ahead while nobody has told of a flood");
+        let mut sent = 5.0;
+        for _ in 0..3 * 15 {
+            now += EVERY / 3;
+            if (now - SECOND).is_multiple_of(EVERY) {
+                tenants.read(now, site.plan, &reading(true), 10, quota);
+            }
+            while now >= SECOND + EVERY && tenants.may_send(now, site.plan, even, 10) {
+                tenants.sent(now, site.plan, even, 10);
+                sent += 1.0;
+            }
+        }
+        let seconds = (now - SECOND) as f64 / 1e6;
+        let most = even.burst + even.rate * seconds;
+        assert!(sent <= most, "seed {seed}: {sent} in {seconds} s, {most} may");
+        assert!(sent >= 0.6 * most, "seed {seed}: {sent} of {most}: the share is used");
+    }
+}
+
+/// Where the even burst is under one request all proxies together begin no faster than the quota allows.
+#[test]
+fn in_a_flood_proxies_with_less_than_a_request_each_send_in_turn() {
+    let site = site(87);
+    let even = Even { rate: 24.0 / 87.0, burst: 24.0 / 87.0, ahead: 2.0 };
+    let quota = Quota { rate: 24.0, burst: even.burst };
+    let mut proxies: Vec<Tenants> = (0..87).map(|seed| Tenants::new(EVERY, seed)).collect();
+    let mut sent = 0;
+    for step in 0..20 {
+        let now = SECOND + step * EVERY / 4;
+        for tenants in &mut proxies {
+            let flood = Reading { shares: 1_000, ..reading(true) };
+            if step % 4 == 0 {
+                tenants.asked(site.plan);
+                tenants.read(now, site.plan, &flood, 87, quota);
+            }
+            if tenants.may_send(now, site.plan, even, 87) {
+                tenants.sent(now, site.plan, even, 87);
+                sent += 1;
+            }
+        }
+    }
+    let seconds = 20.0 * EVERY as f64 / 4.0 / 1e6;
+    let most = 24.0 * seconds + 24.0;
+    assert!(f64::from(sent) <= most, "{sent} in {seconds} s, {most} may");
+}
