--- a/crates/pegboard/tests/meter.rs
+++ b/crates/pegboard/tests/meter.rs
@@ -14,6 +14,15 @@
     vec![nodes(&[(1, "north-a"), (2, "north-a"), (3, "north-a"), (4, "north-a")]), Command::Configure(change)]
 }
 
+/// A copy that has applied all of them.
+fn agreed() -> Copy {
+    let mut copy = Copy::default();
+    for (rev, command) in (1..).zip(commands()) {
+        copy.apply(SECOND, rev, Some(command));
+    }
+    copy
+}
+
 fn usage(last: u8, life: u64, count: u64, wanted: u32, used: u32) -> Usage {
     let tenants = vec![Use { tenant: tenant_key("reed"), wanted, used }];
     Usage { ip: node(last, "north-a").ip, life, count, tenants }
@@ -21,10 +30,7 @@
 
 #[test]
 fn readings_add_up_what_is_new_and_take_the_even_share_for_who_is_silent() {
-    let mut copy = Copy::default();
-    for (rev, command) in (1..).zip(commands()) {
-        copy.apply(SECOND, rev, Some(command));
-    }
+    let copy = agreed();
     let mut meter = Meter::new(BEAT / 3);
     assert_eq!(meter.read(SECOND, &copy.state), [], "nobody asks");
     // Even: 5 a second each. What is reported, by whom; what is read to be wanted then.
@@ -80,10 +86,7 @@
 /// Each of many proxies sees too little to call it a rise; all together it is a flood.
 #[test]
 fn what_many_proxies_want_a_little_more_of_is_told_at_once() {
-    let mut copy = Copy::default();
-    for (rev, command) in (1..).zip(commands()) {
-        copy.apply(SECOND, rev, Some(command));
-    }
+    let copy = agreed();
     let mut meter = Meter::new(BEAT / 3);
     for last in 1..=4 {
         meter.take(SECOND, usage(last, 1, 1, 3_000, 3_000), false);
--- a/crates/shuttle/tests/tenants.rs
+++ b/crates/shuttle/tests/tenants.rs
@@ -189,21 +189,26 @@
 #[test]
 fn in_a_flood_a_proxy_sends_what_its_share_earns_and_pays_back_first() {
     let site = site(10);
-    let even = Even { rate: 6.0, burst: 2.0, ahead: 3.0 };
+    let even = Even { rate: 6.0, burst: 2.0, ahead: 13.0 };
     let quota = Quota { rate: 60.0, burst: even.burst };
     for seed in 0..20 {
         let mut tenants = Tenants::new(EVERY, seed);
         let mut now = SECOND;
         tenants.read(now, site.plan, &reading(false), 10, quota);
-        let before = (0..5).filter(|_| !tenants.sent(now, site.plan, even, 10)).count();
-        assert!(before >= 3, "ahead while nobody has told of a flood");
-        let mut sent = 5.0;
+        let before = (0..15).filter(|_| !tenants.sent(now, site.plan, even, 10)).count();
+        assert!(before >= 13, "ahead while nobody has told of a flood");
+        // Told, so that a reading which forgives would forgive all of it.
+        tenants.uses(now, |plan| site.book.key(plan));
+        let mut sent = 15.0;
         for _ in 0..3 * 15 {
             now += EVERY / 3;
             if (now - SECOND).is_multiple_of(EVERY) {
                 tenants.read(now, site.plan, &reading(true), 10, quota);
             }
-            while now >= SECOND + EVERY && tenants.may_send(now, site.plan, even, 10) {
+            for _ in 0..100 {
+                if now < SECOND + EVERY || !tenants.may_send(now, site.plan, even, 10) {
+                    break;
+                }
                 tenants.sent(now, site.plan, even, 10);
                 sent += 1.0;
             }
@@ -226,10 +231,9 @@
     for step in 0..20 {
         let now = SECOND + step * EVERY / 4;
         for tenants in &mut proxies {
-            let flood = Reading { shares: 1_000, ..reading(true) };
             if step % 4 == 0 {
                 tenants.asked(site.plan);
-                tenants.read(now, site.plan, &flood, 87, quota);
+                tenants.read(now, site.plan, &reading(true), 87, quota);
             }
             if tenants.may_send(now, site.plan, even, 87) {
                 tenants.sent(now, site.plan, even, 87);
@@ -240,4 +244,6 @@
     let seconds = 20.0 * EVERY as f64 / 4.0 / 1e6;
     let most = 24.0 * seconds + 24.0;
     assert!(f64::from(sent) <= most, "{sent} in {seconds} s, {most} may");
+    let least = 0.6 * 24.0 * seconds;
+    assert!(f64::from(sent) >= least, "{sent} in {seconds} s, at least {least}: they begin in turn, at once");
 }
