--- a/crates/pegboard/src/main.rs
+++ b/crates/pegboard/src/main.rs
@@ -5,6 +5,9 @@
 use pegboard::board::{Board, Input, Output, Terms};
 use pegboard::calls::{self, Request};
 use rack::talk::{FromStore, Gossip, REGISTRY_NEWS, REGISTRY_PEERS, STORE_LOCAL, Up};
+use runtime::link::{Event, Line, SILENCE, Tie};
+use runtime::turn::{Inbox, Machine};
+use runtime::{Asked, Start};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::process::ExitCode;
@@ -16,9 +19,6 @@
 use tongs::door::{Answer, Desk, Door, Heard, Patience, Reply};
 use tongs::http::{self, Bad, Bounds};
 use tongs::limits::Held;
-use vise::link::{Event, Line, SILENCE, Tie};
-use vise::turn::{Inbox, Machine};
-use vise::{Asked, Start};
 
 /// What is left to callers that are being answered when the program is asked to end.
 const PARTING_US: Micros = 700_000;
@@ -40,7 +40,7 @@
 }
 
 fn main() -> ExitCode {
-    vise::run("curlewfront-pegboard", "Knows curlewfront's servers and proxies, and takes the calls", work)
+    runtime::run("curlewfront-pegboard", "Knows curlewfront's servers and proxies, and takes the calls", work)
 }
 
 fn work(mut start: Start) -> Result<()> {
--- a/crates/planchest/src/main.rs
+++ b/crates/planchest/src/main.rs
@@ -6,6 +6,9 @@
 use rack::talk::{STORE_LOCAL, STORE_PEERS, ToStore};
 use ratchet::disk::Store;
 use ratchet::{Saved, Write};
+use runtime::link::{Event, Line, SILENCE, Tie};
+use runtime::turn::{Inbox, Machine};
+use runtime::{Asked, Start};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::path::PathBuf;
@@ -13,9 +16,6 @@
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::Duration;
 use tongs::Micros;
-use vise::link::{Event, Line, SILENCE, Tie};
-use vise::turn::{Inbox, Machine};
-use vise::{Asked, Start};
 
 /// Between tries of a write that the disk refused.
 const REFUSED: Duration = Duration::from_millis(250);
@@ -31,7 +31,7 @@
 }
 
 fn main() -> ExitCode {
-    vise::run("curlewfront-planchest", "Keeps what curlewfront's machines agree on", work)
+    runtime::run("curlewfront-planchest", "Keeps what curlewfront's machines agree on", work)
 }
 
 /// So many that a majority is left when those are lost whose loss is to be borne; none: not told.
@@ -109,7 +109,7 @@
                 };
                 let Err(why) = done else { break };
                 log::error!("{why}");
-                vise::ring::write_out("the disk refuses a write");
+                runtime::ring::write_out("the disk refuses a write");
                 std::thread::sleep(REFUSED);
                 drop(store.take());
                 // It was made long ago: there is nothing to begin with.
@@ -189,7 +189,7 @@
             Some(Told::Written(number)) => Some(Input::Written(number)),
             Some(Told::Asked(Asked::Stop)) => Some(Input::Stop),
             Some(Told::Asked(Asked::Settings(settings))) => {
-                Some(Input::Settings { size: core_size(&settings), seeds: vise::seeds(&settings) })
+                Some(Input::Settings { size: core_size(&settings), seeds: runtime::seeds(&settings) })
             }
         };
         if let Some(input) = input {
@@ -200,7 +200,7 @@
                 self.stood = stands;
                 if let Some(why) = self.chest.unreadable() {
                     log::error!("{why}; start the program of the other stores on this disk");
-                    vise::ring::write_out("what the others agree on cannot be read");
+                    runtime::ring::write_out("what the others agree on cannot be read");
                 }
             }
         }
--- a/crates/vise/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -1,5 +1,5 @@
-//! What holds each of curlewfront's programs while it works: its command line, settings, log and signals, the links to
-//! the others, and the loop that turns a state machine. No decision is made here.
+//! The runtime that each program works in: its command line, settings, log and signals, the links to the other processes,
+//! and the loop that drives a state machine. No decision is made here.
 
 pub mod datagram;
 pub mod link;
--- a/crates/vise/tests/attempts.rs
+++ b/crates/runtime/tests/attempts.rs
@@ -1,6 +1,6 @@
 //! When a link to another process is opened.
 
-use vise::link::Attempts;
+use runtime::link::Attempts;
 
 const SECOND: u64 = 1_000_000;
 
--- a/crates/vise/tests/link.rs
+++ b/crates/runtime/tests/link.rs
@@ -1,10 +1,10 @@
 //! Links of programs that speak in another form: refused by name on both sides, before anything is read.
 
+use runtime::link::{self, Event, FORM, opens};
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, channel};
 use std::time::Duration;
-use vise::link::{self, Event, FORM, opens};
 
 /// A bound that only a hang reaches.
 const HANG: Duration = Duration::from_secs(30);
--- a/crates/shuttle/src/main.rs
+++ b/crates/shuttle/src/main.rs
@@ -5,6 +5,10 @@
 use rack::Micros;
 use rack::state::Node;
 use rack::talk::{Down, Here, PROXY_NEWS, PROXY_WATCH, REGISTRY_NEWS, Up};
+use runtime::datagram::{self, Datagrams};
+use runtime::link::{self, Event, Line, SILENCE};
+use runtime::turn::{Inbox, Machine};
+use runtime::{Asked, Start};
 use shuttle::book::{Leeway, Place};
 use shuttle::cramp::Times;
 use shuttle::feed::{self, Feed};
@@ -22,10 +26,6 @@
 use tongs::limits::Held;
 use tongs::pool::{self, Job, Peer};
 use tongs::room::Room;
-use vise::datagram::{self, Datagrams};
-use vise::link::{self, Event, Line, SILENCE};
-use vise::turn::{Inbox, Machine};
-use vise::{Asked, Start};
 
 /// For a server to take a connection.
 const DIAL_US: Micros = 600_000;
@@ -62,7 +62,7 @@
 }
 
 fn main() -> ExitCode {
-    vise::run("curlewfront-shuttle", "Carries requests between clients and servers", work)
+    runtime::run("curlewfront-shuttle", "Carries requests between clients and servers", work)
 }
 
 fn work(mut start: Start) -> Result<()> {
@@ -508,7 +508,7 @@
             }
             Some(Told::FollowerSays(_, Event::Up)) => {}
             Some(Told::Here(from, here)) => self.watch.heard(now, from, here),
-            Some(Told::Signal(Asked::Settings(settings))) => self.feed.reseed(vise::seeds(&settings)),
+            Some(Told::Signal(Asked::Settings(settings))) => self.feed.reseed(runtime::seeds(&settings)),
             Some(Told::Signal(Asked::Stop)) => {
                 self.asked_at.get_or_insert(now);
                 self.shown.draining.store(true, Ordering::Relaxed);
