--- a/crates/cli/tests/system.rs
+++ b/crates/cli/tests/system.rs
@@ -37,7 +37,7 @@
         assert!(s.ip.to_string().starts_with("127.9.8."), "{}", s.ip);
         assert!(String::from_utf8_lossy(&done.stdout).contains(file), "how to start {file}");
     }
-    let mine = dir.join("edge-2.shuttle.json");
+    let mine = dir.join("edge-2.proxy.json");
     std::fs::write(&mine, "changed").expect("written");
     let again = init(&["--dir", &text]);
     assert_eq!(again.status.code(), Some(1));
--- a/crates/dryfit/src/net.rs
+++ b/crates/dryfit/src/net.rs
@@ -44,7 +44,7 @@
     Called(Rc<calls::Answer>),
     /// A client's try.
     Ask(u64),
-    Answer(Rc<shuttle::front::Answer>),
+    Answer(Rc<proxy::front::Answer>),
     Work(Rc<Work>),
     Worked(Rc<Worked>),
     End,
--- a/crates/dryfit/src/weigh.rs
+++ b/crates/dryfit/src/weigh.rs
@@ -6,13 +6,13 @@
 use nix::time::{ClockId, clock_gettime};
 use pegboard::meter::Meter;
 use pegboard::presence::Presence;
+use proxy::book::{Leeway, Place};
+use proxy::cramp::Times;
+use proxy::front::{Front, Input};
 use rack::copy::{Copy, Took};
 use rack::state::{Change, Command, Node, NodeChange, Server, ServerChange};
 use rack::talk::{Down, Gossip, News, Reading, Up, Usage, Use, tenant_key};
 use serde::Serialize;
-use shuttle::book::{Leeway, Place};
-use shuttle::cramp::Times;
-use shuttle::front::{Front, Input};
 use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 
--- a/crates/dryfit/src/world.rs
+++ b/crates/dryfit/src/world.rs
@@ -56,7 +56,7 @@
     Copy(usize),
     ReadDrill(usize),
     /// A rehearsed answer that comes slowly is whole.
-    Slowly(usize, u64, ConnId, Rc<shuttle::front::Answer>),
+    Slowly(usize, u64, ConnId, Rc<proxy::front::Answer>),
 }
 
 pub struct HostAt {
--- a/crates/jig/src/scheme.rs
+++ b/crates/jig/src/scheme.rs
@@ -67,7 +67,7 @@
         match self {
             Program::Store => "planchest",
             Program::Registry => "pegboard",
-            Program::Proxy => "shuttle",
+            Program::Proxy => "proxy",
         }
     }
 }
--- a/crates/jig/tests/scheme.rs
+++ b/crates/jig/tests/scheme.rs
@@ -19,7 +19,7 @@
         "attic.pegboard.json",
         "core-2.planchest.json",
         "core-2.pegboard.json",
-        "edge-1.shuttle.json",
+        "edge-1.proxy.json",
     ];
     assert_eq!(files, wanted);
     for part in &parts {
--- a/crates/lab/tests/system.rs
+++ b/crates/lab/tests/system.rs
@@ -12,7 +12,7 @@
     let out = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
     let scenario = Scenario::read(text).expect("a proper scenario");
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().expect("a runtime");
-    let bin = common::built(&["curlewfront-planchest", "curlewfront-pegboard", "curlewfront-shuttle"]);
+    let bin = common::built(&["curlewfront-planchest", "curlewfront-pegboard", "curlewfront-proxy"]);
     let options = Options { out, bin, seed: 3, loud: false };
     runtime.block_on(system::run(&scenario, &options)).expect("a day")
 }
--- a/crates/shuttle/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -1,7 +1,13 @@
-//! The shell of the proxy: listeners, connections to servers and the link to the news, around `shuttle::front` and
-//! `shuttle::feed`.
+//! The shell of the proxy: listeners, connections to servers and the link to the news, around `proxy::front` and
+//! `proxy::feed`.
 
 use miette::{Result, miette};
+use proxy::book::{Leeway, Place};
+use proxy::cramp::Times;
+use proxy::feed::{self, Feed};
+use proxy::front::{self, Ask, End, Front, Reached};
+use proxy::servers::{self, Note};
+use proxy::watch::Watch;
 use rack::Micros;
 use rack::state::Node;
 use rack::talk::{Down, Here, PROXY_NEWS, PROXY_WATCH, REGISTRY_NEWS, Up};
@@ -9,12 +15,6 @@
 use runtime::link::{self, Event, Line, SILENCE};
 use runtime::turn::{Inbox, Machine};
 use runtime::{Asked, Start};
-use shuttle::book::{Leeway, Place};
-use shuttle::cramp::Times;
-use shuttle::feed::{self, Feed};
-use shuttle::front::{self, Ask, End, Front, Reached};
-use shuttle::servers::{self, Note};
-use shuttle::watch::Watch;
 use std::collections::{BTreeMap, HashMap};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::process::ExitCode;
@@ -62,7 +62,7 @@
 }
 
 fn main() -> ExitCode {
-    runtime::run("curlewfront-shuttle", "Carries requests between clients and servers", work)
+    runtime::run("curlewfront-proxy", "Carries requests between clients and servers", work)
 }
 
 fn work(mut start: Start) -> Result<()> {
--- a/crates/shuttle/tests/answers.rs
+++ b/crates/proxy/tests/answers.rs
@@ -8,9 +8,9 @@
 
 use common::*;
 use httparse::Header;
+use proxy::front::{Answer, Ask, End, Input, Job, Output, Reached, Served};
+use proxy::servers::{Note, Said, Servers};
 use rack::Micros;
-use shuttle::front::{Answer, Ask, End, Input, Job, Output, Reached, Served};
-use shuttle::servers::{Note, Said, Servers};
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, ErrorKind, Read, Write};
 use std::sync::{Arc, Mutex};
--- a/crates/shuttle/tests/book.rs
+++ b/crates/proxy/tests/book.rs
@@ -4,8 +4,8 @@
 
 use common::*;
 use curlewfront::{Entry, State};
+use proxy::book::Book;
 use rack::state::Command;
-use shuttle::book::Book;
 
 const SIX: [(u8, &str); 6] =
     [(1, "north-a"), (2, "north-a"), (3, "north-b"), (4, "north-b"), (5, "south-a"), (6, "south-a")];
@@ -117,6 +117,6 @@
     assert!(proxy.up().is_empty(), "its own zone's proxy brings it up");
     assert_eq!(proxy.front.wake_at(), SECOND + 500_000);
     proxy.now = proxy.front.wake_at();
-    proxy.tell(shuttle::front::Input::Tick);
+    proxy.tell(proxy::front::Input::Tick);
     assert_eq!(proxy.up(), ["b"]);
 }
--- a/crates/shuttle/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -1,12 +1,12 @@
 //! Agreed states, made by commands, and a proxy that hears of them.
 #![allow(dead_code)] // each test file uses a part of it
 
+use proxy::book::{Leeway, Place};
+use proxy::cramp::Times;
+use proxy::front::{Answer, Ask, End, Front, Input, Job, Output, Reached, Served};
 use rack::copy::Copy;
 use rack::state::{Change, Command, Node, NodeChange, Server, ServerChange};
 use rack::talk::News;
-use shuttle::book::{Leeway, Place};
-use shuttle::cramp::Times;
-use shuttle::front::{Answer, Ask, End, Front, Input, Job, Output, Reached, Served};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use tongs::limits::Held;
--- a/crates/shuttle/tests/cramp.rs
+++ b/crates/proxy/tests/cramp.rs
@@ -4,12 +4,12 @@
 mod common;
 
 use common::*;
+use proxy::cramp::{Cramp, Times};
+use proxy::front::{Front, Input};
 use rack::booking::{BookChange, Booking, Phase, Unused};
 use rack::copy::Copy;
 use rack::state::Command;
 use rack::talk::News;
-use shuttle::cramp::{Cramp, Times};
-use shuttle::front::{Front, Input};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 
--- a/crates/shuttle/tests/drill.rs
+++ b/crates/proxy/tests/drill.rs
@@ -5,10 +5,10 @@
 
 use common::*;
 use jig::drill::Drill;
+use proxy::front::{Input, Output, Reached};
 use rack::drill::{DrillChange, Rows, Said};
 use rack::state::Command;
 use rack::talk::Lease;
-use shuttle::front::{Input, Output, Reached};
 
 /// For the tenant of k1, which has no limit.
 fn start(proxy: &mut Proxy, name: &str, fault: &str, rest: &str) -> u64 {
--- a/crates/shuttle/tests/feed.rs
+++ b/crates/proxy/tests/feed.rs
@@ -3,9 +3,9 @@
 mod common;
 
 use common::{SECOND, ZONES, node};
+use proxy::feed::{Feed, Input, Output};
 use rack::copy::Copy;
 use rack::talk::{Down, News, Standing, Up};
-use shuttle::feed::{Feed, Input, Output};
 use std::net::Ipv4Addr;
 
 const BEAT: u64 = SECOND;
--- a/crates/shuttle/tests/front.rs
+++ b/crates/proxy/tests/front.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::*;
+use proxy::front::{Input, Reached};
 use rack::talk::News;
-use shuttle::front::{Input, Reached};
 
 #[test]
 fn an_evacuation_shuts_the_servers_of_its_own_zone_though_names_and_numbers_differ_in_order() {
--- a/crates/shuttle/tests/tenants.rs
+++ b/crates/proxy/tests/tenants.rs
@@ -4,10 +4,10 @@
 
 use common::*;
 use pegboard::meter::Meter;
+use proxy::book::{Book, Even};
+use proxy::tenants::{Quota, Tenants};
 use rack::copy::Copy;
 use rack::talk::{Reading, Usage, tenant_key};
-use shuttle::book::{Book, Even};
-use shuttle::tenants::{Quota, Tenants};
 
 const EVERY: u64 = SECOND / 3;
 
--- a/crates/shuttle/tests/tree.rs
+++ b/crates/proxy/tests/tree.rs
@@ -1,12 +1,12 @@
 //! The tree that proxies form, with the registry's own board at its root, on simulated time.
 
 use pegboard::board::{self, Board, Terms};
+use proxy::feed::{Feed, Input, Output};
+use proxy::tree;
 use rack::copy::Copy;
 use rack::state::{Command, Node};
 use rack::talk::{Down, FromStore, Gossip, Head, News, Standing, ToStore, Up, Use};
 use rack::{Micros, Rev};
-use shuttle::feed::{Feed, Input, Output};
-use shuttle::tree;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 
--- a/crates/shuttle/tests/watch.rs
+++ b/crates/proxy/tests/watch.rs
@@ -1,11 +1,11 @@
 //! Proxies that watch each other, and the registry that hears of their suspicions.
 
 use pegboard::presence::Presence;
+use proxy::watch::Watch;
 use rack::copy::Copy;
 use rack::state::{Command, Node, NodeChange};
 use rack::talk::{Here, Seen};
 use rack::{Micros, watch};
-use shuttle::watch::Watch;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 
