Issue permits of quotas from a home in each zone, so that their sum is bounded

The agreed state names for each zone 64 slots and their holders (rack::quota, a fourth form of the state); the registry beside the leader gives them away, a slot that was held only 21 s after it was seen vacant; a home issues its zone's part from a bucket that begins empty, under a lease of 20 s from a time at which its copy was proved fresh by the proxy's own report (FreshnessProof: a standing that waited on its way, or in a stopped process, proves nothing new); proxies take a permit before each attempt that may run.

--- a/crates/pegboard/src/board.rs
+++ b/crates/pegboard/src/board.rs
@@ -2,12 +2,15 @@
 //! registries and to the proxies come in; answers and messages go out. No I/O, no clock.
 
 mod booking;
+mod quota;
+mod under_way;
 
 use crate::bookings::{Clocks, Duty};
 use crate::calls::{self, Answer, Request};
 use crate::drills::Leases;
 use crate::meter::Meter;
 use crate::presence::Presence;
+use crate::quota_homes::QuotaHomes;
 use crate::show::View;
 use jig::api::{self, Beat, Call};
 use jig::config::if_match;
@@ -15,11 +18,12 @@
 use rack::copy::{Copy, Took};
 use rack::drill::{DrillChange, Rows, Said};
 use rack::follow::Followers;
-use rack::state::{Change, Command, Done, NodeChange, Server, ServerChange};
+use rack::state::{Change, Command, Done, Node, NodeChange, Server, ServerChange};
 use rack::talk::{Down, FRESH_US, FromStore, Gossip, Head, News, Seen, Standing, ToStore, Unsure, Up, Usage};
 use rack::{Micros, Rev};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
+use under_way::UnderWay;
 
 /// What this registry is told at its start.
 #[derive(Clone, Debug)]
@@ -127,6 +131,8 @@
     /// the command under way (its ticket, when it was sent).
     servers: Vec<ServerChange>,
     nodes: Vec<NodeChange>,
+    /// Those of proxies that were sent, until the state has them or they are lost.
+    nodes_under_way: Vec<NodeChange>,
     batch: u64,
     under_way: Option<(u64, Micros)>,
     /// Numbers of the batches that are done, up to this one; the revision at which it is in the state.
@@ -140,7 +146,9 @@
     rows: Vec<Rows>,
     clocks: Clocks,
     duty: Duty,
-    under_way_booked: booking::UnderWay,
+    under_way_booked: UnderWay,
+    quota_homes: QuotaHomes,
+    under_way_quota: UnderWay,
 }
 
 impl Board {
@@ -168,6 +176,7 @@
             tickets: 0,
             servers: Vec::new(),
             nodes: Vec::new(),
+            nodes_under_way: Vec::new(),
             batch: 1,
             under_way: None,
             landed: 0,
@@ -178,7 +187,9 @@
             rows: Vec::new(),
             clocks: Clocks::new(CLOCK_BEATS * terms.beat_us),
             duty: Duty::new(terms.beat_us, terms.settle_us),
-            under_way_booked: Default::default(),
+            under_way_booked: UnderWay::default(),
+            quota_homes: QuotaHomes::default(),
+            under_way_quota: UnderWay::default(),
             terms,
         }
     }
@@ -206,7 +217,8 @@
             Input::StoreDown => {
                 (self.store_up, self.fresh_until, self.leads) = (false, 0, false);
                 (self.under_way, self.under_way_duty) = (None, None);
-                self.forget_booked();
+                self.under_way_booked.forget();
+                self.under_way_quota.forget();
                 // What was under way may be lost: it is gathered anew as its callers come again.
                 let unsure: Vec<u64> = self.waiting.keys().copied().collect();
                 for id in unsure {
@@ -590,7 +602,8 @@
                     self.duty_landed = result.map_or(self.duty_landed, |(rev, _)| rev);
                     return;
                 }
-                if self.under_way_booked.ended(ticket, result.as_ref().ok().map(|(rev, _)| *rev)) {
+                let landed = result.as_ref().ok().map(|(rev, _)| *rev);
+                if self.under_way_booked.ended(ticket, landed) || self.under_way_quota.ended(ticket, landed) {
                     return;
                 }
                 let found = self.waiting.iter_mut().find_map(|(id, w)| match &mut w.wait {
@@ -652,6 +665,10 @@
     fn propose(&mut self, out: &mut Vec<Output>) {
         if self.under_way.is_some_and(|(_, at)| self.now > at + 2 * CALL_US) {
             self.under_way = None;
+            self.nodes_under_way.clear();
+        }
+        if self.under_way.is_none() && self.landed_at <= self.copy.rev() {
+            self.nodes_under_way.clear();
         }
         if !self.store_up || self.under_way.is_some() {
             return;
@@ -659,7 +676,8 @@
         let command = if !self.servers.is_empty() {
             Command::Servers(std::mem::take(&mut self.servers))
         } else if !self.nodes.is_empty() {
-            Command::Nodes(std::mem::take(&mut self.nodes))
+            self.nodes_under_way = std::mem::take(&mut self.nodes);
+            Command::Nodes(self.nodes_under_way.clone())
         } else {
             return;
         };
@@ -699,10 +717,8 @@
     fn proxy(&mut self, link: u64, up: Up, out: &mut Vec<Output>) {
         match up {
             Up::Hello { node, rev } => {
-                if self.copy.state.nodes.get(&node.ip) != Some(&node) {
-                    self.nodes.push(NodeChange::Up(node.clone()));
-                }
-                out.push(Output::Proxy(link, self.standing(&node.region)));
+                self.join(node.clone());
+                out.push(Output::Proxy(link, Down::Standing(self.standing(&node.region))));
                 self.followers.hello(link, node, rev);
                 self.feed(out);
             }
@@ -710,40 +726,51 @@
                 for u in usage {
                     self.usage(u, false);
                 }
+                let reported = seen.clone();
                 for s in seen {
                     self.presence.seen(self.now, s);
                 }
-                let Some(f) = self.followers.reported(link, rev) else { return };
+                let Some(f) = self.followers.reported(link, rev, &reported) else { return };
                 let node = f.node.clone();
                 if let Some(head) = head {
                     self.head(node.region.clone(), head);
                 }
-                let on_its_way = |n: &NodeChange| matches!(n, NodeChange::Up(n) if *n == node);
-                if self.copy.state.nodes.get(&node.ip) != Some(&node)
-                    && self.under_way.is_none()
-                    && !self.nodes.iter().any(on_its_way)
-                {
-                    self.nodes.push(NodeChange::Up(node));
-                }
+                self.join(node);
                 self.feed(out);
             }
             Up::Drill(rows) => self.drill_rows(rows, out),
         }
     }
 
+    /// A proxy that follows here is to be in the state. Many come at once where all start: those that come while others are on
+    /// their way into the log go with the next command.
+    fn join(&mut self, node: Node) {
+        let in_state = self.copy.state.nodes.get(&node.ip) == Some(&node);
+        let joins = NodeChange::Up(node);
+        if !in_state && !self.nodes.contains(&joins) && !self.nodes_under_way.contains(&joins) {
+            self.nodes.push(joins);
+        }
+    }
+
     /// What followers of a region are told.
-    fn standing(&self, region: &str) -> Down {
+    fn standing(&self, region: &str) -> Standing {
         let place = |ip: &Ipv4Addr| (*ip, self.places.get(ip).cloned().unwrap_or_default());
         let nodes = self.copy.state.nodes.values().filter(|n| n.region == region);
         let away = nodes.map(|n| n.ip).filter(|ip| !self.presence.alive(self.now, &self.copy.state, *ip));
-        Down::Standing(Standing {
+        Standing {
             rev: self.copy.rev(),
             fresh_ms: self.is_fresh().then_some(0),
             core: self.core.iter().map(place).collect(),
             path: Vec::new(),
             head: self.heads.get(region).copied(),
             away: away.collect(),
-        })
+            proof: None,
+        }
+    }
+
+    /// How long ago, at the most, this copy held all that was acknowledged; while it may speak for that.
+    fn proven_age(&self) -> Option<Micros> {
+        self.is_fresh().then(|| (self.now + FRESH_US).saturating_sub(self.fresh_until))
     }
 
     fn head(&mut self, region: String, head: Head) {
@@ -802,10 +829,12 @@
         }
         self.next_round = self.now + self.terms.beat_us / PARTS;
         let mut standings = BTreeMap::new();
+        let age = self.proven_age();
         for (link, f) in self.followers.iter() {
             let region = f.node.region.as_str();
             let standing = standings.entry(region).or_insert_with(|| self.standing(region));
-            out.push(Output::Proxy(link, standing.clone()));
+            let proof = age.and_then(|age| f.proof(age));
+            out.push(Output::Proxy(link, Down::Standing(Standing { proof, ..standing.clone() })));
         }
         let (servers, nodes) = self.presence.news();
         let heads = self.heads.iter().map(|(region, head)| (region.clone(), *head)).collect();
@@ -815,6 +844,7 @@
         self.end_drills(out);
         self.write_off(out);
         self.tend_bookings(out);
+        self.tend_quota_homes(out);
     }
 
     /// Servers and proxies that nobody has heard of. Only beside a leader that has led long enough for all registries
--- a/crates/pegboard/tests/board.rs
+++ b/crates/pegboard/tests/board.rs
@@ -5,7 +5,7 @@
 use common::*;
 use pegboard::board::{Input, Output};
 use rack::state::{Command, Done, ServerChange};
-use rack::talk::{FromStore, News, ToStore, Unsure, Up};
+use rack::talk::{Down, FRESH_US, FromStore, News, ToStore, Unsure, Up};
 
 const A: &str = "10.9.2.1:80";
 
@@ -271,3 +271,66 @@
     r.tell(Input::Store(FromStore::News(News::Run { from: 9, to: 10, commands: Vec::new() })));
     assert!(matches!(r.out[..], [Output::Store(ToStore::Follow { rev: 4 })]));
 }
+
+/// All start at once: those that come while others are on their way into the log are not put off to their next report.
+#[test]
+fn proxies_that_join_at_the_same_time_come_into_the_state_with_the_next_command() {
+    let mut r = Registry::new(vec![]);
+    r.stands(true, true);
+    for last in 1..=40 {
+        r.tell(Input::Proxy(u64::from(last), Up::Hello { node: node(last, "north-a"), rev: 0 }));
+        r.report(last.into(), last, 1, true, 0);
+    }
+    assert_eq!(r.proposed.len(), 1, "one command at a time");
+    let (ticket, command) = r.proposed.remove(0);
+    let landed = r.lands(command);
+    r.result(ticket, Ok(landed));
+    assert_eq!((r.board.copy.state.nodes.len(), r.proposed.len()), (1, 1), "the others are under way");
+    // Meanwhile they report again, which joins nobody twice.
+    for last in 1..=40 {
+        r.report(last.into(), last, 2, true, 0);
+    }
+    let Command::Nodes(joined) = &r.proposed[0].1 else { panic!("{:?}", r.proposed) };
+    assert_eq!(joined.len(), 39);
+    r.land();
+    assert_eq!((r.board.copy.state.nodes.len(), r.proposed.len()), (40, 0));
+    // What is lost on its way is told again by the next report.
+    r.tell(Input::Proxy(50, Up::Hello { node: node(50, "north-a"), rev: 0 }));
+    let (ticket, _) = r.proposed.remove(0);
+    r.result(ticket, Err(Unsure::Perhaps));
+    r.report(50, 50, 1, true, 0);
+    r.land();
+    assert_eq!(r.board.copy.state.nodes.len(), 41);
+}
+
+/// A follower is told how fresh the copy is, by its own report.
+#[test]
+fn a_followers_report_is_answered_with_a_proof_of_freshness() {
+    let mut r = Registry::new(vec![nodes(&[(1, "north-a")])]);
+    r.stands(true, false);
+    r.tell(Input::Proxy(7, Up::Hello { node: node(1, "north-a"), rev: 1 }));
+    let proof = |r: &Registry| {
+        r.out.iter().rev().find_map(|o| match o {
+            Output::Proxy(7, Down::Standing(s)) => Some(s.proof),
+            _ => None,
+        })
+    };
+    assert_eq!(proof(&r), Some(None), "there is no report yet");
+    r.report(7, 1, 31, true, 1);
+    // Its store is asked and answers meanwhile, as ever.
+    let told = (0..10).find_map(|_| {
+        r.now = r.board.wake_at().max(r.now);
+        r.tell(Input::Tick);
+        let told = proof(&r).flatten();
+        r.stands(true, false);
+        told
+    });
+    let told = told.expect("proved");
+    assert_eq!(told.report, 31);
+    assert!(u64::from(told.age_ms) * 1000 <= FRESH_US, "{told:?}");
+    // Its store is away: it cannot say that it knows all.
+    r.tell(Input::StoreDown);
+    r.now = r.board.wake_at();
+    r.tell(Input::Tick);
+    assert_eq!(proof(&r), Some(None));
+}
