--- a/tests/booked.rs
+++ b/tests/booked.rs
@@ -161,3 +161,26 @@
     assert_eq!(plain, play(3, true));
     assert!(plain.iter().filter(|(_, a)| matches!(a, Action::Send { .. })).count() > 50);
 }
+
+/// Its aim is past by what answers take, and others wait: what is held for it is free all the same.
+#[test]
+fn what_is_held_is_there_for_a_request_that_would_come_late() {
+    let mut settings = settings(free());
+    settings.classes[0].late_worth = 0.2;
+    let mut g = Gateway::with_servers(settings, 8);
+    for id in 0..60 {
+        let (_, server) = ask_all(&mut g, [other(id)])[0];
+        g.back(Return { latency_us: 2_800 * MS, ..answer(id, 0, server, Outcome::Ok) });
+    }
+    hold(&mut g, &[HELD]);
+    let refused = |acts: &[Action], id: u64| {
+        acts.iter().any(|a| matches!(a, Action::Refuse { id: of, .. } if *of == id))
+    };
+    let acts: Vec<(u64, Vec<Action>)> = (200..240).map(|id| (id, g.ask(other(id)))).collect();
+    assert!(acts.iter().any(|(id, acts)| refused(acts, *id)), "others are turned away at once");
+    let went = ask_all(&mut g, (300..304).map(booked));
+    assert_eq!(went.iter().map(|s| s.0).collect::<Vec<_>>(), [300, 301, 302, 303]);
+    // Beyond what is held it is as any other.
+    let beyond = g.ask(booked(310));
+    assert!(refused(&beyond, 310), "{beyond:?}");
+}
