--- a/crates/pegboard/src/board.rs
+++ b/crates/pegboard/src/board.rs
@@ -332,6 +332,10 @@
             }
             Call::ListDrills => Some(self.view().drills()),
             Call::ShowDrill => Some(self.view().drill(&argument)),
+            Call::ShowQuota => {
+                let uses = self.meter.uses(self.now, &argument);
+                Some(self.view().quota(&argument, uses))
+            }
             Call::Ready => Some(Answer::error(404, "not served here")),
         };
         if let Some(answer) = answer {
@@ -361,7 +365,7 @@
         match api::dry_run(&request.target) {
             Err(why) => return Some(Answer::error(400, &why.to_string())),
             Ok(true) => {
-                let wanted = drill.caller.tenant.as_ref().map(|t| self.meter.wanted(self.now, t));
+                let wanted = drill.caller.tenant.as_ref().map(|t| self.meter.uses(self.now, t).0);
                 return Some(self.view().rehearsed(&drill, wanted));
             }
             Ok(false) => {}
--- a/crates/pegboard/src/meter.rs
+++ b/crates/pegboard/src/meter.rs
@@ -89,12 +89,13 @@
             .collect()
     }
 
-    /// Requests a second that were lately asked for a tenant, by the proxies that are heard of.
-    pub fn wanted(&self, now: Micros, tenant: &str) -> f64 {
+    /// Requests a second that were lately asked for a tenant and sent on, by the proxies that are heard of.
+    pub fn uses(&self, now: Micros, tenant: &str) -> (f64, f64) {
         let key = tenant_key(tenant);
         let heard = self.reports.values().filter(|r| now <= r.heard_at + HOLD * self.every_us);
         let uses = heard.flat_map(|r| &r.usage.tenants).filter(|u| u.tenant == key);
-        uses.fold(0.0, |sum, u| sum + f64::from(u.wanted) / 1000.0)
+        let per_s = |thousandths: u32| f64::from(thousandths) / 1000.0;
+        uses.fold((0.0, 0.0), |(wanted, used), u| (wanted + per_s(u.wanted), used + per_s(u.used)))
     }
 
     /// What a proxy that is heard of reports under a key.
--- a/crates/proxy/src/permits/home.rs
+++ b/crates/proxy/src/permits/home.rs
@@ -4,7 +4,7 @@
 //! acknowledged no longer ago than the lease.
 
 use super::Quotas;
-use super::issuer::{Issued, Issuer};
+use super::issuer::{Issued, Issuer, Part};
 use rack::quota::{Homes, LEASE_US, slot_of_key};
 use rack::{Micros, Rev};
 use std::collections::BTreeMap;
@@ -34,9 +34,9 @@
         if self.homes != *homes {
             self.homes = homes.clone();
         }
-        let tenants = quotas.tenants().into_iter();
-        let held: BTreeMap<u32, Rev> =
-            tenants.filter_map(|tenant| self.epoch_of(tenant).map(|epoch| (tenant, epoch))).collect();
+        let parts = self.homes.parts();
+        let held = |tenant: u32| Some((tenant, (self.epoch_of(tenant)?, quotas.part(tenant, parts)?)));
+        let held: BTreeMap<u32, (Rev, Part)> = quotas.tenants().into_iter().filter_map(held).collect();
         self.issuer.hold(now, &held);
     }
 
@@ -56,10 +56,17 @@
         self.epoch_of(tenant).filter(|_| leased)
     }
 
-    /// Up to so many permits; none: it may not issue any of this tenant.
-    pub fn issue(&mut self, now: Micros, tenant: u32, wanted: u32, quotas: &impl Quotas) -> Option<Issued> {
+    /// Up to so many permits, and some ahead; none: it may not issue any of this tenant.
+    pub fn issue(
+        &mut self,
+        now: Micros,
+        tenant: u32,
+        wanted: u32,
+        ahead: u32,
+        quotas: &impl Quotas,
+    ) -> Option<Issued> {
         let epoch = self.acts(now, tenant)?;
         let part = quotas.part(tenant, self.homes.parts())?;
-        Some(self.issuer.issue(now, tenant, epoch, part, wanted))
+        Some(self.issuer.issue(now, tenant, epoch, part, wanted, ahead))
     }
 }
--- a/crates/proxy/src/permits/mod.rs
+++ b/crates/proxy/src/permits/mod.rs
@@ -2,10 +2,12 @@
 //! without one, so that what all proxies send together is bounded whoever is cut off, stopped or new. The argument stands in
 //! docs/system/quota-permits.md.
 
+mod answers;
 pub mod asker;
 pub mod home;
 pub mod issuer;
 
+use answers::Answers;
 use asker::{Asked, Asker, Next, Reached, Refusal, Try, VALID_US};
 use home::Home;
 use issuer::{Issued, Part};
@@ -18,7 +20,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// What comes of an input.
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
     Say(Ipv4Addr, Permit),
     /// The try may be sent, until then.
@@ -62,6 +64,7 @@
     /// The zones of the table in the order in which their homes are asked.
     order: Vec<(String, bool)>,
     asker: Asker,
+    answers: Answers,
     pub counts: Counts,
 }
 
@@ -81,6 +84,7 @@
             regions,
             order: Vec::new(),
             asker: Asker::new(me, seed),
+            answers: Answers::default(),
             counts: Counts::default(),
         }
     }
@@ -130,7 +134,9 @@
         quotas: &impl Quotas,
         effects: &mut Vec<Effect>,
     ) {
-        self.asker.wait(tenant, one);
+        if let Some(until) = self.asker.wait(now, tenant, one) {
+            effects.push(Effect::Go { one, until });
+        }
         self.advance(now, tenant, quotas, effects);
     }
 
@@ -149,13 +155,17 @@
         effects: &mut Vec<Effect>,
     ) {
         match message {
-            Permit::Ask { ask, tenant, count } => {
-                let answer = match self.issue(now, tenant, u32::from(count), quotas) {
+            Permit::Ask { ask, tenant, count, ahead } => {
+                let (count, ahead) = (u32::from(count), u32::from(ahead));
+                let issued = self.answers.again(now, from, ask);
+                let issued = issued.or_else(|| self.issue(now, tenant, count, ahead, quotas));
+                self.answers.note(now, from, ask, issued);
+                let answer = match issued {
                     None => PermitAnswer::NotHome,
                     Some(issued) => {
                         let wait_ms = issued.wait_us.div_ceil(1000);
                         let wait_ms = u16::try_from(wait_ms).unwrap_or(u16::MAX);
-                        PermitAnswer::Issued { count: issued.count as u8, wait_ms }
+                        PermitAnswer::Issued { count: issued.count as u8, ahead: issued.ahead as u8, wait_ms }
                     }
                 };
                 effects.push(Effect::Say(from, Permit::Answer { ask, answer }));
@@ -165,9 +175,9 @@
                 if let Some(asked) = self.asker.answered(now, tenant, from, ask) {
                     match answer {
                         PermitAnswer::NotHome => self.asker.is_away(now, tenant, asked.zone),
-                        PermitAnswer::Issued { count, wait_ms } => {
+                        PermitAnswer::Issued { count, ahead, wait_ms } => {
                             let (count, wait_us) = (u32::from(count), Micros::from(wait_ms) * 1000);
-                            let issued = Issued { count, wait_us };
+                            let issued = Issued { count, ahead: u32::from(ahead), wait_us };
                             self.got(now, tenant, asked, issued, effects);
                         }
                     }
@@ -182,6 +192,9 @@
         if now < self.wake_at() {
             return;
         }
+        for (tenant, asked) in self.asker.again(now) {
+            effects.push(Effect::Say(asked.ip, asked.message(tenant)));
+        }
         for tenant in self.asker.late(now) {
             self.counts.unanswered += u64::from(self.asker.time_out(now, tenant));
             self.advance(now, tenant, quotas, effects);
@@ -199,9 +212,16 @@
     }
 
     /// Permits of this proxy's own; none: it is not home for this tenant, or not sure of it.
-    fn issue(&mut self, now: Micros, tenant: u32, wanted: u32, quotas: &impl Quotas) -> Option<Issued> {
-        let issued = self.home.issue(now, tenant, wanted, quotas)?;
-        self.counts.issued += u64::from(issued.count);
+    fn issue(
+        &mut self,
+        now: Micros,
+        tenant: u32,
+        wanted: u32,
+        ahead: u32,
+        quotas: &impl Quotas,
+    ) -> Option<Issued> {
+        let issued = self.home.issue(now, tenant, wanted, ahead, quotas)?;
+        self.counts.issued += u64::from(issued.count + issued.ahead);
         Some(issued)
     }
 
@@ -210,7 +230,7 @@
         loop {
             match self.asker.next(now, tenant, &homes) {
                 Next::Nothing => return,
-                Next::Here { zone, count } => match self.issue(now, tenant, count, quotas) {
+                Next::Here { zone, count } => match self.issue(now, tenant, count, 0, quotas) {
                     None => self.asker.is_away(now, tenant, zone),
                     Some(issued) => {
                         let asked = Asked::here(self.me, zone, count, now);
@@ -219,8 +239,7 @@
                 },
                 Next::Ask(asked) => {
                     self.counts.asks += 1;
-                    let message = Permit::Ask { ask: asked.ask, tenant, count: asked.count as u8 };
-                    effects.push(Effect::Say(asked.ip, message));
+                    effects.push(Effect::Say(asked.ip, asked.message(tenant)));
                     return;
                 }
                 Next::Nobody { why, wait_us } => return self.refuse(tenant, why, wait_us, effects),
@@ -233,6 +252,10 @@
         let until = asked.sent_at + VALID_US;
         let go = self.asker.spend(tenant, issued.count.min(asked.count));
         effects.extend(go.into_iter().map(|one| Effect::Go { one, until }));
+        self.asker.hold(now, tenant, asked, issued.ahead);
+        while let Some((one, until)) = self.asker.take_held(now, tenant) {
+            effects.push(Effect::Go { one, until });
+        }
         if issued.count < asked.count {
             self.asker.is_spent(now, tenant, asked.zone, issued.wait_us);
         }
--- a/crates/rack/src/talk.rs
+++ b/crates/rack/src/talk.rs
@@ -275,11 +275,13 @@
 /// Between a proxy and the homes of quotas. Any of these may be lost, late or come twice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Permit {
-    /// Permits for so many requests of a tenant. Numbers are the asker's own.
+    /// Permits for so many requests of a tenant that wait, and for so many that are expected soon. Numbers are the asker's
+    /// own.
     Ask {
         ask: u64,
         tenant: u32,
         count: u8,
+        ahead: u8,
     },
     Answer {
         ask: u64,
@@ -290,8 +292,8 @@
 /// What the home of a quota says to an ask.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PermitAnswer {
-    /// So many permits; for more, it is worth asking again after so long.
-    Issued { count: u8, wait_ms: u16 },
+    /// So many permits; for more, it is worth asking again after so long. And so many that are lent ahead.
+    Issued { count: u8, ahead: u8, wait_ms: u16 },
     /// Not the home of this tenant, or not sure of it.
     NotHome,
 }
