Take back permits of quotas, and keep that proxies join together

Kept of it: a registry takes proxies that join while others are on their way into the log with the next command. Before, each but the first waited for its next report. A test of 40 proxies fails without it.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -88,6 +88,6 @@
         "booking" => booking::run(given, &at()?),
         "system" => system::run(given),
         "evacuate" | "return" => zone::run(name, given, &at()?),
-        _ => show::run(name, given, given.get_flag("json"), &at()?),
+        _ => show::run(name, given.get_flag("json"), &at()?),
     }
 }
--- a/crates/cli/src/show.rs
+++ b/crates/cli/src/show.rs
@@ -1,18 +1,15 @@
-//! `curlewfront status`, `servers`, `nodes` and `quota`: one registry's own view.
+//! `curlewfront status`, `servers` and `nodes`: one registry's own view.
 
-use crate::ask::{Failed, Registries, escape};
+use crate::ask::{Failed, Registries};
 use crate::table::{cell, list};
-use clap::{Arg, ArgMatches, Command};
+use clap::Command;
 use jzon::JsonValue;
 
-pub fn commands() -> [Command; 4] {
+pub fn commands() -> [Command; 3] {
     [
         Command::new("status").about("How the registry that answers stands"),
         Command::new("servers").about("The servers, as the registry that answers knows them"),
         Command::new("nodes").about("The proxies, as the registry that answers knows them"),
-        Command::new("quota")
-            .about("Who issues the permits of a tenant's quota, zone by zone, and what is asked of it")
-            .arg(Arg::new("tenant").value_name("TENANT").required(true)),
     ]
 }
 
@@ -38,28 +35,12 @@
 const FOLLOWERS: [(&str, &str); 3] =
     [("FOLLOWER", "node_name"), ("IP", "ip_address"), ("REVISION", "revision")];
 
-const HOMES: [(&str, &str); 6] = [
-    ("ZONE", "zone_name"),
-    ("HOME", "node_name"),
-    ("IP", "ip_address"),
-    ("EPOCH", "epoch"),
-    ("A SECOND", "rate_per_s"),
-    ("HEARD MS AGO", "heard_ms_ago"),
-];
-
-pub fn run(name: &str, given: &ArgMatches, json: bool, at: &Registries) -> Result<String, Failed> {
+pub fn run(name: &str, json: bool, at: &Registries) -> Result<String, Failed> {
     let target = match name {
-        "servers" => "/api/instances".to_string(),
-        "quota" => {
-            let tenant = given.get_one::<String>("tenant").map_or("", String::as_str);
-            if tenant.is_empty() {
-                return Err(Failed::Usage("the name of a tenant is needed".into()));
-            }
-            format!("/api/quotas/{}", escape(tenant))
-        }
-        other => format!("/api/{other}"),
+        "servers" => "/api/instances",
+        other => &format!("/api/{other}"),
     };
-    let (raw, value) = at.read(&target)?;
+    let (raw, value) = at.read(target)?;
     if json {
         return Ok(raw + "\n");
     }
@@ -67,7 +48,6 @@
     Ok(match name {
         "servers" => view + &list(&value["instance_list"], &SERVERS),
         "nodes" => view + &list(&value["node_list"], &NODES),
-        "quota" => view + &quota(&value) + &list(&value["home_list"], &HOMES),
         _ => view + &status(&value),
     })
 }
@@ -76,19 +56,6 @@
     format!("as seen by {} at revision {}\n", cell(&value["answered_by"]), cell(&value["revision"]))
 }
 
-fn quota(value: &JsonValue) -> String {
-    let line = |(name, key): (&str, &str)| format!("{name:<14} {}\n", cell(&value[key]));
-    let lines = [
-        ("tenant", "tenant_name"),
-        ("a second", "rate_per_s"),
-        ("burst", "burst_size"),
-        ("slot", "slot_number"),
-        ("asked for", "wanted_per_s"),
-        ("sent on", "used_per_s"),
-    ];
-    lines.into_iter().map(line).collect()
-}
-
 fn status(value: &JsonValue) -> String {
     let mut out = String::new();
     let core = value["core_list"].members();
--- a/crates/dryfit/src/load.rs
+++ b/crates/dryfit/src/load.rs
@@ -52,7 +52,6 @@
             Kind::News => "registry and proxy",
             Kind::Relay => "proxy and proxy",
             Kind::Watch => "watchers",
-            Kind::Permit => "permits",
             Kind::Local | Kind::Request | Kind::Work | Kind::Call => "other",
         };
         let (a, b) = (&self.zones[self.hosts[from].zone], &self.zones[self.hosts[to].zone]);
--- a/crates/dryfit/src/process.rs
+++ b/crates/dryfit/src/process.rs
@@ -1,7 +1,7 @@
 //! The three programs as their shells run them: what `main.rs` of each does between its machine and the world
 //! is done here between the machine and the simulated world.
 
-use crate::net::{Body, ConnId, Datagram, Event, Kind, Owner, Work};
+use crate::net::{Body, ConnId, Event, Kind, Owner, Work};
 use crate::outside::DAY_MS;
 use crate::record;
 use crate::world::{Ev, World};
@@ -15,7 +15,7 @@
 use proxy::watch::Watch;
 use rack::booking::{BookChange, Booking, Phase, Unused, divide};
 use rack::state::{Command, Node, State};
-use rack::talk::{Down, FromStore, Gossip, ToStore, Up};
+use rack::talk::{Down, FromStore, Gossip, Here, ToStore, Up};
 use ratchet::{Saved, Write};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -817,11 +817,6 @@
             front::Output::Server { server, peer, .. } => {
                 x.peers.insert(server, peer.addr);
             }
-            front::Output::Permit(to, permit) => {
-                if let Some(to) = self.relay_at(to) {
-                    self.datagram(n, to, Datagram::Permit(permit));
-                }
-            }
             front::Output::Gone { server } => {
                 x.peers.remove(&server);
                 for conn in x.idle.remove(&server).unwrap_or_default() {
@@ -866,7 +861,7 @@
             }
             let mut out = Vec::new();
             x.feed.handle(now, input, &x.front.copy, &mut out);
-            x.front.fresh(now, x.feed.fresh_at(), x.feed.proven_at());
+            x.front.fresh(now, x.feed.fresh_at());
             let mut fronts = Vec::new();
             for output in out {
                 match output {
@@ -938,23 +933,17 @@
         let Some((here, watchers)) = x.watch.round(now, soon) else { return };
         for ip in watchers {
             if let Some(to) = self.relay_at(*ip) {
-                self.datagram(n, to, Datagram::Here(here));
+                self.datagram(n, to, here);
             }
         }
         x.feed.suspects(x.watch.suspects());
     }
 
-    /// A datagram has come from one proxy to another.
-    pub fn datagram_came(&mut self, from: usize, to: usize, datagram: Datagram) {
+    pub fn here(&mut self, from: usize, to: usize, here: Here) {
         let ip = self.hosts[self.host_of(Owner::Proxy(from))].ip;
-        match datagram {
-            Datagram::Here(here) => {
-                if let Some(p) = &mut self.proxies[to] {
-                    let now = p.clock(self.now);
-                    p.machine.watch.heard(now, ip, here);
-                }
-            }
-            Datagram::Permit(permit) => self.front(to, Some(front::Input::Permit(ip, permit))),
+        if let Some(p) = &mut self.proxies[to] {
+            let now = p.clock(self.now);
+            p.machine.watch.heard(now, ip, here);
         }
     }
 
--- a/crates/dryfit/src/world.rs
+++ b/crates/dryfit/src/world.rs
@@ -1,7 +1,7 @@
 //! The world: time, chance, machines, and what is done to them.
 
 use crate::load::Load;
-use crate::net::{Body, ConnId, Datagram, Event, Net, Owner};
+use crate::net::{Body, ConnId, Event, Net, Owner};
 use crate::operators::Operators;
 use crate::outside::{CallFor, Client, Order, Place, Wanted};
 use crate::plan::{Plan, Wish};
@@ -11,6 +11,7 @@
 use crate::{MS, Micros, SECOND};
 use pegboard::calls;
 use rack::booking::Phase;
+use rack::talk::Here;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -29,7 +30,7 @@
     Packet(ConnId, usize, u64, Body),
     Reset(ConnId, usize),
     Silence(ConnId, usize),
-    Datagram(usize, usize, Datagram),
+    Here(usize, usize, Here),
     CallTimeout(ConnId),
     Heal(Rc<BTreeSet<(Host, Host)>>),
     /// Goes on after it was stopped.
@@ -415,7 +416,7 @@
             Ev::Packet(conn, side, number, body) => self.packet(conn, side, number, body),
             Ev::Reset(conn, side) => self.reset(conn, side),
             Ev::Silence(conn, side) => self.silence(conn, side),
-            Ev::Datagram(from, to, datagram) => self.datagram_came(from, to, datagram),
+            Ev::Here(from, to, here) => self.here(from, to, here),
             Ev::CallTimeout(conn) => self.call_timeout(conn),
             Ev::Heal(ways) => self.heal(&ways),
             Ev::Resume(owner, life) => self.resume(owner, life),
--- a/crates/jig/src/api.rs
+++ b/crates/jig/src/api.rs
@@ -25,13 +25,12 @@
     StopDrill,
     ShowDrill,
     ListDrills,
-    ShowQuota,
     Resolve,
     Ready,
 }
 
 /// Each call: its method, its path, its `operationId`, and the name of the address that takes it.
-pub const CALLS: [(Call, &str, &str, &str, &str); 21] = [
+pub const CALLS: [(Call, &str, &str, &str, &str); 20] = [
     (Call::Beat, "PUT", "/api/instances/{server_id}", "beat", "control_port"),
     (Call::Leave, "DELETE", "/api/instances/{server_id}", "leave", "control_port"),
     (Call::PutConfig, "PUT", "/api/configuration", "putConfig", "control_port"),
@@ -50,7 +49,6 @@
     (Call::StopDrill, "DELETE", "/api/drills/{drill_name}", "stopDrill", "control_port"),
     (Call::ShowDrill, "GET", "/api/drills/{drill_name}", "showDrill", "control_port"),
     (Call::ListDrills, "GET", "/api/drills", "listDrills", "control_port"),
-    (Call::ShowQuota, "GET", "/api/quotas/{tenant_name}", "showQuota", "control_port"),
     (Call::Resolve, "GET", "/api/resolution", "resolve", "directory_port"),
     (Call::Ready, "GET", "/api/readiness", "ready", "readiness"),
 ];
--- a/crates/pegboard/src/board.rs
+++ b/crates/pegboard/src/board.rs
@@ -2,15 +2,12 @@
 //! registries and to the proxies come in; answers and messages go out. No I/O, no clock.
 
 mod booking;
-mod quota;
-mod under_way;
 
 use crate::bookings::{Clocks, Duty};
 use crate::calls::{self, Answer, Request};
 use crate::drills::Leases;
 use crate::meter::Meter;
 use crate::presence::Presence;
-use crate::quota_homes::QuotaHomes;
 use crate::show::View;
 use jig::api::{self, Beat, Call};
 use jig::config::if_match;
@@ -23,7 +20,6 @@
 use rack::{Micros, Rev};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
-use under_way::UnderWay;
 
 /// What this registry is told at its start.
 #[derive(Clone, Debug)]
@@ -146,9 +142,7 @@
     rows: Vec<Rows>,
     clocks: Clocks,
     duty: Duty,
-    under_way_booked: UnderWay,
-    quota_homes: QuotaHomes,
-    under_way_quota: UnderWay,
+    under_way_booked: booking::UnderWay,
 }
 
 impl Board {
@@ -187,9 +181,7 @@
             rows: Vec::new(),
             clocks: Clocks::new(CLOCK_BEATS * terms.beat_us),
             duty: Duty::new(terms.beat_us, terms.settle_us),
-            under_way_booked: UnderWay::default(),
-            quota_homes: QuotaHomes::default(),
-            under_way_quota: UnderWay::default(),
+            under_way_booked: Default::default(),
             terms,
         }
     }
@@ -217,8 +209,7 @@
             Input::StoreDown => {
                 (self.store_up, self.fresh_until, self.leads) = (false, 0, false);
                 (self.under_way, self.under_way_duty) = (None, None);
-                self.under_way_booked.forget();
-                self.under_way_quota.forget();
+                self.forget_booked();
                 // What was under way may be lost: it is gathered anew as its callers come again.
                 let unsure: Vec<u64> = self.waiting.keys().copied().collect();
                 for id in unsure {
@@ -332,10 +323,6 @@
             }
             Call::ListDrills => Some(self.view().drills()),
             Call::ShowDrill => Some(self.view().drill(&argument)),
-            Call::ShowQuota => {
-                let uses = self.meter.uses(self.now, &argument);
-                Some(self.view().quota(&argument, uses))
-            }
             Call::Ready => Some(Answer::error(404, "not served here")),
         };
         if let Some(answer) = answer {
@@ -365,7 +352,7 @@
         match api::dry_run(&request.target) {
             Err(why) => return Some(Answer::error(400, &why.to_string())),
             Ok(true) => {
-                let wanted = drill.caller.tenant.as_ref().map(|t| self.meter.uses(self.now, t).0);
+                let wanted = drill.caller.tenant.as_ref().map(|t| self.meter.wanted(self.now, t));
                 return Some(self.view().rehearsed(&drill, wanted));
             }
             Ok(false) => {}
@@ -606,8 +593,7 @@
                     self.duty_landed = result.map_or(self.duty_landed, |(rev, _)| rev);
                     return;
                 }
-                let landed = result.as_ref().ok().map(|(rev, _)| *rev);
-                if self.under_way_booked.ended(ticket, landed) || self.under_way_quota.ended(ticket, landed) {
+                if self.under_way_booked.ended(ticket, result.as_ref().ok().map(|(rev, _)| *rev)) {
                     return;
                 }
                 let found = self.waiting.iter_mut().find_map(|(id, w)| match &mut w.wait {
@@ -722,7 +708,7 @@
         match up {
             Up::Hello { node, rev } => {
                 self.join(node.clone());
-                out.push(Output::Proxy(link, Down::Standing(self.standing(&node.region))));
+                out.push(Output::Proxy(link, self.standing(&node.region)));
                 self.followers.hello(link, node, rev);
                 self.feed(out);
             }
@@ -730,11 +716,10 @@
                 for u in usage {
                     self.usage(u, false);
                 }
-                let reported = seen.clone();
                 for s in seen {
                     self.presence.seen(self.now, s);
                 }
-                let Some(f) = self.followers.reported(link, rev, &reported) else { return };
+                let Some(f) = self.followers.reported(link, rev) else { return };
                 let node = f.node.clone();
                 if let Some(head) = head {
                     self.head(node.region.clone(), head);
@@ -757,24 +742,18 @@
     }
 
     /// What followers of a region are told.
-    fn standing(&self, region: &str) -> Standing {
+    fn standing(&self, region: &str) -> Down {
         let place = |ip: &Ipv4Addr| (*ip, self.places.get(ip).cloned().unwrap_or_default());
         let nodes = self.copy.state.nodes.values().filter(|n| n.region == region);
         let away = nodes.map(|n| n.ip).filter(|ip| !self.presence.alive(self.now, &self.copy.state, *ip));
-        Standing {
+        Down::Standing(Standing {
             rev: self.copy.rev(),
             fresh_ms: self.is_fresh().then_some(0),
             core: self.core.iter().map(place).collect(),
             path: Vec::new(),
             head: self.heads.get(region).copied(),
             away: away.collect(),
-            proof: None,
-        }
-    }
-
-    /// How long ago, at the most, this copy held all that was acknowledged; while it may speak for that.
-    fn proven_age(&self) -> Option<Micros> {
-        self.is_fresh().then(|| (self.now + FRESH_US).saturating_sub(self.fresh_until))
+        })
     }
 
     fn head(&mut self, region: String, head: Head) {
@@ -833,12 +812,10 @@
         }
         self.next_round = self.now + self.terms.beat_us / PARTS;
         let mut standings = BTreeMap::new();
-        let age = self.proven_age();
         for (link, f) in self.followers.iter() {
             let region = f.node.region.as_str();
             let standing = standings.entry(region).or_insert_with(|| self.standing(region));
-            let proof = age.and_then(|age| f.proof(age));
-            out.push(Output::Proxy(link, Down::Standing(Standing { proof, ..standing.clone() })));
+            out.push(Output::Proxy(link, standing.clone()));
         }
         let (servers, nodes) = self.presence.news();
         let heads = self.heads.iter().map(|(region, head)| (region.clone(), *head)).collect();
@@ -848,7 +825,6 @@
         self.end_drills(out);
         self.write_off(out);
         self.tend_bookings(out);
-        self.tend_quota_homes(out);
     }
 
     /// Servers and proxies that nobody has heard of. Only beside a leader that has led long enough for all registries
--- a/crates/pegboard/src/board/booking.rs
+++ b/crates/pegboard/src/board/booking.rs
@@ -15,6 +15,25 @@
 
 const LONGEST_NAME: usize = 64;
 
+/// A change on its way: its ticket, when it was sent, and where it has landed.
+#[derive(Default)]
+pub(super) struct UnderWay {
+    sent: Option<(u64, u64)>,
+    landed: u64,
+}
+
+impl UnderWay {
+    /// Whether this was the ticket.
+    pub(super) fn ended(&mut self, ticket: u64, landed: Option<u64>) -> bool {
+        let ours = self.sent.is_some_and(|(t, _)| t == ticket);
+        if ours {
+            self.sent = None;
+            self.landed = landed.unwrap_or(self.landed);
+        }
+        ours
+    }
+}
+
 impl Board {
     /// The time of day by this machine's clock; said before anything else is told.
     pub fn tell_day(&mut self, now: u64, day_ms: DayMs) {
@@ -178,10 +197,12 @@
         }
         self.duty.look(self.now, &self.copy.state.bookings);
         let Some((day_ms, of)) = self.clocks.read(self.now) else { return };
-        self.under_way_booked.give_up_before(self.now.saturating_sub(2 * CALL_US));
+        if self.under_way_booked.sent.is_some_and(|(_, at)| self.now > at + 2 * CALL_US) {
+            self.under_way_booked.sent = None;
+        }
         let since = self.fresh_since.max(self.leads_since);
         let settled = self.now > since + self.terms.beat_us && 2 * of > self.core.len();
-        let busy = self.under_way_booked.is_busy(self.copy.rev());
+        let busy = self.under_way_booked.sent.is_some() || self.copy.rev() < self.under_way_booked.landed;
         if !(self.leads && self.is_fresh() && settled) || busy {
             return;
         }
@@ -191,6 +212,10 @@
         let wanted = |key, ip| self.meter.use_of(self.now, key, ip).map_or(0, |u| u.wanted);
         let Some(change) = self.duty.due(self.now, day_ms, &state.bookings, &alive, wanted) else { return };
         let ticket = self.on_duty(Command::Book(change), out);
-        self.under_way_booked.send(ticket, self.now);
+        self.under_way_booked.sent = Some((ticket, self.now));
+    }
+
+    pub(super) fn forget_booked(&mut self) {
+        self.under_way_booked.sent = None;
     }
 }
--- a/crates/pegboard/src/lib.rs
+++ b/crates/pegboard/src/lib.rs
@@ -6,5 +6,4 @@
 pub mod drills;
 pub mod meter;
 pub mod presence;
-pub mod quota_homes;
 pub mod show;
--- a/crates/pegboard/src/meter.rs
+++ b/crates/pegboard/src/meter.rs
@@ -89,13 +89,12 @@
             .collect()
     }
 
-    /// Requests a second that were lately asked for a tenant and sent on, by the proxies that are heard of.
-    pub fn uses(&self, now: Micros, tenant: &str) -> (f64, f64) {
+    /// Requests a second that were lately asked for a tenant, by the proxies that are heard of.
+    pub fn wanted(&self, now: Micros, tenant: &str) -> f64 {
         let key = tenant_key(tenant);
         let heard = self.reports.values().filter(|r| now <= r.heard_at + HOLD * self.every_us);
         let uses = heard.flat_map(|r| &r.usage.tenants).filter(|u| u.tenant == key);
-        let per_s = |thousandths: u32| f64::from(thousandths) / 1000.0;
-        uses.fold((0.0, 0.0), |(wanted, used), u| (wanted + per_s(u.wanted), used + per_s(u.used)))
+        uses.fold(0.0, |sum, u| sum + f64::from(u.wanted) / 1000.0)
     }
 
     /// What a proxy that is heard of reports under a key.
--- a/crates/pegboard/src/show.rs
+++ b/crates/pegboard/src/show.rs
@@ -7,7 +7,6 @@
 use jig::drill::{Drill, Ran};
 use jzon::JsonValue;
 use rack::drill::Held;
-use rack::quota::{Slot, slot_of};
 use rack::state::{Node, State};
 use rack::{Micros, Rev};
 use std::collections::BTreeMap;
@@ -122,36 +121,6 @@
         self.answer(body)
     }
 
-    /// Who issues the permits of a tenant's quota; `uses`: what is wanted and sent on of it a second.
-    pub fn quota(&self, name: &str, (wanted, used): (f64, f64)) -> Answer {
-        let tenants = self.state.config.iter().flat_map(|c| c.tenants.iter().flatten());
-        let Some(tenant) = tenants.filter(|t| t.rate > 0.0).find(|t| t.name == name) else {
-            return Answer::error(404, &format!("no tenant {name:?} has a quota"));
-        };
-        let (slot, parts) = (slot_of(name), self.state.homes.parts().max(1) as f64);
-        let homes = self.state.homes.zones().map(|(zone, slots)| {
-            let Slot { holder, epoch } = slots.get(slot).copied().unwrap_or_default();
-            let node = holder.and_then(|ip| self.state.nodes.get(&ip));
-            jzon::object! {
-                zone_name: zone,
-                node_name: node.map(|n| n.name.as_str()),
-                ip_address: holder.map(|ip| ip.to_string()),
-                epoch: epoch,
-                rate_per_s: tenant.rate / parts,
-                heard_ms_ago: holder.and_then(|ip| self.seen(ip).1),
-            }
-        });
-        self.answer(jzon::object! {
-            tenant_name: name,
-            rate_per_s: tenant.rate,
-            burst_size: tenant.burst,
-            slot_number: slot,
-            wanted_per_s: wanted,
-            used_per_s: used,
-            home_list: homes.collect::<Vec<_>>(),
-        })
-    }
-
     /// What a dry run tells.
     pub fn rehearsed(&self, drill: &Drill, wanted: Option<f64>) -> Answer {
         let mut body = drill.write();
--- a/crates/planchest/src/store.rs
+++ b/crates/planchest/src/store.rs
@@ -3,7 +3,6 @@
 
 use rack::booking::BookChange;
 use rack::drill::DrillChange;
-use rack::quota::{QuotaChange, ZoneAssignment};
 use rack::state::{Command, NodeChange, ServerChange, State};
 use ratchet::disk::{self, DiskError, Look, Store};
 use ratchet::{Disk, Entry, Member, Payload, Roster, Saved};
@@ -219,14 +218,6 @@
             DrillChange::Stop { name, why, .. } => format!("drill {name} ended: {why}"),
             DrillChange::Rows(rows) => format!("drills: told by {} proxies", rows.len()),
         },
-        Command::Quota(change) => match change {
-            QuotaChange::Open { zones } => format!("quotas: slots in {}", zones.join(", ")),
-            QuotaChange::Assign(zones) => {
-                let one = |z: &ZoneAssignment| format!("{} of {}", z.slots.len(), z.zone);
-                format!("quotas: slots assigned: {}", zones.iter().map(one).collect::<Vec<_>>().join(", "))
-            }
-            QuotaChange::Close { zone } => format!("quotas: no slots in {zone} any more"),
-        },
         Command::Fenced { seen, order } => format!("{}, as of {seen}", command_words(*order)),
     }
 }
--- a/crates/proxy/src/book.rs
+++ b/crates/proxy/src/book.rs
@@ -3,9 +3,6 @@
 //! way when a new configuration comes keeps its meaning.
 
 use crate::cramp::Times;
-use crate::permits::Quotas;
-use crate::permits::asker::{VALID_US, part_of};
-use crate::permits::issuer::Part;
 use curlewfront::{Class, Effect, Entry, Micros, Plan, Settings, State as Standing};
 use jig::config::{Config, Service};
 use rack::state::{Node, Server, State};
@@ -43,8 +40,10 @@
 /// reading tells of a rise.
 const MARGIN_AHEAD: f64 = 0.2;
 
-/// The part of the leeway that permits may come to. The rest covers what is delayed between a proxy and a server.
-const LEEWAY_ISSUED: f64 = 0.9;
+/// The part of the rest that all proxies may send ahead of their even shares before a reading tells of it, and the
+/// least for one proxy: where there are many, each would else refuse what comes by chance.
+const AHEAD: f64 = 0.4;
+const LEAST_AHEAD: f64 = 2.0;
 
 /// What of the budget of further tries is used: it counts over windows that slide, and by what was sent elsewhere.
 const RETRY_PART: f64 = 0.6;
@@ -61,11 +60,13 @@
         rate * (1.0 + self.excess / 2.0) + margin / 2.0
     }
 
-    /// How many permits of a quota may be saved up, over all zones.
-    fn stock(&self, quota: Quota) -> f64 {
-        let leeway = self.excess * (quota.rate * self.period_s + quota.burst) + self.margin;
-        let valid_s = VALID_US as f64 / 1e6;
-        quota.burst + LEEWAY_ISSUED * leeway - quota.rate * valid_s
+    /// What one of so many proxies may have of a quota on its own, and how far it may be ahead of that.
+    fn even(&self, plan: &Plan, proxies: usize) -> Even {
+        let n = proxies.max(1) as f64;
+        // The plan's burst is what the decisions are told.
+        let burst = plan.burst * n.powf(1.0 - BURST_SPLIT);
+        let rest = self.excess * (plan.rate * self.period_s + burst) + (1.0 - MARGIN_AHEAD) * self.margin;
+        Even { rate: plan.rate / n, burst: burst / n, ahead: (AHEAD * rest / n).max(LEAST_AHEAD) }
     }
 
     fn burst(&self, rate: f64, burst: f64) -> f64 {
@@ -76,11 +77,13 @@
     }
 }
 
-/// What a tenant may use: so many requests a second, and so many more at once.
+/// One proxy's even share of a quota.
 #[derive(Clone, Copy, Debug)]
-struct Quota {
-    rate: f64,
-    burst: f64,
+pub struct Even {
+    pub rate: f64,
+    pub burst: f64,
+    /// So many requests may be sent ahead of it that no reading has told of.
+    pub ahead: f64,
 }
 
 /// What an answer past the aim is taken to be worth: enough that it is waited for.
@@ -133,8 +136,6 @@
     plans: Vec<Plan>,
     plan_of: Numbers,
     keys: Vec<u32>,
-    /// Of the tenants that have one, by the keys that messages name them by.
-    quotas: BTreeMap<u32, Quota>,
     services: Numbers,
     /// Those of the settings come first; then this one, if they do not name it, and others that are told of.
     zones: Numbers,
@@ -191,7 +192,6 @@
             plans: vec![Plan::default()],
             plan_of,
             keys: vec![0],
-            quotas: BTreeMap::new(),
             services: Numbers::default(),
             zones,
             regions,
@@ -217,10 +217,9 @@
         all.filter(|(_, p)| p.rate > 0.0).map(|(n, p)| (n, self.place.leeway.bears(p.rate))).collect()
     }
 
-    /// The key of a plan's tenant, if it has a quota.
-    pub fn quota_key(&self, plan: usize) -> Option<u32> {
-        let key = self.key(plan);
-        (plan > 0 && self.quotas.contains_key(&key)).then_some(key)
+    /// The even share of a plan over so many proxies.
+    pub fn even(&self, plan: usize, nodes: usize) -> Even {
+        self.place.leeway.even(&self.plans[plan], nodes)
     }
 
     /// What a plan's tenant is called in reports.
@@ -257,12 +256,7 @@
             };
             put(&mut self.classes, self.class_of.of(&route.name) as usize, class);
         }
-        self.quotas.clear();
         for tenant in config.tenants.iter().flatten() {
-            if tenant.rate > 0.0 {
-                let quota = Quota { rate: tenant.rate, burst: tenant.burst };
-                self.quotas.insert(tenant_key(&tenant.name), quota);
-            }
             let burst = self.place.leeway.burst(tenant.rate, tenant.burst);
             let burst = burst * (nodes.max(1) as f64).powf(BURST_SPLIT - 1.0);
             let plan = Plan { rate: tenant.rate, burst, ..Plan::default() };
@@ -415,17 +409,6 @@
     }
 }
 
-impl Quotas for Book {
-    fn part(&self, tenant: u32, zones: usize) -> Option<Part> {
-        let quota = *self.quotas.get(&tenant)?;
-        Some(part_of(quota.rate, self.place.leeway.stock(quota), zones))
-    }
-
-    fn tenants(&self) -> Vec<u32> {
-        self.quotas.keys().copied().collect()
-    }
-}
-
 fn usable(s: &Server, state: &State) -> bool {
     !s.draining && !state.evacuated.contains(&s.zone)
 }
--- a/crates/proxy/src/feed.rs
+++ b/crates/proxy/src/feed.rs
@@ -6,9 +6,9 @@
 use rack::copy::Copy;
 use rack::drill::Rows;
 use rack::state::Node;
-use rack::talk::{Down, FreshnessProof, Head, Lease, News, Reading, Seen, Standing, Up, Usage, Use};
+use rack::talk::{Down, Head, Lease, News, Reading, Seen, Standing, Up, Usage, Use};
 use rack::{Micros, Rev};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -66,8 +66,6 @@
 /// elsewhere before they are taken for gone along with it.
 const RELAY_SPEAKS: Micros = 110;
 const RELAY_SILENT: Micros = 210;
-/// So many reports are remembered until a proof of freshness answers them.
-const MOST_REPORTS: usize = 64;
 
 struct Parent {
     link: u64,
@@ -106,10 +104,6 @@
     next: Option<Parent>,
     /// When all that was acknowledged was held here.
     fresh_at: Option<Micros>,
-    /// The same as far as it is proved, however long what was heard of it was on its way.
-    proven_at: Option<Micros>,
-    /// The numbers of reports of which no proof has come yet, and when they were sent.
-    reports_sent: VecDeque<(u64, Micros)>,
     /// The region's proxies, the head first, and the place in it.
     order: Vec<Ipv4Addr>,
     place: Option<usize>,
@@ -153,8 +147,6 @@
             parent: None,
             next: None,
             fresh_at: None,
-            proven_at: None,
-            reports_sent: VecDeque::new(),
             order: Vec::new(),
             place: None,
             head: None,
@@ -183,12 +175,6 @@
         self.fresh_at
     }
 
-    /// The latest time at which all that was acknowledged was held here for certain: what came late, or waited here while
-    /// this process was stopped, counts from the report that it answers.
-    pub fn proven_at(&self) -> Option<Micros> {
-        self.proven_at
-    }
-
     /// The one who is followed, and through how many relays its news come.
     pub fn follows(&self) -> Option<(Ipv4Addr, usize)> {
         self.parent.as_ref().filter(|p| p.proved).map(|p| (p.ip, p.path.len()))
@@ -366,11 +352,6 @@
             self.fresh_at = self.fresh_at.max(Some(p.fresh_at));
             self.failed.remove(&p.ip);
         }
-        if copy.rev() >= s.rev
-            && let Some(proof) = s.proof
-        {
-            self.prove(proof);
-        }
         if self.next.as_ref().is_some_and(|p| p.link == link && p.proved && now < self.patience(p)) {
             let before = std::mem::replace(&mut self.parent, self.next.take());
             out.extend(before.map(|p| Output::Unlink(p.link)));
@@ -387,18 +368,6 @@
         }
     }
 
-    /// The sender's copy held all that was acknowledged so long before it heard of the report at the most, and so no longer
-    /// before that report was sent.
-    fn prove(&mut self, proof: FreshnessProof) {
-        let Some(at) = self.reports_sent.iter().position(|(report, _)| *report == proof.report) else {
-            return;
-        };
-        let (_, sent_at) = self.reports_sent[at];
-        self.reports_sent.drain(..at);
-        let held_at = sent_at.checked_sub(Micros::from(proof.age_ms) * 1000);
-        self.proven_at = self.proven_at.max(held_at);
-    }
-
     fn reorder(&mut self, copy: &Copy) {
         let (nodes, me) = (&copy.state.nodes, self.node.ip);
         self.order = tree::order(nodes, &self.node.region, me, &self.away);
@@ -545,10 +514,6 @@
         seen.push(Seen { ip, life, count, ready, rev, suspects: self.suspects.clone() });
         usage.push(Usage { ip, life, count, tenants });
         out.push(Output::Say(p.link, Up::Report { rev, head: self.head, seen, usage }));
-        self.reports_sent.push_back((count, self.now));
-        if self.reports_sent.len() > MOST_REPORTS {
-            self.reports_sent.pop_front();
-        }
     }
 
     /// What is not taken is said again by who said it.
@@ -608,7 +573,6 @@
             path: above.iter().copied().chain([self.node.ip]).collect(),
             head,
             away: self.away.iter().copied().collect(),
-            proof: None,
         }
     }
 
@@ -616,12 +580,9 @@
         let followed = !self.relay.followers.is_empty();
         self.tell_at = if followed { self.now + self.part() * RELAY_SPEAKS / 100 } else { Micros::MAX };
         if followed {
-            let standing = self.stands(copy, whole);
-            let age = self.proven_at.map(|at| self.now - at);
-            out.extend(self.relay.followers.iter().map(|(link, follower)| {
-                let proof = age.and_then(|age| follower.proof(age));
-                Output::Tell(link, Down::Standing(Standing { proof, ..standing.clone() }))
-            }));
+            let standing = Down::Standing(self.stands(copy, whole));
+            let links = self.relay.followers.links();
+            out.extend(links.map(|link| Output::Tell(link, standing.clone())));
         }
     }
 }
--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -4,23 +4,19 @@
 //! What a status says is kept apart from how it came about: 429 and 503 promise that a request has not run and will not,
 //! so they go out only where that is known or where the request may run more than once anyway.
 
-mod permitted;
-
 use crate::book::{Book, List, Peer, Place, REGION};
 use crate::cramp::{Cramp, Shown};
 use crate::drill::{Drills, Meeting, Met, Verdict};
-use crate::permits::Permits;
-use crate::tenants::Tenants;
+use crate::tenants::{Quota, Tenants};
 use curlewfront::{Action, Decider, Event, Hold, ListKind, Micros, NewRequest, Outcome, Return};
 use jig::config::{Config, Index, Kind, Route, Tenant};
 use jig::drill::{Fault, Ran};
 use rack::copy::{Copy, Took};
 use rack::drill::Rows;
 use rack::state::{Command, State};
-use rack::talk::{Lease, News, Permit, Reading, Use};
+use rack::talk::{Lease, News, Reading, Use};
 use std::collections::hash_map::Entry::Occupied;
 use std::collections::{BTreeMap, HashMap, VecDeque};
-use std::net::Ipv4Addr;
 use std::sync::Arc;
 use tongs::limits::Held;
 use tongs::pool::Passage;
@@ -71,16 +67,10 @@
     Tick,
     Asked(Ask),
     Withdrawn(u64),
-    Ended {
-        id: u64,
-        attempt: u32,
-        end: End,
-    },
+    Ended { id: u64, attempt: u32, end: End },
     News(News),
     Meter(Vec<Reading>),
     Leases(Vec<Lease>),
-    /// Of permits, from another proxy.
-    Permit(Ipv4Addr, Permit),
 }
 
 pub enum Output {
@@ -114,8 +104,6 @@
     Gone {
         server: u64,
     },
-    /// To another proxy, by a datagram.
-    Permit(Ipv4Addr, Permit),
 }
 
 pub struct Job {
@@ -167,8 +155,6 @@
     plan: usize,
     booking: u32,
     tries: Vec<Try>,
-    /// Until when an attempt may go without another permit; 0: it may not.
-    permit_until: Micros,
     /// The last answer that a server gave though it is no success.
     spare: Option<Answer>,
     timed_out: bool,
@@ -209,9 +195,8 @@
     booked: Tenants,
     holds: Vec<Hold>,
     look_at: Micros,
-    permits: Permits,
-    /// Attempts that wait for a permit.
-    awaiting: BTreeMap<(u64, u32), permitted::Awaiting>,
+    /// Plans of which all is sent that may be sent ahead.
+    spent: Vec<usize>,
     acts: Vec<Action>,
     back: VecDeque<(u64, u32, Outcome)>,
     drills: Drills,
@@ -238,10 +223,9 @@
             held: BTreeMap::new(),
             late: BTreeMap::new(),
             cramp: Cramp::new(place.ip, place.times),
-            booked: Tenants::new(beat_us / 3),
+            booked: Tenants::new(beat_us / 3, seed),
             holds: Vec::new(),
             look_at: Micros::MAX,
-            permits: permitted::permits(&place, seed),
             place,
             open: HashMap::new(),
             timeouts: Timeouts::default(),
@@ -249,8 +233,8 @@
             peers: BTreeMap::new(),
             among: (1, 0),
             relist_at: None,
-            tenants: Tenants::new(beat_us / 3),
-            awaiting: BTreeMap::new(),
+            tenants: Tenants::new(beat_us / 3, seed),
+            spent: Vec::new(),
             acts: Vec::new(),
             back: VecDeque::new(),
             counts: Counts::default(),
@@ -279,8 +263,7 @@
         let late = self.late.keys().next().map(|(at, _)| *at);
         let held = self.held.values().map(|(_, _, until)| *until).min();
         let due = [timeout, self.timer, self.relist_at, late, held].into_iter().flatten().min();
-        let due = due.unwrap_or(Micros::MAX).min(self.permits.wake_at());
-        due.min(self.look_at).min(self.drills.wake_at())
+        due.unwrap_or(Micros::MAX).min(self.look_at).min(self.drills.wake_at())
     }
 
     pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
@@ -301,7 +284,6 @@
             Input::News(news) => self.news(news, out),
             Input::Meter(readings) => self.meter(&readings, out),
             Input::Leases(leases) => self.drills.lease(self.now, &leases),
-            Input::Permit(from, message) => self.hear_permit(from, message, out),
         }
         self.settle(out);
         self.due(out);
@@ -353,9 +335,10 @@
         let left_us = ask.left_us.unwrap_or(Micros::MAX).min(route.deadline_ms * 1000);
         let plan = tenant.map_or(0, |t| self.book.plan(&t.name));
         self.tenants.asked(plan);
-        if let Some(refusal) = self.without_permit(plan) {
+        let nodes = self.copy.state.nodes.len();
+        if !self.tenants.may_send(self.now, plan, self.book.even(plan, nodes), nodes) {
             self.counts.refused += 1;
-            return Err(refusal);
+            return Err(Answer::later(429, "beyond the quota", RETRY_US));
         }
         let booking = self.come_under(tenant, route, service);
         if booking > 0 {
@@ -368,7 +351,6 @@
             plan,
             booking,
             tries: Vec::new(),
-            permit_until: 0,
             spare: None,
             timed_out: false,
             closed: false,
@@ -451,15 +433,15 @@
             let closed = open.closed;
             let Some(one) = open.tries.get_mut(attempt as usize).filter(|t| t.out) else { continue };
             one.out = false;
-            if !outcome.never_ran() {
-                open.permit_until = 0;
-            }
             let (server, latency_us) = (one.server, self.now.saturating_sub(one.sent_at));
             let (used, final_units) = (None, None);
             let back = Return { id, attempt, server, outcome, latency_us, closed, used, final_units };
             self.decide(Event::Returned(back), out);
             self.forget(id);
         }
+        while let Some(plan) = self.spent.pop() {
+            self.decide(Event::Used { customer: plan as u64, used: SPENT }, out);
+        }
     }
 
     fn decide(&mut self, event: Event, out: &mut Vec<Output>) {
@@ -503,29 +485,18 @@
             out.push(Output::Answer(id, Answer::later(503, "not now", RETRY_US)));
             return self.back.push_back((id, attempt, Outcome::Moot));
         }
-        open.tries.push(Try { server, sent_at: self.now, out: true });
-        let (plan, permitted) = (open.plan, self.now <= open.permit_until);
-        match self.book.quota_key(plan).filter(|_| !permitted) {
-            Some(tenant) => self.await_permit(tenant, (id, attempt), timeout_us, out),
-            None => self.transmit((id, attempt), timeout_us, out),
-        }
-    }
-
-    /// Sends an attempt to its server, now.
-    fn transmit(&mut self, (id, attempt): (u64, u32), timeout_us: Micros, out: &mut Vec<Output>) {
-        let Some(open) = self.open.get_mut(&id) else { return };
         let until = self.now.saturating_add(timeout_us).min(open.until);
         if attempt == 0 {
-            self.tenants.sent(open.plan);
+            let (plan, nodes) = (open.plan, self.copy.state.nodes.len());
+            if self.tenants.sent(self.now, plan, self.book.even(plan, nodes), nodes) {
+                self.spent.push(plan);
+            }
             if open.booking > 0 {
-                self.booked.sent(open.booking as usize);
+                self.booked.passes(open.booking as usize);
             }
         }
-        let (before, this) = open.tries.split_at_mut(attempt as usize);
-        let Some(this) = this.first_mut() else { return };
-        this.sent_at = self.now;
-        let server = this.server;
-        let again = before.iter().any(|t| t.server == server);
+        let again = open.tries.iter().any(|t| t.server == server);
+        open.tries.push(Try { server, sent_at: self.now, out: true });
         self.timeouts.add(until, id, attempt);
         self.counts.sent += 1;
         let Some((peer, _)) = self.peers.get(&server) else {
@@ -550,10 +521,6 @@
     fn give_up(&mut self, id: u64, attempt: u32, outcome: Outcome, out: &mut Vec<Output>) {
         let Some(open) = self.open.get_mut(&id) else { return };
         let Some(one) = open.tries.get(attempt as usize).filter(|t| t.out) else { return };
-        if self.awaiting.remove(&(id, attempt)).is_some() {
-            self.permits.withdraw((id, attempt));
-            return self.back.push_back((id, attempt, Outcome::Moot)); // it was never sent
-        }
         let late = (outcome == Outcome::TimedOut).then_some(one.sent_at);
         open.timed_out |= late.is_some();
         out.push(Output::GiveUp { id, attempt, server: one.server, late });
@@ -594,7 +561,6 @@
         if self.look_at <= self.now {
             self.hold(out);
         }
-        self.permits_due(out);
     }
 
     // ---- drills ----
@@ -685,7 +651,8 @@
         for (plan, rate) in self.book.quotas() {
             let key = self.book.key(plan);
             if let Some(reading) = readings.iter().find(|r| r.tenant == key) {
-                let used = self.tenants.read(self.now, plan, reading, nodes, rate);
+                let quota = Quota { rate, burst: self.book.even(plan, nodes).burst };
+                let used = self.tenants.read(self.now, plan, reading, nodes, quota);
                 self.decide(Event::Used { customer: plan as u64, used }, out);
             }
         }
@@ -718,7 +685,6 @@
             self.among = among;
             self.settle_in();
         }
-        self.permits.learn(self.now, &self.copy.state, &self.book);
         self.relist(out);
     }
 
@@ -770,10 +736,9 @@
         self.cramp.booking(self.now, tenant.map(|t| t.name.as_str()), &route.name, to)
     }
 
-    /// When this proxy last held all that was acknowledged, as the feed has it, and as far as that is proved.
-    pub fn fresh(&mut self, now: Micros, at: Option<Micros>, proven_at: Option<Micros>) {
+    /// When this proxy last held all that was acknowledged, as the feed has it.
+    pub fn fresh(&mut self, now: Micros, at: Option<Micros>) {
         self.now = self.now.max(now);
-        self.permits.prove(proven_at);
         if self.cramp.fresh(self.now, at) && !self.cramp.is_empty() {
             self.look_at = self.now;
         }
@@ -840,6 +805,9 @@
     }
 }
 
+/// A quota of which nothing is left but the even share, as from now: what was saved up is spent.
+const SPENT: f64 = 1.2;
+
 /// When there is nothing that could serve, it is worth asking again after so long.
 const RETRY_US: Micros = 500_000;
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,13 +1,12 @@
 //! The proxy. [`front`] decides on requests, around the decisions that it shares with the gateway; [`book`]
 //! turns the agreed state into their settings; [`feed`] keeps the news coming and passes them on; [`watch`]
-//! knows the silent, [`permits`] bounds what is sent of each quota, [`drill`] who meets a rehearsed fault, [`servers`] whose an answer is. No I/O and no clock in any of them; `main.rs` is the shell.
+//! knows the silent, [`drill`] who meets a rehearsed fault, [`servers`] whose an answer is. No I/O and no clock in any of them; `main.rs` is the shell.
 
 pub mod book;
 pub mod cramp;
 pub mod drill;
 pub mod feed;
 pub mod front;
-pub mod permits;
 pub mod relay;
 pub mod servers;
 pub mod tenants;
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -10,7 +10,7 @@
 use proxy::watch::Watch;
 use rack::Micros;
 use rack::state::Node;
-use rack::talk::{Down, Here, PROXY_NEWS, PROXY_PERMITS, PROXY_WATCH, Permit, REGISTRY_NEWS, Up};
+use rack::talk::{Down, Here, PROXY_NEWS, PROXY_WATCH, REGISTRY_NEWS, Up};
 use runtime::datagram::{self, Datagrams};
 use runtime::link::{self, Event, Line, SILENCE};
 use runtime::turn::{Inbox, Machine};
@@ -58,7 +58,6 @@
     FollowerTaken(Line),
     FollowerSays(u64, Event<Up>),
     Here(Ipv4Addr, Here),
-    Permit(Ipv4Addr, Permit),
     Signal(Asked),
 }
 
@@ -87,10 +86,6 @@
     let datagrams = datagram::open(listen, move |from, here| posts.post(Told::Here(from, here)))
         .map_err(|e| miette!("cannot take datagrams on {listen}: {e}"))?;
 
-    let (posts, listen) = (inbox.clone(), start.internal(PROXY_PERMITS)?);
-    let permits = datagram::open(listen, move |from, permit| posts.post(Told::Permit(from, permit)))
-        .map_err(|e| miette!("cannot take datagrams on {listen}: {e}"))?;
-
     let s = &start.settings;
     let b = &s.bounds;
     let leeway = Leeway {
@@ -121,7 +116,6 @@
         front: Front::new(place, beat_us, start.life, now),
         watch: Watch::new(node.clone(), beat_us / 3, start.life, now),
         datagrams,
-        permits,
         feed: Feed::new(node, s.zones.clone(), start.seeds(), beat_us, start.life, now),
         registry_port: start.internal(REGISTRY_NEWS)?.port(),
         relay_port: relay.port(),
@@ -293,7 +287,6 @@
     feed: Feed,
     watch: Watch,
     datagrams: Datagrams,
-    permits: Datagrams,
     registry_port: u16,
     relay_port: u16,
     /// Links to those who are followed, by the feed's numbers; links of followers by their own.
@@ -366,7 +359,6 @@
                         .or_insert_with(|| Peer::start(peer.addr, room.clone(), wire.clone(), settings));
                     known.listed(peer.addr, up);
                 }
-                front::Output::Permit(to, permit) => self.permits.send(to, &permit),
                 front::Output::Gone { server } => {
                     if let Some(peer) = self.peers.remove(&server) {
                         peer.gone();
@@ -390,7 +382,7 @@
             self.feed.uses(self.front.uses(now));
         }
         self.feed.handle(now, input, &self.front.copy, &mut self.news);
-        self.front.fresh(now, self.feed.fresh_at(), self.feed.proven_at());
+        self.front.fresh(now, self.feed.fresh_at());
         for output in std::mem::take(&mut self.news) {
             match output {
                 feed::Output::Link { link, ip, relay } => self.link(link, ip, relay),
@@ -516,7 +508,6 @@
             }
             Some(Told::FollowerSays(_, Event::Up)) => {}
             Some(Told::Here(from, here)) => self.watch.heard(now, from, here),
-            Some(Told::Permit(from, permit)) => self.front(now, front::Input::Permit(from, permit)),
             Some(Told::Signal(Asked::Settings(settings))) => self.feed.reseed(runtime::seeds(&settings)),
             Some(Told::Signal(Asked::Stop)) => {
                 self.asked_at.get_or_insert(now);
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -28,7 +28,7 @@
         usage: Vec<Usage>,
         until: Micros,
     ) -> bool {
-        if self.followers.reported(link, rev, &seen).is_none() {
+        if self.followers.reported(link, rev).is_none() {
             return false;
         }
         self.below.extend(seen.iter().map(|s| (s.ip, until)));
--- a/crates/rack/src/follow.rs
+++ b/crates/rack/src/follow.rs
@@ -2,7 +2,7 @@
 
 use crate::copy::Copy;
 use crate::state::Node;
-use crate::talk::{Down, FreshnessProof, News, Seen};
+use crate::talk::{Down, News};
 use crate::{Micros, Rev};
 use std::collections::BTreeMap;
 
@@ -12,20 +12,12 @@
     rev: Rev,
     /// It told to be behind that when it last reported.
     behind: Option<Rev>,
-    /// The number of its last report here.
-    report: Option<u64>,
 }
 
 impl Follower {
     pub fn rev(&self) -> Rev {
         self.behind.unwrap_or(self.rev)
     }
-
-    /// Proof for this follower that the copy here held all that was acknowledged at most so long ago.
-    pub fn proof(&self, age_us: Micros) -> Option<FreshnessProof> {
-        let age_ms = u32::try_from(age_us.div_ceil(1000)).ok()?;
-        self.report.map(|report| FreshnessProof { report, age_ms })
-    }
 }
 
 #[derive(Default)]
@@ -36,19 +28,17 @@
 impl Followers {
     /// One that is ahead of the copy keeps what it has, and hears of news from there on.
     pub fn hello(&mut self, link: u64, node: Node, rev: Rev) {
-        self.links.insert(link, Follower { node, rev, behind: None, report: None });
+        self.links.insert(link, Follower { node, rev, behind: None });
     }
 
     pub fn gone(&mut self, link: u64) -> Option<Follower> {
         self.links.remove(&link)
     }
 
-    /// How far a follower says it has come, beside those that it has seen, itself among them. One that stays behind what it
-    /// was sent is sent it again from there.
-    pub fn reported(&mut self, link: u64, rev: Rev, seen: &[Seen]) -> Option<&Follower> {
+    /// How far a follower says it has come. One that stays behind what it was sent is sent it again from
+    /// there.
+    pub fn reported(&mut self, link: u64, rev: Rev) -> Option<&Follower> {
         let f = self.links.get_mut(&link)?;
-        let own = seen.iter().find(|s| s.ip == f.node.ip);
-        f.report = own.map(|s| s.count).or(f.report);
         if rev > f.rev || (rev < f.rev && f.behind == Some(rev)) {
             f.rev = rev;
         }
--- a/crates/rack/src/talk.rs
+++ b/crates/rack/src/talk.rs
@@ -6,7 +6,6 @@
 //! | registry | registry | [`Gossip`] |
 //! | proxy | registry, or a proxy nearer to it | [`Up`], answered by [`Down`] |
 //! | proxy | its watchers, by datagrams | [`Here`] |
-//! | proxy | the homes of quotas, by datagrams | [`Permit`] |
 //!
 //! Stores speak the messages of the agreement among themselves, with [`StorePeer`] around them.
 
@@ -23,7 +22,6 @@
 pub const REGISTRY_NEWS: u16 = 3;
 pub const PROXY_NEWS: u16 = 4;
 pub const PROXY_WATCH: u16 = 5;
-pub const PROXY_PERMITS: u16 = 6;
 
 /// A core machine speaks for what is agreed for so long after it asked the leader, and a majority followed that leader
 /// after it was asked. By its own clock, which no time of day moves, and from when it asked: a process that was stopped
@@ -260,40 +258,4 @@
     pub head: Option<Head>,
     /// Proxies of that region that are not to be followed.
     pub away: Vec<Ipv4Addr>,
-    pub proof: Option<FreshnessProof>,
-}
-
-/// That a copy held all that was acknowledged at a time which the follower can place on its own clock, however long the
-/// message was on its way: so many milliseconds, at the most, before it sent this report.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct FreshnessProof {
-    /// The number of the follower's last report that was heard on this link.
-    pub report: u64,
-    pub age_ms: u32,
-}
-
-/// Between a proxy and the homes of quotas. Any of these may be lost, late or come twice.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Permit {
-    /// Permits for so many requests of a tenant that wait, and for so many that are expected soon. Numbers are the asker's
-    /// own.
-    Ask {
-        ask: u64,
-        tenant: u32,
-        count: u8,
-        ahead: u8,
-    },
-    Answer {
-        ask: u64,
-        answer: PermitAnswer,
-    },
-}
-
-/// What the home of a quota says to an ask.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum PermitAnswer {
-    /// So many permits; for more, it is worth asking again after so long. And so many that are lent ahead.
-    Issued { count: u8, ahead: u8, wait_ms: u16 },
-    /// Not the home of this tenant, or not sure of it.
-    NotHome,
 }
