--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -53,7 +53,7 @@
         }
         let mean = self.fleets[fleet].load.mean;
         let (f, soon) = (&self.fleets[fleet], self.now + mean as Micros / 2);
-        // A late answer earns little, but costs nothing where room is booked, or nobody waits and half is free.
+        // A late answer earns little, but costs nothing where room is held, or nobody waits and half is free.
         let idle = f.ring.is_empty() && 2.0 * f64::from(f.load.out) < f.target(&self.set);
         let best_by = if best_by < soon && (idle || self.held_for(&n)) { end } else { best_by };
         if best_by < soon {
