Check a reading's hold and a joining proxy in one place each

Need: read once more, the change had twins: the account's flood asked whether a reading still holds beside the function that knows, and a joining proxy was looked for in two lists by a copy of it, made also where nothing joins. No behaviour changed.

--- a/crates/pegboard/src/board.rs
+++ b/crates/pegboard/src/board.rs
@@ -707,7 +707,7 @@
     fn proxy(&mut self, link: u64, up: Up, out: &mut Vec<Output>) {
         match up {
             Up::Hello { node, rev } => {
-                self.join(node.clone());
+                self.join(&node);
                 out.push(Output::Proxy(link, self.standing(&node.region)));
                 self.followers.hello(link, node, rev);
                 self.feed(out);
@@ -724,7 +724,7 @@
                 if let Some(head) = head {
                     self.head(node.region.clone(), head);
                 }
-                self.join(node);
+                self.join(&node);
                 self.feed(out);
             }
             Up::Drill(rows) => self.drill_rows(rows, out),
@@ -733,11 +733,11 @@
 
     /// A proxy that follows here is to be in the state. Many come at once where all start: those that come while others are on
     /// their way into the log go with the next command.
-    fn join(&mut self, node: Node) {
-        let in_state = self.copy.state.nodes.get(&node.ip) == Some(&node);
-        let joins = NodeChange::Up(node);
-        if !in_state && !self.nodes.contains(&joins) && !self.nodes_under_way.contains(&joins) {
-            self.nodes.push(joins);
+    fn join(&mut self, node: &Node) {
+        let joins = |change: &NodeChange| matches!(change, NodeChange::Up(joins) if joins == node);
+        let in_state = self.copy.state.nodes.get(&node.ip) == Some(node);
+        if !in_state && !self.nodes.iter().chain(&self.nodes_under_way).any(joins) {
+            self.nodes.push(NodeChange::Up(node.clone()));
         }
     }
 
--- a/crates/proxy/src/tenants.rs
+++ b/crates/proxy/src/tenants.rs
@@ -80,7 +80,7 @@
 }
 
 impl Tenants {
-    /// `every_us`: how often a report goes out.
+    /// `every_us`: how often a report goes out. `seed`: of the chance by which proxies begin in turn.
     pub fn new(every_us: Micros, seed: u64) -> Tenants {
         let rng = fastrand::Rng::with_seed(seed);
         Tenants { every_us, told_at: 0, all: Vec::new(), rng, hurries: false }
@@ -132,8 +132,7 @@
 
     /// The last reading, if it still holds, tells of a flood.
     fn is_flooded(&self, now: Micros, plan: usize) -> bool {
-        let hold = HOLD * self.every_us;
-        self.all.get(plan).is_some_and(|t| t.flooded && t.read_at.is_some_and(|at| now <= at + hold))
+        self.lately_read(now, plan).is_some_and(|t| t.flooded)
     }
 
     /// What the next report tells, each under its `key`; counts from there on anew.
@@ -154,8 +153,8 @@
         uses
     }
 
-    /// Tells what counts as used of it: in a flood what is wanted, as what is used
-    /// says only how well it is held back.
+    /// Takes a reading. Tells what part of the rate counts as used: in a flood what is wanted, as what is used says only
+    /// how well it is held back.
     pub fn read(&mut self, now: Micros, plan: usize, reading: &Reading, nodes: usize, quota: Quota) -> f64 {
         let (every_us, Quota { rate, burst }) = (self.every_us, quota);
         self.of(plan);
@@ -194,8 +193,13 @@
     }
 
     /// A tenant of which the meter has spoken lately.
-    fn read_of(&self, now: Micros, plan: usize) -> Option<&Tenant> {
+    fn lately_read(&self, now: Micros, plan: usize) -> Option<&Tenant> {
         let hold = HOLD * self.every_us;
-        self.all.get(plan).filter(|t| !t.spent && t.read_at.is_some_and(|at| now <= at + hold))
+        self.all.get(plan).filter(|t| t.read_at.is_some_and(|at| now <= at + hold))
+    }
+
+    /// The same, while not all that may be sent ahead is sent.
+    fn read_of(&self, now: Micros, plan: usize) -> Option<&Tenant> {
+        self.lately_read(now, plan).filter(|t| !t.spent)
     }
 }
