--- a/crates/dryfit/src/lib.rs
+++ b/crates/dryfit/src/lib.rs
@@ -7,7 +7,7 @@
 pub mod judge;
 pub mod load;
 mod net;
-mod odd;
+pub mod odd;
 mod operators;
 mod outside;
 pub mod plan;
--- a/crates/dryfit/src/plan.rs
+++ b/crates/dryfit/src/plan.rs
@@ -120,6 +120,7 @@
     Rate { tenant: String, rate: u32 },
     Homes { route: String, regions: Vec<String> },
     AddRoute { route: String, service: String },
+    RemoveRoute { route: String },
     Invalid,
     Evacuate { zone: String, on: bool },
     Drill(Box<Drill>),
@@ -239,6 +240,7 @@
                 let to = vec![(service, 1)];
                 plan.routes.push(RoutePlan { name: route, kind: "safe", to, homes: Vec::new() });
             }
+            Wish::RemoveRoute { route } => plan.routes.retain(|r| r.name != route),
             Wish::Invalid => {
                 invalid = true;
                 plan.routes[0].to = vec![("no-such-service".into(), 1)];
--- a/crates/dryfit/src/record.rs
+++ b/crates/dryfit/src/record.rs
@@ -58,6 +58,41 @@
     }
 }
 
+impl Bounds {
+    /// Sets one by its name in the settings; `value` in that name's unit.
+    pub fn set(&mut self, name: &str, value: f64) -> Result<(), String> {
+        if !value.is_finite() || value < 0.0 {
+            return Err(format!("{name}: {value} is no bound"));
+        }
+        let ms = (value * MS as f64) as Micros;
+        let seconds = (value * SECOND as f64) as Micros;
+        match name {
+            "contact_ms" => self.contact = ms,
+            "ack_limit_ms" => self.ack_limit = ms,
+            "drain_limit_ms" => self.drain_limit = ms,
+            "loss_slack_ms" => self.loss_slack = ms,
+            "config_apply_ms" => self.config_apply = ms,
+            "revert_slack_ms" => self.revert_slack = ms,
+            "evacuation_ms" => self.evacuation = ms,
+            "grace_period_s" => self.grace = seconds,
+            "recovery_s" => self.recovery = seconds,
+            "retry_window_s" => self.retry_window = seconds,
+            "quota_period_s" => self.quota_period = seconds,
+            "reuse_delay_s" => self.reuse_delay = seconds,
+            "sync_time_s" => self.sync = seconds,
+            "retry_ratio" => self.retry_ratio = value,
+            "retry_slack" => self.retry_slack = value,
+            "quota_excess" => self.quota_excess = value,
+            "quota_margin" => self.quota_margin = value,
+            "cold_excess" => self.cold_excess = value,
+            "cold_margin" => self.cold_margin = value,
+            "ttl_max_s" => self.ttl_s = value,
+            other => return Err(format!("there is no bound {other:?}")),
+        }
+        Ok(())
+    }
+}
+
 /// A machine, by its place among all of them: the core first, then the proxies'.
 pub type Host = usize;
 
--- a/crates/dryfit/src/scenario.rs
+++ b/crates/dryfit/src/scenario.rs
@@ -2,7 +2,7 @@
 
 use crate::odd::{self, Odd};
 use crate::plan::Wish;
-use crate::record::{Booking, Fate};
+use crate::record::{Booking, Bounds, Fate};
 use crate::{MS, Micros, SECOND};
 use miette::{Result, miette};
 use std::collections::BTreeSet;
@@ -39,6 +39,12 @@
     pub expects: Vec<Expect>,
     /// Chance of each place is its own.
     pub apart: bool,
+    /// The figures of the rules, as processes are told them and as the day is judged.
+    pub bounds: Bounds,
+    /// Clients keep their connections and use them until the process at the other end closes them or is gone.
+    pub keeps_connections: bool,
+    /// Each change of the configuration is looked for at every proxy, and others look on all day. Real processes only.
+    pub probes: bool,
 }
 
 /// What becomes of bookings: they are agreed on; or, for baselines, there are none, or each proxy holds an even part of
@@ -77,6 +83,10 @@
         who: String,
         back: Micros,
     },
+    /// SIGHUP: the settings files are read again.
+    Hangup {
+        who: String,
+    },
     Cut {
         a: String,
         b: String,
@@ -207,6 +217,9 @@
             events: Vec::new(),
             expects: Vec::new(),
             apart: false,
+            bounds: Bounds::default(),
+            keeps_connections: false,
+            probes: false,
         }
     }
 }
@@ -270,12 +283,16 @@
 impl Scenario {
     pub fn read(text: &str) -> Result<Scenario> {
         let mut s = Scenario { text: text.to_string(), ..Scenario::default() };
+        if text.lines().any(|line| line.trim_start().starts_with("zone ")) {
+            s.zones.clear();
+        }
         for (i, line) in text.lines().enumerate() {
             let line = line.split('#').next().unwrap_or("").trim();
             if !line.is_empty() {
                 s.line(line).map_err(|e| miette!("line {}: {line:?}: {e}", i + 1))?;
             }
         }
+        s.check()?;
         s.events.sort_by_key(|e| e.0);
         Ok(s)
     }
@@ -283,7 +300,19 @@
     fn line(&mut self, line: &str) -> Result<()> {
         let mut w = Words(line.split_whitespace().peekable());
         match w.next("a statement")? {
-            "cores" => self.cores = w.rest(),
+            "zone" => {
+                let zone = w.next("the zone")?.to_string();
+                self.zones.push((zone, w.next("its region")?.to_string()));
+            }
+            "bound" => {
+                let name = w.next("the bound")?.to_string();
+                let value = w.number("its figure")?;
+                self.bounds.set(&name, value).map_err(|why| miette!("{why}"))?;
+            }
+            "cores" => {
+                self.cores = w.rest();
+                self.check()?;
+            }
             "edges" => self.edges = w.number("edges")? as usize,
             "service" => {
                 let name = w.next("the service")?.to_string();
@@ -306,6 +335,14 @@
                 w.must("apart")?;
                 self.apart = true;
             }
+            "connections" => {
+                w.must("kept")?;
+                self.keeps_connections = true;
+            }
+            "probe" => {
+                w.must("changes")?;
+                self.probes = true;
+            }
             "far" => self.far = (w.number("far")? * MS as f64) as Micros,
             "rooms" => {
                 self.rooms = match w.next("agreed, none or own-clocks")? {
@@ -347,7 +384,7 @@
             other => return Err(miette!("no statement begins with {other:?}")),
         }
         match w.0.next() {
-            None => self.check(),
+            None => Ok(()),
             Some(more) => Err(miette!("{more:?} is too much")),
         }
     }
@@ -369,6 +406,7 @@
         "wipe" => What::Wipe { who: w.next("who")?.into(), back: w.back()? },
         "stall" => What::Stall { who: w.next("who")?.into(), last: w.last()? },
         "term" => What::Term { who: w.next("who")?.into(), back: w.back()? },
+        "hup" => What::Hangup { who: w.next("who")?.into() },
         "cut" => {
             let a = w.next("who")?.into();
             w.must("from")?;
@@ -478,6 +516,7 @@
         "split" => Wish::Split { route: route(w)?, services: w.rest() },
         "homes" => Wish::Homes { route: route(w)?, regions: w.rest() },
         "add-route" => Wish::AddRoute { route: route(w)?, service: w.next("the service")?.to_string() },
+        "remove-route" => Wish::RemoveRoute { route: w.next("the route")?.to_string() },
         "revoke" => Wish::Revoke { tenant: w.next("the tenant")?.into() },
         "rekey" => Wish::Rekey { tenant: w.next("the tenant")?.into() },
         "quota-of" => {
--- a/crates/dryfit/src/world.rs
+++ b/crates/dryfit/src/world.rs
@@ -6,7 +6,7 @@
 use crate::outside::{CallFor, Client, Order, Place, Wanted};
 use crate::plan::{Plan, Wish};
 use crate::process::{Disk, Process, Proxy, Registry, START, Store};
-use crate::record::{Booking, Bounds, Closing, Dark, Host, Record, Trouble, Unheard};
+use crate::record::{Booking, Closing, Dark, Host, Record, Trouble, Unheard};
 use crate::scenario::{Scenario, What};
 use crate::{MS, Micros, SECOND};
 use pegboard::calls;
@@ -181,7 +181,7 @@
         }
         host([10, 4, 0, 1], 0, true);
         let plan = Plan::of(&scenario);
-        let bounds = Bounds::default();
+        let bounds = scenario.bounds.clone();
         let traffic_ends = scenario.ends.saturating_sub(4 * SECOND);
         let record = Record { cores, edges, ends: scenario.ends, bounds, ..Record::default() };
         let mut world = World {
@@ -587,6 +587,8 @@
                     }
                 }
             }
+            // Settings files that change are `settings` on simulated time; read again as they are, they change nothing.
+            What::Hangup { .. } => {}
             What::Cut { a, b, last, one_way } => {
                 let (a, b) = (self.hosts_named(&a), self.hosts_named(&b));
                 let mut ways = BTreeSet::new();
--- a/crates/jig/src/scheme.rs
+++ b/crates/jig/src/scheme.rs
@@ -84,7 +84,7 @@
 const INTERNAL: u16 = 6;
 /// Places in a loopback block; what is above is left to servers.
 const FIRST_EDGE: u8 = 11;
-pub const FIRST_SERVER: u8 = 131;
+pub const FIRST_SERVER: u8 = 251;
 
 /// Bounds that suit a site of a few zones; a scheme may name its own.
 pub fn usual_bounds() -> JsonValue {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -19,5 +19,6 @@
 pub mod rules;
 pub mod run;
 pub mod scenario;
+pub mod soak;
 pub mod stores;
 pub mod system;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,7 +5,9 @@
 //! scenario, a program that would not start); the message names what is wrong.
 
 use clap::{Parser, Subcommand};
-use curlewfront_lab::{baseline, compare, group, launch, measure, report, run, scenario::Scenario, system};
+use curlewfront_lab::{
+    baseline, compare, group, launch, measure, report, run, scenario::Scenario, soak, system,
+};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use tokio::signal::unix::{SignalKind, signal};
@@ -90,6 +92,32 @@
         #[command(subcommand)]
         command: System,
     },
+    /// Days of the whole system with real processes, drawn from seeds; all rules are judged, and what failed is kept.
+    Soak {
+        /// The first seed; or the only one, with `--days 1`.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// So many seeds, one day each.
+        #[arg(long, default_value_t = 50)]
+        days: u64,
+        #[arg(long, value_enum, default_value = "large")]
+        shape: SoakShape,
+        /// Days played at the same time.
+        #[arg(long, default_value_t = 2)]
+        jobs: usize,
+        /// Processes of all days together, at the most.
+        #[arg(long, default_value_t = 300)]
+        processes: usize,
+        /// The report, and a folder for each day that failed.
+        #[arg(long, default_value = "lab-out/soak")]
+        out: PathBuf,
+        /// Where the three programs are.
+        #[arg(long, default_value = "target/release")]
+        bin: PathBuf,
+        /// Keeps the folders of all days.
+        #[arg(long)]
+        keep_all: bool,
+    },
     /// Runs one of the lab's plain policies as a gateway (EDGE_CONFIG as a gateway has it).
     Baseline {
         #[arg(value_enum)]
@@ -97,6 +125,12 @@
     },
 }
 
+#[derive(Clone, Copy, clap::ValueEnum)]
+enum SoakShape {
+    Large,
+    Small,
+}
+
 #[derive(Subcommand)]
 enum System {
     /// Plays a scenario as `dryfit` does, in real seconds; what cannot be played so is said.
@@ -122,7 +156,7 @@
     let at = |e: &dyn std::fmt::Display| format!("{}: {e}", scenario.display());
     let text = std::fs::read_to_string(&scenario).map_err(|e| at(&e))?;
     let s = dryfit::scenario::Scenario::read(&text).map_err(|e| at(&e))?;
-    let options = system::Options { out: out.clone(), bin, seed, loud: !quiet };
+    let options = system::Options { out: out.clone(), bin, seed, loud: !quiet, verbose: false };
     // A signal to the lab ends what the lab has started, too: the day is dropped.
     let mut asked = signal(SignalKind::terminate()).map_err(|e| format!("cannot watch for signals: {e}"))?;
     let day = tokio::select! {
@@ -222,6 +256,19 @@
             true
         }),
         Command::System { command } => runtime().block_on(play_system(command)),
+        Command::Soak { seed, days, shape, jobs, processes, out, bin, keep_all } => {
+            let shape = match shape {
+                SoakShape::Large => soak::shape::Shape::large(),
+                SoakShape::Small => soak::shape::Shape::small(),
+            };
+            let seeds = (seed..seed.saturating_add(days)).collect();
+            let options = soak::Options { out: out.clone(), bin, seeds, shape, jobs, processes, keep_all };
+            soak::run(&options).map(|report| {
+                print!("\n{}", report.summary());
+                println!("report, and what failed: {}", out.display());
+                report.failed() == 0
+            })
+        }
         Command::Baseline { policy } => runtime().block_on(baseline::serve(policy)).map(|()| true),
     };
     match done {
--- a/crates/lab/src/system/clients.rs
+++ b/crates/lab/src/system/clients.rs
@@ -2,11 +2,13 @@
 //! wait for answers.
 
 use super::call::Call;
+use super::connections::{Connection, Kept};
 use super::log::{Log, lock};
 use super::machines::Machines;
+use super::observed::StaleAddress;
 use super::servers::{body, payload};
 use super::{MS, SECOND};
-use crate::http::{Conn, request};
+use crate::http::{Conn, Response, request};
 use dryfit::Micros;
 use dryfit::plan::{DEADLINE, HOST, Plan};
 use dryfit::record::{Answer, Request, Try};
@@ -23,6 +25,14 @@
 const MOST_TRIES: u32 = 4;
 const CONNECT: Duration = Duration::from_secs(1);
 const SHUNNED: Micros = 3 * SECOND;
+/// As the plan's configurations have it.
+const IDLE_LIMIT: Micros = 15 * SECOND;
+/// Where clients keep connections: a request goes over a new one all the same so often.
+const OPENS_ANEW: f64 = 0.15;
+/// Some of them wait longer than their route may take, and some leave before an answer can be there.
+const PATIENT_EVERY: u64 = 5;
+const LEAVES_EVERY: u64 = 40;
+const LEAVES_AFTER: Micros = 30 * MS;
 
 struct Client {
     zone: String,
@@ -33,6 +43,7 @@
     lazy: bool,
     known: tokio::sync::Mutex<Known>,
     shunned: Mutex<BTreeMap<SocketAddr, Micros>>,
+    kept: Kept,
 }
 
 #[derive(Default)]
@@ -47,6 +58,8 @@
     machines: Arc<Machines>,
     rate: f64,
     ttl: f64,
+    contact: Micros,
+    keeps: bool,
     /// A tenant that sends more, until when, by how many times.
     pub hot: Mutex<(usize, Micros, f64)>,
     rng: Mutex<StdRng>,
@@ -65,28 +78,23 @@
 }
 
 impl Clients {
-    pub fn new(
-        s: &Scenario,
-        plan: &Plan,
-        log: Arc<Log>,
-        machines: Arc<Machines>,
-        ttl: f64,
-        seed: u64,
-    ) -> Clients {
+    pub fn new(s: &Scenario, plan: &Plan, log: Arc<Log>, machines: Arc<Machines>, seed: u64) -> Clients {
         let tenants = plan.tenants.len();
         let one = |n: usize| {
             let (zone, region) = s.zones[(n / tenants) % s.zones.len()].clone();
             let key = plan.tenants[n % tenants].keys[0].clone();
             let lazy = n % 5 == 4;
-            let (known, shunned) = (Default::default(), Default::default());
-            Arc::new(Client { zone, region, tenant: n % tenants, key, lazy, known, shunned })
+            let (known, shunned, kept) = (Default::default(), Default::default(), Kept::default());
+            Arc::new(Client { zone, region, tenant: n % tenants, key, lazy, known, shunned, kept })
         };
         Clients {
             clients: (0..s.clients).map(one).collect(),
             log,
             machines,
             rate: s.rate,
-            ttl,
+            ttl: s.bounds.ttl_s,
+            contact: s.bounds.contact,
+            keeps: s.keeps_connections,
             hot: Mutex::new((0, 0, 0.0)),
             rng: Mutex::new(StdRng::seed_from_u64(seed)),
         }
@@ -133,10 +141,19 @@
     }
 
     async fn request(self: Arc<Self>, client: Arc<Client>, number: u64, path: String, once: bool) {
-        let until = self.log.now() + DEADLINE;
+        let patient = self.keeps && number.is_multiple_of(PATIENT_EVERY);
+        let until = self.log.now() + if patient { 2 * DEADLINE } else { DEADLINE };
         for tried in 1..=MOST_TRIES {
-            let Some(address) = self.address(&client, until).await else { return };
-            let wait = match self.once(&client, number, &path, once, address, until).await {
+            // A further try goes over a new connection.
+            let kept = if tried == 1 { self.kept(&client) } else { None };
+            let way = match kept {
+                Some(connection) => Way::Kept(connection),
+                None => match self.address(&client, until).await {
+                    Some(address) => Way::New(address),
+                    None => return,
+                },
+            };
+            let wait = match self.once(&client, number, &path, once, way, until).await {
                 Done::Served => {
                     let now = self.log.now();
                     self.log.book().requests[number as usize].served = Some(now);
@@ -156,6 +173,14 @@
         }
     }
 
+    /// A connection from before, mostly.
+    fn kept(&self, client: &Client) -> Option<Connection> {
+        if !self.keeps || lock(&self.rng).r#gen::<f64>() < OPENS_ANEW {
+            return None;
+        }
+        client.kept.take(self.log.now(), IDLE_LIMIT)
+    }
+
     /// Where to go, by chance among those that have not failed lately.
     async fn address(&self, client: &Client, until: Micros) -> Option<SocketAddr> {
         loop {
@@ -193,6 +218,7 @@
             let Some(found) = answer.and_then(|text| jzon::parse(&text).ok()) else { continue };
             let list = found["address_list"].as_array().into_iter().flatten();
             known.addresses = list.filter_map(|v| v.as_str()?.parse().ok()).collect();
+            self.note_stale(core, &known.addresses);
             let valid = found["validity_s"].as_f64().unwrap_or(0.0).min(self.ttl);
             let keeps = if client.lazy { 3.0 } else { 1.0 };
             known.fresh_until = self.log.now() + (valid * keeps * 1e6) as Micros;
@@ -201,70 +227,145 @@
         known.fresh_until = self.log.now() + SECOND / 2;
     }
 
+    /// Puts down which of these have not run for longer than the contact time.
+    fn note_stale(&self, by: usize, addresses: &[SocketAddr]) {
+        let at = self.log.now();
+        for process in addresses.iter().filter_map(|a| self.machines.proxy_at(*a)) {
+            let down_for = process.down_for().map_or(0, |down| down.as_micros() as Micros);
+            if down_for > self.contact {
+                let stale = StaleAddress { at, by, host: process.host, down_for };
+                self.log.book().observed.stale_addresses.push(stale);
+            }
+        }
+    }
+
+    /// Puts a try down; its number.
+    fn begin(
+        &self,
+        client: &Client,
+        request: u64,
+        path: &str,
+        once: bool,
+        to: (usize, u64),
+        until: Micros,
+    ) -> u64 {
+        let mut book = self.log.book();
+        let number = book.tries.len() as u64;
+        book.tries.push(Try {
+            request,
+            edge: to.0,
+            life: to.1,
+            sent: self.log.now(),
+            until,
+            host: HOST.to_string(),
+            path: path.to_string(),
+            key: Some(client.key.clone()),
+            once,
+            ..Try::default()
+        });
+        number
+    }
+
+    async fn connect(&self, client: &Client, address: SocketAddr) -> Option<Connection> {
+        let process = self.machines.proxy_at(address)?;
+        match timeout(CONNECT, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => Some(Connection::new(address, process.host, process.life(), Conn::new(stream))),
+            _ => {
+                lock(&client.shunned).insert(address, self.log.now() + SHUNNED);
+                None
+            }
+        }
+    }
+
+    /// One try, over a connection from before or a new one.
     async fn once(
         &self,
         client: &Client,
         number: u64,
         path: &str,
         once: bool,
-        address: SocketAddr,
+        way: Way,
         until: Micros,
     ) -> Done {
-        let Some(proxy) = self.machines.proxy_at(address) else { return Done::Unread };
-        let attempt = {
-            let sent = self.log.now();
-            let mut book = self.log.book();
-            book.tries.push(Try {
-                request: number,
-                edge: proxy.host,
-                life: proxy.life(),
-                sent,
-                until,
-                host: HOST.to_string(),
-                path: path.to_string(),
-                key: Some(client.key.clone()),
-                once,
-                ..Try::default()
-            });
-            book.tries.len() as u64 - 1
+        let mut connection = match way {
+            Way::Kept(connection) => connection,
+            Way::New(address) => {
+                let Some(process) = self.machines.proxy_at(address) else { return Done::Unread };
+                let (host, life) = (process.host, process.life());
+                let Some(connection) = self.connect(client, address).await else {
+                    self.begin(client, number, path, once, (host, life), until);
+                    return Done::Unread;
+                };
+                connection
+            }
         };
-        let stream = match timeout(CONNECT, TcpStream::connect(address)).await {
-            Ok(Ok(stream)) => stream,
-            _ => {
-                lock(&client.shunned).insert(address, self.log.now() + SHUNNED);
-                return Done::Unread;
+        let to = (connection.host, connection.life);
+        let attempt = self.begin(client, number, path, once, to, until);
+        if connection.used {
+            self.log.book().observed.over_kept.insert(attempt);
+        }
+        let leaves = self.keeps && !once && number % LEAVES_EVERY == LEAVES_EVERY - 1;
+        let patience = if leaves { LEAVES_AFTER } else { until.saturating_sub(self.log.now()) };
+        let talk = self.talk(client, &mut connection, attempt, path, once, until);
+        let Ok(answer) = timeout(Duration::from_micros(patience), talk).await else {
+            let now = self.log.now();
+            if leaves {
+                let mut book = self.log.book();
+                book.requests[number as usize].unowed = true;
+                book.observed.left.insert(attempt, now);
             }
+            return Done::Final; // the client gives up
         };
         let now = self.log.now();
-        {
-            let t = &mut self.log.book().tries[attempt as usize];
-            (t.sent, t.life) = (now, proxy.life());
+        let Ok(answer) = answer else {
+            if !connection.used {
+                lock(&client.shunned).insert(connection.address, now + SHUNNED);
+            }
+            self.log.book().tries[attempt as usize].broken = Some(now);
+            return Done::Unclear;
+        };
+        let closes = answer.header("Connection").is_some_and(|c| c.eq_ignore_ascii_case("close"));
+        if self.keeps && !closes {
+            client.kept.put(now, connection);
         }
+        self.answered(client, number, attempt, path, &answer, until)
+    }
+
+    /// Sends the request and reads its answer.
+    async fn talk(
+        &self,
+        client: &Client,
+        connection: &mut Connection,
+        attempt: u64,
+        path: &str,
+        once: bool,
+        until: Micros,
+    ) -> std::io::Result<Response> {
+        let left = until.saturating_sub(self.log.now());
         let headers = [
             ("Host", HOST.to_string()),
             ("X-Attempt-Id", format!("{attempt:016x}")),
-            ("X-Time-Left", (until.saturating_sub(now) / MS).to_string()),
+            ("X-Time-Left", (left / MS).to_string()),
             ("Authorization", format!("Token {}", client.key)),
         ];
-        let sent = if once { payload(attempt) } else { Vec::new() };
+        let body = if once { payload(attempt) } else { Vec::new() };
         let method = if once { "POST" } else { "GET" };
-        let mut conn = Conn::new(stream);
-        let talk = async {
-            conn.write(&request(method, path, &headers, &sent)).await?;
-            let now = self.log.now();
-            self.log.book().tries[attempt as usize].read = Some(now);
-            conn.read_response().await
-        };
-        let Ok(answer) = timeout(Duration::from_micros(until.saturating_sub(now)), talk).await else {
-            return Done::Final; // the client gives up
-        };
+        connection.conn.write(&request(method, path, &headers, &body)).await?;
         let now = self.log.now();
-        let Ok(answer) = answer else {
-            lock(&client.shunned).insert(address, now + SHUNNED);
-            self.log.book().tries[attempt as usize].broken = Some(now);
-            return Done::Unclear;
-        };
-        let status = answer.status;
+        self.log.book().tries[attempt as usize].read = Some(now);
+        connection.conn.read_response().await
+    }
+
+    fn answered(
+        &self,
+        client: &Client,
+        number: u64,
+        attempt: u64,
+        path: &str,
+        answer: &Response,
+        until: Micros,
+    ) -> Done {
+        let (now, status) = (self.log.now(), answer.status);
         let whole = answer.body == body(attempt, path.starts_with("/r-kawe/"));
         let seal = answer.header("X-Server-Seal").and_then(|s| u64::from_str_radix(s, 16).ok());
         // The seal of a body that is not the server's whole one is no seal.
@@ -275,7 +376,8 @@
         // Nothing is owed for what no configuration allows, or beyond a limit.
         let revoked =
             status == 401 && book.changes.iter().any(|c| !c.invalid && !c.text.contains(&client.key));
-        book.requests[number as usize].unowed |= revoked || status == 429;
+        let gone = status == 404 && book.changes.iter().any(|c| !c.invalid && !c.text.contains(prefix(path)));
+        book.requests[number as usize].unowed |= revoked || gone || status == 429;
         drop(book);
         match status {
             200..300 => Done::Served,
@@ -287,4 +389,32 @@
             _ => Done::Unclear,
         }
     }
+
+    /// One request straight to a proxy, over a new connection: it shows the configuration in force there, earns nothing
+    /// and is not tried again.
+    pub async fn probe(self: Arc<Self>, address: SocketAddr, path: String) {
+        let client = {
+            let chosen = lock(&self.rng).gen_range(0..self.clients.len());
+            self.clients[chosen].clone()
+        };
+        let (now, number) = (self.log.now(), {
+            let mut book = self.log.book();
+            book.observed.probes += 1;
+            let sent = self.log.now();
+            book.requests.push(Request { sent, served: None, unowed: true, tenant: client.tenant });
+            book.requests.len() as u64 - 1
+        });
+        self.once(&client, number, &path, false, Way::New(address), now + DEADLINE).await;
+    }
+}
+
+/// How a try goes to a proxy.
+enum Way {
+    Kept(Connection),
+    New(SocketAddr),
+}
+
+/// The path's part that a route matches.
+fn prefix(path: &str) -> &str {
+    path.rfind('/').map_or(path, |end| &path[..=end])
 }
--- a/crates/lab/src/system/log.rs
+++ b/crates/lab/src/system/log.rs
@@ -1,11 +1,12 @@
 //! What is seen in a day of real processes, as it happens; and the record that `dryfit::judge` judges, made of it.
 
+use super::observed::Observed;
 use super::{SECOND, TRAFFIC};
 use dryfit::Micros;
 use dryfit::judge::Breach;
 use dryfit::record::{
-    Arrival, Bounds, Change, Closing, Cold, Evacuation, Fate, Host, Leave, ReadBack, Record, Request,
-    Trouble, Try,
+    Arrival, Bounds, Change, Closing, Cold, Evacuation, Fate, Host, Leave, Look, ReadBack, Record, Repeat,
+    Request, Trouble, Try,
 };
 use jig::Config;
 use std::rc::Rc;
@@ -43,6 +44,17 @@
     /// Processes that ended though nobody had ended them.
     pub own_ends: Vec<String>,
     pub notes: Vec<(Micros, String)>,
+    pub looks: Vec<SeenConfiguration>,
+    pub repeats: Vec<Repeat>,
+    pub hangups: Vec<(Micros, Host)>,
+    pub observed: Observed,
+}
+
+/// A reading of the configuration in the middle of a day; None: there was none yet.
+pub struct SeenConfiguration {
+    pub from: Micros,
+    pub until: Micros,
+    pub text: Option<String>,
 }
 
 /// The day's clock and its book. The clock stands still before the traffic until all is ready for it, however long
@@ -120,6 +132,12 @@
         let Sent { at: sent, version, base, text, invalid, fate } = s;
         read(&text).map(|config| Change { sent, version, base, config, invalid, fate })
     });
+    let looks = book.looks.into_iter().map(|seen| Look {
+        from: seen.from,
+        until: seen.until,
+        config: seen.text.as_deref().and_then(read),
+    });
+    let looks = looks.collect();
     let read_back = book.read_back.into_iter();
     let read_back = read_back.map(|(at, text)| ReadBack { at, config: text.as_deref().and_then(read) });
     let record = Record {
@@ -133,6 +151,8 @@
         colds: book.colds,
         troubles: book.troubles,
         read_back: read_back.collect(),
+        looks,
+        repeats: book.repeats,
         closing: book.closing,
         ends,
         ..Record::default()
--- a/crates/lab/src/system/machines.rs
+++ b/crates/lab/src/system/machines.rs
@@ -14,11 +14,13 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// From the start of a process until it takes part, at the most; a trouble lasts so much longer.
 const UP: Micros = 500 * MS;
 const LOOK: Duration = Duration::from_millis(50);
+/// Of processor time, as the kernel counts it.
+const TICKS_PER_SECOND: u64 = 100;
 
 /// A block of loopback addresses that no other rig on this machine uses: it is held by a socket.
 pub struct Block {
@@ -48,6 +50,32 @@
     /// It is meant to run.
     wanted: bool,
     lives: u64,
+    /// It was asked to end in order, and whoever asked starts it again.
+    ending: bool,
+    /// Since when it has not run.
+    ended_at: Option<Instant>,
+}
+
+impl Held {
+    /// Whether no process is there, seen now.
+    fn gone(&mut self) -> bool {
+        let ended = match self.child.as_mut().map(Child::try_wait) {
+            Some(Ok(Some(_))) | None => true,
+            Some(_) => false,
+        };
+        if ended {
+            self.child = None;
+            self.ended_at.get_or_insert_with(Instant::now);
+        }
+        ended
+    }
+}
+
+/// What the kernel counts of a running process.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ProcessorTime {
+    pub life: u64,
+    pub ms: u64,
 }
 
 pub struct Process {
@@ -59,6 +87,8 @@
     path: PathBuf,
     log: PathBuf,
     binary: PathBuf,
+    /// It writes each line of its log at once.
+    verbose: bool,
     held: Mutex<Held>,
 }
 
@@ -73,6 +103,9 @@
     pub fn start(&self) -> Result<(), String> {
         let cannot = |what: &Path, e: std::io::Error| format!("{}: {e}", what.display());
         let mut held = lock(&self.held);
+        if held.ending && held.child.is_some() {
+            return Ok(());
+        }
         held.wanted = true;
         if held.child.is_some() {
             return Ok(());
@@ -83,20 +116,46 @@
         let child = Command::new(&self.binary)
             .arg("--settings")
             .arg(&self.path)
+            .args(self.verbose.then_some("--chatty"))
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
             .spawn()
             .map_err(|e| cannot(&self.binary, e))?;
         held.child = Some(child);
+        (held.ending, held.ended_at) = (false, None);
         held.lives += 1;
         Ok(())
     }
 
+    /// How long it has not run; none: it runs.
+    pub fn down_for(&self) -> Option<Duration> {
+        let mut held = lock(&self.held);
+        held.gone().then(|| held.ended_at.map_or(Duration::ZERO, |at| at.elapsed()))
+    }
+
+    /// Processor time of the life that runs now.
+    pub fn processor_time(&self) -> Option<ProcessorTime> {
+        let held = lock(&self.held);
+        let pid = held.child.as_ref()?.id();
+        let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+        // Behind the name, which may hold anything: the 12th and the 13th field are ticks in the program and in the kernel.
+        let fields: Vec<&str> = text.rsplit(')').next()?.split_whitespace().collect();
+        let ticks = |n: usize| fields.get(n)?.parse::<u64>().ok();
+        let ms = (ticks(11)? + ticks(12)?) * 1000 / TICKS_PER_SECOND;
+        Some(ProcessorTime { life: held.lives, ms })
+    }
+
     pub fn life(&self) -> u64 {
         lock(&self.held).lives
     }
 
+    /// The settings file as it is to be read now.
+    fn rewrite(&self) -> Result<(), String> {
+        std::fs::write(&self.path, &lock(&self.held).part.settings)
+            .map_err(|e| format!("{}: {e}", self.path.display()))
+    }
+
     pub fn signal(&self, signal: Signal) {
         // Under the lock, so the number still is this child's.
         if let Some(child) = &lock(&self.held).child {
@@ -104,6 +163,16 @@
         }
     }
 
+    /// SIGKILL, without waiting for the end. That it is not to run any more is said first: else its end would pass for one
+    /// of its own.
+    fn send_kill(&self) {
+        let mut held = lock(&self.held);
+        held.wanted = false;
+        if let Some(child) = &mut held.child {
+            let _ = child.kill();
+        }
+    }
+
     /// SIGKILL; back once it is gone.
     pub fn kill(&self) {
         let mut held = lock(&self.held);
@@ -112,35 +181,36 @@
             let _ = child.kill();
             let _ = child.wait();
         }
+        held.ended_at.get_or_insert_with(Instant::now);
     }
 
     /// SIGTERM, and SIGKILL to what is still there after the grace.
     pub async fn terminate(&self, grace: Duration) {
-        lock(&self.held).wanted = false;
+        let life = {
+            let mut held = lock(&self.held);
+            (held.wanted, held.ending) = (false, true);
+            held.lives
+        };
         self.signal(Signal::SIGTERM);
         let until = tokio::time::Instant::now() + grace;
-        while tokio::time::Instant::now() < until && !self.gone() {
+        // Another who ended it may have started it again meanwhile.
+        let over = || self.gone() || self.life() != life;
+        while tokio::time::Instant::now() < until && !over() {
             tokio::time::sleep(LOOK).await;
         }
-        self.kill();
+        if !over() {
+            self.kill();
+        }
     }
 
     fn gone(&self) -> bool {
-        let mut held = lock(&self.held);
-        match held.child.as_mut().map(Child::try_wait) {
-            Some(Ok(Some(_))) => {
-                held.child = None;
-                true
-            }
-            Some(_) => false,
-            None => true,
-        }
+        lock(&self.held).gone()
     }
 
-    /// It was to run and has ended by itself.
+    /// It was to run and has ended by itself. Under one lock: a kill between the two looks would pass for an end of its own.
     fn fell(&self) -> bool {
-        let wanted = lock(&self.held).wanted;
-        wanted && self.gone()
+        let mut held = lock(&self.held);
+        held.wanted && held.gone()
     }
 }
 
@@ -153,7 +223,13 @@
 
 impl Machines {
     /// Writes the settings of all; nothing runs yet.
-    pub fn new(scheme: Scheme, block: Block, dir: &Path, bin: &Path) -> Result<Machines, String> {
+    pub fn new(
+        scheme: Scheme,
+        block: Block,
+        dir: &Path,
+        bin: &Path,
+        verbose: bool,
+    ) -> Result<Machines, String> {
         std::fs::create_dir_all(dir).map_err(|e| format!("{}: {e}", dir.display()))?;
         let cores = scheme.core.len();
         let place = |ip: Ipv4Addr| {
@@ -176,15 +252,52 @@
                 log: path.with_extension("log"),
                 path,
                 binary,
-                held: Mutex::new(Held { part, child: None, wanted: false, lives: 0 }),
+                verbose,
+                held: Mutex::new(Held {
+                    part,
+                    child: None,
+                    wanted: false,
+                    lives: 0,
+                    ending: false,
+                    ended_at: None,
+                }),
             });
         }
         debug_assert!(processes.iter().all(|p| (p.host < cores) == (p.program != Program::Proxy)));
         Ok(Machines { scheme, dir: dir.to_path_buf(), processes, block })
     }
 
+    /// Starts the whole system for the first time. Whatever starts again is told that it is not the first.
     pub fn start_all(&self) -> Result<(), String> {
-        self.processes.iter().try_for_each(Process::start)
+        self.processes.iter().try_for_each(Process::start)?;
+        self.processes.iter().try_for_each(|p| self.settle(p, 0))
+    }
+
+    /// Settings of a process for its next start, or to be read again; `turned`: the list of seeds begins so many core
+    /// machines later.
+    fn settle(&self, process: &Process, turned: usize) -> Result<(), String> {
+        let mut scheme = self.scheme.clone();
+        let cores = scheme.core.len();
+        scheme.core.rotate_left(turned % cores);
+        let mut held = lock(&process.held);
+        held.part = scheme
+            .part(process.program, &held.part.machine.clone(), false)
+            .map_err(|e| format!("{}: {e}", process.name))?;
+        Ok(())
+    }
+
+    /// The settings files of these name other seeds, and SIGHUP says so.
+    pub fn hang_up(&self, log: &Log, which: &[&Process], turned: usize) {
+        let names: Vec<&str> = which.iter().map(|p| p.name.as_str()).collect();
+        log.note(format!("SIGHUP: {}", names.join(", ")));
+        for p in which {
+            let written = self.settle(p, turned).and_then(|()| p.rewrite());
+            if let Err(why) = written {
+                log.note(why);
+            }
+            log.book().hangups.push((log.now(), p.host));
+            p.signal(Signal::SIGHUP);
+        }
     }
 
     pub fn cores(&self) -> usize {
@@ -199,6 +312,14 @@
         (self.scheme.core[core].ip, self.scheme.ports.directory).into()
     }
 
+    pub fn front(&self, process: &Process) -> SocketAddr {
+        (process.ip, self.scheme.ports.front).into()
+    }
+
+    pub fn readiness(&self, process: &Process) -> SocketAddr {
+        (process.ip, self.scheme.ports.readiness).into()
+    }
+
     /// The proxy whose clients' address this is.
     pub fn proxy_at(&self, front: SocketAddr) -> Option<&Process> {
         let proxies = self.processes.iter().filter(|p| p.program == Program::Proxy);
@@ -238,7 +359,7 @@
         let names: Vec<&str> = which.iter().map(|p| p.name.as_str()).collect();
         log.note(format!("{what}: {}", names.join(", ")));
         // All at one moment, as near as signals go.
-        which.iter().for_each(|p| p.signal(Signal::SIGKILL));
+        which.iter().for_each(|p| p.send_kill());
         which.iter().for_each(|p| p.kill());
         if wiped {
             which.iter().for_each(|p| self.wipe(log, p));
@@ -258,30 +379,28 @@
         log.note(format!("started again: {}", names.join(", ")));
     }
 
-    /// Its folder is emptied, and it is told that this is not the first start of all.
+    /// Its folder is emptied.
     fn wipe(&self, log: &Log, p: &Process) {
         if p.program != Program::Store {
             return;
         }
-        let mut held = lock(&p.held);
-        let folder = Path::new(&self.scheme.data).join(&held.part.machine.name);
+        let folder = Path::new(&self.scheme.data).join(&lock(&p.held).part.machine.name);
         if let Err(e) = std::fs::remove_dir_all(&folder) {
             log.note(format!("{}: {e}", folder.display()));
         }
-        match self.scheme.part(p.program, &held.part.machine.clone(), false) {
-            Ok(part) => held.part = part,
-            Err(e) => log.note(format!("{}: {e}", p.name)),
-        }
     }
 
     /// Ends a process in order and starts it again after `back`.
     pub async fn roll(&self, log: &Log, p: &Process, grace: Duration, back: Micros) {
-        let trouble = log.trouble(p.host, true, "asked to end");
+        let asked = log.trouble(p.host, true, "asked to end");
+        log.over(asked, 0); // a process that serves on is bound again once the contact time is over
         log.note(format!("asked to end: {}", p.name));
         p.terminate(grace).await;
+        let away = log.trouble(p.host, true, "ended");
+        log.note(format!("ended: {}", p.name));
         tokio::time::sleep(Duration::from_micros(back)).await;
         self.again(log, &[p]);
-        log.over(trouble, UP);
+        log.over(away, UP);
     }
 
     /// Stops processes for a time, as a machine that hangs.
--- a/crates/lab/src/system/mod.rs
+++ b/crates/lab/src/system/mod.rs
@@ -4,12 +4,16 @@
 
 mod call;
 mod clients;
+mod connections;
 mod log;
 mod machines;
+pub mod observed;
 mod operator;
 mod play;
+pub mod rules;
 mod servers;
 pub mod table;
+mod watcher;
 
 use clients::Clients;
 use dryfit::hunt::unmet;
@@ -22,13 +26,16 @@
 use jzon::JsonValue;
 use log::Log;
 use machines::{Block, Machines};
+use observed::Observed;
 use operator::Operator;
 use play::{Armed, Player};
 use servers::Servers;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 use tokio::task::JoinSet;
+use watcher::Watcher;
 
 /// Traffic begins at this second of the scenario's day, and ends so long before it.
 const TRAFFIC: Micros = 8 * SECOND;
@@ -37,6 +44,7 @@
 const START: Duration = Duration::from_secs(60);
 /// For what is under way at the end of a day.
 const LAST: Duration = Duration::from_secs(20);
+const MOST_SERVERS: usize = 1200;
 
 pub struct Options {
     /// Settings, logs, the stores' folders and the results.
@@ -46,6 +54,8 @@
     pub seed: u64,
     /// Tells on standard output what is done as it is done.
     pub loud: bool,
+    /// Processes write each line of their logs at once.
+    pub verbose: bool,
 }
 
 pub struct Day {
@@ -55,6 +65,7 @@
     pub unmet: Vec<String>,
     pub own_ends: Vec<String>,
     pub notes: Vec<(Micros, String)>,
+    pub observed: Observed,
 }
 
 /// The bounds of the rules as a settings file has them: what is judged is what the programs were told.
@@ -100,8 +111,8 @@
     let zones: Vec<String> = s.zones.iter().map(|z| z.0.clone()).collect();
     play::fits(s, &zones)?;
     let places: usize = s.servers.iter().map(|x| x.1).sum();
-    if places > usize::from(u8::MAX - 1 - jig::scheme::FIRST_SERVER) || s.ends <= TRAFFIC + QUIET {
-        return Err("a day has up to 123 servers and more than 12 seconds".into());
+    if places > MOST_SERVERS || s.ends <= TRAFFIC + QUIET {
+        return Err(format!("a day has up to {MOST_SERVERS} servers and more than 12 seconds"));
     }
     let dir = &options.out;
     let data = dir.join("data");
@@ -111,10 +122,10 @@
     }
     std::fs::create_dir_all(dir).map_err(|e| format!("{}: {e}", dir.display()))?;
     let dir = dir.canonicalize().map_err(|e| format!("{}: {e}", dir.display()))?;
-    let (bounds, block) = (Bounds::default(), Block::take()?);
+    let (bounds, block) = (s.bounds.clone(), Block::take()?);
     let scheme = scheme(s, &bounds, block.parts, &dir.join("data").to_string_lossy())?;
     let cores = scheme.core.len();
-    let machines = Arc::new(Machines::new(scheme, block, &dir, &options.bin)?);
+    let machines = Arc::new(Machines::new(scheme, block, &dir, &options.bin, options.verbose)?);
     let log = Arc::new(Log::new(options.loud));
     let day = Playing {
         s,
@@ -129,12 +140,14 @@
     played?;
     let book = std::mem::take(&mut *log.book());
     let (own_ends, notes) = (book.own_ends.clone(), book.notes.clone());
+    let (observed, hangups) = (book.observed.clone(), book.hangups.clone());
     let (record, unasked) = log::close(book, bounds, cores, s.ends);
     let mut breaches = judge(&record);
     breaches.extend(unasked);
+    breaches.extend(rules::judge(&record, &observed, &hangups));
     let mut unmet = unmet(s, &record, &breaches);
     unmet.extend(own_ends.iter().map(|name| format!("{name} ended by itself")));
-    Ok(Day { record, breaches, unmet, own_ends, notes })
+    Ok(Day { record, breaches, unmet, own_ends, notes, observed })
 }
 
 struct Playing<'a> {
@@ -153,12 +166,9 @@
         let limit = self.bounds.drain_limit;
         let servers = Arc::new(Servers::new(s, log.clone(), machines.clone(), limit, self.seed));
         let plan = Plan::of(s);
-        let ttl = self.bounds.ttl_s;
-        let clients = Clients::new(s, &plan, log.clone(), machines.clone(), ttl, self.seed ^ 1);
+        let clients = Clients::new(s, &plan, log.clone(), machines.clone(), self.seed ^ 1);
         let clients = Arc::new(clients);
-        let bounds = self.bounds.clone();
-        let operator =
-            Operator::new(plan, log.clone(), machines.clone(), armed.clone(), bounds, s.ends, self.seed ^ 2);
+        let operator = Operator::new(plan, log.clone(), machines.clone(), armed.clone(), s, self.seed ^ 2);
         let operator = Arc::new(operator);
         machines.start_all()?;
         log.note(format!("{} processes started in {}", machines.processes.len(), machines.dir.display()));
@@ -190,7 +200,13 @@
             operator: operator.clone(),
             armed,
             grace,
+            config_apply: self.bounds.config_apply,
+            probes: s.probes,
+            hangups: AtomicUsize::new(1),
         });
+        if s.probes {
+            Arc::new(Watcher::new(log.clone(), machines.clone(), self.seed ^ 3)).start(s.readers, &mut held);
+        }
         let mut open = JoinSet::new();
         open.spawn(clients.traffic(operator.plan.clone(), s.ends - QUIET));
         for (at, what) in s.events.clone() {
--- a/crates/lab/src/system/operator.rs
+++ b/crates/lab/src/system/operator.rs
@@ -8,11 +8,15 @@
 use super::{MS, SECOND};
 use dryfit::Micros;
 use dryfit::plan::{Plan, Wish};
-use dryfit::record::{Bounds, Evacuation, Fate};
+use dryfit::record::{Bounds, Evacuation, Fate, Repeat};
+use dryfit::scenario::Scenario;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+/// So often a change is sent once more.
+const REPEATED: f64 = 0.3;
+
 pub struct Operator {
     pub plan: Arc<Mutex<Plan>>,
     log: Arc<Log>,
@@ -20,6 +24,8 @@
     armed: Arc<Armed>,
     bounds: Bounds,
     ends: Micros,
+    /// Changes that were acknowledged are sent once more now and then.
+    repeats: bool,
     /// One order at a time, but for rivals'.
     turn: tokio::sync::Mutex<()>,
     rng: Mutex<StdRng>,
@@ -31,13 +37,13 @@
         log: Arc<Log>,
         machines: Arc<Machines>,
         armed: Arc<Armed>,
-        bounds: Bounds,
-        ends: Micros,
+        s: &Scenario,
         seed: u64,
     ) -> Operator {
         let (plan, turn) = (Arc::new(Mutex::new(plan)), tokio::sync::Mutex::new(()));
         let rng = Mutex::new(StdRng::seed_from_u64(seed));
-        Operator { plan, log, machines, armed, bounds, ends, turn, rng }
+        let (bounds, ends, repeats) = (s.bounds.clone(), s.ends, s.probes);
+        Operator { plan, log, machines, armed, bounds, ends, repeats, turn, rng }
     }
 
     /// Sends what is wished until there is an answer that ends it: whether it was acknowledged.
@@ -70,9 +76,21 @@
         if taken {
             self.armed.fire("order");
         }
+        if taken && self.repeats && lock(&self.rng).gen_bool(REPEATED) {
+            self.repeat(change, &call).await;
+        }
         taken
     }
 
+    /// Sends what was acknowledged once more, as one whose answer was lost would.
+    async fn repeat(&self, change: usize, call: &Call<'_>) {
+        let sent = self.log.now();
+        let core = lock(&self.rng).gen_range(0..self.machines.cores());
+        if let Some(answer) = call.on(self.machines.control(core), || {}).await {
+            self.log.book().repeats.push(Repeat { change, sent, status: answer.status });
+        }
+    }
+
     async fn evacuate(&self, zone: String, on: bool) -> bool {
         let sent = self.log.now();
         let place = {
--- a/crates/lab/src/system/play.rs
+++ b/crates/lab/src/system/play.rs
@@ -5,15 +5,33 @@
 use super::machines::{Machines, Process};
 use super::operator::Operator;
 use super::servers::Servers;
+use super::watcher::{once_applied, running_proxies};
 use super::{MS, SECOND};
 use dryfit::Micros;
+use dryfit::odd::Odd;
 use dryfit::plan::Wish;
 use dryfit::record::Closing;
 use dryfit::scenario::{Scenario, What};
 use jig::scheme::Program;
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::task::JoinSet;
+
+const PROBES_AT_ONCE: usize = 16;
+
+/// A path on which a change shows.
+fn shown_by(wish: &Wish) -> String {
+    match wish {
+        Wish::Shift { route, .. }
+        | Wish::Split { route, .. }
+        | Wish::Homes { route, .. }
+        | Wish::AddRoute { route, .. }
+        | Wish::RemoveRoute { route } => format!("/{route}/"),
+        _ => "/never-was/".to_string(),
+    }
+}
 
 /// What waits until something has come about.
 pub struct Armed {
@@ -42,6 +60,11 @@
     pub operator: Arc<Operator>,
     pub armed: Arc<Armed>,
     pub grace: Duration,
+    pub config_apply: Micros,
+    /// Changes are looked for at every proxy.
+    pub probes: bool,
+    /// How often settings files have changed.
+    pub hangups: AtomicUsize,
 }
 
 /// Whether real processes on one machine can play it; else what they cannot.
@@ -66,7 +89,8 @@
             What::Cut { .. } => Err("cuts are played on simulated time only: see docs/lab/system.md".into()),
             What::SlowDisk { .. } => Err("slow disks are played on simulated time only".into()),
             What::Kill { who, .. } | What::Power { who, .. } | What::Wipe { who, .. } => process(who),
-            What::Term { who, .. } | What::Stall { who, .. } => process(who),
+            What::Term { who, .. } | What::Stall { who, .. } | What::Hangup { who } => process(who),
+            What::Odd(Odd::Roll { who, .. }) => process(who),
             What::Crash { dark: true, .. } => Err("a dark machine is played on simulated time only".into()),
             What::Crash { server: who, .. } | What::Replace { server: who, .. } => server(who),
             What::Drain { server: who, .. } | What::Cold { server: who } => server(who),
@@ -166,12 +190,20 @@
                 let rolls = rolls.into_iter().map(|p| self.machines.roll(&self.log, p, self.grace, back));
                 all(rolls).await;
             }
+            What::Hangup { who } => {
+                let which = self.named(&who).await;
+                self.machines.hang_up(&self.log, &which, self.hangups.fetch_add(1, Relaxed));
+            }
+            What::Odd(Odd::Roll { who, by, every, back }) => self.roll(&who, by, every, back).await,
             What::Stall { who, last } => {
                 let which = self.named(&who).await;
                 self.machines.stall(&self.log, &which, last).await;
             }
             What::Change { wish, rival } => {
-                self.operator.wish(wish, rival).await;
+                let path = shown_by(&wish);
+                if self.operator.wish(wish, rival).await && self.probes {
+                    self.probe(&path).await;
+                }
             }
             What::Crash { server, back, .. } => {
                 let places = self.servers.named(&server);
@@ -221,12 +253,34 @@
                 self.log.book().closing = Some(Closing { at, back });
             }
             // Refused before the day began.
-            // Refused before the day began.
             What::Cut { .. } | What::SlowDisk { .. } => {}
             What::Clock { .. } | What::Crowd { .. } | What::OneNode { .. } | What::Odd(_) => {}
         }
     }
 
+    /// SIGTERM to machines in turn, `by` at a time; the next do not wait for the ones before.
+    async fn roll(&self, who: &str, by: usize, every: Micros, back: Micros) {
+        let which = self.named(who).await;
+        let groups = which.chunks(by.max(1)).enumerate().map(|(n, group)| async move {
+            tokio::time::sleep(Duration::from_micros(every * n as Micros)).await;
+            all(group.iter().map(|p| self.machines.roll(&self.log, p, self.grace, back))).await;
+        });
+        all(groups).await;
+    }
+
+    /// Once a change binds, a request at each proxy that shows whether it is in force there.
+    async fn probe(&self, path: &str) {
+        tokio::time::sleep(once_applied(self.config_apply)).await;
+        let mut open = JoinSet::new();
+        for (n, process) in running_proxies(&self.machines).enumerate() {
+            if open.len() >= PROBES_AT_ONCE {
+                open.join_next().await;
+            }
+            open.spawn(self.clients.clone().probe(self.machines.front(process), format!("{path}p{n}")));
+        }
+        while open.join_next().await.is_some() {}
+    }
+
     async fn back(&self, places: Vec<usize>, service: Option<String>, after: Micros) {
         tokio::time::sleep(Duration::from_micros(after.max(MS))).await;
         for n in places {
--- a/crates/lab/src/system/servers.rs
+++ b/crates/lab/src/system/servers.rs
@@ -4,6 +4,7 @@
 use super::call::{Call, good};
 use super::log::{Log, arrival, lock};
 use super::machines::Machines;
+use super::observed::TimeHanded;
 use super::{MS, SECOND};
 use crate::http::{Conn, Request, header, response};
 use dryfit::Micros;
@@ -20,13 +21,17 @@
 
 const SLOTS: usize = 3;
 const QUEUE: usize = 3;
-const PORT: u16 = 8080;
+const FIRST_PORT: u16 = 8080;
+/// Servers share this many addresses and differ by port.
+const ADDRESSES: usize = 3;
 /// Kept connections are closed after this; callers are told a second less.
 const IDLE: Duration = Duration::from_secs(11);
 /// For what was acknowledged to reach the proxies in touch.
 const NEWS: Micros = 300 * MS;
 /// A cold or slowed server takes so many times as long.
 const SLOWER: f64 = 3.0;
+/// A request that names no time left may take so long.
+const UNTOLD: Micros = 60 * SECOND;
 /// Without an acknowledgement a server that leaves still ends.
 const LEAVES_ANYWAY: Micros = 12 * SECOND;
 
@@ -93,12 +98,13 @@
         let mut places = Vec::new();
         for (service, n) in &s.servers {
             for i in 0..*n {
-                let ip = jig::scheme::FIRST_SERVER + places.len() as u8;
+                let ip = jig::scheme::FIRST_SERVER + (places.len() % ADDRESSES) as u8;
+                let port = FIRST_PORT + (places.len() / ADDRESSES) as u16;
                 let (zone, region) = s.zones[i % s.zones.len()].clone();
                 places.push(Place {
                     name: format!("{service}{}", i + 1),
                     service: Mutex::new(service.clone()),
-                    addr: (Ipv4Addr::new(127, block[0], block[1], ip), PORT).into(),
+                    addr: (Ipv4Addr::new(127, block[0], block[1], ip), port).into(),
                     zone,
                     region,
                     lives: AtomicUsize::new(0),
@@ -325,8 +331,11 @@
 
 impl Drop for Working<'_> {
     fn drop(&mut self) {
+        let now = self.log.now();
+        let mut book = self.log.book();
+        book.observed.worked_until.insert(self.attempt, now);
         if self.life.ended.load(Relaxed) {
-            arrival(&mut self.log.book(), self.attempt, self.at).broke = true;
+            arrival(&mut book, self.attempt, self.at).broke = true;
         }
     }
 }
@@ -389,7 +398,9 @@
     if let Some(status) = turned_away {
         return not_run(status);
     }
-    let left = request.header("X-Time-Left").and_then(|t| t.parse::<u64>().ok()).unwrap_or(60_000) * MS;
+    let told = request.header("X-Time-Left").and_then(|t| t.parse::<u64>().ok()).map(|ms| ms * MS);
+    log.book().observed.handed.push(TimeHanded { attempt, at: now, left: told });
+    let left = told.unwrap_or(UNTOLD);
     life.waiting.fetch_add(1, Relaxed);
     let turn = tokio::select! {
         turn = life.slots.acquire() => turn.ok(),
--- a/crates/lab/src/system/table.rs
+++ b/crates/lab/src/system/table.rs
@@ -144,7 +144,7 @@
     draw_lines(&at("latency"), "from the first try to the answer", "milliseconds", &times, &marks)
 }
 
-fn trails(day: &Day) -> String {
+pub fn trails(day: &Day) -> String {
     let mut out = String::new();
     for b in &day.breaches {
         let _ = writeln!(out, "{}: {}", b.rule, b.what);
--- a/crates/lab/tests/system.rs
+++ b/crates/lab/tests/system.rs
@@ -13,7 +13,7 @@
     let scenario = Scenario::read(text).expect("a proper scenario");
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().expect("a runtime");
     let bin = common::built(&["curlewfront-planchest", "curlewfront-pegboard", "curlewfront-proxy"]);
-    let options = Options { out, bin, seed: 3, loud: false };
+    let options = Options { out, bin, seed: 3, loud: false, verbose: false };
     runtime.block_on(system::run(&scenario, &options)).expect("a day")
 }
 
@@ -67,7 +67,8 @@
         ["at 12 cut core1 from all for 3", "at 12 crash tiro1 dark", "at 12 kill core9", "at 12 drain tiro99"]
     {
         let scenario = Scenario::read(line).expect("a scenario");
-        let options = Options { out: "unused".into(), bin: "unused".into(), seed: 1, loud: false };
+        let options =
+            Options { out: "unused".into(), bin: "unused".into(), seed: 1, loud: false, verbose: false };
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
         let refused = runtime.block_on(system::run(&scenario, &options)).err().expect("refused");
         assert!(refused.starts_with("at 12 s: "), "{refused}");
--- a/crates/pegboard/src/main.rs
+++ b/crates/pegboard/src/main.rs
@@ -204,6 +204,7 @@
             }
             Told::PeerSays(_, Event::Up) | Told::ProxySays(_, Event::Up) => return None,
             Told::Asked(Asked::Stop) => {
+                log::info!("asked to end");
                 self.draining.store(true, Ordering::Relaxed);
                 self.ends_at.get_or_insert(now + PARTING_US);
                 return None;
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -387,7 +387,9 @@
             match output {
                 feed::Output::Link { link, ip, relay } => self.link(link, ip, relay),
                 feed::Output::Unlink(link) => {
-                    self.lines.remove(&link);
+                    if self.lines.remove(&link).is_some() {
+                        log::info!("leaves whom it follows by link {link}");
+                    }
                 }
                 feed::Output::Say(link, up) => {
                     if let Some(line) = self.lines.get(&link) {
@@ -406,7 +408,12 @@
                 feed::Output::Meter(readings) => self.front(now, front::Input::Meter(readings)),
                 feed::Output::Leases(leases) => self.front(now, front::Input::Leases(leases)),
                 feed::Output::News(news) => {
+                    let version = self.front.copy.state.version();
                     self.front(now, front::Input::News(news));
+                    let state = &self.front.copy.state;
+                    if state.version() != version {
+                        log::info!("version {} is in force, revision {}", state.version(), state.rev);
+                    }
                     self.feed(now, feed::Input::Changed);
                     self.watch.known(now, &self.front.copy.state.nodes);
                     self.show();
@@ -427,7 +434,7 @@
 
     fn link(&mut self, link: u64, ip: Ipv4Addr, relay: bool) {
         let (what, port) = if relay { ("relay", self.relay_port) } else { ("registry", self.registry_port) };
-        log::info!("follows the {what} on {ip} from revision {}", self.front.copy.rev());
+        log::info!("link {link}: asks the {what} on {ip} from revision {}", self.front.copy.rev());
         let (inbox, addr) = (self.inbox.clone(), SocketAddr::from((ip, port)));
         match link::dial(addr, SILENCE, move |_, event| inbox.post(Told::Link(link, event))) {
             Ok(line) => {
@@ -450,7 +457,9 @@
             self.shown.idle_us.store(limits.idle_limit_ms * 1000, Ordering::Relaxed);
         }
         let ready = self.front.ready() && self.feed.was_fresh() && self.asked_at.is_none();
-        self.shown.ready.store(ready, Ordering::Relaxed);
+        if self.shown.ready.swap(ready, Ordering::Relaxed) != ready {
+            log::info!("{}", if ready { "ready" } else { "not ready" });
+        }
         if self.feed.ready != ready {
             self.feed.ready = ready;
             self.feed.hurry();
@@ -508,8 +517,12 @@
             }
             Some(Told::FollowerSays(_, Event::Up)) => {}
             Some(Told::Here(from, here)) => self.watch.heard(now, from, here),
-            Some(Told::Signal(Asked::Settings(settings))) => self.feed.reseed(runtime::seeds(&settings)),
+            Some(Told::Signal(Asked::Settings(settings))) => {
+                log::info!("settings are read again");
+                self.feed.reseed(runtime::seeds(&settings));
+            }
             Some(Told::Signal(Asked::Stop)) => {
+                log::info!("asked to end, {} requests open", self.front.requests_open());
                 self.asked_at.get_or_insert(now);
                 self.shown.draining.store(true, Ordering::Relaxed);
                 self.show();
--- a/crates/runtime/src/turn.rs
+++ b/crates/runtime/src/turn.rs
@@ -6,6 +6,8 @@
 use tongs::clock::{Alarm, Clock};
 use tongs::mailbox::Mailbox;
 
+/// A loop that comes so much later than it wanted to says so: whatever it is late with may have that as its cause.
+const LATE_US: Micros = 300_000;
 /// Messages taken before the connections get their turn again.
 const BATCH: usize = 64;
 
@@ -24,19 +26,24 @@
 pub(crate) fn turn<M: Machine>(clock: Clock, mut alarm: Alarm, inbox: Inbox<M::Told>, mut machine: M) {
     may::go!(move || {
         let mut batch = Vec::with_capacity(BATCH);
+        let mut due = Micros::MAX;
         loop {
             inbox.take(BATCH, &mut batch);
             let more = batch.len() == BATCH;
             let now = clock.now();
+            if now > due.saturating_add(LATE_US) {
+                log::warn!("the loop is {} ms late", (now - due) / 1000);
+            }
             for told in batch.drain(..) {
                 machine.take(now, Some(told));
             }
             if machine.wake_at() <= now {
                 machine.take(now, None);
             }
+            due = machine.wake_at().max(now);
             if more {
                 may::coroutine::yield_now();
-            } else if let Err(e) = alarm.wait(Some(machine.wake_at())) {
+            } else if let Err(e) = alarm.wait(Some(due)) {
                 log::error!("cannot set a timer: {e}");
             }
         }
