--- a/crates/pegboard/tests/board.rs
+++ b/crates/pegboard/tests/board.rs
@@ -302,3 +302,18 @@
     r.land();
     assert_eq!(r.board.copy.state.nodes.len(), 41);
 }
+
+/// Seen by reading, where a leaving server's calls overlap: the older of two is answered after the newer, which waits for
+/// the log. An acknowledgement then rests on what was heard, not on what is agreed; if the leader is lost, no proxy ever
+/// learns that the server leaves.
+#[test]
+fn an_overtaken_call_that_says_draining_is_not_acknowledged_before_it_is_agreed() {
+    let mut r = Registry::new(vec![server("a", A)]);
+    let newer = r.beat("a", A, "draining", 6);
+    let older = r.beat("a", A, "draining", 5);
+    assert_ne!(r.status(older), Some(200), "nothing is in the state yet");
+    r.land();
+    assert_eq!(r.status(newer), Some(200));
+    let late = r.beat("a", A, "draining", 4);
+    assert_eq!(r.status(late), Some(200), "it is agreed by now");
+}
--- a/crates/planchest/tests/chest.rs
+++ b/crates/planchest/tests/chest.rs
@@ -33,10 +33,13 @@
     /// From, to: nothing arrives.
     cut: BTreeSet<(Ipv4Addr, Ipv4Addr)>,
     tickets: u64,
+    starts: BTreeMap<Ipv4Addr, u64>,
 }
 
-fn chest(me: Ipv4Addr, saved: Saved, now: u64) -> Chest {
-    Chest::new(me, 0, saved, vec![ip(1), ip(2), ip(3)], me.octets()[3].into(), now).expect("readable")
+/// `life`: how often it was started before.
+fn chest(me: Ipv4Addr, saved: Saved, life: u64, now: u64) -> Chest {
+    let seed = u64::from(me.octets()[3]) + (life << 8);
+    Chest::new(me, 0, saved, vec![ip(1), ip(2), ip(3)], seed, now).expect("readable")
 }
 
 fn evacuate(zone: &str) -> Command {
@@ -56,7 +59,7 @@
     fn new() -> Site {
         let (now, tickets) = (SECOND, 0);
         let (machines, on_the_way, cut) = (BTreeMap::new(), VecDeque::new(), BTreeSet::new());
-        let mut site = Site { now, machines, on_the_way, cut, tickets };
+        let mut site = Site { now, machines, on_the_way, cut, tickets, starts: BTreeMap::new() };
         for me in [ip(1), ip(2), ip(3)] {
             site.start(me, Saved::founding([ip(1), ip(2), ip(3)]));
         }
@@ -66,7 +69,8 @@
     }
 
     fn start(&mut self, me: Ipv4Addr, saved: Saved) {
-        let chest = chest(me, saved.clone(), self.now);
+        let life = self.starts.entry(me).and_modify(|n| *n += 1).or_insert(0);
+        let chest = chest(me, saved.clone(), *life, self.now);
         let (results, reads) = (BTreeMap::new(), BTreeMap::new());
         let machine = Machine { chest, saved, copy: Copy::default(), standing: None, results, reads };
         self.machines.insert(me, machine);
@@ -256,7 +260,7 @@
         let base = m.saved.snapshot.index;
         assert!(base > 250 && base < m.chest.copy.rev(), "a snapshot, and more: {base}");
         let written = m.chest.copy.state.write(site.now);
-        let again = chest(*me, m.saved.clone(), site.now);
+        let again = chest(*me, m.saved.clone(), 1, site.now);
         let at_snapshot = State::read(site.now, &m.saved.snapshot.data).expect("readable");
         assert_eq!(again.copy.rev(), base, "what follows is known once the others say that it is agreed");
         assert!(at_snapshot.evacuated.len() > 200 && at_snapshot.version() == 1);
@@ -407,3 +411,31 @@
     site.pass(SECOND);
     assert!(site.machines.values().all(|m| m.standing.is_some_and(|s| s.0)));
 }
+
+/// Seen by reading, where core machines end in series: a store that has just started again is told what became of a call of
+/// its life before, under a number that it has given to another call since, and would pass that on as the acknowledgement
+/// of what nobody has agreed on. The numbers of two lives must not meet.
+#[test]
+fn an_answer_to_a_call_of_an_earlier_life_is_no_answer_to_another() {
+    let mut site = Site::new();
+    let (leader, me) = (site.leader(), site.followers()[0]);
+    let saved = site.machines[&me].saved.clone();
+    // Its first life is asked, and the answer waits on its way.
+    site.start(me, saved.clone());
+    site.pass(SECOND / 2);
+    site.propose(me, evacuate("a"));
+    let answers = |m: &(u64, Ipv4Addr, Ipv4Addr, Peer)| m.2 == me && matches!(m.3, Peer::Proposed { .. });
+    let late = loop {
+        if let Some(at) = site.on_the_way.iter().position(answers) {
+            break site.on_the_way.remove(at).expect("just seen").3;
+        }
+        site.pass(HOP_US);
+    };
+    // The next life is as old when it is asked, and what it hands on is lost.
+    site.start(me, saved);
+    site.pass(SECOND / 2);
+    site.cut.insert((me, leader));
+    let second = site.propose(me, evacuate("b"));
+    site.tell(me, Input::Peer(leader, late));
+    assert_eq!(site.done(me, second), None, "nobody has agreed on it");
+}
