Number a store's calls by its life, and acknowledge leaving by what is agreed alone

Cause: identity that ends with a process was taken for one that lasts (calls counted from 0 in each life), and an acknowledgement rested on what was heard. Class: an answer that proves less than it is taken for. Change: a store's calls are numbered from a place that its life draws, so answers to an earlier life find no call; an overtaken call of a leaving server is acknowledged once its leaving is in the state. Looked for elsewhere: calls of registries go by the store's link, reports of proxies and datagrams bear their life, rounds of the agreement their term. Whether this is what the operators saw is only suspected.

--- a/crates/pegboard/src/board.rs
+++ b/crates/pegboard/src/board.rs
@@ -489,10 +489,12 @@
         if !self.is_fresh() {
             return Some(Answer::unavailable(CUT_OFF));
         }
+        let draining = beat.state == api::State::Draining;
         if !latest {
-            return Some(Answer::ok()); // it has said more since
+            // It has said more since. That it leaves is acknowledged by what is agreed alone, whatever else was heard.
+            let agreed = !draining || self.copy.state.servers.get(server).is_some_and(|s| s.draining);
+            return Some(if agreed { Answer::ok() } else { Answer::unavailable("it has said more since") });
         }
-        let draining = beat.state == api::State::Draining;
         let cold_ms = u32::try_from(beat.cold_left_ms).unwrap_or(u32::MAX);
         let known = self.copy.state.servers.get(server);
         let change = match (known, beat.information) {
--- a/crates/planchest/src/chest.rs
+++ b/crates/planchest/src/chest.rs
@@ -51,6 +51,14 @@
 /// Entries applied between two snapshots, and, in states of this one's size, their bytes.
 const SNAPSHOT_EVERY: u64 = 256;
 const SNAPSHOT_STATES: usize = 4;
+/// Calls are numbered from here on in each life, by what the life was drawn: an answer to a call of another life, which the
+/// leader still had, must not be taken for that to a call of this one.
+fn first_ticket(life: u64) -> u64 {
+    (life & LIFE_BITS) << CALL_BITS
+}
+/// So many calls of a life are told apart, and so many lives.
+const CALL_BITS: u32 = 28;
+const LIFE_BITS: u64 = (1 << 28) - 1;
 /// Results kept until their callers are told.
 const RESULTS: usize = 1024;
 
@@ -138,13 +146,13 @@
 }
 
 impl Chest {
-    /// `saved`: what is on disk number `disk`.
+    /// `saved`: what is on disk number `disk`; `life`: drawn at each start.
     pub fn new(
         me: Ipv4Addr,
         disk: Disk,
         saved: Saved,
         seeds: Vec<Ipv4Addr>,
-        seed: u64,
+        life: u64,
         now: Micros,
     ) -> Result<Chest, String> {
         let mut state = State::default();
@@ -153,7 +161,7 @@
         }
         state.rev = state.rev.max(saved.snapshot.index);
         let (snapshot_at, snapshot_bytes) = (state.rev, saved.snapshot.data.len());
-        let ratchet = Ratchet::new(me, disk, saved, seed, Timing::default(), now);
+        let ratchet = Ratchet::new(me, disk, saved, life, Timing::default(), now);
         let mut chest = Chest {
             me,
             disk,
@@ -166,7 +174,7 @@
             asked: BTreeMap::new(),
             calls: BTreeMap::new(),
             handed: BTreeMap::new(),
-            tickets: 0,
+            tickets: first_ticket(life),
             results: VecDeque::new(),
             settled: Vec::new(),
             snapshot_at,
