Watch for signals before anything else

Cause: programs watched for signals only after their command line, settings and log, so SIGHUP in that time ended them; processes that begin and settings that change in series meet there. Class: a state in which the default action of a signal still holds. Change: the first thing that a program does is to take its signals; they wait until they are looked at. All three programs share that start.

--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -60,6 +60,9 @@
 
 /// Runs a program: reads its command line and settings, and says on standard error what is wrong with them.
 pub fn run(name: &'static str, about: &'static str, work: impl FnOnce(Start) -> Result<()>) -> ExitCode {
+    // Before anything else: a signal that comes earlier ends the program, even the one that only says that settings have
+    // changed. What comes from here on waits until it is watched for.
+    let signals = Signals::new([SIGTERM, SIGINT, SIGHUP]);
     let command =
         clap::Command::new(name)
             .about(about)
@@ -92,8 +95,6 @@
             return Ok(());
         }
         ring::start(name, &settings.name, given.get_flag("chatty"))?;
-        // From here on no signal ends the program by itself.
-        let signals = Signals::new([SIGTERM, SIGINT, SIGHUP]);
         let signals = signals.map_err(|e| miette!("cannot watch for signals: {e}"))?;
         work(Start { settings, file, signals: Some(signals), life: fastrand::u64(1..) })
     };
