--- a/crates/dryfit/src/net.rs
+++ b/crates/dryfit/src/net.rs
@@ -109,12 +109,20 @@
 const SILENCE: Micros = SECOND;
 const DIAL_SERVER: Micros = 600 * MS;
 
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Direction {
+    Out,
+    In,
+}
+
 #[derive(Default)]
 pub struct Net {
     pub conns: BTreeMap<ConnId, Conn>,
     next: ConnId,
     /// One way, from host to host, and how many cuts hold it.
     cuts: BTreeMap<(usize, usize), u32>,
+    /// Until when a host's link is taken up, out and in.
+    taken_until: BTreeMap<(usize, Direction), Micros>,
 }
 
 impl Net {
@@ -251,21 +259,41 @@
             let kind = self.net.conns[&id].kind;
             self.carried(kind, a, b, bytes.len());
         }
+        let queued = match &body {
+            Body::Frame(bytes) => self.queue(a, b, bytes.len()),
+            _ => 0,
+        };
         let way = &mut self.net.conns.get_mut(&id).expect("there").ways[side];
         way.next += 1;
         let number = way.next;
-        way.unacked.push_back((number, now));
+        // What a slow link holds up is still acknowledged piece by piece.
+        way.unacked.push_back((number, now + queued));
         let first = way.unacked.len() == 1;
         if cut || !way.stalled.is_empty() {
             way.stalled.insert(number, body);
         } else {
-            self.fly(id, side, number, body, 0);
+            self.fly(id, side, number, body, queued);
         }
         if first {
             self.at(now + SILENCE, Ev::Silence(id, side));
         }
     }
 
+    /// Puts so many bytes on the links of both hosts: how long until the last of them is through.
+    fn queue(&mut self, from: usize, to: usize, bytes: usize) -> Micros {
+        let Some(rate) = self.scenario.link else { return 0 };
+        let takes = bytes as u64 * SECOND / rate;
+        let mut through = self.now;
+        for (host, way) in [(from, Direction::Out), (to, Direction::In)] {
+            if host >= self.record.cores {
+                let until = self.net.taken_until.entry((host, way)).or_default();
+                *until = (*until).max(self.now) + takes;
+                through = through.max(*until);
+            }
+        }
+        through - self.now
+    }
+
     fn fly(&mut self, id: ConnId, side: usize, number: u64, body: Body, more: Micros) {
         let Some((a, b)) = self.hosts(id, side) else { return };
         let delay = self.delay(a, b);
--- a/crates/dryfit/src/plan.rs
+++ b/crates/dryfit/src/plan.rs
@@ -109,6 +109,46 @@
     }
 }
 
+/// What makes a configuration one that can never be taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Flaw {
+    UnknownService,
+    /// Its second half is missing.
+    CutShort,
+    BarePrefix,
+    LongDeadline,
+    OddKind,
+    SharedKey,
+    OldVersion,
+}
+
+impl Flaw {
+    pub const ALL: [(&'static str, Flaw); 7] = [
+        ("unknown-service", Flaw::UnknownService),
+        ("cut-short", Flaw::CutShort),
+        ("bare-prefix", Flaw::BarePrefix),
+        ("long-deadline", Flaw::LongDeadline),
+        ("odd-kind", Flaw::OddKind),
+        ("shared-key", Flaw::SharedKey),
+        ("old-version", Flaw::OldVersion),
+    ];
+
+    pub fn named(name: &str) -> Option<Flaw> {
+        Flaw::ALL.iter().find(|(known, _)| *known == name).map(|(_, flaw)| *flaw)
+    }
+
+    /// A proper configuration's text, spoiled.
+    fn spoil(self, text: String) -> String {
+        match self {
+            Flaw::UnknownService | Flaw::SharedKey | Flaw::OldVersion => text,
+            Flaw::CutShort => text[..text.len() / 2].to_string(),
+            Flaw::BarePrefix => text.replacen("\"/r-", "\"r-", 1),
+            Flaw::LongDeadline => text.replacen(&format!(",{},", DEADLINE / MS), ",600001,", 1),
+            Flaw::OddKind => text.replacen("\"safe\"", "\"sage\"", 1),
+        }
+    }
+}
+
 /// What an operator wants changed.
 #[derive(Clone, Debug)]
 pub enum Wish {
@@ -121,7 +161,7 @@
     Homes { route: String, regions: Vec<String> },
     AddRoute { route: String, service: String },
     RemoveRoute { route: String },
-    Invalid,
+    Invalid { flaw: Flaw },
     Evacuate { zone: String, on: bool },
     Drill(Box<Drill>),
     StopDrill { name: String },
@@ -144,6 +184,7 @@
     patch: Option<String>,
     /// It can never be taken.
     pub invalid: bool,
+    flaw: Option<Flaw>,
 }
 
 impl Wished {
@@ -164,7 +205,8 @@
     /// The same, whole.
     pub fn put(&self, base: u32) -> (&'static str, String, String) {
         let if_match = if base == 0 { "0".to_string() } else { show_version(base) };
-        ("PUT", if_match, self.plan.whole())
+        let whole = self.plan.whole();
+        ("PUT", if_match, self.flaw.map_or(whole.clone(), |flaw| flaw.spoil(whole)))
     }
 }
 
@@ -199,7 +241,7 @@
 
     pub fn wished(&self, wish: &Wish, version: u32) -> Wished {
         let mut plan = Plan { version, ..self.clone() };
-        let (mut patch, mut invalid) = (None, false);
+        let (mut patch, mut found) = (None, None);
         let tenant = |plan: &mut Plan, name: &str| plan.tenants.iter().position(|t| t.name == name);
         match wish.clone() {
             Wish::First => {}
@@ -241,9 +283,17 @@
                 plan.routes.push(RoutePlan { name: route, kind: "safe", to, homes: Vec::new() });
             }
             Wish::RemoveRoute { route } => plan.routes.retain(|r| r.name != route),
-            Wish::Invalid => {
-                invalid = true;
-                plan.routes[0].to = vec![("no-such-service".into(), 1)];
+            Wish::Invalid { flaw } => {
+                found = Some(flaw);
+                match flaw {
+                    Flaw::UnknownService => plan.routes[0].to = vec![("no-such-service".into(), 1)],
+                    Flaw::SharedKey => {
+                        let key = plan.tenants[0].keys[0].clone();
+                        plan.tenants[1].keys.push(key);
+                    }
+                    Flaw::OldVersion => plan.version = self.version,
+                    Flaw::CutShort | Flaw::BarePrefix | Flaw::LongDeadline | Flaw::OddKind => {}
+                }
             }
             // Orders that are not configurations.
             Wish::Evacuate { .. }
@@ -252,6 +302,6 @@
             | Wish::Book(_)
             | Wish::Unbook { .. } => {}
         }
-        Wished { plan, patch, invalid }
+        Wished { plan, patch, invalid: found.is_some(), flaw: found }
     }
 }
--- a/crates/dryfit/src/scenario.rs
+++ b/crates/dryfit/src/scenario.rs
@@ -1,7 +1,7 @@
 //! Scenarios: small text files, one statement a line. What there is to say is in `docs/system/dryfit.md`.
 
 use crate::odd::{self, Odd};
-use crate::plan::Wish;
+use crate::plan::{Flaw, Wish};
 use crate::record::{Booking, Bounds, Fate};
 use crate::{MS, Micros, SECOND};
 use miette::{Result, miette};
@@ -39,6 +39,8 @@
     pub expects: Vec<Expect>,
     /// Chance of each place is its own.
     pub apart: bool,
+    /// Bytes a second that a proxy's link carries each way of what processes say to each other; none: any.
+    pub link: Option<u64>,
     /// The figures of the rules, as processes are told them and as the day is judged.
     pub bounds: Bounds,
     /// Clients keep their connections and use them until the process at the other end closes them or is gone.
@@ -217,6 +219,7 @@
             events: Vec::new(),
             expects: Vec::new(),
             apart: false,
+            link: None,
             bounds: Bounds::default(),
             keeps_connections: false,
             probes: false,
@@ -335,6 +338,11 @@
                 w.must("apart")?;
                 self.apart = true;
             }
+            "link" => {
+                let mbps = w.number("megabits a second")?;
+                let busy = if w.take("busy") { w.number("in a hundred")? } else { 0.0 };
+                self.link = Some((mbps * 125_000.0 * (1.0 - busy / 100.0)).max(1.0) as u64);
+            }
             "connections" => {
                 w.must("kept")?;
                 self.keeps_connections = true;
@@ -502,6 +510,12 @@
     Ok(Wish::Drill(Box::new(drill)))
 }
 
+/// What is wrong with an invalid configuration, where that is said.
+fn flaw(w: &mut Words) -> Result<Flaw> {
+    let Some(name) = w.0.next() else { return Ok(Flaw::UnknownService) };
+    Flaw::named(name).ok_or_else(|| miette!("{name:?} is nothing that a configuration can have wrong"))
+}
+
 fn wish(word: &str, w: &mut Words) -> Result<Wish> {
     let route = |w: &mut Words| -> Result<String> {
         let route = w.next("the route")?.to_string();
@@ -527,7 +541,7 @@
         "drill-stop" => Wish::StopDrill { name: w.next("the drill")?.into() },
         "book" => Wish::Book(booking(w)?),
         "unbook" => Wish::Unbook { name: w.next("the booking")?.into() },
-        "invalid" => Wish::Invalid,
+        "invalid" => Wish::Invalid { flaw: flaw(w)? },
         "evacuate" => Wish::Evacuate { zone: w.next("the zone")?.into(), on: true },
         "return" => Wish::Evacuate { zone: w.next("the zone")?.into(), on: false },
         other => return Err(miette!("{other:?} is nothing that can happen")),
--- a/crates/lab/src/soak/schedule.rs
+++ b/crates/lab/src/soak/schedule.rs
@@ -1,6 +1,7 @@
 //! Draws a day's schedule from a seed: a scenario in text, so that it can be read, played again and cut down by hand.
 
 use super::shape::Shape;
+use dryfit::plan::Flaw;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use std::fmt::Write;
@@ -215,7 +216,10 @@
             }
             14 => format!("split r-{route} to {one} {other}"),
             15 => format!("rekey t{tenant}"),
-            16 => "invalid".to_string(),
+            16 => {
+                let (flaw, _) = Flaw::ALL[self.rng.gen_range(0..Flaw::ALL.len())];
+                format!("invalid {flaw}")
+            }
             17 => {
                 let regions = ["south", "north", "south north"];
                 format!("homes r-{route} to {}", regions[self.rng.gen_range(0..regions.len())])
--- a/crates/lab/src/system/clients.rs
+++ b/crates/lab/src/system/clients.rs
@@ -33,6 +33,9 @@
 const PATIENT_EVERY: u64 = 5;
 const LEAVES_EVERY: u64 = 40;
 const LEAVES_AFTER: Micros = 30 * MS;
+/// So often one of them sends several requests before it has an answer, and so many.
+const AHEAD_EVERY: u64 = 12;
+const AHEAD: u64 = 3;
 
 struct Client {
     zone: String,
@@ -126,13 +129,13 @@
                 (plan.routes[route].name.clone(), plan.routes[route].kind == "unsafe")
             };
             let client = self.clients[client].clone();
-            let number = {
-                let mut book = self.log.book();
-                // Nothing is owed for what a tenant asks beyond its limit.
-                let unowed = more > 0.0 && client.tenant == hot;
-                book.requests.push(Request { sent: now, served: None, unowed, tenant: client.tenant });
-                book.requests.len() as u64 - 1
-            };
+            // Nothing is owed for what a tenant asks beyond its limit.
+            let unowed = more > 0.0 && client.tenant == hot;
+            let number = self.ask(client.tenant, unowed);
+            if self.keeps && !once && number.is_multiple_of(AHEAD_EVERY) {
+                open.spawn(self.clone().ahead(client, name, number, unowed));
+                continue;
+            }
             let path = format!("/{name}/{number}");
             open.spawn(self.clone().request(client, number, path, once));
             while open.try_join_next().is_some() {}
@@ -140,6 +143,83 @@
         while open.join_next().await.is_some() {}
     }
 
+    /// Puts a request down; its number.
+    fn ask(&self, tenant: usize, unowed: bool) -> u64 {
+        let sent = self.log.now();
+        let mut book = self.log.book();
+        book.requests.push(Request { sent, served: None, unowed, tenant });
+        book.requests.len() as u64 - 1
+    }
+
+    /// Several requests over one connection, sent before the first has its answer; answers come in that order. What is not
+    /// answered is not tried again.
+    async fn ahead(self: Arc<Self>, client: Arc<Client>, route: String, first: u64, unowed: bool) {
+        let until = self.log.now() + DEADLINE;
+        let numbers: Vec<u64> =
+            std::iter::once(first).chain((1..AHEAD).map(|_| self.ask(client.tenant, unowed))).collect();
+        let connection = match self.kept(&client) {
+            Some(connection) => Some(connection),
+            None => match self.address(&client, until).await {
+                Some(address) => self.connect(&client, address).await,
+                None => None,
+            },
+        };
+        let Some(mut connection) = connection else { return };
+        let to = (connection.host, connection.life);
+        let paths: Vec<String> = numbers.iter().map(|n| format!("/{route}/{n}")).collect();
+        let tries: Vec<u64> = numbers
+            .iter()
+            .zip(&paths)
+            .map(|(n, path)| self.begin(&client, *n, path, false, to, until))
+            .collect();
+        let mut bytes = Vec::new();
+        for (attempt, path) in tries.iter().zip(&paths) {
+            bytes.extend(self.head(&client, *attempt, path, false, until));
+        }
+        if connection.conn.write(&bytes).await.is_err() {
+            return;
+        }
+        let read = self.log.now();
+        {
+            let mut book = self.log.book();
+            let kept = connection.used;
+            for attempt in &tries {
+                book.tries[*attempt as usize].read = Some(read);
+                if kept {
+                    book.observed.over_kept.insert(*attempt);
+                }
+            }
+        }
+        for (n, attempt) in tries.iter().enumerate() {
+            let patience = Duration::from_micros(until.saturating_sub(self.log.now()));
+            let Ok(answer) = timeout(patience, connection.conn.read_response()).await else { return };
+            let Ok(answer) = answer else { return self.cut_off(&numbers[n..], &tries[n..]) };
+            if let Done::Served = self.answered(&client, numbers[n], *attempt, &paths[n], &answer, until) {
+                let now = self.log.now();
+                self.log.book().requests[numbers[n] as usize].served = Some(now);
+            }
+            if closes(&answer) {
+                return self.cut_off(&numbers[n + 1..], &tries[n + 1..]);
+            }
+        }
+        client.kept.put(self.log.now(), connection);
+    }
+
+    /// The connection has ended before these had their answers. What stood behind another and was never passed on counts as
+    /// not read: its client would send it again.
+    fn cut_off(&self, numbers: &[u64], tries: &[u64]) {
+        let now = self.log.now();
+        let mut book = self.log.book();
+        for (number, attempt) in numbers.iter().zip(tries) {
+            let passed_on = !book.tries[*attempt as usize].arrivals.is_empty();
+            if passed_on {
+                book.tries[*attempt as usize].broken = Some(now);
+            } else {
+                book.requests[*number as usize].unowed = true;
+            }
+        }
+    }
+
     async fn request(self: Arc<Self>, client: Arc<Client>, number: u64, path: String, once: bool) {
         let patient = self.keeps && number.is_multiple_of(PATIENT_EVERY);
         let until = self.log.now() + if patient { 2 * DEADLINE } else { DEADLINE };
@@ -324,13 +404,26 @@
             self.log.book().tries[attempt as usize].broken = Some(now);
             return Done::Unclear;
         };
-        let closes = answer.header("Connection").is_some_and(|c| c.eq_ignore_ascii_case("close"));
-        if self.keeps && !closes {
+        if self.keeps && !closes(&answer) {
             client.kept.put(now, connection);
         }
         self.answered(client, number, attempt, path, &answer, until)
     }
 
+    /// A request's bytes.
+    fn head(&self, client: &Client, attempt: u64, path: &str, once: bool, until: Micros) -> Vec<u8> {
+        let left = until.saturating_sub(self.log.now());
+        let headers = [
+            ("Host", HOST.to_string()),
+            ("X-Attempt-Id", format!("{attempt:016x}")),
+            ("X-Time-Left", (left / MS).to_string()),
+            ("Authorization", format!("Token {}", client.key)),
+        ];
+        let body = if once { payload(attempt) } else { Vec::new() };
+        let method = if once { "POST" } else { "GET" };
+        request(method, path, &headers, &body)
+    }
+
     /// Sends the request and reads its answer.
     async fn talk(
         &self,
@@ -341,16 +434,8 @@
         once: bool,
         until: Micros,
     ) -> std::io::Result<Response> {
-        let left = until.saturating_sub(self.log.now());
-        let headers = [
-            ("Host", HOST.to_string()),
-            ("X-Attempt-Id", format!("{attempt:016x}")),
-            ("X-Time-Left", (left / MS).to_string()),
-            ("Authorization", format!("Token {}", client.key)),
-        ];
-        let body = if once { payload(attempt) } else { Vec::new() };
-        let method = if once { "POST" } else { "GET" };
-        connection.conn.write(&request(method, path, &headers, &body)).await?;
+        let bytes = self.head(client, attempt, path, once, until);
+        connection.conn.write(&bytes).await?;
         let now = self.log.now();
         self.log.book().tries[attempt as usize].read = Some(now);
         connection.conn.read_response().await
@@ -397,17 +482,16 @@
             let chosen = lock(&self.rng).gen_range(0..self.clients.len());
             self.clients[chosen].clone()
         };
-        let (now, number) = (self.log.now(), {
-            let mut book = self.log.book();
-            book.observed.probes += 1;
-            let sent = self.log.now();
-            book.requests.push(Request { sent, served: None, unowed: true, tenant: client.tenant });
-            book.requests.len() as u64 - 1
-        });
+        let (now, number) = (self.log.now(), self.ask(client.tenant, true));
+        self.log.book().observed.probes += 1;
         self.once(&client, number, &path, false, Way::New(address), now + DEADLINE).await;
     }
 }
 
+fn closes(answer: &Response) -> bool {
+    answer.header("Connection").is_some_and(|c| c.eq_ignore_ascii_case("close"))
+}
+
 /// How a try goes to a proxy.
 enum Way {
     Kept(Connection),
