Count a standing's age from when it was said, not from when it came

Cause: a proxy took what a relay or registry says of its freshness as of the moment at which it came. What had waited on a slow link, in a queue or in a process that stood still passed for new, so a proxy seconds behind stayed where it was, and what is said of configurations, servers and quotas came late with it. Class: an age without the time on the way. Change: a standing bears the sender's steady clock; the first answers this proxy's greeting and so cannot be older, later ones are as much later as that clock tells. Programs from before the field count as they did.

--- a/crates/pegboard/src/board.rs
+++ b/crates/pegboard/src/board.rs
@@ -755,6 +755,7 @@
             path: Vec::new(),
             head: self.heads.get(region).copied(),
             away: away.collect(),
+            said_at: Some(self.now),
         })
     }
 
--- a/crates/proxy/src/feed.rs
+++ b/crates/proxy/src/feed.rs
@@ -75,6 +75,8 @@
     /// How long it has for the link to come up.
     dial_us: Micros,
     linked: bool,
+    /// When it was greeted.
+    linked_at: Micros,
     heard_at: Micros,
     /// When, by what it said, its copy held all that was acknowledged.
     fresh_at: Micros,
@@ -84,6 +86,34 @@
     cut_off_at: Option<Micros>,
     path: Vec<Ipv4Addr>,
     head: Option<Head>,
+    clock: Option<PeerClock>,
+}
+
+/// The steady clock of who is followed, as this proxy can know it. Its first standing answers this proxy's first message,
+/// so it was said no earlier than that was sent; later ones by as much later as that clock tells. Whatever waited on its way,
+/// in a queue or in a process that stood still, is then as old as it is, and not as new as it came.
+#[derive(Clone, Copy)]
+struct PeerClock {
+    /// There, and here at the least.
+    first_said: Micros,
+    asked_at: Micros,
+}
+
+impl PeerClock {
+    /// The least that the time here was when that was said there.
+    fn here(self, said_at: Micros) -> Micros {
+        self.asked_at + said_at.saturating_sub(self.first_said)
+    }
+}
+
+impl Parent {
+    /// When a standing that has come now was said, by the clock here; one that does not tell counts from now.
+    fn said_at(&mut self, now: Micros, said_at: Option<Micros>) -> Micros {
+        let Some(said_at) = said_at else { return now };
+        let asked_at = self.linked_at;
+        let clock = *self.clock.get_or_insert(PeerClock { first_said: said_at, asked_at });
+        clock.here(said_at).min(now)
+    }
 }
 
 pub struct Feed {
@@ -296,7 +326,7 @@
         let now = self.now;
         for (p, followed) in [(&mut self.parent, true), (&mut self.next, false)] {
             let Some(p) = p.as_mut().filter(|p| p.link == link) else { continue };
-            (p.linked, p.heard_at, p.fresh_at) = (true, now, now);
+            (p.linked, p.linked_at, p.heard_at, p.fresh_at) = (true, now, now, now);
             out.push(Output::Say(link, Up::Hello { node: self.node.clone(), rev: copy.rev() }));
             if followed {
                 self.report_at = now;
@@ -343,10 +373,11 @@
         let now = self.now;
         let Some(p) = self.parent.iter_mut().chain(&mut self.next).find(|p| p.link == link) else { return };
         (p.path, p.head) = (s.path, s.head);
+        let said_at = p.said_at(now, s.said_at);
         p.cut_off_at = if s.fresh_ms.is_none() { Some(p.cut_off_at.unwrap_or(now)) } else { None };
         // It is no fresher than what of its news is in the copy here.
         if let Some(ms) = s.fresh_ms.filter(|_| copy.rev() >= s.rev) {
-            let at = now.saturating_sub(Micros::from(ms) * 1000);
+            let at = said_at.saturating_sub(Micros::from(ms) * 1000);
             p.fresh_at = if p.proved { p.fresh_at.max(at) } else { at };
             p.proved = true;
             self.fresh_at = self.fresh_at.max(Some(p.fresh_at));
@@ -422,12 +453,14 @@
             since,
             dial_us: if others { DIAL_FIRST_US } else { DIAL_US },
             linked: false,
+            linked_at: since,
             heard_at: since,
             fresh_at: since,
             proved: false,
             cut_off_at: None,
             path: Vec::new(),
             head: None,
+            clock: None,
         }
     }
 
@@ -573,6 +606,7 @@
             path: above.iter().copied().chain([self.node.ip]).collect(),
             head,
             away: self.away.iter().copied().collect(),
+            said_at: Some(self.now),
         }
     }
 
--- a/crates/proxy/tests/feed.rs
+++ b/crates/proxy/tests/feed.rs
@@ -43,7 +43,10 @@
     let core = vec![(ip(1), "south-a".into()), (ip(2), "north-a".into()), (ip(3), "north-b".into())];
     let (path, away) = (Vec::new(), Vec::new());
     let fresh_ms = fresh.then_some(0);
-    Input::Got(link, Down::Standing(Standing { rev: 0, fresh_ms, core, path, head: None, away }))
+    Input::Got(
+        link,
+        Down::Standing(Standing { rev: 0, fresh_ms, core, path, head: None, away, said_at: None }),
+    )
 }
 
 fn report(out: &[Output]) -> Option<(u64, u64)> {
@@ -181,3 +184,57 @@
     assert!(waited[1] == waited[0] && waited[0] < waited[2], "the last one has longer: {waited:?}");
     assert!(asked[0] != asked[1] && !asked[..2].contains(&asked[2]) && asked[3] == asked[0], "{asked:?}");
 }
+
+/// Says that it is fresh, by its own clock at that time.
+fn said(link: u64, said_at: u64) -> Input {
+    let core = vec![(ip(1), "south-a".into()), (ip(2), "north-a".into()), (ip(3), "north-b".into())];
+    let (path, away) = (Vec::new(), Vec::new());
+    let said_at = Some(said_at);
+    Input::Got(
+        link,
+        Down::Standing(Standing { rev: 0, fresh_ms: Some(0), core, path, head: None, away, said_at }),
+    )
+}
+
+/// Seen as late configurations and requests to servers that leave, at proxies that nothing was done to: news waited behind
+/// news on a slow link, and each standing that came through counted from when it came. So a proxy that was seconds behind
+/// took itself for fresh and never left. What proved it: links that carry all at once.
+#[test]
+fn a_standing_that_waited_on_its_way_is_as_old_as_it_is() {
+    const THERE: u64 = 77 * SECOND;
+    for late in [0, 2 * SECOND] {
+        let mut feed = feed(&[1, 2]);
+        let mut now = SECOND;
+        link(&tell(&mut feed, now, Input::Tick)).expect("links at once");
+        tell(&mut feed, now, Input::Linked(1));
+        tell(&mut feed, now, said(1, THERE));
+        let greeted = now;
+        // Each is said in time, and comes a little later than the one before.
+        let mut left = None;
+        for step in 1..=20 {
+            now = greeted + step * BEAT / 3;
+            let waited = late * step / 20;
+            let out = tell(&mut feed, now, said(1, THERE + (now - greeted) - waited));
+            if link(&out).is_some() {
+                left = Some(waited);
+                break;
+            }
+            assert_eq!(feed.fresh_at().map(|at| now - at), Some(waited), "its age is known");
+        }
+        assert_eq!(left.is_some(), late > 0, "it is left once it is too late");
+        assert!(left.is_none_or(|waited| waited <= SECOND + BEAT / 3), "and not much after that: {left:?}");
+    }
+}
+
+/// The clocks of two processes have begun at different times; the one who answers may be slow in it.
+#[test]
+fn what_the_first_answer_took_counts_against_it() {
+    let mut feed = feed(&[1, 2]);
+    tell(&mut feed, SECOND, Input::Tick);
+    tell(&mut feed, SECOND, Input::Linked(1));
+    let slow = BEAT / 2;
+    tell(&mut feed, SECOND + slow, said(1, 5));
+    assert_eq!(feed.fresh_at(), Some(SECOND), "it may have been said as soon as it was asked");
+    tell(&mut feed, SECOND + 2 * slow, said(1, 5 + slow));
+    assert_eq!(feed.fresh_at(), Some(SECOND + slow));
+}
--- a/crates/proxy/tests/tree.rs
+++ b/crates/proxy/tests/tree.rs
@@ -406,7 +406,7 @@
 
 fn standing(fresh_ms: u32, path: Vec<Ipv4Addr>, head: Head) -> Standing {
     let core = vec![(core(1), "north-a".into())];
-    Standing { rev: 1, fresh_ms: Some(fresh_ms), core, path, head: Some(head), away: vec![] }
+    Standing { rev: 1, fresh_ms: Some(fresh_ms), core, path, head: Some(head), away: vec![], said_at: None }
 }
 
 /// A proxy that has moved from the registry to the relay that the order names.
--- a/crates/rack/src/talk.rs
+++ b/crates/rack/src/talk.rs
@@ -258,4 +258,8 @@
     pub head: Option<Head>,
     /// Proxies of that region that are not to be followed.
     pub away: Vec<Ipv4Addr>,
+    /// When it was said, by the steady clock of who says it: what waits on its way is as old as that. Programs from before
+    /// this field do not say.
+    #[serde(skip_serializing_if = "Option::is_none", deserialize_with = "at_the_end")]
+    pub said_at: Option<Micros>,
 }
