Count readings of quotas and leases of drills from when they were made

Cause: the same class as the standing's age: a reading or a lease held for its time from when it came, whatever it had waited on its way down the tree. A reading from before a flood that came late let proxies send ahead; a drill's lease lasted longer by the delay. Change: both tell their age, added up over each link that they come by; a reading holds for four parts of a beat from when it was made, where it was three from when it came.

--- a/crates/dryfit/src/process.rs
+++ b/crates/dryfit/src/process.rs
@@ -895,10 +895,12 @@
                             self.close(conn, me);
                         }
                     }
-                    feed::Output::Meter(readings) => fronts.push(front::Input::Meter(readings)),
-                    feed::Output::Leases(leases) => {
+                    feed::Output::Meter(readings, made_at) => {
+                        fronts.push(front::Input::Meter(readings, made_at));
+                    }
+                    feed::Output::Leases(leases, made_at) => {
                         if self.one_node.is_none_or(|one| one == n) {
-                            fronts.push(front::Input::Leases(leases));
+                            fronts.push(front::Input::Leases(leases, made_at));
                         }
                     }
                     feed::Output::News(news) => fronts.push(front::Input::News(news)),
--- a/crates/dryfit/src/weigh.rs
+++ b/crates/dryfit/src/weigh.rs
@@ -251,7 +251,7 @@
     w.report.1 = timed(|| again.into_iter().for_each(|u| _ = meter.take(every_us, u, false))).1;
     let (readings, us) = timed(|| meter.read(every_us, &copy.state));
     w.report.2 = us;
-    w.readings = (readings.len(), bytes(&Down::Meter(readings.clone())), readings_us(copy, readings));
+    w.readings = (readings.len(), bytes(&Down::Meter(readings.clone(), None)), readings_us(copy, readings));
 
     let ids: Vec<String> = copy.state.servers.keys().cloned().collect();
     let before = heap.current_usage();
@@ -273,5 +273,5 @@
 fn readings_us(copy: &Copy, readings: Vec<Reading>) -> u64 {
     let (mut front, mut out) = (blank(), Vec::new());
     front.handle(0, Input::News(News::Whole(copy.state.write(0))), &mut out);
-    timed(|| front.handle(1_000, Input::Meter(readings), &mut out)).1
+    timed(|| front.handle(1_000, Input::Meter(readings, 1_000), &mut out)).1
 }
--- a/crates/pegboard/src/board.rs
+++ b/crates/pegboard/src/board.rs
@@ -16,7 +16,9 @@
 use rack::drill::{DrillChange, Rows, Said};
 use rack::follow::Followers;
 use rack::state::{Change, Command, Done, Node, NodeChange, Server, ServerChange};
-use rack::talk::{Down, FRESH_US, FromStore, Gossip, Head, News, Seen, Standing, ToStore, Unsure, Up, Usage};
+use rack::talk::{
+    Age, Down, FRESH_US, FromStore, Gossip, Head, News, Seen, Standing, ToStore, Unsure, Up, Usage,
+};
 use rack::{Micros, Rev};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
@@ -378,7 +380,8 @@
     fn tell_leases(&self, out: &mut Vec<Output>) {
         let leases = self.leases.tell(self.now, &self.copy.state.drills);
         if !leases.is_empty() {
-            out.extend(self.followers.links().map(|l| Output::Proxy(l, Down::Leases(leases.clone()))));
+            let said = Age::first(self.now);
+            out.extend(self.followers.links().map(|l| Output::Proxy(l, Down::Leases(leases.clone(), said))));
         }
     }
 
@@ -780,7 +783,7 @@
         let readings = self.meter.read(self.now, &self.copy.state);
         if !readings.is_empty() {
             for link in self.followers.links() {
-                out.push(Output::Proxy(link, Down::Meter(readings.clone())));
+                out.push(Output::Proxy(link, Down::Meter(readings.clone(), Age::first(self.now))));
             }
         }
     }
--- a/crates/pegboard/tests/bookings.rs
+++ b/crates/pegboard/tests/bookings.rs
@@ -315,7 +315,7 @@
     };
     r.tell(Input::Proxy(1, Up::Report { rev: 0, head: None, seen: vec![], usage: vec![usage] }));
     r.wait(BEAT);
-    assert!(!r.out.iter().any(|o| matches!(o, Output::Proxy(_, rack::talk::Down::Meter(_)))));
+    assert!(!r.out.iter().any(|o| matches!(o, Output::Proxy(_, rack::talk::Down::Meter(..)))));
 }
 
 // ---- all courses of a small installation ----
--- a/crates/pegboard/tests/drills.rs
+++ b/crates/pegboard/tests/drills.rs
@@ -26,7 +26,7 @@
     let mut told = (None, None);
     for output in &r.out {
         match output {
-            Output::Proxy(_, Down::Leases(leases)) => told.0 = leases.first().copied(),
+            Output::Proxy(_, Down::Leases(leases, _)) => told.0 = leases.first().copied(),
             Output::Peer(_, gossip) => told.1 = gossip.leases.first().copied(),
             _ => {}
         }
--- a/crates/pegboard/tests/meter.rs
+++ b/crates/pegboard/tests/meter.rs
@@ -75,7 +75,7 @@
     let meter: Vec<&Reading> = r
         .out
         .iter()
-        .flat_map(|o| if let Output::Proxy(7, Down::Meter(m)) = o { &m[..] } else { &[] })
+        .flat_map(|o| if let Output::Proxy(7, Down::Meter(m, _)) = o { &m[..] } else { &[] })
         .collect();
     assert_eq!((meter.len(), meter[0].wanted, meter[0].used), (1, 45_000, 24_000));
     let told = r.out.iter().filter(|o| matches!(o, Output::Peer(OTHER, g) if g.usage.len() == 1));
--- a/crates/proxy/src/feed.rs
+++ b/crates/proxy/src/feed.rs
@@ -6,7 +6,7 @@
 use rack::copy::Copy;
 use rack::drill::Rows;
 use rack::state::Node;
-use rack::talk::{Down, Head, Lease, News, Reading, Seen, Standing, Up, Usage, Use};
+use rack::talk::{Age, Down, Head, Lease, News, Reading, Seen, Standing, Up, Usage, Use};
 use rack::{Micros, Rev};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
@@ -40,8 +40,9 @@
     Unlink(u64),
     Say(u64, Up),
     News(News),
-    Meter(Vec<Reading>),
-    Leases(Vec<Lease>),
+    /// With when they were made, at the least.
+    Meter(Vec<Reading>, Micros),
+    Leases(Vec<Lease>, Micros),
     /// To a follower; and one that is to go.
     Tell(u64, Down),
     Refuse(u64),
@@ -343,22 +344,31 @@
             // Twice from both for a moment: a copy takes each only once.
             Down::News(news) => out.push(Output::News(news)),
             Down::Standing(standing) => self.standing(link, standing, copy, out),
-            Down::Meter(readings) if self.parent.as_ref().is_some_and(|p| p.link == link) => {
-                for link in self.relay.followers.links() {
-                    out.push(Output::Tell(link, Down::Meter(readings.clone())));
-                }
-                out.push(Output::Meter(readings));
+            Down::Meter(readings, said) => {
+                let Some(made_at) = self.made_at(link, said) else { return };
+                self.pass_down(Down::Meter(readings.clone(), Age::again(now, made_at)), out);
+                out.push(Output::Meter(readings, made_at));
             }
-            Down::Leases(leases) if self.parent.as_ref().is_some_and(|p| p.link == link) => {
-                for link in self.relay.followers.links() {
-                    out.push(Output::Tell(link, Down::Leases(leases.clone())));
-                }
-                out.push(Output::Leases(leases));
+            Down::Leases(leases, said) => {
+                let Some(made_at) = self.made_at(link, said) else { return };
+                self.pass_down(Down::Leases(leases.clone(), Age::again(now, made_at)), out);
+                out.push(Output::Leases(leases, made_at));
             }
-            Down::Meter(_) | Down::Leases(_) => {}
         }
     }
 
+    /// When what comes by this link was made, by the clock here; None: it is not of who is followed.
+    fn made_at(&self, link: u64, said: Option<Age>) -> Option<Micros> {
+        let parent = self.parent.as_ref().filter(|p| p.link == link)?;
+        let here =
+            said.zip(parent.clock).map(|(said, clock)| clock.here(said.at).saturating_sub(said.age_us));
+        Some(here.map_or(self.now, |at| at.min(self.now)))
+    }
+
+    fn pass_down(&self, down: Down, out: &mut Vec<Output>) {
+        out.extend(self.relay.followers.links().map(|link| Output::Tell(link, down.clone())));
+    }
+
     fn standing(&mut self, link: u64, s: Standing, copy: &Copy, out: &mut Vec<Output>) {
         // A circle, a chain without end, or a head that another has followed: not to be followed.
         let circle = s.path.contains(&self.node.ip) || s.path.len() > DEEPEST;
--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -67,10 +67,15 @@
     Tick,
     Asked(Ask),
     Withdrawn(u64),
-    Ended { id: u64, attempt: u32, end: End },
+    Ended {
+        id: u64,
+        attempt: u32,
+        end: End,
+    },
     News(News),
-    Meter(Vec<Reading>),
-    Leases(Vec<Lease>),
+    /// With when they were made, at the least.
+    Meter(Vec<Reading>, Micros),
+    Leases(Vec<Lease>, Micros),
 }
 
 pub enum Output {
@@ -282,8 +287,8 @@
             }
             Input::Ended { id, attempt, end } => self.ended(id, attempt, end, out),
             Input::News(news) => self.news(news, out),
-            Input::Meter(readings) => self.meter(&readings, out),
-            Input::Leases(leases) => self.drills.lease(self.now, &leases),
+            Input::Meter(readings, made_at) => self.meter(&readings, made_at, out),
+            Input::Leases(leases, made_at) => self.drills.lease(made_at, &leases),
         }
         self.settle(out);
         self.due(out);
@@ -646,13 +651,13 @@
         std::mem::take(&mut self.tenants.hurries) | std::mem::take(&mut self.booked.hurries)
     }
 
-    fn meter(&mut self, readings: &[Reading], out: &mut Vec<Output>) {
+    fn meter(&mut self, readings: &[Reading], made_at: Micros, out: &mut Vec<Output>) {
         let nodes = self.copy.state.nodes.len();
         for (plan, rate) in self.book.quotas() {
             let key = self.book.key(plan);
             if let Some(reading) = readings.iter().find(|r| r.tenant == key) {
                 let quota = Quota { rate, burst: self.book.even(plan, nodes).burst };
-                let used = self.tenants.read(self.now, plan, reading, nodes, quota);
+                let used = self.tenants.read(self.now, made_at, plan, reading, nodes, quota);
                 self.decide(Event::Used { customer: plan as u64, used }, out);
             }
         }
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -405,8 +405,12 @@
                 feed::Output::Refuse(link) => {
                     self.followers.remove(&link);
                 }
-                feed::Output::Meter(readings) => self.front(now, front::Input::Meter(readings)),
-                feed::Output::Leases(leases) => self.front(now, front::Input::Leases(leases)),
+                feed::Output::Meter(readings, made_at) => {
+                    self.front(now, front::Input::Meter(readings, made_at));
+                }
+                feed::Output::Leases(leases, made_at) => {
+                    self.front(now, front::Input::Leases(leases, made_at));
+                }
                 feed::Output::News(news) => {
                     let version = self.front.copy.state.version();
                     self.front(now, front::Input::News(news));
--- a/crates/proxy/src/tenants.rs
+++ b/crates/proxy/src/tenants.rs
@@ -15,8 +15,8 @@
 use rack::Micros;
 use rack::talk::{Reading, Use};
 
-/// A reading holds for so many times the time between two reports.
-const HOLD: Micros = 3;
+/// A reading holds for so many times the time between two reports, counted from when it was made.
+const HOLD: Micros = 4;
 /// What a reading grants above the even share may be sent ahead for this part of the time between two reports.
 const GRANTED: f64 = 0.5;
 /// Weight of the time since the last report in the moving rates.
@@ -39,9 +39,9 @@
     sent: u32,
     wanted: f64,
     used: f64,
-    /// One over the share, and when it was read.
+    /// One over the share, and when the reading that it is of was made.
     spread: f64,
-    read_at: Option<Micros>,
+    made_at: Option<Micros>,
     /// More is wanted than the quota brings, and until when nothing is forgiven for that.
     flooded: bool,
     unforgiven_until: Micros,
@@ -153,16 +153,24 @@
         uses
     }
 
-    /// Takes a reading. Tells what part of the rate counts as used: in a flood what is wanted, as what is used says only
+    /// Takes a reading that was made then. Tells what part of the rate counts as used: in a flood what is wanted, as what is used says only
     /// how well it is held back.
-    pub fn read(&mut self, now: Micros, plan: usize, reading: &Reading, nodes: usize, quota: Quota) -> f64 {
+    pub fn read(
+        &mut self,
+        now: Micros,
+        made_at: Micros,
+        plan: usize,
+        reading: &Reading,
+        nodes: usize,
+        quota: Quota,
+    ) -> f64 {
         let (every_us, Quota { rate, burst }) = (self.every_us, quota);
         self.of(plan);
         let t = &mut self.all[plan];
         let wanted = f64::from(reading.wanted) / 1000.0;
         let part = (t.wanted / wanted.max(0.001)).max(1.0 / nodes.max(1) as f64).min(1.0);
         t.spread = f64::from(reading.shares) / 1000.0 / part;
-        t.read_at = Some(now);
+        t.made_at = Some(made_at);
         let used = f64::from(reading.used) / 1000.0 / rate;
         t.flooded = used > NEAR && wanted > FLOODED * rate;
         t.spent = false;
@@ -195,7 +203,7 @@
     /// A tenant of which the meter has spoken lately.
     fn lately_read(&self, now: Micros, plan: usize) -> Option<&Tenant> {
         let hold = HOLD * self.every_us;
-        self.all.get(plan).filter(|t| t.read_at.is_some_and(|at| now <= at + hold))
+        self.all.get(plan).filter(|t| t.made_at.is_some_and(|at| now <= at + hold))
     }
 
     /// The same, while not all that may be sent ahead is sent.
--- a/crates/proxy/tests/drill.rs
+++ b/crates/proxy/tests/drill.rs
@@ -24,7 +24,8 @@
 }
 
 fn lease(proxy: &mut Proxy, epoch: u64, left_ms: u32) {
-    proxy.tell(Input::Leases(vec![Lease { epoch, left_ms }]));
+    let now = proxy.now;
+    proxy.tell(Input::Leases(vec![Lease { epoch, left_ms }], now));
 }
 
 fn rows(proxy: &mut Proxy) -> Vec<Rows> {
--- a/crates/proxy/tests/feed.rs
+++ b/crates/proxy/tests/feed.rs
@@ -5,7 +5,7 @@
 use common::{SECOND, ZONES, node};
 use proxy::feed::{Feed, Input, Output};
 use rack::copy::Copy;
-use rack::talk::{Down, News, Standing, Up};
+use rack::talk::{Age, Down, News, Standing, Up};
 use std::net::Ipv4Addr;
 
 const BEAT: u64 = SECOND;
@@ -238,3 +238,33 @@
     tell(&mut feed, SECOND + 2 * slow, said(1, 5 + slow));
     assert_eq!(feed.fresh_at(), Some(SECOND + slow));
 }
+
+/// What is passed down the tree tells how old it is already, over all links that it came by.
+#[test]
+fn readings_and_leases_that_waited_on_their_way_are_as_old_as_they_are() {
+    const THERE: u64 = 90 * SECOND;
+    let mut feed = feed(&[1, 2]);
+    tell(&mut feed, SECOND, Input::Tick);
+    tell(&mut feed, SECOND, Input::Linked(1));
+    tell(&mut feed, SECOND, said(1, THERE));
+    tell(&mut feed, SECOND, Input::Below(7, Up::Hello { node: node(5, "north-b"), rev: 0 }));
+    let now = SECOND + BEAT / 4;
+    // Made a tenth of a second before it was said, and 50 ms on its way.
+    let already = SECOND / 10;
+    let waited = SECOND / 20;
+    let made_at = now - waited - already;
+    let old = Some(Age { at: THERE + BEAT / 4 - waited, age_us: already });
+    for down in [Down::Meter(Vec::new(), old), Down::Leases(Vec::new(), old)] {
+        let out = tell(&mut feed, now, Input::Got(1, down));
+        let taken = out.iter().find_map(|o| match o {
+            Output::Meter(_, at) | Output::Leases(_, at) => Some(*at),
+            _ => None,
+        });
+        assert_eq!(taken, Some(made_at));
+        let passed = out.iter().find_map(|o| match o {
+            Output::Tell(7, Down::Meter(_, said) | Down::Leases(_, said)) => *said,
+            _ => None,
+        });
+        assert_eq!(passed, Some(Age { at: now, age_us: waited + already }));
+    }
+}
--- a/crates/proxy/tests/tenants.rs
+++ b/crates/proxy/tests/tenants.rs
@@ -45,7 +45,7 @@
     fn share(&self, tenants: &mut Tenants, reading: Option<&Reading>) -> f64 {
         let (now, all) = (SECOND + EVERY, self.copy.state.nodes.len());
         if let Some(reading) = reading {
-            tenants.read(now, self.plan, reading, all, Quota { rate: f64::INFINITY, burst: 1.0 });
+            tenants.read(now, now, self.plan, reading, all, Quota { rate: f64::INFINITY, burst: 1.0 });
         }
         1.0 / f64::from(tenants.spread(now, self.plan, all))
     }
@@ -194,7 +194,7 @@
     for seed in 0..20 {
         let mut tenants = Tenants::new(EVERY, seed);
         let mut now = SECOND;
-        tenants.read(now, site.plan, &reading(false), 10, quota);
+        tenants.read(now, now, site.plan, &reading(false), 10, quota);
         let before = (0..15).filter(|_| !tenants.sent(now, site.plan, even, 10)).count();
         assert!(before >= 13, "ahead while nobody has told of a flood");
         // Told, so that a reading which forgives would forgive all of it.
@@ -203,7 +203,7 @@
         for _ in 0..3 * 15 {
             now += EVERY / 3;
             if (now - SECOND).is_multiple_of(EVERY) {
-                tenants.read(now, site.plan, &reading(true), 10, quota);
+                tenants.read(now, now, site.plan, &reading(true), 10, quota);
             }
             for _ in 0..100 {
                 if now < SECOND + EVERY || !tenants.may_send(now, site.plan, even, 10) {
@@ -233,7 +233,7 @@
         for tenants in &mut proxies {
             if step % 4 == 0 {
                 tenants.asked(site.plan);
-                tenants.read(now, site.plan, &reading(true), 87, quota);
+                tenants.read(now, now, site.plan, &reading(true), 87, quota);
             }
             if tenants.may_send(now, site.plan, even, 87) {
                 tenants.sent(now, site.plan, even, 87);
@@ -247,3 +247,18 @@
     let least = 0.6 * 24.0 * seconds;
     assert!(f64::from(sent) >= least, "{sent} in {seconds} s, at least {least}: they begin in turn, at once");
 }
+
+/// A reading that was long on its way grants nothing that it would grant when it is new.
+#[test]
+fn a_reading_holds_from_when_it_was_made() {
+    let quota = Quota { rate: 10.0, burst: 1.0 };
+    let all_here = Reading { tenant: 0, wanted: 5_000, used: 5_000, shares: 1_000 };
+    for (made_ago, spread) in [(0, 1), (10 * EVERY, 10)] {
+        let mut tenants = Tenants::new(EVERY, 1);
+        let now = 100 * EVERY;
+        (0..20).for_each(|_| tenants.asked(1));
+        tenants.uses(now, |_| 0);
+        tenants.read(now, now - made_ago, 1, &all_here, 10, quota);
+        assert_eq!(tenants.spread(now, 1, 10), spread, "made {made_ago} us ago");
+    }
+}
--- a/crates/proxy/tests/tree.rs
+++ b/crates/proxy/tests/tree.rs
@@ -231,7 +231,7 @@
                 }
                 Output::Tell(link, down) => self.down(link, down),
                 Output::Refuse(link) => self.end(link, false),
-                Output::News(_) | Output::Meter(_) | Output::Leases(_) => {}
+                Output::News(_) | Output::Meter(..) | Output::Leases(..) => {}
             }
         }
     }
--- a/crates/rack/src/talk.rs
+++ b/crates/rack/src/talk.rs
@@ -238,9 +238,28 @@
     /// About every third of a beat.
     Standing(Standing),
     /// What tenants use of their quotas, as far as it is known.
-    Meter(Vec<Reading>),
+    Meter(Vec<Reading>, #[serde(deserialize_with = "at_the_end")] Option<Age>),
     /// About every third of a beat, while drills run.
-    Leases(Vec<Lease>),
+    Leases(Vec<Lease>, #[serde(deserialize_with = "at_the_end")] Option<Age>),
+}
+
+/// How old a message is: `age_us` when it was said, by the steady clock of who says it. Programs from before do not tell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Age {
+    pub at: Micros,
+    pub age_us: Micros,
+}
+
+impl Age {
+    /// By the one who knows it first.
+    pub fn first(now: Micros) -> Option<Age> {
+        Some(Age { at: now, age_us: 0 })
+    }
+
+    /// By one who passes it on.
+    pub fn again(now: Micros, made_at: Micros) -> Option<Age> {
+        Some(Age { at: now, age_us: now.saturating_sub(made_at) })
+    }
 }
 
 /// How the one who is followed stands.
