--- a/crates/proxy/src/tenants.rs
+++ b/crates/proxy/src/tenants.rs
@@ -16,7 +16,7 @@
 use rack::talk::{Reading, Use};
 
 /// A reading holds for so many times the time between two reports, counted from when it was made.
-const HOLD: Micros = 4;
+const HOLD: Micros = 3;
 /// What a reading grants above the even share may be sent ahead for this part of the time between two reports.
 const GRANTED: f64 = 0.5;
 /// Weight of the time since the last report in the moving rates.
--- a/crates/proxy/tests/tenants.rs
+++ b/crates/proxy/tests/tenants.rs
@@ -256,6 +256,7 @@
     for (made_ago, spread) in [(0, 1), (10 * EVERY, 10)] {
         let mut tenants = Tenants::new(EVERY, 1);
         let now = 100 * EVERY;
+        tenants.uses(now - EVERY, |_| 0);
         (0..20).for_each(|_| tenants.asked(1));
         tenants.uses(now, |_| 0);
         tenants.read(now, now - made_ago, 1, &all_here, 10, quota);
