--- a/crates/pegboard/src/board.rs
+++ b/crates/pegboard/src/board.rs
@@ -17,10 +17,10 @@
 use rack::follow::Followers;
 use rack::state::{Change, Command, Done, Node, NodeChange, Server, ServerChange};
 use rack::talk::{
-    Age, Down, FRESH_US, FromStore, Gossip, Head, News, Seen, Standing, ToStore, Unsure, Up, Usage,
+    Age, Down, FRESH_US, FromStore, Gossip, Head, News, Reading, Seen, Standing, ToStore, Unsure, Up, Usage,
 };
 use rack::{Micros, Rev};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 
 /// What this registry is told at its start.
@@ -120,6 +120,10 @@
     meter: Meter,
     /// Readings go out ahead of time, as a proxy has reported ahead of time.
     meter_at: Micros,
+    /// The last readings and when they were made, if they tell how things stand.
+    readings: Option<(Micros, Vec<Reading>)>,
+    /// Links of followers that have not been told any.
+    unread: BTreeSet<u64>,
     followers: Followers,
     /// The greatest that was told of each region.
     heads: BTreeMap<String, Head>,
@@ -166,6 +170,8 @@
             presence: Presence::new(now, terms.beat_us),
             meter: Meter::new(terms.beat_us / PARTS),
             meter_at: Micros::MAX,
+            readings: None,
+            unread: BTreeSet::new(),
             followers: Followers::default(),
             heads: BTreeMap::new(),
             waiting: BTreeMap::new(),
@@ -236,6 +242,7 @@
             }
             Input::Proxy(link, up) => self.proxy(link, up, out),
             Input::ProxyDown(link) => {
+                self.unread.remove(&link);
                 self.followers.gone(link);
             }
         }
@@ -716,6 +723,8 @@
                 out.push(Output::Proxy(link, self.standing(&node.region)));
                 self.followers.hello(link, node, rev);
                 self.feed(out);
+                self.unread.insert(link);
+                self.tell_unread(out);
             }
             Up::Report { rev, head, seen, usage } => {
                 for u in usage {
@@ -781,10 +790,23 @@
             self.gossip(Vec::new(), Vec::new(), usage, Vec::new(), out);
         }
         let readings = self.meter.read(self.now, &self.copy.state);
+        let tells = self.meter.hears_most(self.now, &self.copy.state);
         if !readings.is_empty() {
             for link in self.followers.links() {
                 out.push(Output::Proxy(link, Down::Meter(readings.clone(), Age::first(self.now))));
             }
+            self.unread.clear();
+        }
+        self.readings = tells.then_some((self.now, readings));
+        self.tell_unread(out);
+    }
+
+    /// A proxy that begins here knows nothing of what the others use: it is told at once, also that nothing is.
+    fn tell_unread(&mut self, out: &mut Vec<Output>) {
+        let Some((made_at, readings)) = &self.readings else { return };
+        for link in std::mem::take(&mut self.unread) {
+            let age = Age::again(self.now, *made_at);
+            out.push(Output::Proxy(link, Down::Meter(readings.clone(), age)));
         }
     }
 
--- a/crates/pegboard/src/meter.rs
+++ b/crates/pegboard/src/meter.rs
@@ -17,6 +17,8 @@
 const CHANCE: f64 = 3.0;
 /// A rise at one proxy that is more than chance: twice what it was, and so much in thousandths of a request a second.
 const RISE: u32 = 4_000;
+/// So many of so many proxies are most of them.
+const MOST: (usize, usize) = (3, 4);
 /// More than so many times its rate is wanted of a tenant in a flood.
 const FLOOD: f64 = 1.05;
 
@@ -78,6 +80,15 @@
         floods
     }
 
+    /// Whether most proxies are heard of, so that what is read tells how things stand: not just after the start of this
+    /// registry.
+    pub fn hears_most(&self, now: Micros, state: &State) -> bool {
+        let heard =
+            |r: &&Report| now <= r.heard_at + HOLD * self.every_us && state.nodes.contains_key(&r.usage.ip);
+        let heard = self.reports.values().filter(heard).count();
+        heard * MOST.1 >= state.nodes.len() * MOST.0
+    }
+
     /// What was reported here since the last time, for the other registries.
     pub fn news(&mut self) -> Vec<Usage> {
         let fresh = self.reports.values_mut().filter(|r| !r.told);
--- a/crates/pegboard/tests/meter.rs
+++ b/crates/pegboard/tests/meter.rs
@@ -99,3 +99,34 @@
     let again = meter.take(SECOND, usage(1, 1, 3, 9_500, 3_000), false);
     assert!(!again, "it is a flood already");
 }
+
+/// Where proxies begin anew in a row while a tenant floods, each would otherwise send ahead until the next round tells it.
+#[test]
+fn a_proxy_that_begins_is_told_at_once_what_all_use_once_most_are_heard_of() {
+    let mut r = Registry::new(commands());
+    let hello = |last| Input::Proxy(u64::from(last), Up::Hello { node: node(last, "north-a"), rev: 0 });
+    let meters = |r: &Registry, to: u64| {
+        let of = |o: &&Output| matches!(o, Output::Proxy(link, Down::Meter(..)) if *link == to);
+        r.out.iter().filter(of).count()
+    };
+    r.tell(hello(1));
+    r.wait(BEAT);
+    assert_eq!(meters(&r, 1), 0, "a registry that hears nobody cannot tell");
+    for last in 1..=4 {
+        let usage = vec![usage(last, 1, 1, 9_000, 6_000)];
+        r.tell(Input::Proxy(1, Up::Report { rev: 2, head: None, seen: Vec::new(), usage }));
+    }
+    r.wait(BEAT / 2);
+    assert!(meters(&r, 1) > 0);
+    r.out.clear();
+    r.tell(hello(5));
+    let age = r.out.iter().find_map(|o| match o {
+        Output::Proxy(5, Down::Meter(readings, age)) => {
+            Some((readings.len(), age.expect("it tells its age")))
+        }
+        _ => None,
+    });
+    let (readings, age) = age.expect("told with its greeting");
+    assert_eq!((readings, age.at), (1, r.now));
+    assert!(age.age_us <= BEAT / 3, "{age:?}");
+}
--- a/crates/proxy/src/tenants.rs
+++ b/crates/proxy/src/tenants.rs
@@ -126,8 +126,13 @@
 
     /// Whether one more may be sent on by what is earned here: in a flood, what was sent ahead is paid back first.
     pub fn may_send(&self, now: Micros, plan: usize, even: Even, nodes: usize) -> bool {
-        let Some(t) = self.all.get(plan).filter(|_| plan > 0 && even.rate > 0.0) else { return true };
-        !self.is_flooded(now, plan) || t.earned(now, even, nodes, true) >= 1.0
+        if plan == 0 || even.rate <= 0.0 {
+            return true;
+        }
+        let Some(t) = self.all.get(plan) else { return true };
+        // Where many have just begun anew, readings tell for a moment that a flood is over that is not.
+        let floods = self.is_flooded(now, plan) || now < t.unforgiven_until;
+        !floods || t.earned(now, even, nodes, true) >= 1.0
     }
 
     /// The last reading, if it still holds, tells of a flood.
--- a/crates/proxy/tests/tenants.rs
+++ b/crates/proxy/tests/tenants.rs
@@ -263,3 +263,20 @@
         assert_eq!(tenants.spread(now, 1, 10), spread, "made {made_ago} us ago");
     }
 }
+
+/// A reading that calls a flood over just after many proxies have begun anew lets nobody send ahead.
+#[test]
+fn nothing_is_sent_ahead_for_a_while_after_a_flood() {
+    let (quota, even) = (Quota { rate: 10.0, burst: 0.5 }, Even { rate: 0.1, burst: 0.5, ahead: 2.0 });
+    let flood = Reading { tenant: 0, wanted: 60_000, used: 9_000, shares: 100_000 };
+    let over = Reading { tenant: 0, wanted: 3_000, used: 3_000, shares: 100_000 };
+    let mut tenants = Tenants::new(EVERY, 1);
+    let now = 10 * EVERY;
+    tenants.read(now, now, 1, &flood, 100, quota);
+    tenants.sent(now, 1, even, 100);
+    tenants.read(now + EVERY, now + EVERY, 1, &over, 100, quota);
+    assert!(!tenants.may_send(now + EVERY, 1, even, 100), "readings waver");
+    let later = now + 20 * EVERY;
+    tenants.read(later, later, 1, &over, 100, quota);
+    assert!(tenants.may_send(later, 1, even, 100), "the flood is over");
+}
