--- a/crates/dryfit/src/judge.rs
+++ b/crates/dryfit/src/judge.rs
@@ -340,9 +340,9 @@
         let limit = self.r.bounds.drain_limit;
         for (n, _, a) in arrivals(self.r).filter(|x| x.2.turned_away != Some(421)) {
             let left = self.r.leaves.iter().find(|l| l.server == a.server && l.at + limit < a.at);
+            // Whoever acknowledged it, in touch or not.
             if let Some(l) = left
                 && self.r.in_touch(a.edge, a.sent)
-                && self.r.in_touch(l.by, l.at)
             {
                 let late = (a.at - l.at) as f64 / 1e6;
                 let what = format!("reached {} {late:.3} s after its leaving was acknowledged", a.server);
--- /dev/null
+++ b/crates/lab/tests/soak.rs
@@ -0,0 +1,216 @@
+//! The soak: what its schedules hold, what its rules catch, and a short run of it. Every rule that it judges beside those of
+//! `dryfit` has a breach planted in the record of a good day.
+
+mod common;
+
+use curlewfront_lab::soak::{self, Options, schedule, shape::Shape};
+use curlewfront_lab::system::observed::{Observed, Readiness, StaleAddress, TimeHanded};
+use curlewfront_lab::system::rules;
+use dryfit::SECOND;
+use dryfit::hunt::play;
+use dryfit::record::{Answer, Host, Record, Trouble};
+use dryfit::scenario::Scenario;
+use std::path::PathBuf;
+
+const DAY: &str = "
+seconds 46
+at 12 add-route fresh to tiro
+at 13 shift r-tiro to kawe
+";
+
+struct Seen {
+    record: Record,
+    observed: Observed,
+    hangups: Vec<(u64, Host)>,
+}
+
+fn good() -> Seen {
+    let played = play(&Scenario::read(DAY).expect("a scenario"), 7, false);
+    assert_eq!(played.unmet, Vec::<String>::new());
+    Seen { record: played.record, observed: Observed::default(), hangups: Vec::new() }
+}
+
+fn broken(plant: impl FnOnce(&mut Seen)) -> Vec<&'static str> {
+    let mut seen = good();
+    plant(&mut seen);
+    rules::judge(&seen.record, &seen.observed, &seen.hangups).iter().map(|b| b.rule).collect()
+}
+
+/// The first tries that were sent after this second and served by one server, `count` of them.
+fn served(record: &Record, after: u64, count: usize) -> Vec<usize> {
+    let fits = |n: &usize| {
+        let t = &record.tries[*n];
+        t.sent > after * SECOND && t.arrivals.len() == 1 && t.answer.as_ref().is_some_and(|a| a.status == 200)
+    };
+    let found: Vec<usize> = (0..record.tries.len()).filter(fits).take(count).collect();
+    assert_eq!(found.len(), count);
+    found
+}
+
+/// Cut off after the server had it.
+fn cut_off(record: &mut Record, n: usize) {
+    let t = &mut record.tries[n];
+    let arrived = t.arrivals[0].at;
+    (t.answer, t.broken) = (None, Some(arrived + 1));
+}
+
+#[test]
+fn a_good_day_breaks_none() {
+    assert_eq!(broken(|_| {}), [""; 0]);
+}
+
+#[test]
+fn requests_cut_off_over_kept_connections() {
+    let plant = |count: usize| {
+        move |seen: &mut Seen| {
+            for n in served(&seen.record, 20, count) {
+                cut_off(&mut seen.record, n);
+                seen.observed.over_kept.insert(n as u64);
+            }
+        }
+    };
+    assert_eq!(broken(plant(4)), ["LOST"]);
+    assert_eq!(broken(plant(3)), [""; 0], "three are forgiven");
+}
+
+#[test]
+fn a_request_cut_off_after_a_hangup() {
+    let rules = broken(|seen| {
+        let n = served(&seen.record, 20, 1)[0];
+        cut_off(&mut seen.record, n);
+        let t = &seen.record.tries[n];
+        seen.hangups.push((t.sent - SECOND, t.edge));
+    });
+    assert_eq!(rules, ["LOST"]);
+}
+
+#[test]
+fn one_try_on_too_many_servers() {
+    let rules = broken(|seen| {
+        for n in served(&seen.record, 20, 4) {
+            for more in ["x", "y"] {
+                let mut again = seen.record.tries[n].arrivals[0].clone();
+                again.server.push_str(more);
+                seen.record.tries[n].arrivals.push(again);
+            }
+        }
+    });
+    assert_eq!(rules, ["BUDGET"]);
+}
+
+#[test]
+fn servers_handed_more_time_than_is_left() {
+    let rules = broken(|seen| {
+        for n in served(&seen.record, 20, 40) {
+            let (at, left) = (seen.record.tries[n].arrivals[0].at, Some(9 * SECOND));
+            seen.observed.handed.push(TimeHanded { attempt: n as u64, at, left });
+        }
+    });
+    assert_eq!(rules, ["BUDGET"]);
+}
+
+#[test]
+fn work_for_clients_that_have_left() {
+    let rules = broken(|seen| {
+        for n in served(&seen.record, 20, 8) {
+            let left = seen.record.tries[n].arrivals[0].at;
+            seen.observed.left.insert(n as u64, left);
+            seen.observed.worked_until.insert(n as u64, left + SECOND);
+        }
+    });
+    assert_eq!(rules, ["GONE"]);
+}
+
+#[test]
+fn no_answer_at_the_deadline() {
+    let rules = broken(|seen| {
+        for n in served(&seen.record, 20, 9) {
+            let t = &mut seen.record.tries[n];
+            (t.until, t.answer) = (t.sent + 6 * SECOND, None);
+        }
+    });
+    assert_eq!(rules, ["CONFIG"]);
+}
+
+#[test]
+fn added_routes_that_are_hardly_served() {
+    let rules = broken(|seen| {
+        for t in &mut seen.record.tries {
+            if t.path.starts_with("/fresh/") && t.sent > 13 * SECOND {
+                t.answer = t.answer.take().map(|a| Answer { status: 503, ..a });
+            }
+        }
+    });
+    assert_eq!(rules, ["CONFIG"]);
+}
+
+#[test]
+fn processes_that_were_asked_to_end_and_count_as_ready() {
+    let rules = broken(|seen| {
+        for host in [4, 5, 6] {
+            let from = 20 * SECOND;
+            let what = format!("asked to end: machine {host}");
+            seen.record.troubles.push(Trouble { host, from, until: from, planned: true, what });
+            for at in [from - SECOND, from + 5 * SECOND] {
+                seen.observed.readiness.push(Readiness { at, host, life: 1, ready: true });
+            }
+        }
+    });
+    assert_eq!(rules, ["DRAIN"]);
+}
+
+#[test]
+fn a_directory_that_names_who_is_gone() {
+    let rules = broken(|seen| {
+        for n in 0..4 {
+            let (at, by) = ((30 + n) * SECOND, 0);
+            seen.observed.stale_addresses.push(StaleAddress { at, by, host: 4, down_for: 20 * SECOND });
+        }
+    });
+    assert_eq!(rules, ["DRAIN"]);
+}
+
+#[test]
+fn refused_for_good_by_machines_out_of_touch() {
+    let rules = broken(|seen| {
+        let tries = served(&seen.record, 20, 11);
+        for n in tries {
+            let t = &mut seen.record.tries[n];
+            t.answer = t.answer.take().map(|a| Answer { status: 401, ..a });
+            let (host, from) = (t.edge, t.sent);
+            let what = format!("killed: machine {host}");
+            seen.record.troubles.push(Trouble { host, from, until: from, planned: false, what });
+        }
+    });
+    assert_eq!(rules, ["DENIED"]);
+}
+
+/// A seed is a day: it is drawn alike each time, can be read, and is about what its kind says.
+#[test]
+fn a_seed_draws_the_same_day_each_time() {
+    for shape in [Shape::large(), Shape::small()] {
+        for seed in 1..=30 {
+            let text = schedule::draw(&shape, seed);
+            assert_eq!(text, schedule::draw(&shape, seed));
+            let day = Scenario::read(&text).unwrap_or_else(|e| panic!("seed {seed}: {e}"));
+            assert!(day.keeps_connections && day.probes && day.events.len() > 10, "seed {seed}");
+            let crowded = seed % shape.crowded_every == shape.crowded_every - 1;
+            assert_eq!(day.edges == shape.crowded, crowded, "seed {seed}");
+        }
+    }
+}
+
+/// The short run of CI: planned work, core machines that end, kills. The bounds in time are seconds, which only a hang
+/// reaches.
+#[test]
+fn a_short_soak_keeps_all_rules() {
+    let bin = common::built(&["curlewfront-planchest", "curlewfront-pegboard", "curlewfront-proxy"]);
+    let out = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak");
+    let (seeds, shape) = (vec![5, 6, 7], Shape::small());
+    let options = Options { out, bin, seeds, shape, jobs: 3, processes: 100, keep_all: false };
+    let report = soak::run(&options).expect("the days are played");
+    assert_eq!(report.rows.len(), 3);
+    let lines: Vec<String> = report.rows.iter().map(|row| row.line()).collect();
+    assert_eq!(report.failed(), 0, "kept in {}:\n{}", options.out.display(), lines.join("\n"));
+    assert!(report.rows.iter().all(|row| row.served > 0 && row.probes > 0), "{}", lines.join("\n"));
+}
