End a program whose work has ended, and give its work the stack of a thread

Cause: a coroutine that overflows its stack is gone without a word, and nobody looked whether the work goes on; its stack of 64 KB, chosen for connections, held the whole state machine. Class: a part that answers for a whole that is no longer there. Change: a thread waits for the end of the work and ends the program with a line that says so, so that the platform starts it again; the machine's coroutine has 2 MB, of which only what is used takes memory.

--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -45,11 +45,27 @@
 impl<T: Send + 'static> Stage<T> {
     /// Turns the machine until it says on the other end of `ended` that all is over.
     pub fn work(self, machine: impl Machine<Told = T>, ended: &Receiver<()>) -> Result<()> {
-        turn::turn(self.clock, self.alarm, self.inbox, machine);
-        ended.recv().map_err(|_| miette!("the work has ended by a fault"))
+        let work = turn::turn(self.clock, self.alarm, self.inbox, machine);
+        end_with(work)?;
+        ended.recv().map_err(|_| miette!(FAULT))
     }
 }
 
+const FAULT: &str = "the work has ended by a fault";
+
+/// Ends the program if its work ends by itself. It never does in order, and one that has overflowed its stack frees nothing
+/// and tells nobody: listeners would go on taking connections that nobody answers, and count as ready.
+fn end_with(work: may::coroutine::JoinHandle<()>) -> Result<()> {
+    let thread = std::thread::Builder::new().name("work".into()).stack_size(64 * 1024);
+    let started = thread.spawn(move || {
+        let _ = work.join();
+        ring::write_out(FAULT);
+        eprintln!("{FAULT}");
+        std::process::exit(1);
+    });
+    started.map(|_| ()).map_err(|e| miette!("cannot start a thread: {e}"))
+}
+
 /// What the platform asks of a running program.
 pub enum Asked {
     /// End in order.
--- a/crates/runtime/src/turn.rs
+++ b/crates/runtime/src/turn.rs
@@ -1,6 +1,7 @@
 //! The loop that turns a state machine: what has come is handed in, what it answers is carried out, and it is called
 //! again when it wants to be.
 
+use may::coroutine::JoinHandle;
 use std::sync::Arc;
 use tongs::Micros;
 use tongs::clock::{Alarm, Clock};
@@ -8,6 +9,9 @@
 
 /// A loop that comes so much later than it wanted to says so: whatever it is late with may have that as its cause.
 const LATE_US: Micros = 300_000;
+/// Stack of a machine's coroutine in machine words: as much as a thread has, of which only what is used takes memory. The
+/// small ones of connections are no measure for it: it reads configurations and makes lists of all servers.
+const STACK: usize = 0x4_0000;
 /// Messages taken before the connections get their turn again.
 const BATCH: usize = 64;
 
@@ -23,8 +27,14 @@
 /// Where a machine's messages go.
 pub type Inbox<T> = Arc<Mailbox<T>>;
 
-pub(crate) fn turn<M: Machine>(clock: Clock, mut alarm: Alarm, inbox: Inbox<M::Told>, mut machine: M) {
-    may::go!(move || {
+pub(crate) fn turn<M: Machine>(
+    clock: Clock,
+    mut alarm: Alarm,
+    inbox: Inbox<M::Told>,
+    mut machine: M,
+) -> JoinHandle<()> {
+    let builder = may::coroutine::Builder::new().name("work".into()).stack_size(STACK);
+    may::go!(builder, move || {
         let mut batch = Vec::with_capacity(BATCH);
         let mut due = Micros::MAX;
         loop {
@@ -47,5 +57,6 @@
                 log::error!("cannot set a timer: {e}");
             }
         }
-    });
+    })
+    .expect("a coroutine can be made")
 }
