End a drill's lease no sooner than had it not waited

Cause: a lease counted from the least time at which it can have been said, which is too early by a round trip, so that a drill ended that much before its time (FOLLOW in drill-each-fault, seed 1). Change: leases go by the message that came with the least delay, which only takes off what waited.

--- a/crates/proxy/src/feed.rs
+++ b/crates/proxy/src/feed.rs
@@ -98,6 +98,8 @@
     /// There, and here at the least.
     first_said: Micros,
     asked_at: Micros,
+    /// How far the clock here is ahead when something comes that did not wait: the least that was seen.
+    ahead: i64,
 }
 
 impl PeerClock {
@@ -105,6 +107,15 @@
     fn here(self, said_at: Micros) -> Micros {
         self.asked_at + said_at.saturating_sub(self.first_said)
     }
+
+    fn came(&mut self, now: Micros, said_at: Micros) {
+        self.ahead = self.ahead.min(now.wrapping_sub(said_at) as i64);
+    }
+
+    /// When that would have come had it not waited: never too early, as nothing may end before its time for that.
+    fn without_waiting(self, said_at: Micros) -> Micros {
+        said_at.wrapping_add_signed(self.ahead)
+    }
 }
 
 impl Parent {
@@ -112,7 +123,8 @@
     fn said_at(&mut self, now: Micros, said_at: Option<Micros>) -> Micros {
         let Some(said_at) = said_at else { return now };
         let asked_at = self.linked_at;
-        let clock = *self.clock.get_or_insert(PeerClock { first_said: said_at, asked_at });
+        let clock = self.clock.get_or_insert(PeerClock { first_said: said_at, asked_at, ahead: i64::MAX });
+        clock.came(now, said_at);
         clock.here(said_at).min(now)
     }
 }
@@ -345,23 +357,28 @@
             Down::News(news) => out.push(Output::News(news)),
             Down::Standing(standing) => self.standing(link, standing, copy, out),
             Down::Meter(readings, said) => {
-                let Some(made_at) = self.made_at(link, said) else { return };
+                let Some(made_at) = self.made_at(link, said, PeerClock::here) else { return };
                 self.pass_down(Down::Meter(readings.clone(), Age::again(now, made_at)), out);
                 out.push(Output::Meter(readings, made_at));
             }
             Down::Leases(leases, said) => {
-                let Some(made_at) = self.made_at(link, said) else { return };
+                let Some(made_at) = self.made_at(link, said, PeerClock::without_waiting) else { return };
                 self.pass_down(Down::Leases(leases.clone(), Age::again(now, made_at)), out);
                 out.push(Output::Leases(leases, made_at));
             }
         }
     }
 
-    /// When what comes by this link was made, by the clock here; None: it is not of who is followed.
-    fn made_at(&self, link: u64, said: Option<Age>) -> Option<Micros> {
+    /// When what comes by this link was made, by the clock `here`; None: it is not of who is followed.
+    fn made_at(
+        &self,
+        link: u64,
+        said: Option<Age>,
+        here: impl Fn(PeerClock, Micros) -> Micros,
+    ) -> Option<Micros> {
         let parent = self.parent.as_ref().filter(|p| p.link == link)?;
         let here =
-            said.zip(parent.clock).map(|(said, clock)| clock.here(said.at).saturating_sub(said.age_us));
+            said.zip(parent.clock).map(|(said, clock)| here(clock, said.at).saturating_sub(said.age_us));
         Some(here.map_or(self.now, |at| at.min(self.now)))
     }
 
