--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -16,6 +16,7 @@
 use std::collections::VecDeque;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::signal::unix::{SignalKind, signal};
 
 /// What a soak is asked to do.
 #[derive(Clone, Debug)]
@@ -34,7 +35,7 @@
     pub keep_all: bool,
 }
 
-/// Plays a day for each seed and writes the report.
+/// Plays a day for each seed and writes the report; asked to end by a signal, of the days that were played.
 pub fn run(options: &Options) -> Result<Report, String> {
     let out = &options.out;
     std::fs::create_dir_all(out).map_err(|e| format!("{}: {e}", out.display()))?;
@@ -55,6 +56,10 @@
     rows.sort_by_key(|row: &Row| row.seed);
     let report = Report { rows };
     report.write(out)?;
+    if report.rows.len() < options.seeds.len() {
+        let (played, all) = (report.rows.len(), options.seeds.len());
+        return Err(format!("ended by a signal after {played} of {all} days; {}", out.display()));
+    }
     Ok(report)
 }
 
@@ -74,7 +79,10 @@
         let text = schedule::draw(&options.shape, seed);
         let scenario = Scenario::read(&text).map_err(|e| format!("seed {seed}: {e}"))?;
         let _room = budget.take(processes_of(&scenario));
-        let row = play(options, seed, &text, &scenario)?;
+        let Some(row) = play(options, seed, &text, &scenario)? else {
+            lock(waiting).clear();
+            return Ok(());
+        };
         println!("{}", row.line());
         lock(rows).push(row);
     }
@@ -84,8 +92,8 @@
     2 * scenario.cores.len() + scenario.edges
 }
 
-/// One day; what it left is removed where it kept all rules.
-fn play(options: &Options, seed: u64, text: &str, scenario: &Scenario) -> Result<Row, String> {
+/// One day; what it left is removed where it kept all rules. None: the lab was asked to end.
+fn play(options: &Options, seed: u64, text: &str, scenario: &Scenario) -> Result<Option<Row>, String> {
     let dir = options.out.join(format!("seed-{seed}"));
     clear(&dir)?;
     let day_options =
@@ -94,8 +102,18 @@
         .enable_all()
         .build()
         .map_err(|e| format!("no runtime: {e}"))?;
-    let day = runtime.block_on(system::run(scenario, &day_options));
+    // A signal to the lab ends what it has started, too: the day is dropped.
+    let day = runtime.block_on(async {
+        let mut asked =
+            signal(SignalKind::terminate()).map_err(|e| format!("cannot watch for signals: {e}"))?;
+        tokio::select! {
+            day = system::run(scenario, &day_options) => Ok(Some(day)),
+            _ = asked.recv() => Ok::<_, String>(None),
+            _ = tokio::signal::ctrl_c() => Ok(None),
+        }
+    });
     drop(runtime);
+    let Some(day) = day? else { return Ok(None) };
     let row = match &day {
         Ok(day) => {
             evidence::write(&dir, text, day)?;
@@ -109,7 +127,7 @@
     if row.kept() && !options.keep_all {
         clear(&dir)?;
     }
-    Ok(row)
+    Ok(Some(row))
 }
 
 fn clear(dir: &Path) -> Result<(), String> {
