--- a/crates/dryfit/src/process.rs
+++ b/crates/dryfit/src/process.rs
@@ -225,6 +225,7 @@
                     sync_us: self.record.bounds.sync,
                     settle_us: self.record.bounds.config_apply,
                     zones_lost: 1,
+                    repeat_us: pegboard::board::REPEAT_US,
                 };
                 let board = Board::new(terms, 0);
                 let (store, peers, calls) = Default::default();
@@ -252,6 +253,7 @@
                         zones: zones.clone(),
                         leeway,
                         times: Times { settle_us: b.config_apply, hold_us: b.contact },
+                        trial_share: proxy::rollout::trial_share(None),
                     },
                 );
                 let node = Node { ip, name, zone: zone.0, region: zone.1, front };
--- a/crates/dryfit/src/weigh.rs
+++ b/crates/dryfit/src/weigh.rs
@@ -205,7 +205,9 @@
     let me = node(0);
     let leeway = Leeway { excess: 0.1, margin: 20.0, period_s: 5.0, retry_ratio: 0.2, retry_slack: 60.0 };
     let zones = ZONES.iter().map(|z| (z.0.into(), z.1.into())).collect();
-    let place = Place { ip: me.ip, zone: me.zone, region: me.region, zones, leeway, times: Times::default() };
+    let trial_share = proxy::rollout::trial_share(None);
+    let (zone, region) = (me.zone, me.region);
+    let place = Place { ip: me.ip, zone, region, zones, leeway, times: Times::default(), trial_share };
     Front::new(place, BEAT_US, 1, 0)
 }
 
@@ -265,7 +267,7 @@
     let (servers, nodes) = presence.news();
     let (ip, zone) = (Ipv4Addr::new(10, 0, 0, 1), "a".to_string());
     let (usage, heads, leases) = (Vec::new(), Vec::new(), Vec::new());
-    let gossip = Gossip { ip, zone, servers, nodes, usage, heads, day_ms: None, leases };
+    let gossip = Gossip { ip, zone, servers, nodes, usage, heads, day_ms: None, leases, tallies: vec![] };
     w.beats = (us as f64 / ids.len().max(1) as f64, bytes(&gossip), w.beats.2);
 }
 
--- a/crates/jig/src/api.rs
+++ b/crates/jig/src/api.rs
@@ -25,12 +25,16 @@
     StopDrill,
     ShowDrill,
     ListDrills,
+    StartRollout,
+    ShowRollout,
+    StopRollout,
+    ListRollouts,
     Resolve,
     Ready,
 }
 
 /// Each call: its method, its path, its `operationId`, and the name of the address that takes it.
-pub const CALLS: [(Call, &str, &str, &str, &str); 20] = [
+pub const CALLS: [(Call, &str, &str, &str, &str); 24] = [
     (Call::Beat, "PUT", "/api/instances/{server_id}", "beat", "control_port"),
     (Call::Leave, "DELETE", "/api/instances/{server_id}", "leave", "control_port"),
     (Call::PutConfig, "PUT", "/api/configuration", "putConfig", "control_port"),
@@ -49,6 +53,10 @@
     (Call::StopDrill, "DELETE", "/api/drills/{drill_name}", "stopDrill", "control_port"),
     (Call::ShowDrill, "GET", "/api/drills/{drill_name}", "showDrill", "control_port"),
     (Call::ListDrills, "GET", "/api/drills", "listDrills", "control_port"),
+    (Call::StartRollout, "POST", "/api/rollouts", "startRollout", "control_port"),
+    (Call::ShowRollout, "GET", "/api/rollouts/{service_ref}", "showRollout", "control_port"),
+    (Call::StopRollout, "DELETE", "/api/rollouts/{service_ref}", "stopRollout", "control_port"),
+    (Call::ListRollouts, "GET", "/api/rollouts", "listRollouts", "control_port"),
     (Call::Resolve, "GET", "/api/resolution", "resolve", "directory_port"),
     (Call::Ready, "GET", "/api/readiness", "ready", "readiness"),
 ];
--- a/crates/jig/src/lib.rs
+++ b/crates/jig/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod config;
 pub mod drill;
 pub mod facts;
+pub mod rollout;
 pub mod scheme;
 pub mod settings;
 
--- a/crates/jig/src/settings.rs
+++ b/crates/jig/src/settings.rs
@@ -72,11 +72,11 @@
 bounds! {
     millis: u64 {
         contact_ms, ack_limit_ms, drain_limit_ms, loss_slack_ms, config_apply_ms, revert_slack_ms,
-        stretch_max_ms, revocation_ms, evacuation_ms,
+        stretch_max_ms, revocation_ms, evacuation_ms, revert_limit_ms,
     }
     figure: f64 {
         seed_delay_s, reuse_delay_s, sync_time_s, grace_period_s, retry_ratio, retry_window_s, retry_slack,
-        quota_period_s, quota_excess, quota_margin, cold_excess, cold_margin, recovery_s, ttl_max_s,
+        quota_period_s, quota_excess, quota_margin, exposure_share, exposure_margin, cold_excess, cold_margin, recovery_s, ttl_max_s,
     }
     truth: bool { revocation_global }
 }
--- a/crates/pegboard/src/board.rs
+++ b/crates/pegboard/src/board.rs
@@ -2,12 +2,14 @@
 //! registries and to the proxies come in; answers and messages go out. No I/O, no clock.
 
 mod booking;
+mod rollout;
 
 use crate::bookings::{Clocks, Duty};
 use crate::calls::{self, Answer, Request};
 use crate::drills::Leases;
 use crate::meter::Meter;
 use crate::presence::Presence;
+use crate::rollouts::Tallies;
 use crate::show::View;
 use jig::api::{self, Beat, Call};
 use jig::config::if_match;
@@ -15,6 +17,7 @@
 use rack::copy::{Copy, Took};
 use rack::drill::{DrillChange, Rows, Said};
 use rack::follow::Followers;
+use rack::rollout::Tally;
 use rack::state::{Change, Command, Done, Node, NodeChange, Server, ServerChange};
 use rack::talk::{
     Age, Down, FRESH_US, FromStore, Gossip, Head, News, Reading, Seen, Standing, ToStore, Unsure, Up, Usage,
@@ -40,8 +43,12 @@
     pub settle_us: Micros,
     /// How many zones may be lost at one time.
     pub zones_lost: usize,
+    /// For so long an operator repeats an order that was not answered.
+    pub repeat_us: Micros,
 }
 
+pub use rollout::REPEAT_US;
+
 pub enum Input {
     Tick,
     Call(u64, Request),
@@ -88,6 +95,8 @@
     Command { ticket: u64, at: Option<Rev>, done: Option<Done> },
     /// The configuration is read once the state has come so far.
     Read { ticket: u64, at: Option<Rev> },
+    /// So are the rollouts.
+    Rollouts { ticket: u64, at: Option<Rev>, shown: rollout::Shown },
 }
 
 struct Waiting {
@@ -149,6 +158,8 @@
     clocks: Clocks,
     duty: Duty,
     under_way_booked: booking::UnderWay,
+    /// What proxies counted of rollouts.
+    tallies: Tallies,
 }
 
 impl Board {
@@ -190,6 +201,7 @@
             clocks: Clocks::new(CLOCK_BEATS * terms.beat_us),
             duty: Duty::new(terms.beat_us, terms.settle_us),
             under_way_booked: Default::default(),
+            tallies: Tallies::default(),
             terms,
         }
     }
@@ -233,6 +245,7 @@
                 for usage in gossip.usage {
                     self.usage(usage, true);
                 }
+                self.take_tallies(gossip.tallies, true);
                 for (region, head) in gossip.heads {
                     self.head(region, head);
                 }
@@ -273,6 +286,8 @@
                 | Call::PutDrill
                 | Call::StopDrill
                 | Call::ShowDrill
+                | Call::StartRollout
+                | Call::StopRollout
         );
         let answer = match call {
             _ if by_copy && !self.is_fresh() => Some(Answer::unavailable(CUT_OFF)),
@@ -331,6 +346,10 @@
                 }
             }
             Call::ListDrills => Some(self.view().drills()),
+            Call::StartRollout => self.start_rollout(id, request, out),
+            Call::StopRollout => self.stop_rollout(id, argument, out),
+            Call::ShowRollout => self.show_rollouts(id, rollout::Shown::Of(argument), out),
+            Call::ListRollouts => self.show_rollouts(id, rollout::Shown::All, out),
             Call::ShowDrill => Some(self.view().drill(&argument)),
             Call::Ready => Some(Answer::error(404, "not served here")),
         };
@@ -380,7 +399,7 @@
             return;
         }
         begun.into_iter().for_each(|(epoch, ends)| self.leases.hear(epoch, ends));
-        self.gossip(Vec::new(), Vec::new(), Vec::new(), Vec::new(), out);
+        self.gossip(Vec::new(), Vec::new(), Vec::new(), Vec::new(), Vec::new(), out);
         self.tell_leases(out);
     }
 
@@ -507,13 +526,18 @@
         }
         let cold_ms = u32::try_from(beat.cold_left_ms).unwrap_or(u32::MAX);
         let known = self.copy.state.servers.get(server);
+        let version = beat.information.as_ref().and_then(|about| about.version.clone());
+        let tells_version = version.filter(|v| self.copy.state.versions.get(server) != Some(v));
         let change = match (known, beat.information) {
             (Some(s), _) if draining && !s.draining => ServerChange::Draining { id: server.into() },
             // Told to be cold though it was taken for warm, or for warm again much sooner.
             (Some(s), _) if !s.draining && calls::colder(s, self.now, cold_ms) => {
                 ServerChange::Cold { id: server.into(), left_ms: cold_ms }
             }
-            (Some(_), _) => return Some(Answer::ok()),
+            (Some(_), _) => match tells_version.clone() {
+                Some(version) => ServerChange::Runs { id: server.into(), version },
+                None => return Some(Answer::ok()),
+            },
             (None, Some(about)) => ServerChange::Up(Server {
                 id: server.into(),
                 service: about.service,
@@ -526,8 +550,11 @@
             }),
             (None, None) => return Some(Answer::error(400, "information: needed at first")),
         };
-        if !self.servers.contains(&change) {
-            self.servers.push(change);
+        let runs = tells_version.map(|version| ServerChange::Runs { id: server.into(), version });
+        for change in [Some(change), runs].into_iter().flatten() {
+            if !self.servers.contains(&change) {
+                self.servers.push(change);
+            }
         }
         let batch = self.batch;
         self.wait(id, Wait::Batch(batch))
@@ -623,7 +650,9 @@
             }
             FromStore::Reads { ticket, result } => {
                 let found = self.waiting.iter_mut().find_map(|(id, w)| match &mut w.wait {
-                    Wait::Read { ticket: t, at } if *t == ticket => Some((*id, at)),
+                    Wait::Read { ticket: t, at } | Wait::Rollouts { ticket: t, at, .. } if *t == ticket => {
+                        Some((*id, at))
+                    }
                     _ => None,
                 });
                 let Some((id, at)) = found else { return };
@@ -705,6 +734,7 @@
                     Some(config) => Answer::json(200, config.write()),
                     None => Answer::error(404, "no configuration yet"),
                 }),
+                Wait::Rollouts { at: Some(at), shown, .. } if *at <= rev => Some(self.rollouts_shown(shown)),
                 _ => None,
             };
             answers.extend(answer.map(|a| (*id, a)));
@@ -742,6 +772,7 @@
                 self.feed(out);
             }
             Up::Drill(rows) => self.drill_rows(rows, out),
+            Up::Rollout(tallies) => self.take_tallies(tallies, false),
         }
     }
 
@@ -787,7 +818,7 @@
         self.meter_at = Micros::MAX;
         let usage = self.meter.news();
         if !usage.is_empty() {
-            self.gossip(Vec::new(), Vec::new(), usage, Vec::new(), out);
+            self.gossip(Vec::new(), Vec::new(), usage, Vec::new(), Vec::new(), out);
         }
         let readings = self.meter.read(self.now, &self.copy.state);
         let tells = self.meter.hears_most(self.now, &self.copy.state);
@@ -816,6 +847,7 @@
         nodes: Vec<Seen>,
         usage: Vec<Usage>,
         heads: Vec<(String, Head)>,
+        tallies: Vec<Tally>,
         out: &mut Vec<Output>,
     ) {
         let (me, zone) = (self.terms.me, &self.terms.zone);
@@ -824,8 +856,8 @@
         for ip in self.core.iter().filter(|c| **c != me) {
             let (zone, servers) = (zone.clone(), servers.clone());
             let (nodes, usage, heads) = (nodes.clone(), usage.clone(), heads.clone());
-            let leases = leases.clone();
-            let gossip = Gossip { ip: me, zone, servers, nodes, usage, heads, day_ms, leases };
+            let (leases, tallies) = (leases.clone(), tallies.clone());
+            let gossip = Gossip { ip: me, zone, servers, nodes, usage, heads, day_ms, leases, tallies };
             out.push(Output::Peer(*ip, gossip));
         }
     }
@@ -847,10 +879,12 @@
         }
         let (servers, nodes) = self.presence.news();
         let heads = self.heads.iter().map(|(region, head)| (region.clone(), *head)).collect();
-        self.gossip(servers, nodes, Vec::new(), heads, out);
+        let tallies = self.tallies.news();
+        self.gossip(servers, nodes, Vec::new(), heads, tallies, out);
         self.tell_leases(out);
         self.propose_rows(out);
         self.end_drills(out);
+        self.tend_rollouts(out);
         self.write_off(out);
         self.tend_bookings(out);
     }
--- /dev/null
+++ b/crates/pegboard/src/board/rollout.rs
@@ -0,0 +1,123 @@
+//! Calls that concern rollouts, and the duty to decide on them.
+
+use super::{Board, Wait};
+use crate::calls::{Answer, Request};
+use crate::rollouts::{Ground, Step};
+use jig::rollout::Order;
+use jzon::JsonValue;
+use rack::Micros;
+use rack::rollout::{Rollout, RolloutChange, Tally};
+use rack::state::Command;
+use rack::talk::ToStore;
+use std::net::Ipv4Addr;
+
+use super::{Output, PARTS};
+
+/// What of the rollouts a call asks for, once the state has come far enough to tell.
+pub(super) enum Shown {
+    Of(String),
+    All,
+}
+
+impl Board {
+    pub(super) fn start_rollout(
+        &mut self,
+        id: u64,
+        request: &Request,
+        out: &mut Vec<Output>,
+    ) -> Option<Answer> {
+        let order = match Order::read(&request.body) {
+            Ok(order) => order,
+            Err(why) => return Some(Answer::error(400, &why.to_string())),
+        };
+        let state = &self.copy.state;
+        let known = state.config.iter().flat_map(|c| &c.services).any(|s| s.name == order.service);
+        if !known && state.config.is_some() {
+            return Some(Answer::error(404, &format!("no service {:?} in the configuration", order.service)));
+        }
+        // What comes later than an order may be repeated is a new one.
+        let ended = state.rollouts.0.get(&order.service).filter(|r| r.stage.is_over());
+        let ended = ended.filter(|r| r.age_us(self.now) > self.terms.repeat_us);
+        let after = ended.map(|r| r.epoch);
+        self.order(id, Command::Rollout(RolloutChange::Start { order, after }), out)
+    }
+
+    pub(super) fn stop_rollout(&mut self, id: u64, service: String, out: &mut Vec<Output>) -> Option<Answer> {
+        if !self.copy.state.rollouts.0.contains_key(&service) {
+            return Some(Answer::error(404, &format!("no rollout of {service:?}")));
+        }
+        self.order(id, Command::Rollout(RolloutChange::Stop { service }), out)
+    }
+
+    /// Told by a state that holds all that is acknowledged by now.
+    pub(super) fn show_rollouts(&mut self, id: u64, shown: Shown, out: &mut Vec<Output>) -> Option<Answer> {
+        let ticket = self.ticket();
+        out.push(Output::Store(ToStore::Read { ticket }));
+        self.wait(id, Wait::Rollouts { ticket, at: None, shown })
+    }
+
+    pub(super) fn rollouts_shown(&self, shown: &Shown) -> Answer {
+        let rollouts = &self.copy.state.rollouts.0;
+        match shown {
+            Shown::Of(service) => match rollouts.get(service) {
+                Some(rollout) => Answer::json(200, view(rollout).dump()),
+                None => Answer::error(404, &format!("no rollout of {service:?}")),
+            },
+            Shown::All => {
+                let list: Vec<JsonValue> = rollouts.values().map(view).collect();
+                Answer::json(200, jzon::object! { rollout_list: list }.dump())
+            }
+        }
+    }
+
+    pub(super) fn take_tallies(&mut self, tallies: Vec<Tally>, told: bool) {
+        for tally in tallies {
+            self.tallies.take(self.now, tally, told);
+        }
+    }
+
+    /// Beside the leader: takes the rollouts a step further.
+    pub(super) fn tend_rollouts(&mut self, out: &mut Vec<Output>) {
+        if self.copy.state.rollouts.is_empty() {
+            return;
+        }
+        self.tallies.keep(&self.copy.state.rollouts);
+        if !(self.leads && self.is_fresh()) {
+            return;
+        }
+        for command in self.rollout_steps() {
+            self.on_duty(command, out);
+        }
+    }
+
+    fn rollout_steps(&self) -> Vec<Command> {
+        let state = &self.copy.state;
+        let alive = |ip: &Ipv4Addr| self.presence.alive(self.now, state, *ip);
+        let proxies: Vec<Ipv4Addr> = state.nodes.keys().copied().filter(alive).collect();
+        let ground = Ground {
+            now: self.now,
+            tallies: &self.tallies,
+            proxies: &proxies,
+            tally_us: self.terms.beat_us / PARTS,
+            settle_us: self.terms.settle_us,
+        };
+        let advance = |rollout: &Rollout| {
+            let Step { to, reason } = ground.step(rollout)?;
+            let (service, epoch) = (rollout.order.service.clone(), rollout.epoch);
+            Some(Command::Rollout(RolloutChange::Advance { service, epoch, to, reason }))
+        };
+        state.rollouts.running().filter_map(advance).collect()
+    }
+}
+
+/// What operators are told of a rollout.
+fn view(rollout: &Rollout) -> JsonValue {
+    let mut view = rollout.order.write();
+    view["server_state"] = rollout.stage.progress().name().into();
+    view["stage"] = rollout.stage.name().into();
+    view["reason"] = rollout.reason.as_str().into();
+    view
+}
+
+/// How long an operator may repeat an order, where the settings do not tell.
+pub const REPEAT_US: Micros = 10_000_000;
--- a/crates/pegboard/src/calls.rs
+++ b/crates/pegboard/src/calls.rs
@@ -2,6 +2,7 @@
 
 use jig::config::show_version;
 use rack::Micros;
+use rack::rollout::Declined;
 use rack::state::{Done, Node, Server};
 
 /// A call as it came.
@@ -51,6 +52,10 @@
                 show_version(*from)
             )),
             Done::Unbooked(why) => crate::bookings::unbooked(why),
+            Done::Declined(Declined::NoService) => Answer::error(404, "no such service in the configuration"),
+            Done::Declined(Declined::UnderWay { target_version }) => {
+                Answer::error(409, &format!("a rollout to {target_version} is under way"))
+            }
         }
     }
 
--- a/crates/pegboard/src/lib.rs
+++ b/crates/pegboard/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod drills;
 pub mod meter;
 pub mod presence;
+pub mod rollouts;
 pub mod show;
--- a/crates/pegboard/src/main.rs
+++ b/crates/pegboard/src/main.rs
@@ -2,7 +2,7 @@
 //! configuration too.
 
 use miette::{Result, miette};
-use pegboard::board::{Board, Input, Output, Terms};
+use pegboard::board::{Board, Input, Output, REPEAT_US, Terms};
 use pegboard::calls::{self, Request};
 use rack::talk::{FromStore, Gossip, REGISTRY_NEWS, REGISTRY_PEERS, STORE_LOCAL, Up};
 use runtime::link::{Event, Line, SILENCE, Tie};
@@ -56,6 +56,7 @@
         sync_us: (s.bounds.sync_time_s.unwrap_or(SYNC_S) * 1e6) as Micros,
         settle_us: s.bounds.config_apply_ms.unwrap_or(SETTLE_MS) * 1000,
         zones_lost: s.tolerance.zones as usize,
+        repeat_us: s.bounds.ack_limit_ms.map_or(REPEAT_US, |ms| ms * 1000),
     };
     let draining = Arc::new(AtomicBool::new(false));
     let desk = Arc::new(Calls { inbox: inbox.clone(), draining: draining.clone() });
--- a/crates/pegboard/tests/common/mod.rs
+++ b/crates/pegboard/tests/common/mod.rs
@@ -93,6 +93,7 @@
             sync_us: 2 * SECOND,
             settle_us: 2 * SECOND,
             zones_lost: 1,
+            repeat_us: 10 * SECOND,
         };
         let mut registry = Registry {
             now: SECOND,
@@ -180,6 +181,7 @@
                 usage,
                 heads,
                 leases: vec![],
+                tallies: vec![],
                 day_ms: None,
             }));
         }
--- a/crates/pegboard/tests/show.rs
+++ b/crates/pegboard/tests/show.rs
@@ -21,6 +21,7 @@
         sync_us: 4 * SECOND,
         settle_us: 2 * SECOND,
         zones_lost: 1,
+        repeat_us: 10 * SECOND,
     };
     Board::new(terms, 0)
 }
--- a/crates/planchest/src/store.rs
+++ b/crates/planchest/src/store.rs
@@ -3,6 +3,7 @@
 
 use rack::booking::BookChange;
 use rack::drill::DrillChange;
+use rack::rollout::RolloutChange;
 use rack::state::{Command, NodeChange, ServerChange, State};
 use ratchet::disk::{self, DiskError, Look, Store};
 use ratchet::{Disk, Entry, Member, Payload, Roster, Saved};
@@ -195,6 +196,7 @@
                 ServerChange::Draining { id } => format!("{id} drains"),
                 ServerChange::Cold { id, .. } => format!("{id} cold"),
                 ServerChange::Gone { id, .. } => format!("{id} gone"),
+                ServerChange::Runs { id, version } => format!("{id} runs {version}"),
             };
             format!("servers: {}", changes.iter().map(one).collect::<Vec<_>>().join(", "))
         }
@@ -218,6 +220,15 @@
             DrillChange::Stop { name, why, .. } => format!("drill {name} ended: {why}"),
             DrillChange::Rows(rows) => format!("drills: told by {} proxies", rows.len()),
         },
+        Command::Rollout(change) => match change {
+            RolloutChange::Start { order, .. } => {
+                format!("rollout of {} to {}", order.service, order.target_version)
+            }
+            RolloutChange::Advance { service, to, reason, .. } => {
+                format!("rollout of {service} {}: {reason}", to.name())
+            }
+            RolloutChange::Stop { service } => format!("rollout of {service} stopped"),
+        },
         Command::Fenced { seen, order } => format!("{}, as of {seen}", command_words(*order)),
     }
 }
--- a/crates/proxy/src/book.rs
+++ b/crates/proxy/src/book.rs
@@ -3,8 +3,11 @@
 //! way when a new configuration comes keeps its meaning.
 
 use crate::cramp::Times;
+use crate::rollout::{Placed, Side};
 use curlewfront::{Class, Effect, Entry, Micros, Plan, Settings, State as Standing};
 use jig::config::{Config, Service};
+use rack::Rev;
+use rack::rollout::{Role, Rollout};
 use rack::state::{Node, Server, State};
 use rack::talk::tenant_key;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -22,6 +25,8 @@
     pub zones: BTreeMap<String, String>,
     pub leeway: Leeway,
     pub times: Times,
+    /// The share of a service's requests that a version on trial may get.
+    pub trial_share: f64,
 }
 
 /// By how much quotas may be exceeded, as the settings tell: by a part of what they allow and some requests more.
@@ -94,9 +99,23 @@
 const ELSEWHERE: f64 = 1.0;
 /// How far a server of another zone of this region is.
 pub const REGION: u32 = 1;
+/// How near servers are as the decisions see it: those on trial come first, for requests that may go there.
+const TRIAL_NEAR: u32 = 0;
+const REGULAR_NEAR: u32 = 1;
+/// Zones beyond this number take no part in trials: each zone's servers on trial are in a zone of their own, whose number is
+/// larger by this, so that a request's zones tell whether it may go there.
+const TRIAL_ZONES: u32 = 32;
+const REGULAR_MASK: u64 = (1 << TRIAL_ZONES) - 1;
+/// The fewest servers of a zone that are on trial at one time, if it has so many.
+const MIN_ON_TRIAL: usize = 2;
 /// While less than this part of a tenant's quota is used everywhere, so many of its requests may come at once here.
 const LOOSE_UNDER: f64 = 0.85;
 const LOOSE_BURST: f64 = 4.0;
+/// As far as the decisions may go for a request that may go no farther than this.
+pub fn reach_of(near: u32) -> u32 {
+    REGULAR_NEAR + near
+}
+
 const TICK_US: Micros = 1_000;
 const RETRY_AFTER_US: Micros = 1_000_000;
 
@@ -164,6 +183,8 @@
     pub entries: Vec<Entry>,
     /// With whether each may get more.
     pub peers: BTreeMap<u64, (Peer, bool)>,
+    /// The servers of services with a running rollout.
+    pub placed: BTreeMap<u64, Placed>,
     pub changes_at: Option<Micros>,
 }
 
@@ -245,6 +266,23 @@
         inside.filter_map(|(z, _)| self.zones.known(z)).filter(|n| *n < 64).fold(0, |set, n| set | 1 << n)
     }
 
+    /// The bits of the zones whose servers a request may go to that goes to none on trial.
+    pub fn without_trials(&self, zones: u64) -> u64 {
+        if self.has_trial_zones() { zones & REGULAR_MASK } else { zones }
+    }
+
+    /// The bits of the servers on trial of this region, in the given zones.
+    pub fn trials_in(&self, zones: u64) -> u64 {
+        if !self.has_trial_zones() {
+            return 0;
+        }
+        (zones & self.within(std::slice::from_ref(&self.place.region)) & REGULAR_MASK) << TRIAL_ZONES
+    }
+
+    fn has_trial_zones(&self) -> bool {
+        self.zones.0.len() <= TRIAL_ZONES as usize
+    }
+
     /// Takes a configuration over, at so many proxies.
     pub fn learn(&mut self, config: &Config, nodes: usize) {
         for route in &config.routes {
@@ -301,7 +339,10 @@
     /// The list of servers as the decisions are to see it. It is made anew at each change of any server, at each proxy:
     /// so all that is looked up for a server goes by numbers, and what is said of it is kept.
     pub fn list(&mut self, now: Micros, state: &State) -> List {
-        let mut list = List { entries: Vec::new(), peers: BTreeMap::new(), changes_at: None };
+        let mut list =
+            List { entries: Vec::new(), peers: BTreeMap::new(), placed: BTreeMap::new(), changes_at: None };
+        let duties = duties(state, self.place.trial_share);
+        let duty = |s: &Server| duties.get(s.id.as_str()).copied().unwrap_or(Duty::Regular);
         let known: Vec<Known> = state.servers.values().map(|s| self.known(s)).collect();
         // For each zone's proxies, how near the nearest servers of each service are; so, how many proxies go first to
         // the servers of a service in a zone.
@@ -310,8 +351,10 @@
             *places.entry(self.zones.of(&n.zone)).or_default() += 1;
         }
         let listed = || state.servers.values().zip(&known);
-        let used: BTreeSet<(u32, u32)> =
-            listed().filter(|(s, _)| usable(s, state)).map(|(_, k)| (k.peer.service, k.peer.zone)).collect();
+        let used: BTreeSet<(u32, u32)> = listed()
+            .filter(|(s, _)| usable(s, state) && duty(s) == Duty::Regular)
+            .map(|(_, k)| (k.peer.service, k.peer.zone))
+            .collect();
         let mut nearest: BTreeMap<(u32, u32), u32> = BTreeMap::new();
         for (zone, (service, at)) in places.keys().flat_map(|z| used.iter().map(move |u| (*z, *u))) {
             let near = self.near(zone, at);
@@ -339,7 +382,10 @@
             let told = services.get(&service).copied();
             let cold_until = self.cold_until(s, told, state);
             let cold = now < cold_until;
-            let mut up = usable(s, state) && !self.misled.contains(&number);
+            let duty = duty(s);
+            let trial = duty == Duty::Trial && zone < TRIAL_ZONES && self.has_trial_zones();
+            let mut up =
+                usable(s, state) && !self.misled.contains(&number) && (trial || duty == Duty::Regular);
             let mut cold_rate = 0.0;
             if cold {
                 list.changes_at = Some(list.changes_at.map_or(cold_until, |at| at.min(cold_until)));
@@ -350,16 +396,21 @@
             }
             list.entries.push(Entry {
                 server: number,
-                zone,
+                zone: if trial { zone + TRIAL_ZONES } else { zone },
                 state: if up { Standing::Up } else { Standing::Draining },
                 service,
-                near,
+                near: if trial { TRIAL_NEAR } else { REGULAR_NEAR + near },
                 part,
                 cold_rate,
                 cold_until_us: if cold { cold_until } else { 0 },
                 ..Entry::default()
             });
             list.peers.insert(number, (k.peer.clone(), up));
+            if let Some(rollout) = state.rollouts.running_of(&s.service) {
+                let side = if is_new(rollout, s, state) { Side::New } else { Side::Old };
+                let placed = Placed { epoch: rollout.epoch, side, trial, cold_until };
+                list.placed.insert(number, placed);
+            }
         }
         self.servers.retain(|id, _| state.servers.contains_key(id));
         self.misled.retain(|n| list.peers.contains_key(n));
@@ -409,6 +460,64 @@
     }
 }
 
+/// What a server is for while a rollout of its service runs, or after it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Duty {
+    Regular,
+    Trial,
+    Nothing,
+}
+
+/// The duties of the servers that are not regular ones, by their ids.
+fn duties(state: &State, trial_share: f64) -> BTreeMap<&str, Duty> {
+    let mut duties = BTreeMap::new();
+    if state.rollouts.is_empty() {
+        return duties;
+    }
+    let mut new: BTreeMap<(&str, &str), Vec<&Server>> = BTreeMap::new();
+    // Services of which a server of the new version may serve.
+    let mut replaced_by: BTreeSet<&str> = BTreeSet::new();
+    for s in state.servers.values() {
+        match state.role(s) {
+            Role::Regular if usable(s, state) => _ = replaced_by.insert(s.service.as_str()),
+            Role::Trial | Role::Partial if usable(s, state) => {
+                new.entry((s.service.as_str(), s.zone.as_str())).or_default().push(s);
+            }
+            _ => {}
+        }
+    }
+    for s in state.servers.values() {
+        let duty = match state.role(s) {
+            Role::Regular => continue,
+            Role::Replaced if !replaced_by.contains(s.service.as_str()) => continue,
+            _ => Duty::Nothing,
+        };
+        duties.insert(s.id.as_str(), duty);
+    }
+    for ((service, _), mut servers) in new {
+        let Some(rollout) = state.rollouts.running_of(service) else { continue };
+        let (count, duty) = match rollout.stage {
+            rack::rollout::Stage::Trial => {
+                let part = (servers.len() as f64 * trial_share).ceil() as usize;
+                (part.max(MIN_ON_TRIAL), Duty::Trial)
+            }
+            _ => (servers.len().div_ceil(2), Duty::Regular),
+        };
+        servers.sort_by_key(|s| (order_of(rollout.epoch, &s.id), s.id.as_str()));
+        duties.extend(servers.iter().take(count).map(|s| (s.id.as_str(), duty)));
+    }
+    duties
+}
+
+/// In this order servers of a new version are put to use, the same at each proxy.
+fn order_of(epoch: Rev, server: &str) -> u64 {
+    xxh3_64(&[server.as_bytes(), &epoch.to_le_bytes()].concat())
+}
+
+fn is_new(rollout: &Rollout, s: &Server, state: &State) -> bool {
+    state.versions.get(&s.id) == Some(&rollout.order.target_version)
+}
+
 fn usable(s: &Server, state: &State) -> bool {
     !s.draining && !state.evacuated.contains(&s.zone)
 }
--- a/crates/proxy/src/feed.rs
+++ b/crates/proxy/src/feed.rs
@@ -5,6 +5,7 @@
 use crate::tree::{self, DEEPEST};
 use rack::copy::Copy;
 use rack::drill::Rows;
+use rack::rollout::Tally;
 use rack::state::Node;
 use rack::talk::{Age, Down, Head, Lease, News, Reading, Seen, Standing, Up, Usage, Use};
 use rack::{Micros, Rev};
@@ -27,6 +28,8 @@
     Ends,
     /// To go up: what is to be said of drills.
     Drill(Vec<Rows>),
+    /// To go up: what was counted of rollouts.
+    Rollout(Vec<Tally>),
 }
 
 #[derive(Debug)]
@@ -314,7 +317,8 @@
                 self.relay.feed(self.now, copy, |link, down| out.push(Output::Tell(link, down)));
             }
             Input::Below(link, up) => self.below(link, up, copy, out),
-            Input::Drill(rows) => self.pass_up(rows, out),
+            Input::Drill(rows) => self.pass_up(Up::Drill(rows), out),
+            Input::Rollout(tallies) => self.pass_up(Up::Rollout(tallies), out),
             Input::BelowGone(link) => {
                 self.relay.followers.gone(link);
             }
@@ -577,9 +581,9 @@
     }
 
     /// What is not taken is said again by who said it.
-    fn pass_up(&self, rows: Vec<Rows>, out: &mut Vec<Output>) {
+    fn pass_up(&self, up: Up, out: &mut Vec<Output>) {
         if let Some(p) = self.parent.as_ref().filter(|p| p.linked) {
-            out.push(Output::Say(p.link, Up::Drill(rows)));
+            out.push(Output::Say(p.link, up));
         }
     }
 
@@ -604,7 +608,7 @@
                     }
                 }
             }
-            Up::Drill(rows) => self.pass_up(rows, out),
+            up @ (Up::Drill(_) | Up::Rollout(_)) => self.pass_up(up, out),
         }
         self.relay.feed(self.now, copy, |link, down| out.push(Output::Tell(link, down)));
     }
--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -4,17 +4,19 @@
 //! What a status says is kept apart from how it came about: 429 and 503 promise that a request has not run and will not,
 //! so they go out only where that is known or where the request may run more than once anyway.
 
-use crate::book::{Book, List, Peer, Place, REGION};
+use crate::book::{Book, List, Peer, Place, REGION, reach_of};
 use crate::cramp::{Cramp, Shown};
 use crate::drill::{Drills, Meeting, Met, Verdict};
+use crate::rollout::{Ended, Placed, Rollouts, Side};
 use crate::tenants::{Quota, Tenants};
 use curlewfront::{Action, Decider, Event, Hold, ListKind, Micros, NewRequest, Outcome, Return};
 use jig::config::{Config, Index, Kind, Route, Tenant};
 use jig::drill::{Fault, Ran};
 use rack::copy::{Copy, Took};
 use rack::drill::Rows;
+use rack::rollout::Tally;
 use rack::state::{Command, State};
-use rack::talk::{Lease, News, Reading, Use};
+use rack::talk::{Lease, News, Reading, Use, tenant_key};
 use std::collections::hash_map::Entry::Occupied;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
@@ -150,6 +152,8 @@
     server: u64,
     sent_at: Micros,
     out: bool,
+    /// Where its server was placed, if a rollout of its service ran.
+    placed: Option<Placed>,
 }
 
 struct Open {
@@ -159,6 +163,11 @@
     until: Micros,
     plan: usize,
     booking: u32,
+    service: u32,
+    /// [`tenant_key`] of the route's name.
+    route: u32,
+    /// It has a place in the share of a version on trial that it has not used yet.
+    reserved: bool,
     tries: Vec<Try>,
     /// The last answer that a server gave though it is no success.
     spare: Option<Answer>,
@@ -204,6 +213,9 @@
     spent: Vec<usize>,
     acts: Vec<Action>,
     back: VecDeque<(u64, u32, Outcome)>,
+    rollouts: Rollouts,
+    /// Servers of services with a running rollout.
+    placed: BTreeMap<u64, Placed>,
     drills: Drills,
     /// Requests that wait for a grant: since when, and until when.
     held: BTreeMap<u64, (Ask, Micros, Micros)>,
@@ -224,6 +236,8 @@
             book,
             rng: fastrand::Rng::with_seed(seed ^ 1),
             beat_us,
+            rollouts: Rollouts::new(place.ip, seed, place.trial_share, beat_us / 3),
+            placed: BTreeMap::new(),
             drills: Drills::new(place.ip, seed, beat_us),
             held: BTreeMap::new(),
             late: BTreeMap::new(),
@@ -268,7 +282,7 @@
         let late = self.late.keys().next().map(|(at, _)| *at);
         let held = self.held.values().map(|(_, _, until)| *until).min();
         let due = [timeout, self.timer, self.relist_at, late, held].into_iter().flatten().min();
-        due.unwrap_or(Micros::MAX).min(self.look_at).min(self.drills.wake_at())
+        due.unwrap_or(Micros::MAX).min(self.look_at).min(self.drills.wake_at()).min(self.rollouts.wake_at())
     }
 
     pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
@@ -331,6 +345,7 @@
         if let Some(Fault::UnreachableZone(zone)) = &rehearsed {
             zones &= self.book.without(zone);
         }
+        zones = self.book.without_trials(zones);
         if zones == 0 {
             return Err(Answer::later(503, "no region may serve this", RETRY_US));
         }
@@ -349,12 +364,17 @@
         if booking > 0 {
             self.booked.asked(booking as usize);
         }
+        let reserved = rehearsed.is_none() && self.rollouts.reserve(service);
+        let trials = if reserved { self.book.trials_in(zones) } else { 0 };
         let open = Open {
             name: ask.name.clone(),
             passage: Arc::new(Passage { head: head(&ask, tenant), body: ask.body }),
             until: self.now + left_us,
             plan,
             booking,
+            service,
+            route: tenant_key(&route.name),
+            reserved,
             tries: Vec::new(),
             spare: None,
             timed_out: false,
@@ -370,7 +390,8 @@
             spread: self.tenants.spread(self.now, plan, nodes),
             units: self.tenants.draws(self.now, plan, nodes),
             service,
-            zones,
+            zones: zones | trials,
+            zones_again: zones,
             attempts: route.attempts,
             reach: self.reach(route, service, zones),
             booking,
@@ -386,13 +407,23 @@
         let here = |(p, up): &(Peer, bool)| {
             *up && p.service == service && p.near <= REGION && (p.zone >= 64 || zones & 1 << p.zone != 0)
         };
-        if route.kind == Kind::Download && self.peers.values().any(here) { REGION } else { u32::MAX }
+        if route.kind == Kind::Download && self.peers.values().any(here) {
+            reach_of(REGION)
+        } else {
+            u32::MAX
+        }
     }
 
     fn ended(&mut self, id: u64, attempt: u32, end: End, out: &mut Vec<Output>) {
         let Some(open) = self.open.get_mut(&id) else { return };
         let Some(one) = open.tries.get(attempt as usize).filter(|t| t.out) else { return };
         let (server, wrong) = (one.server, matches!(&end, End::Answered(s) if s.status == 421));
+        let taken_us = self.now.saturating_sub(one.sent_at);
+        if let (Some(placed), None) = (one.placed, &open.rehearsed)
+            && let Some(ended) = tells_of_version(&end, taken_us, placed.cold_until > one.sent_at)
+        {
+            self.rollouts.ended(placed, open.route, ended);
+        }
         let outcome = match end {
             End::Broken { reached: Reached::NeverRan } => Outcome::ConnectFailed,
             End::Broken { reached: Reached::MayHaveRun } => Outcome::Reset,
@@ -485,7 +516,7 @@
             && self.peers.get(&server).is_some_and(|(p, _)| *p.id == **away)
         {
             // Never sent, which tells the decisions nothing of that server.
-            open.tries.push(Try { server, sent_at: self.now, out: true });
+            open.tries.push(Try { server, sent_at: self.now, out: true, placed: None });
             open.closed = true;
             out.push(Output::Answer(id, Answer::later(503, "not now", RETRY_US)));
             return self.back.push_back((id, attempt, Outcome::Moot));
@@ -499,9 +530,14 @@
             if open.booking > 0 {
                 self.booked.passes(open.booking as usize);
             }
+            self.rollouts.sent(open.service);
+        }
+        let placed = self.placed.get(&server).copied();
+        if std::mem::take(&mut open.reserved) && !placed.is_some_and(|p| p.trial) {
+            self.rollouts.give_back(open.service);
         }
         let again = open.tries.iter().any(|t| t.server == server);
-        open.tries.push(Try { server, sent_at: self.now, out: true });
+        open.tries.push(Try { server, sent_at: self.now, out: true, placed });
         self.timeouts.add(until, id, attempt);
         self.counts.sent += 1;
         let Some((peer, _)) = self.peers.get(&server) else {
@@ -528,6 +564,9 @@
         let Some(one) = open.tries.get(attempt as usize).filter(|t| t.out) else { return };
         let late = (outcome == Outcome::TimedOut).then_some(one.sent_at);
         open.timed_out |= late.is_some();
+        if let (Some(placed), Some(_)) = (one.placed, late) {
+            self.rollouts.ended(placed, open.route, Ended::Failed);
+        }
         out.push(Output::GiveUp { id, attempt, server: one.server, late });
         self.back.push_back((id, attempt, outcome));
     }
@@ -537,7 +576,10 @@
             && open.get().closed
             && !open.get().tries.iter().any(|t| t.out)
         {
-            open.remove();
+            let open = open.remove();
+            if open.reserved {
+                self.rollouts.give_back(open.service);
+            }
         }
     }
 
@@ -623,6 +665,16 @@
         if self.drills.idle() { Vec::new() } else { self.drills.tells(now) }
     }
 
+    /// What is to go up the tree of rollouts, if anything.
+    pub fn tallies(&mut self, now: Micros) -> Vec<Tally> {
+        let open = &self.open;
+        let old_out = |epoch| {
+            let old = |t: &&Try| t.out && t.placed.is_some_and(|p| p.epoch == epoch && p.side == Side::Old);
+            open.values().flat_map(|o| &o.tries).filter(old).count() as u32
+        };
+        self.rollouts.tallies(now, self.copy.rev(), old_out)
+    }
+
     fn learn_drills(&mut self, out: &mut Vec<Output>) {
         let agreed = &self.copy.state.drills;
         if agreed.0.is_empty() && self.drills.idle() {
@@ -690,6 +742,8 @@
             self.among = among;
             self.settle_in();
         }
+        let book = &self.book;
+        self.rollouts.learn(self.now, &self.copy.state.rollouts, |service| book.service(service));
         self.relist(out);
     }
 
@@ -793,8 +847,8 @@
     }
 
     fn relist(&mut self, out: &mut Vec<Output>) {
-        let List { entries, peers, changes_at } = self.book.list(self.now, &self.copy.state);
-        self.relist_at = changes_at;
+        let List { entries, peers, placed, changes_at } = self.book.list(self.now, &self.copy.state);
+        (self.relist_at, self.placed) = (changes_at, placed);
         let gone: Vec<u64> = self.peers.keys().filter(|n| !peers.contains_key(n)).copied().collect();
         for server in gone {
             self.peers.remove(&server);
@@ -860,6 +914,19 @@
     }
 }
 
+/// What the end of an attempt says of the version of its server, if anything.
+fn tells_of_version(end: &End, taken_us: Micros, cold: bool) -> Option<Ended> {
+    match end {
+        End::Broken { reached: Reached::NeverRan } => None,
+        End::Broken { reached: Reached::MayHaveRun } => Some(Ended::Failed),
+        End::Answered(served) => match judge(served) {
+            Outcome::Ok => Some(Ended::Served { taken_us, cold }),
+            Outcome::Full | Outcome::ConnectFailed => None,
+            _ => Some(Ended::Failed),
+        },
+    }
+}
+
 /// What an answer says of its attempt.
 fn judge(served: &Served) -> Outcome {
     match served.status {
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -6,6 +6,7 @@
 use proxy::cramp::Times;
 use proxy::feed::{self, Feed};
 use proxy::front::{self, Ask, End, Front, Reached};
+use proxy::rollout::trial_share;
 use proxy::servers::{self, Note};
 use proxy::watch::Watch;
 use rack::Micros;
@@ -101,7 +102,8 @@
         settle_us: b.config_apply_ms.map_or(usual.settle_us, ms),
         hold_us: b.contact_ms.map_or(usual.hold_us, ms),
     };
-    let place = Place { ip: s.ip, zone, region, zones, leeway, times };
+    let trial_share = trial_share(b.exposure_share);
+    let place = Place { ip: s.ip, zone, region, zones, leeway, times, trial_share };
     let node = Node {
         ip: s.ip,
         name: s.name.clone(),
@@ -541,6 +543,10 @@
         if !rows.is_empty() {
             self.feed(now, feed::Input::Drill(rows));
         }
+        let tallies = self.front.tallies(now);
+        if !tallies.is_empty() {
+            self.feed(now, feed::Input::Rollout(tallies));
+        }
         if self.over(now) {
             let _ = self.over.send(());
         }
--- /dev/null
+++ b/crates/proxy/src/rollout.rs
@@ -0,0 +1,164 @@
+//! Rollouts in a proxy: which requests may go to servers of a new version, and what came of those that went to either
+//! version. See docs/system/rollouts.md.
+//!
+//! While a version is on trial, each proxy sends it no more than a fixed share of the requests that it sends to the service
+//! itself. So the share holds over all proxies together, whatever any of them knows of the others.
+
+use rack::rollout::{Answers, Rollouts as Agreed, RouteTally, Stage, Tally};
+use rack::{Micros, Rev};
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+
+/// The part of the settings' bound that a trial may use: what arrives is not quite what was sent.
+const EXPOSURE_USED: f64 = 0.8;
+/// Where the settings tell no bound.
+const DEFAULT_EXPOSURE: f64 = 0.1;
+/// Requests that a proxy may be behind its share, and catch up with.
+const MAX_CREDIT: f64 = 2.0;
+
+/// Which versions a server belongs to while a rollout runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    Old,
+    New,
+}
+
+/// A server of a service with a running rollout.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Placed {
+    pub epoch: Rev,
+    pub side: Side,
+    /// It is on trial: only requests that the share allows may go there.
+    pub trial: bool,
+    pub cold_until: Micros,
+}
+
+/// How an attempt ended, as far as it tells of the version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    Served { taken_us: Micros, cold: bool },
+    Failed,
+}
+
+struct Running {
+    service: u32,
+    stage: Stage,
+    /// Requests that may yet go to servers on trial.
+    credit: f64,
+    routes: BTreeMap<u32, RouteTally>,
+}
+
+/// The running rollouts as this life of a proxy sees them, by their epochs.
+pub struct Rollouts {
+    ip: Ipv4Addr,
+    life: u64,
+    share: f64,
+    tally_us: Micros,
+    running: BTreeMap<Rev, Running>,
+    count: u64,
+    tally_at: Micros,
+}
+
+/// The share of a service's requests that a version on trial may get.
+pub fn trial_share(exposure_share: Option<f64>) -> f64 {
+    EXPOSURE_USED * exposure_share.unwrap_or(DEFAULT_EXPOSURE).clamp(0.0, 1.0)
+}
+
+impl Rollouts {
+    /// `share`: as [`trial_share`] has it. `tally_us`: between two tallies.
+    pub fn new(ip: Ipv4Addr, life: u64, share: f64, tally_us: Micros) -> Rollouts {
+        Rollouts { ip, life, share, tally_us, running: BTreeMap::new(), count: 0, tally_at: Micros::MAX }
+    }
+
+    pub fn is_idle(&self) -> bool {
+        self.running.is_empty()
+    }
+
+    pub fn wake_at(&self) -> Micros {
+        if self.is_idle() { Micros::MAX } else { self.tally_at }
+    }
+
+    /// Takes over what is agreed; `number` gives the number of a service.
+    pub fn learn(&mut self, now: Micros, agreed: &Agreed, number: impl Fn(&str) -> Option<u32>) {
+        self.running.retain(|epoch, _| agreed.running().any(|r| r.epoch == *epoch));
+        for rollout in agreed.running() {
+            let Some(service) = number(&rollout.order.service) else { continue };
+            let stage = rollout.stage;
+            let new = || Running { service, stage, credit: 0.0, routes: BTreeMap::new() };
+            let running = self.running.entry(rollout.epoch).or_insert_with(new);
+            if running.stage != stage {
+                running.stage = stage;
+                self.tally_at = now;
+            }
+        }
+        if !self.is_idle() && self.tally_at == Micros::MAX {
+            self.tally_at = now + self.tally_us;
+        }
+        if self.is_idle() {
+            self.tally_at = Micros::MAX;
+        }
+    }
+
+    fn on_trial(&mut self, service: u32) -> Option<&mut Running> {
+        self.running.values_mut().find(|r| r.service == service && r.stage == Stage::Trial)
+    }
+
+    /// Takes one request's place in the share, if there is one; it is given back by [`Rollouts::give_back`].
+    pub fn reserve(&mut self, service: u32) -> bool {
+        let Some(running) = self.on_trial(service).filter(|r| r.credit >= 1.0) else { return false };
+        running.credit -= 1.0;
+        true
+    }
+
+    /// A request that had a place was not sent to a server on trial.
+    pub fn give_back(&mut self, service: u32) {
+        if let Some(running) = self.on_trial(service) {
+            running.credit += 1.0;
+        }
+    }
+
+    /// A request went to the service for the first time, to whichever server.
+    pub fn sent(&mut self, service: u32) {
+        let share = self.share;
+        if let Some(running) = self.on_trial(service) {
+            running.credit = (running.credit + share).min(MAX_CREDIT);
+        }
+    }
+
+    /// An attempt at a server of either side ended.
+    pub fn ended(&mut self, placed: Placed, route: u32, ended: Ended) {
+        let Some(running) = self.running.get_mut(&placed.epoch) else { return };
+        let none = || RouteTally { route, old: Answers::default(), new: Answers::default() };
+        let tally = running.routes.entry(route).or_insert_with(none);
+        let answers = match placed.side {
+            Side::Old => &mut tally.old,
+            Side::New => &mut tally.new,
+        };
+        answers.ended += 1;
+        match ended {
+            Ended::Failed => answers.failed += 1,
+            Ended::Served { taken_us, cold: false } => answers.took(taken_us),
+            Ended::Served { cold: true, .. } => {}
+        }
+    }
+
+    /// What is to go to the registries now, if it is time. `rev`: how far the copy here has come; `old_out`: attempts that
+    /// are out at servers of the old side, for each rollout.
+    pub fn tallies(&mut self, now: Micros, rev: Rev, old_out: impl Fn(Rev) -> u32) -> Vec<Tally> {
+        if now < self.wake_at() {
+            return Vec::new();
+        }
+        self.tally_at = now + self.tally_us;
+        self.count += 1;
+        let tally = |(epoch, running): (&Rev, &Running)| Tally {
+            ip: self.ip,
+            life: self.life,
+            count: self.count,
+            epoch: *epoch,
+            rev,
+            old_out: old_out(*epoch),
+            routes: running.routes.values().cloned().collect(),
+        };
+        self.running.iter().map(tally).collect()
+    }
+}
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -88,6 +88,7 @@
         zones,
         leeway: Leeway { retry_ratio: 0.2, retry_slack: 50.0, ..Leeway::default() },
         times: Times::default(),
+        trial_share: proxy::rollout::trial_share(None),
     }
 }
 
--- /dev/null
+++ b/crates/proxy/tests/rollout.rs
@@ -0,0 +1,142 @@
+//! Rollouts at a proxy: how many requests go to which version at each stage, and what is told of them.
+
+mod common;
+
+use common::*;
+use proxy::front::Reached;
+use rack::rollout::{Order, RolloutChange, Stage};
+use rack::state::{Command, ServerChange};
+
+const SHARE: f64 = 0.08;
+
+fn runs(id: &str, version: &str) -> Command {
+    Command::Servers(vec![ServerChange::Runs { id: id.into(), version: version.into() }])
+}
+
+/// Four servers of the old version and four of the new one, of which a rollout has begun.
+fn rolling() -> Proxy {
+    let all = ["o1", "o2", "o3", "o4", "n1", "n2", "n3", "n4"].map(|id| (id, "north-a"));
+    let mut proxy = Proxy::with(&all);
+    for (id, _) in all {
+        proxy.learn(runs(id, if id.starts_with('o') { "v1" } else { "v2" }));
+    }
+    let order = Order { service: "heron".into(), target_version: "v2".into(), term_ms: 10_000 };
+    proxy.learn(Command::Rollout(RolloutChange::Start { order, after: None }));
+    proxy
+}
+
+fn advance(proxy: &mut Proxy, to: Stage) {
+    let epoch = proxy.front.copy.state.rollouts.0["heron"].epoch;
+    let (service, reason) = ("heron".to_string(), String::new());
+    proxy.learn(Command::Rollout(RolloutChange::Advance { service, epoch, to, reason }));
+}
+
+/// Of so many requests, one after the other, those that went to the new version.
+fn sent_to_new(proxy: &mut Proxy, requests: u32) -> u32 {
+    let mut new = 0;
+    for _ in 0..requests {
+        let id = proxy.ask("/get/a", Some("k1"));
+        new += u32::from(proxy.goes_to().expect("sent").starts_with('n'));
+        proxy.now += 5_000;
+        proxy.served(id, 0, 200, false);
+    }
+    new
+}
+
+/// Guards against a bad version that gets as many requests as its servers would bear.
+#[test]
+fn a_version_on_trial_gets_its_share_of_this_proxys_requests_and_never_more() {
+    let mut proxy = rolling();
+    let (mut asked, mut new) = (0, 0);
+    for _ in 0..50 {
+        asked += 20;
+        new += sent_to_new(&mut proxy, 20);
+        assert!(f64::from(new) <= SHARE * f64::from(asked), "{new} of {asked}");
+    }
+    assert!(f64::from(new) >= 0.9 * SHARE * f64::from(asked), "{new} of {asked}");
+}
+
+#[test]
+fn each_stage_sends_where_it_should() {
+    let mut proxy = rolling();
+    advance(&mut proxy, Stage::Partial);
+    let up = |proxy: &Proxy, side: char| proxy.up().iter().filter(|id| id.starts_with(side)).count();
+    assert_eq!((up(&proxy, 'o'), up(&proxy, 'n')), (4, 2), "half of the new ones");
+    advance(&mut proxy, Stage::Whole);
+    assert_eq!((up(&proxy, 'o'), up(&proxy, 'n')), (0, 4));
+    assert_eq!(sent_to_new(&mut proxy, 100), 100);
+    advance(&mut proxy, Stage::Completed);
+    assert_eq!(sent_to_new(&mut proxy, 100), 100);
+}
+
+#[test]
+fn a_reverted_version_gets_nothing_also_where_no_other_serves() {
+    let mut proxy = rolling();
+    advance(&mut proxy, Stage::Reverted);
+    assert_eq!(sent_to_new(&mut proxy, 200), 0);
+    for id in ["o1", "o2", "o3", "o4"] {
+        proxy.learn(Command::Servers(vec![ServerChange::Gone { id: id.into(), said: true }]));
+    }
+    proxy.ask("/get/a", Some("k1"));
+    assert_eq!(proxy.goes_to(), None);
+}
+
+#[test]
+fn old_servers_serve_on_where_the_new_ones_are_gone_before_it_is_completed() {
+    let mut proxy = rolling();
+    advance(&mut proxy, Stage::Whole);
+    for id in ["n1", "n2", "n3", "n4"] {
+        proxy.learn(Command::Servers(vec![ServerChange::Gone { id: id.into(), said: true }]));
+    }
+    assert_eq!(sent_to_new(&mut proxy, 20), 0);
+}
+
+#[test]
+fn a_further_try_of_a_request_that_failed_on_trial_goes_to_the_old_version() {
+    let mut proxy = rolling();
+    let mut failed = 0;
+    for _ in 0..200 {
+        let id = proxy.ask("/get/a", Some("k1"));
+        let on_trial = proxy.goes_to().expect("sent").starts_with('n');
+        proxy.now += 5_000;
+        if on_trial {
+            failed += 1;
+            proxy.broken(id, 0, Reached::MayHaveRun);
+            assert!(proxy.goes_to().expect("sent again").starts_with('o'));
+            proxy.served(id, 1, 200, false);
+        } else {
+            proxy.served(id, 0, 200, false);
+        }
+    }
+    assert!(failed > 5);
+}
+
+#[test]
+fn what_came_of_both_versions_is_told_and_what_is_still_out() {
+    let mut proxy = rolling();
+    let (mut served, mut failed) = (0, 0);
+    for _ in 0..105 {
+        let id = proxy.ask("/get/a", Some("k1"));
+        let on_trial = proxy.goes_to().expect("sent").starts_with('n');
+        proxy.now += 5_000;
+        served += u32::from(!on_trial);
+        failed += u32::from(on_trial);
+        proxy.served(id, 0, if on_trial { 404 } else { 200 }, false);
+    }
+    let out = proxy.ask("/get/a", Some("k1"));
+    assert!(proxy.goes_to().expect("sent").starts_with('o'));
+    proxy.now += SECOND;
+    let tallies = proxy.front.tallies(proxy.now);
+    let [tally] = &tallies[..] else { panic!("one rollout: {tallies:?}") };
+    let [route] = &tally.routes[..] else { panic!("one route: {tally:?}") };
+    assert_eq!((route.old.ended, route.old.failed), (served, 0));
+    assert_eq!((route.new.ended, route.new.failed), (failed, failed));
+    assert_eq!(route.old.times.iter().sum::<u32>(), served);
+    assert_eq!((tally.old_out, tally.rev), (1, proxy.front.copy.rev()));
+    proxy.served(out, 0, 200, false);
+    proxy.now += SECOND;
+    assert_eq!(proxy.front.tallies(proxy.now)[0].old_out, 0);
+    advance(&mut proxy, Stage::Reverted);
+    proxy.now += SECOND;
+    assert!(proxy.front.tallies(proxy.now).is_empty(), "it has ended");
+}
--- a/crates/proxy/tests/tree.rs
+++ b/crates/proxy/tests/tree.rs
@@ -91,6 +91,7 @@
                 sync_us: 5 * SECOND,
                 settle_us: 2 * SECOND,
                 zones_lost: 1,
+                repeat_us: 10 * SECOND,
             };
             let mut board = Board::new(terms, world.now);
             let mut out = Vec::new();
--- a/crates/rack/src/orders.rs
+++ b/crates/rack/src/orders.rs
@@ -4,6 +4,7 @@
 use crate::Rev;
 use crate::booking::{BookChange, Booking};
 use crate::drill::DrillChange;
+use crate::rollout::RolloutChange;
 use crate::state::{Change, Command};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
@@ -145,6 +146,8 @@
         Command::Book(BookChange::Cancel { name }) => Some(format!("booking {name}")),
         Command::Drill(DrillChange::Start(drill)) => Some(format!("drill {}", drill.name)),
         Command::Drill(DrillChange::Stop { name, epoch: None, .. }) => Some(format!("drill {name}")),
+        Command::Rollout(RolloutChange::Start { order, .. }) => Some(format!("rollout {}", order.service)),
+        Command::Rollout(RolloutChange::Stop { service }) => Some(format!("rollout {service}")),
         _ => None,
     }
 }
--- a/crates/rack/src/state.rs
+++ b/crates/rack/src/state.rs
@@ -3,6 +3,7 @@
 use crate::booking::{BookChange, Booked, Bookings, Phase, Unbooked};
 use crate::drill::{DrillChange, Drills};
 use crate::orders::{self, Changes, Subjects, Taken};
+use crate::rollout::{Declined, Role, RolloutChange, Rollouts};
 use crate::{Micros, Rev};
 use jig::config::{Config, show_version};
 use serde::{Deserialize, Serialize};
@@ -12,9 +13,10 @@
 
 /// The forms of a state on disk and between processes. A newer one is refused. One that has nothing of what came later is
 /// written in the first form, so that it costs no byte more.
-pub const FORMAT: u32 = 3;
+pub const FORMAT: u32 = 4;
 const FIRST: u32 = 1;
 const SECOND: u32 = 2;
+const THIRD: u32 = 3;
 /// How long it is written down that a zone has come back: servers are cold for seconds.
 const RETURNED_US: Micros = 600_000_000;
 /// Servers that have left are remembered, so that a late call of theirs does not bring them back.
@@ -38,6 +40,7 @@
         seen: Rev,
         order: Box<Command>,
     },
+    Rollout(RolloutChange),
 }
 
 impl Command {
@@ -51,6 +54,7 @@
             Command::Book(_) => 512,
             Command::Drill(_) => 1024,
             Command::Fenced { order, .. } => order.size(),
+            Command::Rollout(_) => 512,
         }
     }
 }
@@ -80,6 +84,11 @@
         id: String,
         said: bool,
     },
+    /// The version of the software that a server runs; it follows the server's `Up`.
+    Runs {
+        id: String,
+        version: String,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -138,6 +147,7 @@
     Forgotten {
         from: u32,
     },
+    Declined(Declined),
 }
 
 #[derive(Clone, Debug, Default)]
@@ -151,10 +161,13 @@
     /// Zones whose evacuation was taken back, and when this process learned it: their servers may be cold.
     pub returned: BTreeMap<String, Micros>,
     pub servers: BTreeMap<String, Server>,
+    /// The version of the software of each server that tells it.
+    pub versions: BTreeMap<String, String>,
     gone: VecDeque<String>,
     pub nodes: BTreeMap<Ipv4Addr, Node>,
     pub bookings: Bookings,
     pub drills: Drills,
+    pub rollouts: Rollouts,
 }
 
 /// A state as it is written down.
@@ -181,6 +194,14 @@
 #[derive(Default, Serialize, Deserialize)]
 struct Returned(Vec<(String, u32)>);
 
+/// What follows that from the fourth form on.
+#[derive(Default, Serialize, Deserialize)]
+struct Versions {
+    /// Of the servers, in their order.
+    versions: Vec<Option<String>>,
+    rollouts: Rollouts,
+}
+
 impl State {
     pub fn version(&self) -> u32 {
         self.config.as_ref().map_or(0, |c| c.version)
@@ -276,7 +297,29 @@
                 Ok(()) => Done::Taken,
                 Err(why) => Done::Invalid(why),
             },
+            Command::Rollout(change) => match self.rollout(now, rev, change) {
+                Ok(()) => Done::Taken,
+                Err(why) => Done::Declined(why),
+            },
+        }
+    }
+
+    fn rollout(&mut self, now: Micros, rev: Rev, change: &RolloutChange) -> Result<(), Declined> {
+        let mut versions: BTreeSet<String> = BTreeSet::new();
+        if let RolloutChange::Start { order, .. } = change {
+            let known = self.config.iter().flat_map(|c| &c.services).any(|s| s.name == order.service);
+            if !known {
+                return Err(Declined::NoService);
+            }
+            let servers = self.servers.values().filter(|s| s.service == order.service);
+            versions.extend(servers.filter_map(|s| self.versions.get(&s.id).cloned()));
         }
+        self.rollouts.apply(now, rev, change, versions.into_iter())
+    }
+
+    /// What the rollouts make of a server.
+    pub fn role(&self, server: &Server) -> Role {
+        self.rollouts.role(&server.service, self.versions.get(&server.id).map(String::as_str))
     }
 
     /// An order that holds already is acknowledged, also one that comes late.
@@ -304,6 +347,12 @@
             Command::Drill(DrillChange::Stop { name, .. }) => {
                 (self.drills.0.get(name).is_some_and(|h| h.ended.is_some()), false)
             }
+            Command::Rollout(RolloutChange::Start { order, after }) => {
+                (self.rollouts.holds(order, *after), self.rollouts.running_of(&order.service).is_some())
+            }
+            Command::Rollout(RolloutChange::Stop { service }) => {
+                (self.rollouts.running_of(service).is_none(), false)
+            }
             _ => (false, true),
         };
         if holds {
@@ -347,12 +396,19 @@
             ServerChange::Gone { id, said: true } => self.forget(id),
             ServerChange::Gone { id, said: false } => {
                 self.servers.remove(id);
+                self.versions.remove(id);
+            }
+            ServerChange::Runs { id, version } => {
+                if self.servers.contains_key(id) {
+                    self.versions.insert(id.clone(), version.clone());
+                }
             }
         }
     }
 
     fn forget(&mut self, id: &str) {
         self.servers.remove(id);
+        self.versions.remove(id);
         if !self.has_gone(id) {
             self.gone.push_back(id.to_string());
             if self.gone.len() > MOST_GONE {
@@ -387,10 +443,13 @@
         let returned = Returned(lately.map(|(zone, at)| (zone.clone(), (ago(at) / 1000) as u32)).collect());
         let plain = later.bookings.is_empty() && later.drills.0.is_empty();
         let calls_fit = !with_calls || self.changes.plain();
-        let older = calls_fit && self.subjects.is_empty() && returned.0.is_empty();
+        let versioned = !self.versions.is_empty() || !self.rollouts.is_empty();
+        let older = calls_fit && self.subjects.is_empty() && returned.0.is_empty() && !versioned;
         let written = Written {
-            format: if !older {
+            format: if versioned {
                 FORMAT
+            } else if !older {
+                THIRD
             } else if plain {
                 FIRST
             } else {
@@ -414,6 +473,11 @@
             let orders = orders::Written::of(changes, &self.subjects);
             bytes.extend(postcard::to_stdvec(&(orders, returned)).expect("plain data"));
         }
+        if versioned {
+            let versions = self.servers.keys().map(|id| self.versions.get(id).cloned()).collect();
+            let versions = Versions { versions, rollouts: self.rollouts.written(now) };
+            bytes.extend(postcard::to_stdvec(&versions).expect("plain data"));
+        }
         bytes
     }
 
@@ -436,14 +500,23 @@
             None => None,
         };
         let version = config.as_ref().map_or(0, |c: &Arc<Config>| c.version);
-        let ((changes, subjects), Returned(returned)) = match format {
-            FIRST | SECOND => ((Changes::of_old(w.taken, version), Subjects::default()), Returned::default()),
+        let (((changes, subjects), Returned(returned)), rest) = match format {
+            FIRST | SECOND => {
+                let orders = (Changes::of_old(w.taken, version), Subjects::default());
+                ((orders, Returned::default()), rest)
+            }
             _ => {
-                let read = postcard::from_bytes::<(orders::Written, Returned)>(rest);
-                let (orders, returned) = read.map_err(|e| format!("state: {e}"))?;
-                (orders.read(w.taken), returned)
+                let read = postcard::take_from_bytes::<(orders::Written, Returned)>(rest);
+                let ((orders, returned), rest) = read.map_err(|e| format!("state: {e}"))?;
+                ((orders.read(w.taken), returned), rest)
             }
         };
+        let Versions { versions, rollouts } = match format {
+            FIRST..=THIRD => Versions::default(),
+            _ => postcard::from_bytes(rest).map_err(|e| format!("state: {e}"))?,
+        };
+        let ids = w.servers.iter().map(|s| s.id.clone());
+        let versions = ids.zip(versions).filter_map(|(id, version)| Some((id, version?))).collect();
         let servers = w.servers.into_iter().map(|s| (s.id.clone(), Server { noted_at: now, ..s })).collect();
         Ok(State {
             rev: w.rev,
@@ -453,10 +526,12 @@
             evacuated: w.evacuated.into_iter().collect(),
             returned: returned.into_iter().map(|(zone, ms)| (zone, since(ms))).collect(),
             servers,
+            versions,
             gone: w.gone.into(),
             nodes: w.nodes.into_iter().map(|n| (n.ip, n)).collect(),
             bookings: Bookings::read(now, later.bookings),
             drills: later.drills,
+            rollouts: rollouts.read(now),
         })
     }
 }
--- a/crates/rack/src/talk.rs
+++ b/crates/rack/src/talk.rs
@@ -10,9 +10,11 @@
 //! Stores speak the messages of the agreement among themselves, with [`StorePeer`] around them.
 
 use crate::drill::Rows;
+use crate::rollout::Tally;
 use crate::state::{Command, Done, Node};
 use crate::{Micros, Rev};
-use serde::{Deserialize, Deserializer, Serialize};
+use serde::ser::SerializeTuple;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use std::net::Ipv4Addr;
 
 /// Where on each machine's internal ports, from the first, the programs listen.
@@ -125,8 +127,9 @@
     },
 }
 
-/// Between registries, about every half beat.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+/// Between registries, about every half beat. The last fields are left out where nothing is told from there on, so that
+/// they take no byte.
+#[derive(Clone, Debug, Deserialize)]
 pub struct Gossip {
     pub ip: Ipv4Addr,
     pub zone: String,
@@ -137,13 +140,40 @@
     pub usage: Vec<Usage>,
     /// The heads of regions, as they were told here.
     pub heads: Vec<(String, Head)>,
-    /// The time of day there, in milliseconds since 1970. Told only where there is a booking: else it takes no byte. 0: not
-    /// told, and something comes after it.
-    #[serde(skip_serializing_if = "Option::is_none", deserialize_with = "at_the_end")]
+    /// The time of day there, in milliseconds since 1970. Told only where there is a booking. 0: not told.
+    #[serde(deserialize_with = "at_the_end")]
     pub day_ms: Option<u64>,
-    /// The drills whose end is known here; without any, no byte.
-    #[serde(skip_serializing_if = "Vec::is_empty", deserialize_with = "at_the_end")]
+    /// The drills whose end is known here.
+    #[serde(deserialize_with = "at_the_end")]
     pub leases: Vec<Lease>,
+    /// Tallies of rollouts that came here since the last.
+    #[serde(deserialize_with = "at_the_end")]
+    pub tallies: Vec<Tally>,
+}
+
+impl Serialize for Gossip {
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        const FIELDS: usize = 9;
+        let mut fields = to.serialize_tuple(FIELDS)?;
+        fields.serialize_element(&self.ip)?;
+        fields.serialize_element(&self.zone)?;
+        fields.serialize_element(&self.servers)?;
+        fields.serialize_element(&self.nodes)?;
+        fields.serialize_element(&self.usage)?;
+        fields.serialize_element(&self.heads)?;
+        let tells_tallies = !self.tallies.is_empty();
+        let tells_leases = tells_tallies || !self.leases.is_empty();
+        if tells_leases || self.day_ms.is_some() {
+            fields.serialize_element(&self.day_ms)?;
+        }
+        if tells_leases {
+            fields.serialize_element(&self.leases)?;
+        }
+        if tells_tallies {
+            fields.serialize_element(&self.tallies)?;
+        }
+        fields.end()
+    }
 }
 
 /// A drill, by its epoch, may act for so long yet.
@@ -229,6 +259,8 @@
     Report { rev: Rev, head: Option<Head>, seen: Vec<Seen>, usage: Vec<Usage> },
     /// What proxies have to say of drills.
     Drill(Vec<Rows>),
+    /// What proxies have counted of rollouts, about every third of a beat while there are any.
+    Rollout(Vec<Tally>),
 }
 
 /// Down the tree of news.
--- a/crates/rack/tests/booking.rs
+++ b/crates/rack/tests/booking.rs
@@ -198,6 +198,7 @@
         heads: vec![],
         day_ms,
         leases: vec![],
+        tallies: vec![],
     };
     let plain = postcard::to_stdvec(&gossip(None)).expect("plain data");
     assert_eq!(plain.len(), 4 + 8 + 4);
--- a/src/decide/tries.rs
+++ b/src/decide/tries.rs
@@ -13,7 +13,7 @@
 
     /// Whether the rules let a further attempt go to this server: its zone, and where repeats are dropped.
     pub(super) fn allows(&self, s: &Server, effect: Effect, now: Micros) -> bool {
-        let zones = self.asked.zones;
+        let zones = if self.attempts.is_empty() { self.asked.zones } else { self.asked.zones_again };
         if zones != 0 && zones != u64::MAX && (s.zone >= 64 || zones >> s.zone & 1 == 0) {
             return false;
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -219,6 +219,8 @@
     pub service: u32,
     /// Zones whose servers it may go to, a bit for each number under 64; 0, like all bits: any server.
     pub zones: u64,
+    /// The same for its further attempts.
+    pub zones_again: u64,
     /// Attempts at the most; 0: as many as the settings allow.
     pub attempts: u32,
     /// It may go to no server whose `near` is above this.
@@ -242,6 +244,7 @@
             repeat: false,
             service: 0,
             zones: u64::MAX,
+            zones_again: u64::MAX,
             attempts: 0,
             reach: u32::MAX,
             booking: 0,
