Log the steps of rollouts at registries, and look at rolled out services alone

Need: an operator's log did not tell when and why a rollout went on, and each list of servers looked up every server's part in rollouts. Change: registries log each step with its reason; proxies look only at servers of services that have a rollout.

--- a/crates/pegboard/src/main.rs
+++ b/crates/pegboard/src/main.rs
@@ -4,6 +4,7 @@
 use miette::{Result, miette};
 use pegboard::board::{Board, Input, Output, REPEAT_US, Terms};
 use pegboard::calls::{self, Request};
+use rack::Rev;
 use rack::talk::{FromStore, Gossip, REGISTRY_NEWS, REGISTRY_PEERS, STORE_LOCAL, Up};
 use runtime::link::{Event, Line, SILENCE, Tie};
 use runtime::turn::{Inbox, Machine};
@@ -85,6 +86,7 @@
         draining,
         over,
         ends_at: None,
+        logged_rollouts: 0,
     };
     stage.work(shell, &ended)
 }
@@ -158,9 +160,26 @@
     draining: Arc<AtomicBool>,
     over: Sender<()>,
     ends_at: Option<Micros>,
+    /// The revision of the last step of a rollout that was logged.
+    logged_rollouts: Rev,
 }
 
 impl Shell {
+    /// Logs what rollouts have come to since the last time.
+    fn log_rollouts(&mut self) {
+        let logged = self.logged_rollouts;
+        for rollout in self.board.copy.state.rollouts.0.values().filter(|r| r.stage_rev > logged) {
+            let (order, stage) = (&rollout.order, rollout.stage.name());
+            log::info!(
+                "rollout of {} to {}: {stage}, {}",
+                order.service,
+                order.target_version,
+                rollout.reason
+            );
+            self.logged_rollouts = self.logged_rollouts.max(rollout.stage_rev);
+        }
+    }
+
     fn read(&mut self, now: Micros, told: Told) -> Option<Input> {
         Some(match told {
             Told::Call(id, request, reply) => {
@@ -227,6 +246,7 @@
             let day = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
             self.board.tell_day(now, day);
             self.board.handle(now, input, &mut self.out);
+            self.log_rollouts();
         }
         for output in std::mem::take(&mut self.out) {
             match output {
--- a/crates/proxy/src/book.rs
+++ b/crates/proxy/src/book.rs
@@ -7,7 +7,7 @@
 use curlewfront::{Class, Effect, Entry, Micros, Plan, Settings, State as Standing};
 use jig::config::{Config, Service};
 use rack::Rev;
-use rack::rollout::{Role, Rollout};
+use rack::rollout::{Role, Rollout, Stage};
 use rack::state::{Node, Server, State};
 use rack::talk::tenant_key;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -474,10 +474,12 @@
     if state.rollouts.is_empty() {
         return duties;
     }
+    let rolled_out = |s: &&Server| state.rollouts.0.contains_key(&s.service);
+    let servers: Vec<&Server> = state.servers.values().filter(rolled_out).collect();
     let mut new: BTreeMap<(&str, &str), Vec<&Server>> = BTreeMap::new();
     // Services of which a server of the new version may serve.
     let mut replaced_by: BTreeSet<&str> = BTreeSet::new();
-    for s in state.servers.values() {
+    for s in servers.iter().copied() {
         match state.role(s) {
             Role::Regular if usable(s, state) => _ = replaced_by.insert(s.service.as_str()),
             Role::Trial | Role::Partial if usable(s, state) => {
@@ -486,7 +488,7 @@
             _ => {}
         }
     }
-    for s in state.servers.values() {
+    for s in servers.iter().copied() {
         let duty = match state.role(s) {
             Role::Regular => continue,
             Role::Replaced if !replaced_by.contains(s.service.as_str()) => continue,
@@ -497,7 +499,7 @@
     for ((service, _), mut servers) in new {
         let Some(rollout) = state.rollouts.running_of(service) else { continue };
         let (count, duty) = match rollout.stage {
-            rack::rollout::Stage::Trial => {
+            Stage::Trial => {
                 let part = (servers.len() as f64 * trial_share).ceil() as usize;
                 (part.max(MIN_ON_TRIAL), Duty::Trial)
             }
