Tell operators of a rollout how both versions do

An operator could see the stage of a rollout and nothing of what decides it. The answers of GET /api/rollouts and GET /api/rollouts/SERVICE now also bear the epoch, the time left of the term, and for the old and the new side the servers, their versions, the answers, the failures, and the buckets of the median and the 95th percentile, by the tallies of the registry that answers. What machines need, server_state and target_version, is as it was.

--- a/crates/pegboard/src/board/rollout.rs
+++ b/crates/pegboard/src/board/rollout.rs
@@ -2,13 +2,14 @@
 
 use super::{Board, Wait};
 use crate::calls::{Answer, Request};
-use crate::rollouts::{Ground, Step};
+use crate::rollouts::{Ground, Step, Summary, TimeRange};
 use jig::rollout::Order;
 use jzon::JsonValue;
 use rack::Micros;
 use rack::rollout::{Rollout, RolloutChange, Tally};
-use rack::state::Command;
+use rack::state::{Command, Server};
 use rack::talk::ToStore;
+use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 
 use super::{Output, PARTS};
@@ -60,16 +61,50 @@
         let rollouts = &self.copy.state.rollouts.0;
         match shown {
             Shown::Of(service) => match rollouts.get(service) {
-                Some(rollout) => Answer::json(200, view(rollout).dump()),
+                Some(rollout) => Answer::json(200, self.rollout_view(rollout).dump()),
                 None => Answer::error(404, &format!("no rollout of {service:?}")),
             },
             Shown::All => {
-                let list: Vec<JsonValue> = rollouts.values().map(view).collect();
+                let list: Vec<JsonValue> = rollouts.values().map(|r| self.rollout_view(r)).collect();
                 Answer::json(200, jzon::object! { rollout_list: list }.dump())
             }
         }
     }
 
+    /// What operators are told of a rollout. Machines need `server_state` and `target_version` alone.
+    fn rollout_view(&self, rollout: &Rollout) -> JsonValue {
+        let term_us = Micros::from(rollout.order.term_ms) * 1000;
+        let left_ms = term_us.saturating_sub(rollout.age_us(self.now)) / 1000;
+        let (old, new) = self.tallies.summary(rollout.epoch).unzip();
+        let mut view = rollout.order.write();
+        view["server_state"] = rollout.stage.progress().name().into();
+        view["stage"] = rollout.stage.name().into();
+        view["reason"] = rollout.reason.as_str().into();
+        view["epoch"] = rollout.epoch.into();
+        view["left_ms"] = (!rollout.stage.is_over()).then_some(left_ms).into();
+        view["old_side"] = self.side_view(rollout, false, old);
+        view["new_side"] = self.side_view(rollout, true, new);
+        view
+    }
+
+    /// The servers of one side, as the proxies tell the sides apart, and what was counted of them.
+    fn side_view(&self, rollout: &Rollout, new: bool, counted: Option<Summary>) -> JsonValue {
+        let state = &self.copy.state;
+        let version = |s: &Server| state.versions.get(&s.id).map(String::as_str);
+        let is_new = |s: &Server| version(s) == Some(rollout.order.target_version.as_str());
+        let on_side = |s: &&Server| s.service == rollout.order.service && is_new(s) == new;
+        let servers: Vec<&Server> = state.servers.values().filter(on_side).collect();
+        let versions: BTreeSet<&str> = servers.iter().filter_map(|s| version(s)).collect();
+        jzon::object! {
+            version_names: versions.into_iter().collect::<Vec<_>>(),
+            server_count: servers.len(),
+            answer_count: counted.map(|c| c.ended),
+            failure_count: counted.map(|c| c.failed),
+            median_ms: range_view(counted.and_then(|c| c.median)),
+            percentile_95_ms: range_view(counted.and_then(|c| c.percentile_95)),
+        }
+    }
+
     pub(super) fn take_tallies(&mut self, tallies: Vec<Tally>, told: bool) {
         for tally in tallies {
             self.tallies.take(self.now, tally, told);
@@ -110,13 +145,9 @@
     }
 }
 
-/// What operators are told of a rollout.
-fn view(rollout: &Rollout) -> JsonValue {
-    let mut view = rollout.order.write();
-    view["server_state"] = rollout.stage.progress().name().into();
-    view["stage"] = rollout.stage.name().into();
-    view["reason"] = rollout.reason.as_str().into();
-    view
+fn range_view(range: Option<TimeRange>) -> JsonValue {
+    let ms = |us: Micros| us as f64 / 1000.0;
+    range.map_or(JsonValue::Null, |r| jzon::object! { from: ms(r.from_us), below: r.below_us.map(ms) })
 }
 
 /// How long an operator may repeat an order, where the settings do not tell.
--- a/crates/pegboard/tests/rollouts.rs
+++ b/crates/pegboard/tests/rollouts.rs
@@ -5,7 +5,7 @@
 use common::*;
 use pegboard::board::Input;
 use rack::rollout::{Answers, RolloutChange, RouteTally, Stage, Tally};
-use rack::state::{Change, Command};
+use rack::state::{Change, Command, ServerChange};
 use rack::talk::{FromStore, Up};
 
 const ORDER: &str = r#"{"service_ref":"heron","target_version":"v2","rollout_term_s":10}"#;
@@ -178,3 +178,45 @@
         assert_eq!(stage(&r), Stage::Trial);
     }
 }
+
+/// Guards against an operator who cannot see how the versions compare before the verdict.
+#[test]
+fn the_view_of_a_rollout_tells_servers_counts_and_times_of_both_versions() {
+    let mut r = ordered();
+    for (id, version) in [("i-1", Some("v1")), ("i-2", None), ("i-3", Some("v2"))] {
+        r.lands(server(id, &format!("10.9.2.{}:80", &id[2..])));
+        if let Some(version) = version {
+            r.lands(Command::Servers(vec![ServerChange::Runs { id: id.into(), version: version.into() }]));
+        }
+    }
+    let view = |r: &mut Registry| jzon::parse(&shown(r).1).expect("JSON");
+    assert!(view(&mut r)["new_side"]["answer_count"].is_null(), "no proxy has told of it");
+    let mut new = answers(90, 0, 210_000);
+    new.add(&answers(11, 1, 900_000));
+    r.stands(true, false);
+    r.wait(SECOND);
+    tells(&mut r, 1, answers(2000, 4, 200_000), new, 0);
+    let seen = view(&mut r);
+    let (old, new) = (&seen["old_side"], &seen["new_side"]);
+    assert_eq!(seen["left_ms"], 9000);
+    assert_eq!((old["server_count"].as_u32(), new["server_count"].as_u32()), (Some(2), Some(1)));
+    assert_eq!(
+        (old["version_names"].dump(), new["version_names"].dump()),
+        (r#"["v1"]"#.into(), r#"["v2"]"#.into())
+    );
+    assert_eq!((old["answer_count"].as_u32(), old["failure_count"].as_u32()), (Some(2000), Some(4)));
+    assert_eq!((new["answer_count"].as_u32(), new["failure_count"].as_u32()), (Some(101), Some(1)));
+    let holds = |range: &jzon::JsonValue, ms: f64| {
+        let (from, below) = (range["from"].as_f64().expect("ms"), range["below"].as_f64().expect("ms"));
+        assert!(from <= ms && ms < below && below < 1.3 * from, "{ms} in {range}");
+    };
+    holds(&old["median_ms"], 200.0);
+    holds(&old["percentile_95_ms"], 200.0);
+    holds(&new["median_ms"], 210.0);
+    holds(&new["percentile_95_ms"], 900.0);
+    let call = r.call("DELETE", "/api/rollouts/heron", None, "");
+    r.land();
+    assert_eq!(r.status(call), Some(200));
+    let seen = view(&mut r);
+    assert!(seen["left_ms"].is_null() && seen["server_state"] == "reverted", "{seen}");
+}
