--- a/crates/cli/src/ask.rs
+++ b/crates/cli/src/ask.rs
@@ -21,6 +21,10 @@
     #[error("refused: {0}")]
     #[diagnostic(code(curlewfront::refused))]
     Refused(String),
+    /// A rollout that was watched did not complete.
+    #[error("reverted: {0}")]
+    #[diagnostic(code(curlewfront::reverted))]
+    Reverted(String),
     #[error("{0}")]
     #[diagnostic(code(curlewfront::usage))]
     Usage(String),
@@ -35,7 +39,7 @@
 impl Failed {
     pub fn code(&self) -> u8 {
         match self {
-            Failed::Refused(_) => 1,
+            Failed::Refused(_) | Failed::Reverted(_) => 1,
             Failed::Usage(_) => 2,
             Failed::Unreachable(_) | Failed::Unclear(_) => 3,
         }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod config;
 mod drill;
 mod fleet;
+mod rollout;
 mod show;
 mod store;
 mod system;
@@ -19,8 +20,9 @@
 use std::process::ExitCode;
 
 const AFTER: &str = "\
-Exit codes: 0 done; 1 refused, with the reason; 2 wrong usage; 3 no registry could be reached, or it is unclear
-whether the order was taken (an order may be repeated unchanged). `fleet` has its own, see docs/fleet/operating.md.";
+Exit codes: 0 done; 1 refused, with the reason, or a watched rollout was reverted; 2 wrong usage; 3 no registry could be
+reached, or it is unclear whether the order was taken (an order may be repeated unchanged). `fleet` has its own, see
+docs/fleet/operating.md.";
 
 fn command() -> Command {
     let at = Arg::new("at")
@@ -47,6 +49,7 @@
         .subcommand(config::command())
         .subcommand(drill::command())
         .subcommand(booking::command())
+        .subcommand(rollout::command())
         .subcommands(zone::commands())
         .subcommands(show::commands())
         .subcommand(system::command())
@@ -86,6 +89,7 @@
         "drill" => drill::run(given, at),
         "store" => store::run(given),
         "booking" => booking::run(given, &at()?),
+        "rollout" => rollout::run(given, &at()?),
         "system" => system::run(given),
         "evacuate" | "return" => zone::run(name, given, &at()?),
         _ => show::run(name, given.get_flag("json"), &at()?),
