Split and rename the operator's command by the terms of HTTP and its errors

ask.rs held errors, retries over registries, and one exchange on a socket; its Order was another type than the order of a rollout. Now error.rs has CommandError, registries.rs the Call and the retry over registries, registries/exchange.rs one exchange with deadline, redirects and a reader of answers. The tables of config show and the view of the fleet group are modules of short functions.

--- a/crates/cli/src/booking.rs
+++ b/crates/cli/src/booking.rs
@@ -1,6 +1,7 @@
 //! `curlewfront booking`: room at the back end booked ahead, and how each proxy holds it.
 
-use crate::ask::{Failed, Order, Registries, escape, text};
+use crate::error::CommandError;
+use crate::registries::{Call, Registries, escape, text};
 use crate::show::seen_by;
 use crate::table::{cell, list};
 use chrono::{DateTime, SecondsFormat, Utc};
@@ -108,9 +109,9 @@
     time.map_or_else(|| cell(ms), |t| t.to_rfc3339_opts(SecondsFormat::Secs, true))
 }
 
-pub fn run(given: &ArgMatches, at: &Registries) -> Result<String, Failed> {
+pub fn run(given: &ArgMatches, registries: &Registries) -> Result<String, CommandError> {
     let Some((what, given)) = given.subcommand() else {
-        return Err(Failed::Usage("booking: put, list, show or cancel".into()));
+        return Err(CommandError::Usage("booking: put, list, show or cancel".into()));
     };
     let json = given.get_flag("json");
     let name = match what {
@@ -120,10 +121,10 @@
     let target = if name.is_empty() { TARGET.to_string() } else { format!("{TARGET}/{}", escape(name)) };
     match what {
         "list" | "show" => {
-            let (raw, value) = at.read(&target)?;
+            let (raw, value) = registries.get(&target)?;
             Ok(if json { raw + "\n" } else { look(&value) })
         }
-        _ => order(what == "put", name, target, given, at, json),
+        _ => order(what == "put", name, target, given, registries, json),
     }
 }
 
@@ -158,13 +159,13 @@
     name: &str,
     target: String,
     given: &ArgMatches,
-    at: &Registries,
+    registries: &Registries,
     json: bool,
-) -> Result<String, Failed> {
+) -> Result<String, CommandError> {
     let dry = given.get_flag("dry-run");
     let target = if dry { target + "?dry_run=true" } else { target };
     if !put {
-        let answer = text(at.ask(&Order::plain("DELETE", target))?);
+        let answer = text(registries.send(&Call::without_body("DELETE", target))?);
         return Ok(match (json, dry) {
             (true, _) => answer + "\n",
             (_, true) => format!("{name}: would end\n"),
@@ -190,7 +191,8 @@
     }
     let base = given.get_one::<String>("base").map(String::as_str);
     let body = body.dump();
-    let answer = text(at.ask(&Order { method: "PUT", target, base, body: body.as_bytes() })?);
+    let answer =
+        text(registries.send(&Call { method: "PUT", target, if_match: base, body: body.as_bytes() })?);
     if json {
         return Ok(answer + "\n");
     }
--- a/crates/cli/src/drill.rs
+++ b/crates/cli/src/drill.rs
@@ -1,6 +1,7 @@
 //! `curlewfront drill`: begins, looks at and ends rehearsed faults.
 
-use crate::ask::{Failed, Order, Registries, escape, text};
+use crate::error::CommandError;
+use crate::registries::{Call, Registries, escape, text};
 use crate::table::{Table, cell, list};
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use jzon::JsonValue;
@@ -34,33 +35,36 @@
         )
 }
 
-pub fn run(given: &ArgMatches, at: impl Fn() -> Result<Registries, Failed>) -> Result<String, Failed> {
+pub fn run(
+    given: &ArgMatches,
+    registries: impl Fn() -> Result<Registries, CommandError>,
+) -> Result<String, CommandError> {
     let Some((call, given)) = given.subcommand() else {
-        return Err(Failed::Usage("drill: start, list, show or stop".into()));
+        return Err(CommandError::Usage("drill: start, list, show or stop".into()));
     };
     if call == "key-name" {
         let mut key = String::new();
         let read = std::io::stdin().read_line(&mut key);
-        read.map_err(|e| Failed::Usage(format!("standard input: {e}")))?;
+        read.map_err(|e| CommandError::Usage(format!("standard input: {e}")))?;
         return Ok(jig::drill::key_name(key.trim()) + "\n");
     }
     let json = given.get_flag("json");
     if call == "list" {
-        let (raw, value) = at()?.read(TARGET)?;
+        let (raw, value) = registries()?.get(TARGET)?;
         return Ok(if json { raw + "\n" } else { list(&value["drill_list"], &DRILLS) });
     }
     let name = given.get_one::<String>("NAME").map_or("", String::as_str);
     let target = format!("{TARGET}/{}", escape(name));
     match call {
         "show" => {
-            let (raw, value) = at()?.read(&target)?;
+            let (raw, value) = registries()?.get(&target)?;
             Ok(if json { raw + "\n" } else { report(&value) })
         }
         "stop" => {
-            at()?.ask(&Order::plain("DELETE", target))?;
+            registries()?.send(&Call::without_body("DELETE", target))?;
             Ok(format!("{name}: stopped\n"))
         }
-        _ => start(name, &target, given, json, &at()?),
+        _ => start(name, &target, given, json, &registries()?),
     }
 }
 
@@ -69,14 +73,14 @@
     target: &str,
     given: &ArgMatches,
     json: bool,
-    at: &Registries,
-) -> Result<String, Failed> {
+    registries: &Registries,
+) -> Result<String, CommandError> {
     let path = given.get_one::<String>("FILE").map_or("", String::as_str);
-    let body = std::fs::read(path).map_err(|e| Failed::Usage(format!("{path}: {e}")))?;
-    let drill = jig::drill::Drill::read(name, &body).map_err(|e| Failed::Refused(e.to_string()))?;
+    let body = std::fs::read(path).map_err(|e| CommandError::Usage(format!("{path}: {e}")))?;
+    let drill = jig::drill::Drill::read(name, &body).map_err(|e| CommandError::Refused(e.to_string()))?;
     let dry = given.get_flag("dry-run");
     let target = if dry { format!("{target}?dry_run=true") } else { target.to_string() };
-    let told = text(at.ask(&Order { method: "PUT", target, base: None, body: &body })?);
+    let told = text(registries.send(&Call { method: "PUT", target, if_match: None, body: &body })?);
     if json {
         return Ok(told + "\n");
     }
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -1,11 +1,11 @@
-//! `curlewfront fleet`: speaks with the fleet group through any one gateway's control address.
+//! `curlewfront fleet`: calls on the fleet group, through any one gateway's control address.
+
+mod view;
 
 use clap::{Args, Subcommand};
 use curlewfront_fleet::control::{Control, Failed};
-use curlewfront_fleet::state::{Applied, Command, Lease};
+use curlewfront_fleet::state::{Applied, Command};
 use curlewfront_fleet::voter::{Request, Response};
-use curlewfront_fleet::wire::NodeStatus;
-use serde_json::{Value, json};
 use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -84,9 +84,9 @@
         Fleet::Status { json } => {
             let status = control.status()?;
             if *json {
-                println!("{:#}", as_json(&status));
+                println!("{:#}", view::json(&status));
             } else {
-                print!("{}", as_text(&status));
+                print!("{}", view::text(&status));
             }
             0
         }
@@ -100,7 +100,7 @@
                 eprintln!("curlewfront: no document {key:?}");
                 1
             }
-            other => said(&other),
+            other => print_outcome(&other),
         },
         Fleet::Put { key, value, if_version } => {
             let value = match value {
@@ -115,23 +115,23 @@
                 }
             };
             let command = Command::Put { key: key.clone(), value: Some(value), if_version: *if_version };
-            said(&control.command(command)?)
+            print_outcome(&control.command(command)?)
         }
         Fleet::Delete { key, if_version } => {
             let command = Command::Put { key: key.clone(), value: None, if_version: *if_version };
-            said(&control.command(command)?)
+            print_outcome(&control.command(command)?)
         }
         Fleet::Voters { what: Voters::Add { name } } => {
-            said(&control.command(Command::Allow { name: name.clone(), vote: true })?)
+            print_outcome(&control.command(Command::Allow { name: name.clone(), vote: true })?)
         }
         Fleet::Voters { what: Voters::Remove { name } } => {
-            said(&control.request(Request::RemoveVoter { name: name.clone() })?)
+            print_outcome(&control.request(Request::RemoveVoter { name: name.clone() })?)
         }
     })
 }
 
-/// Says what became of a change, and with which code the command ends.
-fn said(response: &Response) -> u8 {
+/// Prints what became of a change; the exit code.
+fn print_outcome(response: &Response) -> u8 {
     match response {
         Response::Applied(Applied::Put { version }) => {
             println!("version {version}");
@@ -155,78 +155,3 @@
         }
     }
 }
-
-fn lease(lease: Lease) -> &'static str {
-    match lease {
-        Lease::Held => "held",
-        Lease::Expired => "expired",
-        Lease::Released => "released",
-    }
-}
-
-fn as_json(s: &NodeStatus) -> Value {
-    let voters: Vec<Value> = s
-        .state
-        .voters
-        .iter()
-        .map(|(id, v)| json!({"id": format!("{id:x}"), "name": v.name, "addr": v.addr, "votes": v.votes}))
-        .collect();
-    let members: Vec<Value> = s
-        .state
-        .members
-        .iter()
-        .map(|(n, m)| json!({"name": n, "incarnation": m.incarnation, "lease": lease(m.lease), "voter": m.voter}))
-        .collect();
-    let documents: Vec<Value> = s
-        .state
-        .documents
-        .iter()
-        .filter_map(|(k, d)| {
-            let bytes = d.value.as_ref()?.len();
-            Some(json!({"key": k, "version": d.version, "bytes": bytes}))
-        })
-        .collect();
-    json!({
-        "installation": s.installation, "name": s.name, "disk": format!("{:x}", s.disk),
-        "group": format!("{:x}", s.group), "role": s.role, "leader": s.leader, "incarnation": s.incarnation,
-        "lease_left_ms": s.lease_left_ms, "revision": s.state.revision, "trouble": s.trouble,
-        "term": s.voter.as_ref().map(|v| v.term), "commit": s.voter.as_ref().map(|v| v.commit),
-        "applied": s.voter.as_ref().map(|v| v.applied), "snapshot": s.voter.as_ref().map(|v| v.snapshot),
-        "log_entries": s.voter.as_ref().map(|v| v.log_entries),
-        "voters": voters, "members": members, "documents": documents,
-        "counts": {
-            "frames_in": s.counts.frames_in, "frames_out": s.counts.frames_out, "dropped": s.counts.dropped,
-            "refused": s.counts.refused, "links_broken": s.counts.links_broken, "syncs": s.counts.syncs,
-            "calls": s.counts.calls, "calls_failed": s.counts.calls_failed, "renewed": s.counts.renewed,
-            "leases_lost": s.counts.leases_lost, "elections": s.counts.elections, "snapshots": s.counts.snapshots,
-        },
-    })
-}
-
-fn as_text(s: &NodeStatus) -> String {
-    use std::fmt::Write as _;
-    let mut text = String::new();
-    let leader = if s.leader.is_empty() { "none known" } else { &s.leader };
-    let _ = writeln!(
-        text,
-        "{} of {}: {}, leader {leader}, revision {}",
-        s.name, s.installation, s.role, s.state.revision
-    );
-    if !s.trouble.is_empty() {
-        let _ = writeln!(text, "trouble: {}", s.trouble);
-    }
-    let _ = match s.incarnation {
-        0 => writeln!(text, "no lease"),
-        i => writeln!(text, "incarnation {i}, lease for {} ms more", s.lease_left_ms),
-    };
-    for (id, v) in &s.state.voters {
-        let part = if v.votes { "votes" } else { "learns" };
-        let _ = writeln!(text, "voter  {:<24} {part:<9} {} disk {id:x}", v.name, v.addr);
-    }
-    for (name, m) in &s.state.members {
-        let part = if m.voter { "voter" } else { "watcher" };
-        let _ =
-            writeln!(text, "member {name:<24} {:<9} incarnation {} {part}", lease(m.lease), m.incarnation);
-    }
-    text
-}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,11 +1,12 @@
 //! `curlewfront`: the operator's command. `fleet` speaks with the fleet group of the old gateways, `store` with nobody: it
 //! works on the folder of a store that does not run. All else speaks with the registries of the whole system.
 
-mod ask;
 mod booking;
 mod config;
 mod drill;
+mod error;
 mod fleet;
+mod registries;
 mod rollout;
 mod show;
 mod store;
@@ -13,8 +14,9 @@
 mod table;
 mod zone;
 
-use ask::{Failed, Registries};
 use clap::{Arg, ArgAction, ArgMatches, Args, Command, FromArgMatches, value_parser};
+use error::CommandError;
+use registries::Registries;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -76,22 +78,22 @@
         }
         Err(failed) => {
             eprintln!("curlewfront: {failed}");
-            ExitCode::from(failed.code())
+            ExitCode::from(failed.exit_code())
         }
     }
 }
 
 /// What is to be printed.
-fn work(name: &str, given: &ArgMatches) -> Result<String, Failed> {
-    let at = || Registries::new(given.get_many("at").into_iter().flatten().copied().collect());
+fn work(name: &str, given: &ArgMatches) -> Result<String, CommandError> {
+    let registries = || Registries::new(given.get_many("at").into_iter().flatten().copied().collect());
     match name {
-        "config" => config::run(given, at),
-        "drill" => drill::run(given, at),
+        "config" => config::run(given, registries),
+        "drill" => drill::run(given, registries),
         "store" => store::run(given),
-        "booking" => booking::run(given, &at()?),
-        "rollout" => rollout::run(given, &at()?),
+        "booking" => booking::run(given, &registries()?),
+        "rollout" => rollout::run(given, &registries()?),
         "system" => system::run(given),
-        "evacuate" | "return" => zone::run(name, given, &at()?),
-        _ => show::run(name, given.get_flag("json"), &at()?),
+        "evacuate" | "return" => zone::run(name, given, &registries()?),
+        _ => show::run(name, given.get_flag("json"), &registries()?),
     }
 }
--- a/crates/cli/src/rollout.rs
+++ b/crates/cli/src/rollout.rs
@@ -3,7 +3,8 @@
 mod view;
 mod watch;
 
-use crate::ask::{Failed, Order, Registries, escape};
+use crate::error::CommandError;
+use crate::registries::{Call, Registries, escape};
 use crate::table::{cell, list};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use jig::rollout::MAX_TERM_S;
@@ -68,52 +69,57 @@
     }
 }
 
-pub fn run(given: &ArgMatches, at: &Registries) -> Result<String, Failed> {
+pub fn run(given: &ArgMatches, registries: &Registries) -> Result<String, CommandError> {
     let Some((call, given)) = given.subcommand() else {
-        return Err(Failed::Usage("rollout: start, watch, list or stop".into()));
+        return Err(CommandError::Usage("rollout: start, watch, list or stop".into()));
     };
     let json = given.get_flag("json");
     if call == "list" {
-        let (raw, value) = at.read(TARGET)?;
+        let (raw, value) = registries.get(TARGET)?;
         return Ok(if json { raw + "\n" } else { list(&value["rollout_list"], &ROLLOUTS) });
     }
     let service = given.get_one::<String>("service").map_or("", String::as_str);
     if service.is_empty() {
-        return Err(Failed::Usage("SERVICE: the name of a service is needed".into()));
+        return Err(CommandError::Usage("SERVICE: the name of a service is needed".into()));
     }
     let target = format!("{TARGET}/{}", escape(service));
     let every = || Duration::from_millis(given.get_one::<u64>("every").copied().unwrap_or_default());
     match call {
-        "watch" => watch::to_its_end(&target, every(), json, at),
-        "stop" => stop(service, &target, json, at),
+        "watch" => watch::to_its_end(&target, every(), json, registries),
+        "stop" => stop(service, &target, json, registries),
         _ => {
-            let ordered = start(service, given, at)?;
+            let ordered = start(service, given, registries)?;
             if !given.get_flag("watch") {
                 return Ok(ordered);
             }
             if !json {
                 print!("{ordered}");
             }
-            watch::to_its_end(&target, every(), json, at)
+            watch::to_its_end(&target, every(), json, registries)
         }
     }
 }
 
-fn start(service: &str, given: &ArgMatches, at: &Registries) -> Result<String, Failed> {
+fn start(service: &str, given: &ArgMatches, registries: &Registries) -> Result<String, CommandError> {
     let version = given.get_one::<String>("version").map_or("", String::as_str);
     let term_s = given.get_one::<f64>("term").copied().unwrap_or_default();
     if version.is_empty() {
-        return Err(Failed::Usage("VERSION: the version of the new servers is needed".into()));
+        return Err(CommandError::Usage("VERSION: the version of the new servers is needed".into()));
     }
     let order = jzon::object! { service_ref: service, target_version: version, rollout_term_s: term_s };
-    at.ask(&Order { method: "POST", target: TARGET.into(), base: None, body: order.dump().as_bytes() })?;
+    registries.send(&Call {
+        method: "POST",
+        target: TARGET.into(),
+        if_match: None,
+        body: order.dump().as_bytes(),
+    })?;
     Ok(format!("{service}: rollout to {version} is ordered, to end within {term_s} s\n"))
 }
 
 /// A rollout that has ended stays as it ended, so its state is told and not taken for granted.
-fn stop(service: &str, target: &str, json: bool, at: &Registries) -> Result<String, Failed> {
-    at.ask(&Order::plain("DELETE", target))?;
-    let (raw, value) = match at.read(target) {
+fn stop(service: &str, target: &str, json: bool, registries: &Registries) -> Result<String, CommandError> {
+    registries.send(&Call::without_body("DELETE", target))?;
+    let (raw, value) = match registries.get(target) {
         Ok(read) => read,
         Err(_) if !json => return Ok(format!("{service}: has ended; no registry tells how\n")),
         Err(failed) => return Err(failed),
--- a/crates/cli/src/rollout/watch.rs
+++ b/crates/cli/src/rollout/watch.rs
@@ -1,7 +1,8 @@
 //! Follows one rollout to its end: asks a registry again and again, shows what it tells, and reports how it ended.
 
 use super::view;
-use crate::ask::{Failed, Registries};
+use crate::error::CommandError;
+use crate::registries::Registries;
 use crate::table::cell;
 use jzon::JsonValue;
 use std::io::{IsTerminal, Write};
@@ -24,11 +25,16 @@
     unanswered: u32,
 }
 
-pub fn to_its_end(target: &str, every: Duration, json: bool, at: &Registries) -> Result<String, Failed> {
+pub fn to_its_end(
+    target: &str,
+    every: Duration,
+    json: bool,
+    registries: &Registries,
+) -> Result<String, CommandError> {
     let mut watched = Watched::default();
     let mut screen = Screen { on_terminal: std::io::stdout().is_terminal(), shown: 0 };
     loop {
-        if let Some((raw, value)) = watched.ask(target, at)? {
+        if let Some((raw, value)) = watched.ask(target, registries)? {
             watched.take(&value)?;
             let over = value["server_state"] != "in_progress";
             match (json, over) {
@@ -48,37 +54,41 @@
 }
 
 /// Completed is what was wanted; all else is told by the exit code, after the report.
-fn verdict(value: &JsonValue, report: String) -> Result<String, Failed> {
+fn verdict(value: &JsonValue, report: String) -> Result<String, CommandError> {
     if value["server_state"] == "completed" {
         return Ok(report);
     }
     put(&report);
-    Err(Failed::Reverted(cell(&value["reason"])))
+    Err(CommandError::Reverted(cell(&value["reason"])))
 }
 
 impl Watched {
     /// None where no registry answers for the moment, as while a new leader is elected.
-    fn ask(&mut self, target: &str, at: &Registries) -> Result<Option<(String, JsonValue)>, Failed> {
-        match at.read(target) {
+    fn ask(
+        &mut self,
+        target: &str,
+        registries: &Registries,
+    ) -> Result<Option<(String, JsonValue)>, CommandError> {
+        match registries.get(target) {
             Ok(read) => {
                 self.unanswered = 0;
                 Ok(Some(read))
             }
-            Err(Failed::Unreachable(why)) => {
+            Err(CommandError::Unreachable(why)) => {
                 self.unanswered += 1;
                 eprintln!("curlewfront: no registry answered, asked again: {why}");
-                if self.unanswered < MAX_UNANSWERED { Ok(None) } else { Err(Failed::Unreachable(why)) }
+                if self.unanswered < MAX_UNANSWERED { Ok(None) } else { Err(CommandError::Unreachable(why)) }
             }
             Err(failed) => Err(failed),
         }
     }
 
     /// Another rollout of the same service may begin after the end of the one that is watched.
-    fn take(&mut self, value: &JsonValue) -> Result<(), Failed> {
+    fn take(&mut self, value: &JsonValue) -> Result<(), CommandError> {
         let epoch = value["epoch"].as_u64();
         if self.epoch.is_some() && self.epoch != epoch {
             let why = "the rollout ended unseen, and another one of this service has begun".to_string();
-            return Err(Failed::Refused(why));
+            return Err(CommandError::Refused(why));
         }
         self.epoch = epoch;
         if !value["new_side"]["answer_count"].is_null() {
--- a/crates/cli/src/show.rs
+++ b/crates/cli/src/show.rs
@@ -1,6 +1,7 @@
 //! `curlewfront status`, `servers` and `nodes`: one registry's own view.
 
-use crate::ask::{Failed, Registries};
+use crate::error::CommandError;
+use crate::registries::Registries;
 use crate::table::{cell, list};
 use clap::Command;
 use jzon::JsonValue;
@@ -35,12 +36,12 @@
 const FOLLOWERS: [(&str, &str); 3] =
     [("FOLLOWER", "node_name"), ("IP", "ip_address"), ("REVISION", "revision")];
 
-pub fn run(name: &str, json: bool, at: &Registries) -> Result<String, Failed> {
+pub fn run(name: &str, json: bool, registries: &Registries) -> Result<String, CommandError> {
     let target = match name {
         "servers" => "/api/instances",
         other => &format!("/api/{other}"),
     };
-    let (raw, value) = at.read(target)?;
+    let (raw, value) = registries.get(target)?;
     if json {
         return Ok(raw + "\n");
     }
--- a/crates/cli/src/store.rs
+++ b/crates/cli/src/store.rs
@@ -1,6 +1,6 @@
 //! `curlewfront store`: the folder of a store whose program does not run, on the machine itself. Asks nobody.
 
-use crate::ask::Failed;
+use crate::error::CommandError;
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use planchest::store;
 use std::net::Ipv4Addr;
@@ -45,8 +45,10 @@
         )
 }
 
-pub fn run(given: &ArgMatches) -> Result<String, Failed> {
-    let Some((name, given)) = given.subcommand() else { return Err(Failed::Usage("what to do?".into())) };
+pub fn run(given: &ArgMatches) -> Result<String, CommandError> {
+    let Some((name, given)) = given.subcommand() else {
+        return Err(CommandError::Usage("what to do?".into()));
+    };
     let path = |id: &str| given.get_one::<PathBuf>(id).map_or(Path::new(""), PathBuf::as_path);
     let folder = path("folder");
     // As a store draws the number of a disk that it makes.
@@ -61,9 +63,9 @@
         }
         _ => {
             let yes = given.get_flag("yes");
-            let shown = store::refound(folder, number, yes).map_err(Failed::Refused)?;
-            return if yes { Ok(shown) } else { Err(Failed::Refused(shown)) };
+            let shown = store::refound(folder, number, yes).map_err(CommandError::Refused)?;
+            return if yes { Ok(shown) } else { Err(CommandError::Refused(shown)) };
         }
     };
-    done.map_err(Failed::Refused)
+    done.map_err(CommandError::Refused)
 }
--- a/crates/cli/src/system.rs
+++ b/crates/cli/src/system.rs
@@ -1,6 +1,6 @@
 //! `curlewfront system`: the settings files of a whole installation.
 
-use crate::ask::Failed;
+use crate::error::CommandError;
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use jig::Scheme;
 use jig::scheme::{Part, Program};
@@ -58,21 +58,21 @@
         .subcommand(init)
 }
 
-pub fn run(given: &ArgMatches) -> Result<String, Failed> {
+pub fn run(given: &ArgMatches) -> Result<String, CommandError> {
     let Some(("init", given)) = given.subcommand() else {
-        return Err(Failed::Usage("system: init".into()));
+        return Err(CommandError::Usage("system: init".into()));
     };
     let dir = given.get_one::<PathBuf>("dir").expect("required");
-    let usage = |path: &Path, e: std::io::Error| Failed::Usage(format!("{}: {e}", path.display()));
+    let usage = |path: &Path, e: std::io::Error| CommandError::Usage(format!("{}: {e}", path.display()));
     std::fs::create_dir_all(dir).map_err(|e| usage(dir, e))?;
     let dir = dir.canonicalize().map_err(|e| usage(dir, e))?;
     let scheme = scheme(given, &dir)?;
-    let parts = scheme.parts(true).map_err(|e| Failed::Refused(e.to_string()))?;
+    let parts = scheme.parts(true).map_err(|e| CommandError::Refused(e.to_string()))?;
     // They say that this is the first start of all: over a system at work that would be false.
     if let Some(there) = parts.iter().map(Part::file).find(|f| dir.join(f).exists())
         && !given.get_flag("force")
     {
-        return Err(Failed::Refused(format!("{} is there already", dir.join(there).display())));
+        return Err(CommandError::Refused(format!("{} is there already", dir.join(there).display())));
     }
     for part in &parts {
         let path = dir.join(part.file());
@@ -81,27 +81,29 @@
     Ok(next(&dir, &scheme, &parts))
 }
 
-fn scheme(given: &ArgMatches, dir: &Path) -> Result<Scheme, Failed> {
+fn scheme(given: &ArgMatches, dir: &Path) -> Result<Scheme, CommandError> {
     if let Some(path) = given.get_one::<PathBuf>("scheme") {
-        let text =
-            std::fs::read_to_string(path).map_err(|e| Failed::Usage(format!("{}: {e}", path.display())))?;
-        return Scheme::read(&text).map_err(|e| Failed::Refused(format!("{}: {e}", path.display())));
+        let text = std::fs::read_to_string(path)
+            .map_err(|e| CommandError::Usage(format!("{}: {e}", path.display())))?;
+        return Scheme::read(&text).map_err(|e| CommandError::Refused(format!("{}: {e}", path.display())));
     }
     let zone = |text: &String| {
         let pair = text.split_once('=').filter(|(zone, region)| !zone.is_empty() && !region.is_empty());
         let pair = pair.map(|(zone, region)| (zone.to_string(), region.to_string()));
-        pair.ok_or_else(|| Failed::Usage(format!("--zones: expected ZONE=REGION, found {text:?}")))
+        pair.ok_or_else(|| CommandError::Usage(format!("--zones: expected ZONE=REGION, found {text:?}")))
     };
     let zones: Vec<_> =
         given.get_many::<String>("zones").into_iter().flatten().map(zone).collect::<Result<_, _>>()?;
     let [first, second, third, _] = given.get_one::<Ipv4Addr>("net").expect("it has a default").octets();
     if first != 127 {
-        return Err(Failed::Usage("--net: other addresses than loopback's are named by a --scheme".into()));
+        return Err(CommandError::Usage(
+            "--net: other addresses than loopback's are named by a --scheme".into(),
+        ));
     }
     let count = |name: &str| *given.get_one::<u32>(name).expect("it has a default") as usize;
     let data = dir.join("data").to_string_lossy().into_owned();
     Scheme::loopback([second, third], count("core"), count("edge"), &zones, &data)
-        .map_err(|e| Failed::Usage(e.to_string()))
+        .map_err(|e| CommandError::Usage(e.to_string()))
 }
 
 /// What to do with them.
--- a/crates/cli/src/zone.rs
+++ b/crates/cli/src/zone.rs
@@ -1,6 +1,7 @@
 //! `curlewfront evacuate ZONE` and `return ZONE`.
 
-use crate::ask::{Failed, Order, Registries, escape};
+use crate::error::CommandError;
+use crate::registries::{Call, Registries, escape};
 use clap::{Arg, ArgMatches, Command};
 
 pub fn commands() -> [Command; 2] {
@@ -11,16 +12,16 @@
     ]
 }
 
-pub fn run(name: &str, given: &ArgMatches, at: &Registries) -> Result<String, Failed> {
+pub fn run(name: &str, given: &ArgMatches, registries: &Registries) -> Result<String, CommandError> {
     let zone = given.get_one::<String>("zone").map_or("", String::as_str);
     if zone.is_empty() {
-        return Err(Failed::Usage("the name of a zone is needed".into()));
+        return Err(CommandError::Usage("the name of a zone is needed".into()));
     }
     let target = format!("/api/evacuation/{}", escape(zone));
     let (method, said) = match name {
         "evacuate" => ("POST", "evacuated"),
         _ => ("DELETE", "back in use"),
     };
-    at.ask(&Order::plain(method, target))?;
+    registries.send(&Call::without_body(method, target))?;
     Ok(format!("{zone}: {said}\n"))
 }
--- a/crates/cli/tests/calls.rs
+++ b/crates/cli/tests/calls.rs
@@ -165,3 +165,27 @@
     let last = said.lines().last().expect("a row").split_whitespace().collect::<Vec<_>>();
     assert_eq!(last[..4], ["edge-1", "10.9.1.2", "9", "20.5"]);
 }
+
+/// Guards against keys of tenants on screens.
+#[test]
+fn the_configuration_is_shown_as_tables_without_keys_and_raw_as_it_was_put() {
+    let tenants = r#","tenant_list":{"column_set":["entity_name","access_keys","rate_per_s","burst_size"],
+        "row_set":[["reed",["secret-1","secret-2"],20,4]]},"limits"#;
+    let config = CONFIG.replace(r#","limits"#, tenants);
+    let (at, _) = stand_in(vec![says(200, &config), says(200, &config), says(404, r#"{"trouble":"none"}"#)]);
+    let (code, said, why) = run(&[at], &["config", "show"]);
+    assert_eq!((code, said.contains("secret")), (0, false), "{said}{why}");
+    let lines: Vec<Vec<&str>> = said.lines().map(|l| l.split_whitespace().collect()).collect();
+    assert_eq!(lines[0], ["version", "00000007,", "1", "routes,", "1", "services,", "1", "tenants"]);
+    assert_eq!(lines[3][..5], ["r-fen", "marsh.example", "/fen/", "safe", "2000"]);
+    assert_eq!(lines[3][8..], ["yes", "-", "heron"]);
+    assert_eq!(lines[6][..3], ["heron", "-", "-"]);
+    assert_eq!(lines[9], ["reed", "2", "-", "20", "4", "-"]);
+    assert!(
+        lines[1].is_empty() && lines[4].is_empty() && lines[7].is_empty() && lines[10].is_empty(),
+        "{said}"
+    );
+    assert_eq!(run(&[at], &["config", "show", "--raw"]).1, format!("{config}\n"));
+    let (code, _, why) = run(&[at], &["config", "show"]);
+    assert_eq!((code, why.as_str()), (1, "curlewfront: refused: there is no configuration yet\n"));
+}
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -1,4 +1,5 @@
 //! Stand-in registries on loopback, each of which answers a few calls and ends, and the built command run against them.
+#![allow(dead_code)] // each test file uses a part of it
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
