--- a/crates/cli/src/config.rs
+++ b/crates/cli/src/config.rs
@@ -3,6 +3,7 @@
 mod diff;
 mod show;
 
+use crate::arguments::text_of;
 use crate::error::CommandError;
 use crate::registries::{Call, Registries, text};
 use crate::table::cell;
@@ -17,12 +18,12 @@
     let file = |name: &'static str| Arg::new(name).value_name(name).required(true);
     let put = |name: &'static str, about: &'static str| {
         let base = Arg::new("base").long("base").value_name("VERSION").required(true);
-        let dry = Arg::new("dry-run").long("dry-run").action(ArgAction::SetTrue);
+        let dry_run = Arg::new("dry-run").long("dry-run").action(ArgAction::SetTrue);
         Command::new(name)
             .about(about)
             .arg(file("FILE"))
             .arg(base.help("The version that it builds on, as hexadecimal digits; 0: there is none yet"))
-            .arg(dry.help("Only prints what would change"))
+            .arg(dry_run.help("Only prints what would change"))
     };
     let raw = Arg::new("raw").long("raw").action(ArgAction::SetTrue).help("As it was put");
     Command::new("config")
@@ -87,14 +88,14 @@
 
 fn put(patch: bool, given: &ArgMatches, registries: &Registries) -> Result<String, CommandError> {
     let (path, bytes) = file(given, "FILE")?;
-    let base = given.get_one::<String>("base").map_or("", String::as_str);
+    let base = text_of(given, "base");
     let wrong = || CommandError::Usage(format!("--base: expected hexadecimal digits, found {base:?}"));
     let version = if_match(base).ok_or_else(wrong)?;
     if given.get_flag("dry-run") {
-        return dry(patch, &path, &bytes, version, registries);
+        return dry_run(patch, &path, &bytes, version, registries);
     }
     if !patch {
-        read(&path, &bytes)?; // refused here already, with the same words
+        read(&path, &bytes)?; // refused here with the words that a registry would use
     }
     let base = show_version(version);
     let method = if patch { "PATCH" } else { "PUT" };
@@ -104,7 +105,7 @@
 }
 
 /// What the order would do to the configuration as it is read now. Nothing is changed.
-fn dry(
+fn dry_run(
     patch: bool,
     path: &str,
     bytes: &[u8],
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,18 +1,19 @@
-//! `curlewfront`: the operator's command. `fleet` speaks with the fleet group of the old gateways, `store` with nobody: it
-//! works on the folder of a store that does not run. All else speaks with the registries of the whole system.
+//! `curlewfront`: the operator's command. Most subcommands call the registries of the whole system. `fleet` calls the fleet
+//! group of the gateways; `store` and `system` work on files of this machine and call nobody.
 
+mod arguments;
 mod booking;
 mod config;
 mod drill;
 mod error;
+mod evacuation;
 mod fleet;
 mod registries;
 mod rollout;
-mod show;
+mod status;
 mod store;
 mod system;
 mod table;
-mod zone;
 
 use clap::{Arg, ArgAction, ArgMatches, Args, Command, FromArgMatches, value_parser};
 use error::CommandError;
@@ -52,8 +53,8 @@
         .subcommand(drill::command())
         .subcommand(booking::command())
         .subcommand(rollout::command())
-        .subcommands(zone::commands())
-        .subcommands(show::commands())
+        .subcommands(evacuation::commands())
+        .subcommands(status::commands())
         .subcommand(system::command())
         .subcommand(store::command())
         .subcommand(fleet::FleetArgs::augment_args(
@@ -70,21 +71,21 @@
             Err(e) => e.exit(),
         };
     }
-    match work(name, given) {
+    match output_of(name, given) {
         Ok(text) => {
-            // Who reads may have read enough.
+            // A reader that closed the pipe has read what it wanted.
             let _ = std::io::stdout().write_all(text.as_bytes());
             ExitCode::SUCCESS
         }
-        Err(failed) => {
-            eprintln!("curlewfront: {failed}");
-            ExitCode::from(failed.exit_code())
+        Err(error) => {
+            eprintln!("curlewfront: {error}");
+            ExitCode::from(error.exit_code())
         }
     }
 }
 
-/// What is to be printed.
-fn work(name: &str, given: &ArgMatches) -> Result<String, CommandError> {
+/// Carries out a command; the text that is to be printed.
+fn output_of(name: &str, given: &ArgMatches) -> Result<String, CommandError> {
     let registries = || Registries::new(given.get_many("at").into_iter().flatten().copied().collect());
     match name {
         "config" => config::run(given, registries),
@@ -93,7 +94,7 @@
         "booking" => booking::run(given, &registries()?),
         "rollout" => rollout::run(given, &registries()?),
         "system" => system::run(given),
-        "evacuate" | "return" => zone::run(name, given, &registries()?),
-        _ => show::run(name, given.get_flag("json"), &registries()?),
+        "evacuate" | "return" => evacuation::run(name, given, &registries()?),
+        _ => status::run(name, given.get_flag("json"), &registries()?),
     }
 }
--- a/crates/cli/src/rollout.rs
+++ b/crates/cli/src/rollout.rs
@@ -3,6 +3,7 @@
 mod view;
 mod watch;
 
+use crate::arguments::name_of;
 use crate::error::CommandError;
 use crate::registries::{Call, Registries, escape};
 use crate::table::{cell, list};
@@ -78,10 +79,7 @@
         let (raw, value) = registries.get(TARGET)?;
         return Ok(if json { raw + "\n" } else { list(&value["rollout_list"], &ROLLOUTS) });
     }
-    let service = given.get_one::<String>("service").map_or("", String::as_str);
-    if service.is_empty() {
-        return Err(CommandError::Usage("SERVICE: the name of a service is needed".into()));
-    }
+    let service = name_of(given, "service", "SERVICE")?;
     let target = format!("{TARGET}/{}", escape(service));
     let every = || Duration::from_millis(given.get_one::<u64>("every").copied().unwrap_or_default());
     match call {
@@ -101,11 +99,8 @@
 }
 
 fn start(service: &str, given: &ArgMatches, registries: &Registries) -> Result<String, CommandError> {
-    let version = given.get_one::<String>("version").map_or("", String::as_str);
+    let version = name_of(given, "version", "VERSION")?;
     let term_s = given.get_one::<f64>("term").copied().unwrap_or_default();
-    if version.is_empty() {
-        return Err(CommandError::Usage("VERSION: the version of the new servers is needed".into()));
-    }
     let order = jzon::object! { service_ref: service, target_version: version, rollout_term_s: term_s };
     registries.send(&Call {
         method: "POST",
--- a/crates/cli/src/rollout/watch.rs
+++ b/crates/cli/src/rollout/watch.rs
@@ -156,7 +156,7 @@
     }
 }
 
-/// Whoever reads may have read enough, so a failure to write ends nothing.
+/// A reader that closed the pipe ends nothing.
 fn put(text: &str) {
     let mut out = std::io::stdout();
     let _ = out.write_all(text.as_bytes()).and_then(|()| out.flush());
--- a/crates/cli/src/show.rs
+++ b/crates/cli/src/status.rs
@@ -1,4 +1,4 @@
-//! `curlewfront status`, `servers` and `nodes`: one registry's own view.
+//! `curlewfront status`, `servers` and `nodes`: what one registry knows, which may be older than what is agreed.
 
 use crate::error::CommandError;
 use crate::registries::Registries;
@@ -8,7 +8,7 @@
 
 pub fn commands() -> [Command; 3] {
     [
-        Command::new("status").about("How the registry that answers stands"),
+        Command::new("status").about("The state of the registry that answers: core, leader, followers"),
         Command::new("servers").about("The servers, as the registry that answers knows them"),
         Command::new("nodes").about("The proxies, as the registry that answers knows them"),
     ]
@@ -53,6 +53,7 @@
     })
 }
 
+/// The line above a view: which registry answered, and up to which revision of the log it knows.
 pub fn seen_by(value: &JsonValue) -> String {
     format!("as seen by {} at revision {}\n", cell(&value["answered_by"]), cell(&value["revision"]))
 }
--- a/crates/cli/src/table.rs
+++ b/crates/cli/src/table.rs
@@ -2,6 +2,7 @@
 
 use jzon::JsonValue;
 
+/// Rows of text, the headings first.
 pub struct Table {
     rows: Vec<Vec<String>>,
 }
@@ -29,7 +30,7 @@
     }
 }
 
-/// A value as a cell: texts without quotes, what is not there as a dash.
+/// A value as the text of a cell: strings without quotes, null as a dash.
 pub fn cell(value: &JsonValue) -> String {
     match value {
         JsonValue::Null => "-".into(),
@@ -43,7 +44,7 @@
     }
 }
 
-/// Rows of an answer, each column's name and its field.
+/// A table of an answer's rows. `columns`: the heading and the field of each.
 pub fn list(rows: &JsonValue, columns: &[(&str, &str)]) -> String {
     let mut table = Table::new(&columns.iter().map(|c| c.0).collect::<Vec<_>>());
     for row in rows.members() {
--- a/crates/cli/tests/rollout.rs
+++ b/crates/cli/tests/rollout.rs
@@ -83,8 +83,8 @@
         (vec!["start", "heron", "v2", "--term", "86401"], "from 0.001 to 86400"),
         (vec!["start", "heron", "v2", "--term", "soon"], "from 0.001 to 86400"),
         (vec!["start", "heron", "--term", "9"], "<VERSION>"),
-        (vec!["start", "", "v2", "--term", "9"], "SERVICE: the name of a service is needed"),
-        (vec!["start", "heron", "", "--term", "9"], "VERSION: the version of the new servers is needed"),
+        (vec!["start", "", "v2", "--term", "9"], "SERVICE: expected a name that is not empty"),
+        (vec!["start", "heron", "", "--term", "9"], "VERSION: expected a name that is not empty"),
         (vec!["watch", "heron", "--every", "0"], "--every <MS>"),
         (vec!["stop"], "<SERVICE>"),
     ] {
