--- a/crates/cli/src/rollout.rs
+++ b/crates/cli/src/rollout.rs
@@ -5,7 +5,7 @@
 
 use crate::arguments::name_of;
 use crate::error::CommandError;
-use crate::registries::{Call, Registries, escape};
+use crate::registries::{Call, Registries, escape, text};
 use crate::table::{cell, list};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use jig::rollout::MAX_TERM_S;
@@ -86,7 +86,7 @@
         "watch" => watch::to_its_end(&target, every(), json, registries),
         "stop" => stop(service, &target, json, registries),
         _ => {
-            let ordered = start(service, given, registries)?;
+            let ordered = start(service, given, json, registries)?;
             if !given.get_flag("watch") {
                 return Ok(ordered);
             }
@@ -98,17 +98,22 @@
     }
 }
 
-fn start(service: &str, given: &ArgMatches, registries: &Registries) -> Result<String, CommandError> {
+fn start(
+    service: &str,
+    given: &ArgMatches,
+    json: bool,
+    registries: &Registries,
+) -> Result<String, CommandError> {
     let version = name_of(given, "version", "VERSION")?;
     let term_s = given.get_one::<f64>("term").copied().unwrap_or_default();
     let order = jzon::object! { service_ref: service, target_version: version, rollout_term_s: term_s };
-    registries.send(&Call {
-        method: "POST",
-        target: TARGET.into(),
-        if_match: None,
-        body: order.dump().as_bytes(),
-    })?;
-    Ok(format!("{service}: rollout to {version} is ordered, to end within {term_s} s\n"))
+    let body = order.dump();
+    let call = Call { method: "POST", target: TARGET.into(), if_match: None, body: body.as_bytes() };
+    let answer = text(registries.send(&call)?);
+    Ok(match json {
+        true => answer + "\n",
+        false => format!("{service}: rollout to {version} is ordered, to end within {term_s} s\n"),
+    })
 }
 
 /// A rollout that has ended stays as it ended, so its state is told and not taken for granted.
--- a/crates/cli/src/rollout/watch.rs
+++ b/crates/cli/src/rollout/watch.rs
@@ -13,7 +13,7 @@
 
 pub const EXIT_CODES: &str = "\
 Exit codes: 0 completed; 1 reverted, or there is no such rollout; 3 no registry answered ten times in a row,
-which ends the watching alone: the rollout goes on.";
+which ends the watching alone: the rollout goes on, as it does after Ctrl-C.";
 
 /// What was seen so far.
 #[derive(Default)]
@@ -129,6 +129,10 @@
     }
 }
 
+/// Long lines are cut at the edge of the terminal: wrapped, one would take more lines than are cleared.
+const NO_WRAP: &str = "\x1b[?7l";
+const WRAP: &str = "\x1b[?7h";
+
 /// The lines on the terminal that are to be written over.
 struct Screen {
     on_terminal: bool,
@@ -138,7 +142,7 @@
 impl Screen {
     fn renew(&mut self, text: &str) {
         self.clear();
-        put(text);
+        put(&format!("{NO_WRAP}{text}{WRAP}"));
         self.shown = text.lines().count();
     }
 
--- a/crates/cli/tests/rollout.rs
+++ b/crates/cli/tests/rollout.rs
@@ -51,7 +51,8 @@
 fn an_order_is_sent_as_it_was_said_and_a_refusal_names_its_reason() {
     let under_way = r#"{"trouble":"a rollout to v2 is under way"}"#;
     let unknown = r#"{"trouble":"no service \"crane\" in the configuration"}"#;
-    let (at, calls) = stand_in(vec![says(200, "{}"), says(409, under_way), says(404, unknown)]);
+    let (at, calls) =
+        stand_in(vec![says(200, "{}"), says(409, under_way), says(404, unknown), says(200, "{}")]);
     let start = |service, version| run(&[at], &["rollout", "start", service, version, "--term", "12.5"]);
     let (code, said, why) = start("heron", "v2");
     assert_eq!(
@@ -63,6 +64,8 @@
     assert_eq!((code, why.contains("a rollout to v2 is under way (409)")), (1, true), "{why}");
     let (code, _, why) = start("crane", "v2");
     assert_eq!((code, why.contains(r#"no service "crane" in the configuration (404)"#)), (1, true), "{why}");
+    let json = run(&[at], &["rollout", "start", "heron", "v2", "--term", "12", "--json"]);
+    assert_eq!((json.0, json.1.as_str()), (0, "{}\n"));
     let calls = calls.join().expect("the stand-in");
     assert!(calls[0].starts_with("POST /api/rollouts HTTP/1.1\r\n"), "{}", calls[0]);
     let order = r#"{"service_ref":"heron","target_version":"v2","rollout_term_s":12.5}"#;
@@ -203,3 +206,12 @@
     assert_eq!(lines[2], ["stilt", "v2", "reverted", "trial", "-", "r"]);
     assert_eq!(run(&[at], &["rollout", "list", "--json"]).1, format!("{body}\n"));
 }
+
+#[test]
+fn a_watch_for_programs_prints_the_last_answer_alone() {
+    let (at, _) = stand_in(vec![trial(Some(60)), told(17, "completed", "completed", "done", None)]);
+    let (code, said, why) = run(&[at], &["rollout", "watch", "heron", "--every", "1", "--json"]);
+    assert_eq!((code, why.as_str()), (0, ""));
+    assert!(said.starts_with('{') && said.contains(r#""server_state":"completed""#), "{said}");
+    assert!(!said.contains("in_progress"), "{said}");
+}
