--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,26 +1,31 @@
-//! `curlewfront`: the operator's command. `fleet` speaks with the fleet group of the old gateways, `store` with nobody: it
-//! works on the folder of a store that does not run. All else speaks with the registries of the whole system.
+//! `curlewfront`: the operator's command. Most subcommands call the registries of the whole system. `fleet` calls the fleet
+//! group of the gateways; `store` and `system` work on files of this machine and call nobody.
 
-mod ask;
+mod arguments;
 mod booking;
 mod config;
 mod drill;
+mod error;
+mod evacuation;
 mod fleet;
-mod show;
+mod registries;
+mod rollout;
+mod status;
 mod store;
 mod system;
 mod table;
-mod zone;
 
-use ask::{Failed, Registries};
 use clap::{Arg, ArgAction, ArgMatches, Args, Command, FromArgMatches, value_parser};
+use error::CommandError;
+use registries::Registries;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 
 const AFTER: &str = "\
-Exit codes: 0 done; 1 refused, with the reason; 2 wrong usage; 3 no registry could be reached, or it is unclear
-whether the order was taken (an order may be repeated unchanged). `fleet` has its own, see docs/fleet/operating.md.";
+Exit codes: 0 done; 1 refused, with the reason, or a watched rollout was reverted; 2 wrong usage; 3 no registry could be
+reached, or it is unclear whether the order was taken (an order may be repeated unchanged). `fleet` has its own, see
+docs/fleet/operating.md.";
 
 fn command() -> Command {
     let at = Arg::new("at")
@@ -47,8 +52,9 @@
         .subcommand(config::command())
         .subcommand(drill::command())
         .subcommand(booking::command())
-        .subcommands(zone::commands())
-        .subcommands(show::commands())
+        .subcommand(rollout::command())
+        .subcommands(evacuation::commands())
+        .subcommands(status::commands())
         .subcommand(system::command())
         .subcommand(store::command())
         .subcommand(fleet::FleetArgs::augment_args(
@@ -65,29 +71,30 @@
             Err(e) => e.exit(),
         };
     }
-    match work(name, given) {
+    match output_of(name, given) {
         Ok(text) => {
-            // Who reads may have read enough.
+            // A reader that closed the pipe has read what it wanted.
             let _ = std::io::stdout().write_all(text.as_bytes());
             ExitCode::SUCCESS
         }
-        Err(failed) => {
-            eprintln!("curlewfront: {failed}");
-            ExitCode::from(failed.code())
+        Err(error) => {
+            eprintln!("curlewfront: {error}");
+            ExitCode::from(error.exit_code())
         }
     }
 }
 
-/// What is to be printed.
-fn work(name: &str, given: &ArgMatches) -> Result<String, Failed> {
-    let at = || Registries::new(given.get_many("at").into_iter().flatten().copied().collect());
+/// Carries out a command; the text that is to be printed.
+fn output_of(name: &str, given: &ArgMatches) -> Result<String, CommandError> {
+    let registries = || Registries::new(given.get_many("at").into_iter().flatten().copied().collect());
     match name {
-        "config" => config::run(given, at),
-        "drill" => drill::run(given, at),
+        "config" => config::run(given, registries),
+        "drill" => drill::run(given, registries),
         "store" => store::run(given),
-        "booking" => booking::run(given, &at()?),
+        "booking" => booking::run(given, &registries()?),
+        "rollout" => rollout::run(given, &registries()?),
         "system" => system::run(given),
-        "evacuate" | "return" => zone::run(name, given, &at()?),
-        _ => show::run(name, given.get_flag("json"), &at()?),
+        "evacuate" | "return" => evacuation::run(name, given, &registries()?),
+        _ => status::run(name, given.get_flag("json"), &registries()?),
     }
 }
--- a/crates/cli/src/show.rs
+++ b/crates/cli/src/status.rs
@@ -1,13 +1,14 @@
-//! `curlewfront status`, `servers` and `nodes`: one registry's own view.
+//! `curlewfront status`, `servers` and `nodes`: what one registry knows, which may be older than what is agreed.
 
-use crate::ask::{Failed, Registries};
+use crate::error::CommandError;
+use crate::registries::Registries;
 use crate::table::{cell, list};
 use clap::Command;
 use jzon::JsonValue;
 
 pub fn commands() -> [Command; 3] {
     [
-        Command::new("status").about("How the registry that answers stands"),
+        Command::new("status").about("The state of the registry that answers: core, leader, followers"),
         Command::new("servers").about("The servers, as the registry that answers knows them"),
         Command::new("nodes").about("The proxies, as the registry that answers knows them"),
     ]
@@ -35,12 +36,12 @@
 const FOLLOWERS: [(&str, &str); 3] =
     [("FOLLOWER", "node_name"), ("IP", "ip_address"), ("REVISION", "revision")];
 
-pub fn run(name: &str, json: bool, at: &Registries) -> Result<String, Failed> {
+pub fn run(name: &str, json: bool, registries: &Registries) -> Result<String, CommandError> {
     let target = match name {
         "servers" => "/api/instances",
         other => &format!("/api/{other}"),
     };
-    let (raw, value) = at.read(target)?;
+    let (raw, value) = registries.get(target)?;
     if json {
         return Ok(raw + "\n");
     }
@@ -52,6 +53,7 @@
     })
 }
 
+/// The line above a view: which registry answered, and up to which revision of the log it knows.
 pub fn seen_by(value: &JsonValue) -> String {
     format!("as seen by {} at revision {}\n", cell(&value["answered_by"]), cell(&value["revision"]))
 }
