Keep versions that a rollout took out of service out of later ones

Callers would see: servers of a reverted version that were still registered served again, with a full part, as soon as a rollout to another version was ordered; found by reading. Cause: only the last rollout's target counted as new, everything else as regular. Change: a rollout carries the versions that earlier ones reverted or replaced; their servers get nothing until a rollout targets them. Measured: `what_a_rollout_took_out_of_service_stays_so_in_later_ones_until_it_is_the_target_again` fails without the change.

--- a/crates/rack/src/rollout.rs
+++ b/crates/rack/src/rollout.rs
@@ -70,6 +70,8 @@
     pub reason: String,
     /// The versions that the target replaces.
     pub old_versions: BTreeSet<String>,
+    /// The versions that earlier rollouts took out of service: what is left of their servers gets nothing.
+    pub retired: BTreeSet<String>,
     /// When the order and the stage were agreed on, in microseconds of this process's clock, which may have begun later;
     /// on disk, how long ago that was.
     pub ordered_at: i64,
@@ -102,10 +104,23 @@
         (now as i64 - self.stage_at).max(0) as Micros
     }
 
+    /// The versions that are out of service once this rollout has ended.
+    fn retires(&self) -> BTreeSet<String> {
+        let mut retired = self.retired.clone();
+        match self.stage {
+            Stage::Reverted => _ = retired.insert(self.order.target_version.clone()),
+            Stage::Completed => retired.extend(self.old_versions.iter().cloned()),
+            Stage::Trial | Stage::Partial | Stage::Whole => {}
+        }
+        retired
+    }
+
     fn role(&self, version: Option<&str>) -> Role {
         let new = version == Some(self.order.target_version.as_str());
         let old = version.is_none_or(|v| self.old_versions.contains(v));
+        let retired = version.is_some_and(|v| self.retired.contains(v));
         match (self.stage, new) {
+            (_, false) if retired => Role::Withdrawn,
             (Stage::Trial, true) => Role::Trial,
             (Stage::Partial, true) => Role::Partial,
             (Stage::Reverted, true) => Role::Withdrawn,
@@ -193,13 +208,17 @@
         if let Some(running) = self.running_of(&order.service) {
             return Err(Declined::UnderWay { target_version: running.order.target_version.clone() });
         }
+        let mut retired = self.0.get(&order.service).map(Rollout::retires).unwrap_or_default();
+        retired.remove(&order.target_version);
+        let old_versions = versions.filter(|v| *v != order.target_version && !retired.contains(v)).collect();
         let rollout = Rollout {
             order: order.clone(),
             epoch: rev,
             stage: Stage::Trial,
             stage_rev: rev,
             reason: "ordered".to_string(),
-            old_versions: versions.filter(|v| *v != order.target_version).collect(),
+            old_versions,
+            retired,
             ordered_at: now as i64,
             stage_at: now as i64,
         };
--- a/crates/rack/tests/rollout.rs
+++ b/crates/rack/tests/rollout.rs
@@ -136,6 +136,25 @@
     assert_eq!(agreed.roles()[3], Role::Regular);
 }
 
+/// Guards against servers of a bad version, left over from a rollout that was reverted, that serve again in the next one.
+#[test]
+fn what_a_rollout_took_out_of_service_stays_so_in_later_ones_until_it_is_the_target_again() {
+    use Role::*;
+    let mut agreed = Agreed::new();
+    agreed.start("v2", None);
+    agreed.advance(agreed.epoch(), Stage::Reverted);
+    agreed.server(4, "v3");
+    agreed.start("v3", None);
+    assert_eq!(agreed.roles(), [Regular, Regular, Withdrawn, Trial]);
+    agreed.advance(agreed.epoch(), Stage::Completed);
+    assert_eq!(agreed.roles(), [Replaced, Replaced, Withdrawn, Regular]);
+    agreed.start("v1", None);
+    assert_eq!(agreed.roles(), [Trial, Trial, Withdrawn, Regular], "back to the first");
+    agreed.advance(agreed.epoch(), Stage::Completed);
+    agreed.start("v2", None);
+    assert_eq!(agreed.roles(), [Regular, Regular, Trial, Withdrawn]);
+}
+
 /// A closing fault leaves what is on disk: rollouts, the versions of servers, and how long ago all was.
 #[test]
 fn a_rollout_is_the_same_after_it_was_written_and_read_by_a_clock_that_began_later() {
