Play rollouts on simulated time, and judge exposure, duty and what is kept of them

The shell hands on the proxies' tallies. The judge gains EXPOSURE, DUTY, LOST and ACK of rollouts, each with a planted breach.

--- a/crates/dryfit/src/hunt.rs
+++ b/crates/dryfit/src/hunt.rs
@@ -63,7 +63,13 @@
 /// What was expected of a scenario and did not come about.
 pub fn unmet(scenario: &Scenario, record: &Record, breaches: &[Breach]) -> Vec<String> {
     let mut out = Vec::new();
-    let expected = |rule: &str| scenario.expects.iter().any(|e| matches!(e, Expect::Broken(r) if r == rule));
+    let expected = |rule: &str| {
+        scenario.expects.iter().any(|e| match e {
+            Expect::Broken(r) => r == rule,
+            Expect::DutyOpen => rule == "DUTY",
+            _ => false,
+        })
+    };
     for b in breaches.iter().filter(|b| !expected(b.rule)) {
         out.push(match b.attempt {
             Some(n) => format!("{}: try {n}: {}", b.rule, b.what),
@@ -89,6 +95,10 @@
                 for b in record.bookings.iter().filter(|b| !matches!(b.fate, Fate::Acknowledged(_))) {
                     out.push(format!("the booking of {} was not acknowledged: {:?}", b.name, b.fate));
                 }
+                for o in record.rollouts.iter().filter(|o| !matches!(o.fate, Fate::Acknowledged(_))) {
+                    let name = format!("{} to {}", o.service, o.version);
+                    out.push(format!("the rollout of {name} was not acknowledged: {:?}", o.fate));
+                }
                 for e in record.evacuations.iter().filter(|e| !matches!(e.fate, Fate::Acknowledged(_))) {
                     let on = if e.on { "evacuation" } else { "return" };
                     out.push(format!("the {on} of {} was not acknowledged: {:?}", e.zone, e.fate));
@@ -118,7 +128,7 @@
                     }
                 }
             }
-            Expect::OthersSame => {}
+            Expect::OthersSame | Expect::DutyOpen => {}
             Expect::Tenant { tenant, least, from } => {
                 let of =
                     record.requests.iter().filter(|r| r.tenant == *tenant && !r.unowed && r.sent >= *from);
--- a/crates/dryfit/src/judge.rs
+++ b/crates/dryfit/src/judge.rs
@@ -2,6 +2,7 @@
 
 mod booked;
 mod history;
+mod rollouts;
 mod vouched;
 
 use crate::record::{Answer, Arrival, Change, Fate, Kind, Record, Trouble, Try};
@@ -65,6 +66,7 @@
     j.recovery();
     j.bookings();
     j.vouched();
+    j.rollouts();
     j.out
 }
 
@@ -319,7 +321,11 @@
             b.ended.map(|(sent, fate)| (sent, fate, format!("the end of booking {}", b.name)))
         });
         let mut late = Vec::new();
-        for (sent, fate, what) in changes.chain(moves).chain(booked).chain(unbooked) {
+        let rollouts = r.rollouts.iter().enumerate().map(|(n, o)| {
+            let what = format!("rollout of {} to {}", o.service, o.version);
+            (o.sent, answered(o.fate, (Kind::Rollout, n)), what)
+        });
+        for (sent, fate, what) in changes.chain(moves).chain(booked).chain(unbooked).chain(rollouts) {
             let mut at = sent;
             while at + r.bounds.ack_limit < end(fate) {
                 let calm_from = at.saturating_sub(r.bounds.contact);
--- a/crates/dryfit/src/lib.rs
+++ b/crates/dryfit/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod plan;
 mod process;
 pub mod record;
+pub mod rollout;
 pub mod scenario;
 pub mod seconds;
 pub mod weigh;
--- a/crates/dryfit/src/odd.rs
+++ b/crates/dryfit/src/odd.rs
@@ -4,6 +4,7 @@
 
 use crate::net::{ConnId, Worked};
 use crate::record::Host;
+use crate::rollout::{self, Rollout};
 use crate::scenario::{What, Words};
 use crate::world::{Ev, World};
 use crate::{Micros, SECOND};
@@ -52,10 +53,13 @@
     LoseAcks { part: f64, last: Micros },
     /// Of so many in a hundred changes a copy comes late, to any machine.
     Copies { part: f64, late: Micros, last: Micros },
+    /// An operator has a service moved to another version of its servers.
+    Rollout(Rollout),
 }
 
 pub(crate) fn read(word: &str, w: &mut Words) -> Result<Option<Odd>> {
     Ok(Some(match word {
+        "rollout" => Odd::Rollout(rollout::read(w)?),
         "storm" => {
             let operators = w.number("operators")? as usize;
             w.must("every")?;
@@ -218,6 +222,7 @@
                     self.reseed(owner);
                 }
             }
+            Odd::Rollout(rollout) => self.rollout_begins(&rollout),
             Odd::Storm { operators, gap, last } => self.storm(operators, gap, last),
             Odd::LoseAcks { part, last } => self.operators.loses = (part, now + last),
             Odd::Copies { part, late, last } => self.operators.copies = (part, late, now + last),
--- a/crates/dryfit/src/operators.rs
+++ b/crates/dryfit/src/operators.rs
@@ -152,6 +152,7 @@
         let (order, now) = (&self.orders[order], self.now);
         let of = order.change.map(|c| (Kind::Change, c));
         let of = of.or(order.evacuation.map(|e| (Kind::Evacuation, e)));
+        let of = of.or(order.rollout.map(|r| (Kind::Rollout, r)));
         if let Some(of) = of.filter(|_| lost && status < 500) {
             self.record.lost_answers.entry(of).or_insert(now);
         }
--- a/crates/dryfit/src/outside.rs
+++ b/crates/dryfit/src/outside.rs
@@ -11,7 +11,7 @@
 use jig::Config;
 use pegboard::calls;
 use rack::booking::Phase;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -31,6 +31,8 @@
     drill: Option<(usize, bool)>,
     /// Its place among the record's bookings, and whether it ends one.
     booking: Option<(usize, bool)>,
+    /// Its place among the record's rollouts.
+    pub rollout: Option<usize>,
     tries: u32,
     pub done: bool,
     /// Not sent again after this.
@@ -42,6 +44,11 @@
         Order { request: Rc::new(request), until, ..Order::default() }
     }
 
+    /// A rollout, by its place among the record's.
+    pub fn rollout(request: calls::Request, at: usize, until: Micros) -> Order {
+        Order { rollout: Some(at), ..Order::of(request, until) }
+    }
+
     /// A change by one of a storm's operators.
     pub fn written(request: calls::Request, change: usize, writer: usize) -> Order {
         Order { change: Some(change), writer: Some(writer), ..Order::of(request, Micros::MAX) }
@@ -55,6 +62,12 @@
     pub zone: usize,
     pub service: String,
     pub name: String,
+    /// Of the servers' software here.
+    pub version: String,
+    /// The scenario's rollout that brings this version.
+    pub rollout: Option<usize>,
+    /// A server is to run here, but for faults.
+    pub stands: bool,
     pub server: Option<Server>,
     pub lives: u32,
 }
@@ -63,11 +76,14 @@
     pub id: String,
     pub life: u64,
     pub service: String,
+    pub started: Micros,
     slots: usize,
     queue: VecDeque<(ConnId, Rc<Work>, usize)>,
     /// Under work: the connection, the work, and the try's arrival.
     work: BTreeMap<u64, (ConnId, Rc<Work>)>,
     works: u64,
+    /// Of what is under work, that which will have a bad answer.
+    bad: BTreeSet<u64>,
     sequence: u64,
     ask: usize,
     pub draining: bool,
@@ -82,6 +98,12 @@
     pub odd: Oddness,
 }
 
+impl Server {
+    pub fn has_work(&self) -> bool {
+        !self.work.is_empty()
+    }
+}
+
 pub enum CallFor {
     Beat {
         place: usize,
@@ -105,6 +127,10 @@
         sent: Micros,
     },
     ReadDrill(usize),
+    Rollout {
+        at: usize,
+        from: Micros,
+    },
     Listed,
     Status {
         from: Micros,
@@ -265,6 +291,7 @@
             CallFor::Look { from, writer } => self.looked(from, writer, answer.as_deref()),
             CallFor::Copy { change, sent } => self.copied(change, sent, answer.as_deref()),
             CallFor::ReadDrill(number) => self.drill_read(number, answer.as_deref()),
+            CallFor::Rollout { at, from } => self.rollout_shown(at, from, answer.as_deref()),
             CallFor::Status { from } => self.status_read(from, answer.as_deref()),
             CallFor::Listed => {
                 let read = answer.filter(|a| a.status == 200).and_then(|a| jzon::parse(&a.body).ok());
@@ -290,6 +317,9 @@
 
     /// A server starts at this place; `cold`: during traffic.
     pub fn server_starts(&mut self, place: usize, service: Option<String>, cold: bool) {
+        if !self.places[place].stands {
+            return;
+        }
         let host = self.host_of(Owner::Server(place));
         self.hosts[host].power = true;
         if self.places[place].server.is_some() {
@@ -312,10 +342,12 @@
             id: id.clone(),
             life,
             service,
+            started: now,
             slots: 3,
             queue: VecDeque::new(),
             work: BTreeMap::new(),
             works: 0,
+            bad: BTreeSet::new(),
             sequence: 0,
             ask: first,
             draining: false,
@@ -327,6 +359,10 @@
             slow_until: 0,
             odd: Oddness::default(),
         });
+        let p = &self.places[place];
+        if p.rollout.is_some() {
+            self.record.versions.insert(id.clone(), p.version.clone());
+        }
         let room = record::Room {
             server: id.clone(),
             service: self.places[place].service.clone(),
@@ -383,6 +419,7 @@
     pub fn beat(&mut self, place: usize, life: u64, periodic: bool) {
         let zone = self.zones[self.places[place].zone].0.clone();
         let (now, cores, addr) = (self.now, self.record.cores, self.places[place].addr);
+        let version = self.places[place].version.clone();
         let Some(s) = self.server(place, life) else { return };
         let busy = std::mem::replace(&mut s.beat_out, true);
         if !busy {
@@ -393,7 +430,7 @@
                 server_address: addr.to_string(),
                 information: jzon::object! {
                     service_ref: s.service.as_str(),
-                    config_version: "v1",
+                    config_version: version,
                     zone_name: zone,
                     slot_count: s.slots
                 },
@@ -555,11 +592,17 @@
                 continue;
             }
             arrival.ran = Some(now);
+            let bad = self.goes_bad(place, &work);
+            let slower = if bad { self.badness(place).0 } else { 1.0 };
+            let Some(s) = &mut self.places[place].server else { return };
             s.works += 1;
             let number = s.works;
             let slow = if now < s.cold_until || now < s.slow_until { 3.0 } else { 1.0 };
-            let took = (base as f64 * factor * slow) as Micros;
+            let took = (base as f64 * factor * slow * slower) as Micros;
             let life = s.life;
+            if bad {
+                s.bad.insert(number);
+            }
             s.work.insert(number, (conn, work));
             self.at(now + took, Ev::Worked(place, life, number));
         }
@@ -592,15 +635,27 @@
 
     pub fn worked(&mut self, place: usize, life: u64, number: u64) {
         let now = self.now;
+        let fails_if_bad = self.badness(place).1;
         let Some(s) = self.server(place, life) else { return };
+        let bad = s.bad.remove(&number);
         let Some((conn, work)) = s.work.remove(&number) else { return };
         s.odd.rested.insert(conn, now);
-        if now < s.loses_until {
+        let lost = now < s.loses_until;
+        let fails = bad && fails_if_bad;
+        if bad && !lost {
+            self.answered_badly(place);
+        }
+        if lost {
             // It ran, and its answer is lost.
             self.broke_off(work.name);
             self.close(conn, Owner::Server(place));
         } else {
-            let (status, seal) = if now <= work.until { (200, Some(work.name)) } else { (504, None) };
+            let (status, seal) = match () {
+                _ if fails => (500, None),
+                _ if now <= work.until => (200, Some(work.name)),
+                _ => (504, None),
+            };
+            let Some(s) = self.server(place, life) else { return };
             let how = if s.odd.garbles.remove(&conn) { Some(Ill::Garble) } else { None };
             let how = if s.odd.doubles.remove(&conn) { Some(Ill::Extra) } else { how };
             let late = how == Some(Ill::Extra) && self.chance(13).bool();
@@ -1043,7 +1098,7 @@
         }
         o.done = true;
         let (plan, change, evacuation) = (o.plan.clone(), o.change, o.evacuation);
-        let (drill, booking) = (o.drill, o.booking);
+        let (drill, booking, rollout) = (o.drill, o.booking, o.rollout);
         let fate = if ends { Fate::Refused(now) } else { Fate::Acknowledged(now) };
         self.note(format!("order {number}: {fate:?} {}", answer.map_or("", |a| a.body.as_str())));
         if let Some(at) = change {
@@ -1056,6 +1111,9 @@
         if let Some(at) = evacuation {
             self.record.evacuations[at].fate = fate;
         }
+        if let Some(at) = rollout {
+            self.record.rollouts[at].fate = fate;
+        }
         match drill {
             Some((at, false)) => {
                 self.record.rehearsals[at].fate = fate;
@@ -1093,7 +1151,7 @@
     }
 
     fn busy(&self) -> bool {
-        self.orders.iter().any(|o| !o.done && o.writer.is_none())
+        self.orders.iter().any(|o| !o.done && o.writer.is_none() && o.rollout.is_none())
     }
 
     pub fn read_back(&mut self) {
--- a/crates/dryfit/src/process.rs
+++ b/crates/dryfit/src/process.rs
@@ -253,7 +253,7 @@
                         zones: zones.clone(),
                         leeway,
                         times: Times { settle_us: b.config_apply, hold_us: b.contact },
-                        trial_share: proxy::rollout::trial_share(None),
+                        trial_share: proxy::rollout::trial_share(Some(b.exposure_share)),
                     },
                 );
                 let node = Node { ip, name, zone: zone.0, region: zone.1, front };
@@ -677,6 +677,7 @@
         self.held(n, &mut p);
         let x = &mut p.machine;
         let rows = x.front.drill_rows(now);
+        let tallies = x.front.tallies(now);
         let looks = x.asked_at.map_or(Micros::MAX, |_| now + LOOK);
         if x.front.hurries() {
             x.feed.hurry();
@@ -686,10 +687,14 @@
         self.proxies[n] = Some(p);
         self.at_work = None;
         if over {
-            self.end(me, false);
-        } else if !rows.is_empty() {
+            return self.end(me, false);
+        }
+        if !rows.is_empty() {
             self.feed(n, Some(feed::Input::Drill(rows)));
         }
+        if !tallies.is_empty() {
+            self.feed(n, Some(feed::Input::Rollout(tallies)));
+        }
     }
 
     /// A proxy that agrees with nobody holds an even part of a booking, by its own clock.
--- a/crates/dryfit/src/record.rs
+++ b/crates/dryfit/src/record.rs
@@ -3,6 +3,7 @@
 use crate::{MS, Micros, SECOND};
 use jig::Config;
 use jig::drill::Drill;
+use jig::rollout::Progress;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -29,6 +30,9 @@
     pub reuse_delay: Micros,
     pub sync: Micros,
     pub ttl_s: f64,
+    pub exposure_share: f64,
+    pub exposure_margin: f64,
+    pub revert_limit: Micros,
 }
 
 impl Default for Bounds {
@@ -54,6 +58,9 @@
             reuse_delay: 2 * SECOND,
             sync: 4 * SECOND,
             ttl_s: 5.0,
+            exposure_share: 0.1,
+            exposure_margin: 50.0,
+            revert_limit: 5 * SECOND,
         }
     }
 }
@@ -73,6 +80,9 @@
             "loss_slack_ms" => self.loss_slack = ms,
             "config_apply_ms" => self.config_apply = ms,
             "revert_slack_ms" => self.revert_slack = ms,
+            "revert_limit_ms" => self.revert_limit = ms,
+            "exposure_share" => self.exposure_share = value,
+            "exposure_margin" => self.exposure_margin = value,
             "evacuation_ms" => self.evacuation = ms,
             "grace_period_s" => self.grace = seconds,
             "recovery_s" => self.recovery = seconds,
@@ -190,6 +200,36 @@
     pub rate: f64,
 }
 
+/// An operator's question for a rollout, and what was answered: how far it is, to which version; None: there is none.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub from: Micros,
+    pub at: Micros,
+    pub state: Option<(Progress, String)>,
+}
+
+impl Seen {
+    /// It shows the end of the rollout to this version.
+    pub fn is_over(&self, version: &str) -> bool {
+        self.state.as_ref().is_some_and(|(p, of)| *p != Progress::InProgress && of == version)
+    }
+}
+
+/// A rollout as its operator ordered it, and what was seen of it.
+#[derive(Clone, Debug)]
+pub struct Rollout {
+    pub service: String,
+    pub version: String,
+    pub sent: Micros,
+    pub term: Micros,
+    /// The version is a bad one.
+    pub bad: bool,
+    pub fate: Fate,
+    /// When servers of the version gave bad answers.
+    pub bad_answers: Vec<Micros>,
+    pub seen: Vec<Seen>,
+}
+
 /// Something was done to a machine or to its links.
 #[derive(Clone, Debug)]
 pub struct Trouble {
@@ -246,6 +286,7 @@
 pub enum Kind {
     Change,
     Evacuation,
+    Rollout,
 }
 
 /// The zones that are evacuated, as read at the end of the day.
@@ -392,6 +433,9 @@
     pub held: Vec<Held>,
     pub rooms: Vec<Room>,
     pub listed: Vec<Listed>,
+    pub rollouts: Vec<Rollout>,
+    /// The versions of servers that rollouts brought, by the servers' ids.
+    pub versions: BTreeMap<String, String>,
     pub closing: Option<Closing>,
     pub ends: Micros,
 }
--- a/crates/dryfit/src/scenario.rs
+++ b/crates/dryfit/src/scenario.rs
@@ -180,6 +180,8 @@
     /// All others fare as on the same day without drills.
     OthersSame,
     Broken(String),
+    /// The duty may be missed: it has a price, and is no rule.
+    DutyOpen,
     /// Of this tenant's requests, in hundredths.
     Tenant {
         tenant: usize,
@@ -384,6 +386,10 @@
                         Expect::OthersSame
                     }
                     "refused" => Expect::Refused(w.number("how many")? as usize),
+                    "duty" => {
+                        w.must("open")?;
+                        Expect::DutyOpen
+                    }
                     "broken" => Expect::Broken(w.next("a rule")?.to_string()),
                     other => return Err(miette!("nothing can be expected of {other:?}")),
                 };
--- a/crates/dryfit/src/world.rs
+++ b/crates/dryfit/src/world.rs
@@ -7,6 +7,7 @@
 use crate::plan::{Plan, Wish};
 use crate::process::{Disk, Process, Proxy, Registry, START, Store};
 use crate::record::{Booking, Closing, Dark, Host, Record, Trouble, Unheard};
+use crate::rollout::{self, FIRST_VERSION, Rollout};
 use crate::scenario::{Scenario, What};
 use crate::{MS, Micros, SECOND};
 use pegboard::calls;
@@ -55,6 +56,10 @@
     Write(usize),
     Copy(usize),
     ReadDrill(usize),
+    /// An operator asks how far a rollout is.
+    AskRollout(usize),
+    /// A server of a version that was reverted drains.
+    Retire(usize),
     /// A rehearsed answer that comes slowly is whole.
     Slowly(usize, u64, ConnId, Rc<proxy::front::Answer>),
 }
@@ -125,6 +130,8 @@
     pub orders: Vec<Order>,
     pub wishes: VecDeque<Wish>,
     pub operators: Operators,
+    /// Those of the scenario.
+    pub rollouts: Vec<Rollout>,
     /// Their chance.
     pub others: fastrand::Rng,
     /// A tenant that sends more, until when, by how many times.
@@ -173,7 +180,44 @@
                 host(ip, zone, true);
                 let addr = SocketAddr::from((ip, 8080));
                 let (service, name) = (service.clone(), format!("{service}{}", i + 1));
-                places.push(Place { addr, zone, service, name, server: None, lives: 0 });
+                let version = FIRST_VERSION.to_string();
+                let (rollout, stands) = (None, true);
+                places.push(Place {
+                    addr,
+                    zone,
+                    service,
+                    name,
+                    version,
+                    rollout,
+                    stands,
+                    server: None,
+                    lives: 0,
+                });
+            }
+        }
+        // Those of new versions, as many and in the same zones, stand there once their rollout is ordered.
+        let rollouts = rollout::all_of(&scenario);
+        for (number, of) in rollouts.iter().enumerate() {
+            let n = scenario.servers.iter().find(|(service, _)| *service == of.service).map_or(0, |s| s.1);
+            for i in 0..n {
+                let at = places.len();
+                let zone = i % zones.len();
+                let ip = [10, 2, (at / 250) as u8, (at % 250) as u8 + 1];
+                host(ip, zone, true);
+                let (addr, service) = (SocketAddr::from((ip, 8080)), of.service.clone());
+                let (version, name) = (of.version.clone(), format!("{service}-{}-{}", of.version, i + 1));
+                let (rollout, stands) = (Some(number), false);
+                places.push(Place {
+                    addr,
+                    zone,
+                    service,
+                    name,
+                    version,
+                    rollout,
+                    stands,
+                    server: None,
+                    lives: 0,
+                });
             }
         }
         for z in 0..zones.len() {
@@ -208,6 +252,7 @@
             orders: Vec::new(),
             wishes: VecDeque::new(),
             operators: Operators::default(),
+            rollouts,
             others: fastrand::Rng::with_seed(seed ^ 0x0be7_a705),
             hot: (0, 0, 0.0),
             crowds: Vec::new(),
@@ -240,7 +285,7 @@
             let at = self.chance(n as u64 | 1 << 11).u64(0..300 * MS);
             self.at(at, Ev::Start(Owner::Proxy(n)));
         }
-        for n in 0..self.places.len() {
+        for n in (0..self.places.len()).filter(|n| self.places[*n].stands).collect::<Vec<_>>() {
             let at = SECOND + self.chance(n as u64 | 1 << 12).u64(0..SECOND);
             self.at(at, Ev::ServerStarts(n, None, false));
         }
@@ -442,6 +487,8 @@
             Ev::Write(writer) => self.write_begins(writer),
             Ev::Copy(change) => self.copy(change),
             Ev::ReadDrill(number) => self.read_drill(number),
+            Ev::AskRollout(at) => self.ask_rollout(at),
+            Ev::Retire(place) => self.drain(place),
             Ev::Slowly(n, life, conn, answer) => {
                 if self.life(Owner::Proxy(n)) == Some(life) {
                     self.send(conn, Owner::Proxy(n), Body::Answer(answer));
@@ -520,7 +567,7 @@
         let named = |p: &Place| p.name == who || p.service == who;
         let found: Vec<usize> = (0..self.places.len()).filter(|n| named(&self.places[*n])).collect();
         assert!(!found.is_empty(), "the scenario names the server {who:?}, which is not there");
-        found
+        found.into_iter().filter(|n| self.places[*n].stands).collect()
     }
 
     pub fn trouble(
--- a/crates/dryfit/tests/planted.rs
+++ b/crates/dryfit/tests/planted.rs
@@ -7,6 +7,7 @@
 };
 use dryfit::scenario::Scenario;
 use dryfit::{MS, SECOND};
+use jig::rollout::Progress;
 use std::rc::Rc;
 
 /// A day with one of everything.
@@ -371,6 +372,96 @@
     assert_ne!(of(3), of(4));
 }
 
+/// A day with a rollout of a good version, and one of a bad version.
+const ROLLOUTS: &str = "
+seconds 50
+rate 45
+quota 1000
+service utu 12
+service tiro 12
+at 8 crowd t0 to utu 140 for 20
+at 10 rollout utu to v2 within 12
+at 24 crowd t0 to tiro 140 for 20
+at 26 rollout tiro to v2 within 12 bad errors
+";
+
+fn caught_in_a_rollout(rule: &str, plant: impl FnOnce(&mut Record)) {
+    let played = play(&Scenario::read(ROLLOUTS).expect("a scenario"), 7, false);
+    assert_eq!(played.unmet, Vec::<String>::new());
+    let mut record = played.record;
+    plant(&mut record);
+    let found = judge(&record);
+    assert!(found.iter().any(|b| b.rule == rule), "{rule} is not caught; found: {found:?}");
+}
+
+/// A try that reached the bad version.
+fn at_the_bad_version(r: &Record) -> usize {
+    let there = |a: &Arrival| a.service == "tiro" && r.versions.contains_key(&a.server);
+    r.tries.iter().position(|t| t.arrivals.iter().any(there)).expect("there is one")
+}
+
+/// Nothing was seen of a rollout before its term was over.
+fn seen_after_the_term(r: &mut Record, number: usize) {
+    let rollout = &mut r.rollouts[number];
+    let ends = rollout.sent + rollout.term;
+    rollout.seen.retain(|s| s.from > ends);
+}
+
+#[test]
+fn a_bad_version_gets_more_than_its_share() {
+    caught_in_a_rollout("EXPOSURE", |r| {
+        let n = at_the_bad_version(r);
+        (0..500).for_each(|_| again(r, n, |_| {}));
+    });
+}
+
+#[test]
+fn a_bad_version_gets_a_request_after_it_was_to_get_no_more() {
+    caught_in_a_rollout("EXPOSURE", |r| {
+        let n = at_the_bad_version(r);
+        let known = r.rollouts[1].sent + SECOND;
+        r.rollouts[1].bad_answers = vec![known; 50];
+        again(r, n, |a| (a.sent, a.at) = (known + 5 * SECOND + MS, known + 5 * SECOND + 2 * MS));
+    });
+}
+
+#[test]
+fn a_good_version_is_not_completed_by_its_term() {
+    caught_in_a_rollout("DUTY", |r| seen_after_the_term(r, 0));
+    caught_in_a_rollout("DUTY", |r| r.rollouts[0].bad = true);
+}
+
+#[test]
+fn a_bad_version_is_not_reverted_by_its_term() {
+    caught_in_a_rollout("DUTY", |r| seen_after_the_term(r, 1));
+    caught_in_a_rollout("DUTY", |r| r.rollouts[1].bad = false);
+}
+
+#[test]
+fn an_order_of_a_rollout_stays_without_an_acknowledgement() {
+    caught_in_a_rollout("ACK", |r| r.rollouts[0].fate = Fate::Open);
+}
+
+#[test]
+fn an_acknowledged_rollout_is_gone() {
+    for number in [0, 1] {
+        caught_in_a_rollout("LOST", |r| r.rollouts[number].seen.last_mut().expect("some").state = None);
+    }
+    caught_in_a_rollout("LOST", |r| {
+        let last = r.rollouts[0].seen.last_mut().expect("some");
+        last.state.as_mut().expect("there").1 = "v1".into();
+    });
+}
+
+#[test]
+fn a_rollout_that_ended_goes_back() {
+    for to in [Progress::InProgress, Progress::Reverted] {
+        caught_in_a_rollout("LOST", |r| {
+            r.rollouts[0].seen.last_mut().expect("some").state.as_mut().expect("there").0 = to;
+        });
+    }
+}
+
 /// A day with a drill.
 const DRILLED: &str = "
 seconds 40
