--- /dev/null
+++ b/crates/pegboard/src/rollouts/evidence.rs
@@ -0,0 +1,202 @@
+//! How strongly what was counted speaks against a new version: a sequential test of two shares that may be looked at as often
+//! as wished.
+//!
+//! The share of bad answers of the new version is held against that of the old one over the same time, plus a tolerance. The
+//! ratio of likelihoods is averaged over several larger shares (the mixture of Robbins 1970, as Johari, Pekelis and Walsh 2017
+//! use it for tests that are watched), and summed over all times from which the version may have been bad (Roberts 1966). At
+//! the border of what is tolerated that sum is on average the number of looks, so it exceeds `looks / chance` with at most
+//! this chance, whenever one looks. The old version's share is itself an estimate; it is taken larger by one standard
+//! deviation.
+
+use super::tallies::Interval;
+use rack::rollout::{Answers, RouteTally};
+use std::collections::BTreeSet;
+
+/// A good version may be reverted with this chance, were its servers alike.
+const FALSE_REVERT: f64 = 0.001;
+/// Differences that are borne: of failures, and of slow answers, as servers of one version differ.
+const FAILED_TOLERANCE: f64 = 0.05;
+const SLOW_TOLERANCE: f64 = 0.10;
+/// Bad versions are looked for whose share of bad answers is larger by these parts of what remains to all.
+const EXCESSES: [f64; 6] = [0.05, 0.1, 0.2, 0.35, 0.5, 0.8];
+/// Fewer bad answers than this are no reason to revert, or to wait.
+const MIN_BAD: u32 = 5;
+const MIN_DOUBTFUL: u32 = 2;
+/// Evidence that is enough to wait: the likelihoods' ratio over any span of time, and over all of it.
+const DOUBT_ANY: f64 = 20.0;
+const DOUBT_WHOLE: f64 = 1.0;
+/// The old version's share is taken from as long a time as it takes to have so many of its answers.
+const MIN_OLD: u32 = 100;
+/// The part of the old version's answers that take longest; answers are slow that take longer than those by so many buckets.
+const SLOW_PART: f64 = 0.05;
+const SLOW_BUCKETS: usize = 2;
+/// Fewer answers of the old version than this say nothing of times.
+const MIN_TIMES: u32 = 40;
+
+/// What speaks against a version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Finding {
+    /// Enough to revert.
+    Bad(String),
+    /// Enough to wait.
+    Doubtful(String),
+    Nothing,
+}
+
+/// A part of a whole, counted.
+#[derive(Clone, Copy, Default)]
+struct Share {
+    part: u32,
+    whole: u32,
+}
+
+impl Share {
+    fn plus(self, other: Share) -> Share {
+        Share { part: self.part + other.part, whole: self.whole + other.whole }
+    }
+
+    /// Smoothed, so that none of few is not taken for never, and larger by its standard deviation.
+    fn upper(self) -> f64 {
+        let whole = f64::from(self.whole) + 1.0;
+        let rate = (f64::from(self.part) + 0.5) / whole;
+        rate + (rate * (1.0 - rate) / whole).sqrt()
+    }
+
+    /// How much likelier it is under larger shares than under this one, on average over these; as a logarithm.
+    fn likelihood_ratio(self, tolerated: f64) -> f64 {
+        let (bad, good) = (f64::from(self.part), f64::from(self.whole - self.part));
+        let of = |excess: f64| {
+            let larger = tolerated + (1.0 - tolerated) * excess;
+            bad * (larger / tolerated).ln() + good * ((1.0 - larger) / (1.0 - tolerated)).ln()
+        };
+        log_sum(EXCESSES.map(of)) - (EXCESSES.len() as f64).ln()
+    }
+}
+
+/// The logarithm of a sum of numbers that are given by their logarithms.
+fn log_sum(logs: impl IntoIterator<Item = f64> + Clone) -> f64 {
+    let most = logs.clone().into_iter().fold(f64::NEG_INFINITY, f64::max);
+    if most == f64::NEG_INFINITY {
+        return most;
+    }
+    most + logs.into_iter().map(|l| (l - most).exp()).sum::<f64>().ln()
+}
+
+/// The two versions' shares of one kind of bad answer, for each span of time from some interval until now, the shortest first.
+struct Spans {
+    old: Vec<Share>,
+    new: Vec<Share>,
+}
+
+impl Spans {
+    fn of<'i>(intervals: &'i [Interval], shares: impl Fn(&'i Interval) -> (Share, Share)) -> Spans {
+        let mut spans = Spans { old: Vec::new(), new: Vec::new() };
+        let (mut old, mut new) = (Share::default(), Share::default());
+        for interval in intervals.iter().rev() {
+            let (more_old, more_new) = shares(interval);
+            (old, new) = (old.plus(more_old), new.plus(more_new));
+            spans.old.push(old);
+            spans.new.push(new);
+        }
+        spans
+    }
+
+    /// The largest share of the old version that is to be reckoned with over a span.
+    fn expected(&self, span: usize) -> f64 {
+        let enough = self.old[span..].iter().find(|o| o.whole >= MIN_OLD).or(self.old.last());
+        enough.map_or(1.0, |o| o.upper())
+    }
+}
+
+/// What was counted of a rollout, and how often it is looked at.
+pub(super) struct Evidence<'a> {
+    pub(super) intervals: &'a [Interval],
+    pub(super) looks: f64,
+}
+
+impl Evidence<'_> {
+    pub(super) fn finding(&self) -> Finding {
+        let routes: BTreeSet<u32> = self.intervals.iter().flat_map(|i| i.routes.keys().copied()).collect();
+        let tests = 1.0 + 2.0 * routes.len() as f64;
+        let bar = (self.looks.max(1.0) * tests / FALSE_REVERT).ln();
+        let failures = |r: &RouteTally| (failed(&r.old), failed(&r.new));
+        let all = Spans::of(self.intervals, |i| sum(i.routes.values().map(failures)));
+        let mut findings = vec![judge(&all, &[&all], FAILED_TOLERANCE, bar, "failed")];
+        for route in routes {
+            let on_route = |i: &Interval| i.routes.get(&route).map(failures).unwrap_or_default();
+            let spans = Spans::of(self.intervals, on_route);
+            findings.push(judge(&spans, &[&spans, &all], FAILED_TOLERANCE, bar, "failed"));
+            // Times of several routes are not alike, so these are compared route by route alone.
+            if let Some(spans) = self.slow_spans(route) {
+                findings.push(judge(&spans, &[&spans], SLOW_TOLERANCE, bar, "were slow"));
+            }
+        }
+        let bad = findings.iter().position(|f| matches!(f, Finding::Bad(_)));
+        let worst = bad.or_else(|| findings.iter().position(|f| *f != Finding::Nothing));
+        worst.map_or(Finding::Nothing, |n| findings.swap_remove(n))
+    }
+
+    fn slow_spans(&self, route: u32) -> Option<Spans> {
+        let tallies = || self.intervals.iter().filter_map(|i| i.routes.get(&route));
+        let mut old = Answers::default();
+        tallies().for_each(|t| old.add(&t.old));
+        let from = slow_from(&old.times)?;
+        let slow = |a: &Answers| Share { part: a.times.iter().skip(from).sum(), whole: a.times.iter().sum() };
+        let of =
+            |i: &Interval| i.routes.get(&route).map(|t| (slow(&t.old), slow(&t.new))).unwrap_or_default();
+        Some(Spans::of(self.intervals, of))
+    }
+}
+
+fn failed(a: &Answers) -> Share {
+    Share { part: a.failed.min(a.ended), whole: a.ended }
+}
+
+fn sum(shares: impl Iterator<Item = (Share, Share)>) -> (Share, Share) {
+    shares.fold(Default::default(), |(old, new): (Share, Share), (o, n)| (old.plus(o), new.plus(n)))
+}
+
+/// The bucket from which on an answer is slow: beyond all but the slowest of the old version.
+fn slow_from(old: &[u32]) -> Option<usize> {
+    let whole: u32 = old.iter().sum();
+    if whole < MIN_TIMES {
+        return None;
+    }
+    let most = (f64::from(whole) * SLOW_PART) as u32;
+    let mut beyond = 0;
+    let from = (0..old.len()).rev().find(|n| {
+        beyond += old[*n];
+        beyond > most
+    });
+    from.map(|n| n + 1 + SLOW_BUCKETS)
+}
+
+/// `beside`: the new version is no worse than the old one if it is not worse than any of these.
+fn judge(spans: &Spans, beside: &[&Spans], tolerance: f64, bar: f64, what: &str) -> Finding {
+    let mut ratios: Vec<(f64, usize)> = Vec::new();
+    for (span, new) in spans.new.iter().enumerate() {
+        let expected = beside.iter().map(|b| b.expected(span)).fold(0.0, f64::max);
+        let tolerated = (expected + tolerance).min(0.99);
+        // What is no larger than what is tolerated adds nothing to speak of.
+        if f64::from(new.part) > tolerated * f64::from(new.whole) {
+            ratios.push((new.likelihood_ratio(tolerated), span));
+        }
+    }
+    let Some(&(most, span)) = ratios.iter().max_by(|a, b| a.0.total_cmp(&b.0)) else {
+        return Finding::Nothing;
+    };
+    let (new, old) = (spans.new[span], spans.old[span]);
+    let reason = || {
+        let (part, whole) = (new.part, new.whole);
+        format!("{part} of {whole} answers {what}, of the old version's {} of {}", old.part, old.whole)
+    };
+    let sum = log_sum(ratios.iter().map(|(ratio, _)| *ratio));
+    if sum >= bar && new.part >= MIN_BAD {
+        return Finding::Bad(reason());
+    }
+    let whole = ratios.iter().any(|(r, s)| *s + 1 == spans.new.len() && *r >= DOUBT_WHOLE.ln());
+    if new.part >= MIN_DOUBTFUL && (most >= DOUBT_ANY.ln() || whole) {
+        return Finding::Doubtful(reason());
+    }
+    Finding::Nothing
+}
