Complete a rollout beside no other version at once, and tell late copies of an order from new ones

Causes: a service whose target version serves alone was on trial without anybody to share with, so it got nothing; a copy of an order that was held up counted as a new order as soon as the time for repeats was over, and put a reverted version on trial again; a version that came while a rollout ran counted as old for some decisions and not for others; a request that was sent before the order was not counted as out at the old servers; a registry that had just come to lead could promote by the little it had heard; a rehearsed time-out counted against a version. Change: such a rollout is completed when it is ordered; the same order is a repeat for a minute after the end, or its term; while a rollout is whole every other version is replaced, and what is registered at its end is noted; attempts are placed by today's list; promotions wait a beat after a change of the leader, reverts do not; a quarter of the new servers serves at the partial stage, not a half. Measured: the tests of rack, proxy, pegboard and jig pass; two new tests of rack fail without the change.

--- a/crates/pegboard/src/board/rollout.rs
+++ b/crates/pegboard/src/board/rollout.rs
@@ -6,7 +6,7 @@
 use jig::rollout::Order;
 use jzon::JsonValue;
 use rack::Micros;
-use rack::rollout::{Rollout, RolloutChange, Tally};
+use rack::rollout::{Rollout, RolloutChange, Stage, Tally};
 use rack::state::{Command, Server};
 use rack::talk::ToStore;
 use std::collections::BTreeSet;
@@ -31,15 +31,10 @@
             Ok(order) => order,
             Err(why) => return Some(Answer::error(400, &why.to_string())),
         };
-        let state = &self.copy.state;
-        let known = state.config.iter().flat_map(|c| &c.services).any(|s| s.name == order.service);
-        if !known && state.config.is_some() {
-            return Some(Answer::error(404, &format!("no service {:?} in the configuration", order.service)));
-        }
-        // What comes later than an order may be repeated is a new one.
-        let ended = state.rollouts.0.get(&order.service).filter(|r| r.stage.is_over());
-        let ended = ended.filter(|r| r.age_us(self.now) > self.terms.repeat_us);
-        let after = ended.map(|r| r.epoch);
+        // A copy of the order may have been held up on its way: it is a new one only long after the end.
+        let ended = self.copy.state.rollouts.0.get(&order.service).filter(|r| r.stage.is_over());
+        let held_up_us = self.terms.repeat_us.max(Micros::from(order.term_ms) * 1000).max(MIN_APART_US);
+        let after = ended.filter(|r| r.stage_age_us(self.now) > held_up_us).map(|r| r.epoch);
         self.order(id, Command::Rollout(RolloutChange::Start { order, after }), out)
     }
 
@@ -127,8 +122,7 @@
 
     fn rollout_steps(&self) -> Vec<Command> {
         let state = &self.copy.state;
-        let alive = |ip: &Ipv4Addr| self.presence.alive(self.now, state, *ip);
-        let proxies: Vec<Ipv4Addr> = state.nodes.keys().copied().filter(alive).collect();
+        let proxies: Vec<Ipv4Addr> = state.nodes.keys().copied().collect();
         let ground = Ground {
             now: self.now,
             tallies: &self.tallies,
@@ -136,8 +130,10 @@
             tally_us: self.terms.beat_us / PARTS,
             settle_us: self.terms.settle_us,
         };
+        // A registry that has just come to lead has not been told yet what the others heard: it takes no version further.
+        let told = self.now >= self.fresh_since.max(self.leads_since) + self.terms.beat_us;
         let advance = |rollout: &Rollout| {
-            let Step { to, reason } = ground.step(rollout)?;
+            let Step { to, reason } = ground.step(rollout).filter(|s| told || s.to == Stage::Reverted)?;
             let (service, epoch) = (rollout.order.service.clone(), rollout.epoch);
             Some(Command::Rollout(RolloutChange::Advance { service, epoch, to, reason }))
         };
@@ -150,5 +146,7 @@
     range.map_or(JsonValue::Null, |r| jzon::object! { from: ms(r.from_us), below: r.below_us.map(ms) })
 }
 
+/// The same order as that of a rollout that has ended is a repeat for so long at the least.
+const MIN_APART_US: Micros = 60_000_000;
 /// How long an operator may repeat an order, where the settings do not tell.
 pub const REPEAT_US: Micros = 10_000_000;
--- a/crates/proxy/src/book.rs
+++ b/crates/proxy/src/book.rs
@@ -108,6 +108,8 @@
 const REGULAR_MASK: u64 = (1 << TRIAL_ZONES) - 1;
 /// The fewest servers of a zone that are on trial at one time, if it has so many.
 const MIN_ON_TRIAL: usize = 2;
+/// At the partial stage one new server in so many serves beside all old ones.
+const PARTIAL_ONE_IN: usize = 4;
 /// While less than this part of a tenant's quota is used everywhere, so many of its requests may come at once here.
 const LOOSE_UNDER: f64 = 0.85;
 const LOOSE_BURST: f64 = 4.0;
@@ -503,7 +505,7 @@
                 let part = (servers.len() as f64 * trial_share).ceil() as usize;
                 (part.max(MIN_ON_TRIAL), Duty::Trial)
             }
-            _ => (servers.len().div_ceil(2), Duty::Regular),
+            _ => (servers.len().div_ceil(PARTIAL_ONE_IN), Duty::Regular),
         };
         servers.sort_by_key(|s| (order_of(rollout.epoch, &s.id), s.id.as_str()));
         duties.extend(servers.iter().take(count).map(|s| (s.id.as_str(), duty)));
--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -564,7 +564,7 @@
         let Some(one) = open.tries.get(attempt as usize).filter(|t| t.out) else { return };
         let late = (outcome == Outcome::TimedOut).then_some(one.sent_at);
         open.timed_out |= late.is_some();
-        if let (Some(placed), Some(_)) = (one.placed, late) {
+        if let (Some(placed), Some(_), None) = (one.placed, late, &open.rehearsed) {
             self.rollouts.ended(placed, open.route, Ended::Failed);
         }
         out.push(Output::GiveUp { id, attempt, server: one.server, late });
@@ -667,9 +667,11 @@
 
     /// What is to go up the tree of rollouts, if anything.
     pub fn tallies(&mut self, now: Micros) -> Vec<Tally> {
-        let open = &self.open;
+        // By how servers are placed now: what was sent before the order counts too.
+        let (open, placed) = (&self.open, &self.placed);
         let old_out = |epoch| {
-            let old = |t: &&Try| t.out && t.placed.is_some_and(|p| p.epoch == epoch && p.side == Side::Old);
+            let of = |p: &Placed| p.epoch == epoch && p.side == Side::Old;
+            let old = |t: &&Try| t.out && placed.get(&t.server).is_some_and(of);
             open.values().flat_map(|o| &o.tries).filter(old).count() as u32
         };
         self.rollouts.tallies(now, self.copy.rev(), old_out)
--- a/crates/rack/src/rollout.rs
+++ b/crates/rack/src/rollout.rs
@@ -14,7 +14,7 @@
 pub enum Stage {
     /// A bounded share of the requests goes to a few of the new servers.
     Trial,
-    /// Half of the new servers serve beside all old ones.
+    /// Some of the new servers serve beside all old ones.
     Partial,
     /// The new servers serve alone; the old ones finish what they have.
     Whole,
@@ -85,7 +85,7 @@
     Regular,
     /// Of the new version, on trial: serves no more than its share.
     Trial,
-    /// Of the new version, which half of the servers may serve.
+    /// Of the new version, some of whose servers may serve.
     Partial,
     /// Serves only where no server of the new version can.
     Replaced,
@@ -124,7 +124,8 @@
             (Stage::Trial, true) => Role::Trial,
             (Stage::Partial, true) => Role::Partial,
             (Stage::Reverted, true) => Role::Withdrawn,
-            (Stage::Whole | Stage::Completed, false) if old => Role::Replaced,
+            (Stage::Whole, false) => Role::Replaced,
+            (Stage::Completed, false) if old => Role::Replaced,
             _ => Role::Regular,
         }
     }
@@ -168,13 +169,13 @@
         self.0.get(&order.service).is_some_and(of)
     }
 
-    /// `versions`: those of the servers that the service has.
+    /// `versions`: those of the servers that the service has; None for those that do not tell.
     pub fn apply(
         &mut self,
         now: Micros,
         rev: Rev,
         change: &RolloutChange,
-        versions: impl Iterator<Item = String>,
+        versions: &BTreeSet<Option<String>>,
     ) -> Result<(), Declined> {
         match change {
             RolloutChange::Start { order, after } => self.start(now, rev, order, *after, versions),
@@ -182,6 +183,9 @@
                 let of = |r: &&mut Rollout| r.epoch == *epoch && !r.stage.is_over() && *to > r.stage;
                 if let Some(rollout) = self.0.get_mut(service).filter(of) {
                     rollout.advance(now, rev, *to, reason);
+                    if *to == Stage::Completed {
+                        rollout.replace(versions);
+                    }
                 }
                 Ok(())
             }
@@ -200,7 +204,7 @@
         rev: Rev,
         order: &Order,
         after: Option<Rev>,
-        versions: impl Iterator<Item = String>,
+        versions: &BTreeSet<Option<String>>,
     ) -> Result<(), Declined> {
         if self.holds(order, after) {
             return Ok(());
@@ -210,18 +214,21 @@
         }
         let mut retired = self.0.get(&order.service).map(Rollout::retires).unwrap_or_default();
         retired.remove(&order.target_version);
-        let old_versions = versions.filter(|v| *v != order.target_version && !retired.contains(v)).collect();
-        let rollout = Rollout {
+        let mut rollout = Rollout {
             order: order.clone(),
             epoch: rev,
             stage: Stage::Trial,
             stage_rev: rev,
             reason: "ordered".to_string(),
-            old_versions,
+            old_versions: BTreeSet::new(),
             retired,
             ordered_at: now as i64,
             stage_at: now as i64,
         };
+        let replaces_any = rollout.replace(versions);
+        if !versions.is_empty() && !replaces_any {
+            rollout.advance(now, rev, Stage::Completed, "no other version serves");
+        }
         self.0.insert(order.service.clone(), rollout);
         self.forget();
         Ok(())
@@ -253,6 +260,16 @@
 }
 
 impl Rollout {
+    /// Notes these versions as replaced, but for the target and those that are out of service; whether there is any.
+    fn replace(&mut self, versions: &BTreeSet<Option<String>>) -> bool {
+        let target = &self.order.target_version;
+        let replaced = |v: &&String| *v != target && !self.retired.contains(*v);
+        let named: Vec<String> = versions.iter().flatten().filter(replaced).cloned().collect();
+        let any = versions.contains(&None) || !named.is_empty();
+        self.old_versions.extend(named);
+        any
+    }
+
     fn advance(&mut self, now: Micros, rev: Rev, to: Stage, reason: &str) {
         (self.stage, self.stage_rev, self.stage_at) = (to, rev, now as i64);
         self.reason = reason.to_string();
--- a/crates/rack/src/state.rs
+++ b/crates/rack/src/state.rs
@@ -305,16 +305,17 @@
     }
 
     fn rollout(&mut self, now: Micros, rev: Rev, change: &RolloutChange) -> Result<(), Declined> {
-        let mut versions: BTreeSet<String> = BTreeSet::new();
-        if let RolloutChange::Start { order, .. } = change {
-            let known = self.config.iter().flat_map(|c| &c.services).any(|s| s.name == order.service);
-            if !known {
-                return Err(Declined::NoService);
-            }
-            let servers = self.servers.values().filter(|s| s.service == order.service);
-            versions.extend(servers.filter_map(|s| self.versions.get(&s.id).cloned()));
+        let service = match change {
+            RolloutChange::Start { order, .. } => &order.service,
+            RolloutChange::Advance { service, .. } | RolloutChange::Stop { service } => service,
+        };
+        let known = self.config.iter().flat_map(|c| &c.services).any(|s| s.name == *service);
+        if matches!(change, RolloutChange::Start { .. }) && !known {
+            return Err(Declined::NoService);
         }
-        self.rollouts.apply(now, rev, change, versions.into_iter())
+        let servers = self.servers.values().filter(|s| s.service == *service);
+        let versions: BTreeSet<Option<String>> = servers.map(|s| self.versions.get(&s.id).cloned()).collect();
+        self.rollouts.apply(now, rev, change, &versions)
     }
 
     /// What the rollouts make of a server.
--- a/crates/rack/tests/rollout.rs
+++ b/crates/rack/tests/rollout.rs
@@ -127,6 +127,29 @@
     }
 }
 
+/// Guards against a service that serves nothing while a version is on trial beside no other one.
+#[test]
+fn a_rollout_to_the_version_that_serves_alone_is_completed_at_once() {
+    let mut agreed = Agreed::new();
+    for id in ["s1", "s2"] {
+        agreed.apply(Command::Servers(vec![ServerChange::Gone { id: id.into(), said: true }]));
+    }
+    agreed.start("v2", None);
+    assert_eq!((agreed.stage(), agreed.roles()), (Stage::Completed, vec![Role::Regular]));
+}
+
+/// Guards against servers of a third version that are sent requests though they stop at `completed`.
+#[test]
+fn a_version_that_came_while_the_rollout_ran_is_replaced_with_the_others() {
+    let mut agreed = Agreed::new();
+    agreed.start("v2", None);
+    agreed.server(4, "v1b");
+    agreed.advance(agreed.epoch(), Stage::Whole);
+    assert_eq!(agreed.roles()[3], Role::Replaced);
+    agreed.advance(agreed.epoch(), Stage::Completed);
+    assert_eq!(agreed.roles()[3], Role::Replaced);
+}
+
 #[test]
 fn a_later_version_is_not_taken_for_a_replaced_one() {
     let mut agreed = Agreed::new();
