Let tallies of rollouts come less often where there are many proxies

Need: found by a review: tallies of a region's proxies all go over the links of its heads, every third of a beat, and after each step of a rollout at the same moment; at 295 proxies that was reckoned at half of a link of 3 Mbit/s. Change: the interval grows by 6 ms for each proxy up to 1.5 s, and each proxy waits for its own part of it after a step.

--- a/crates/pegboard/src/board/rollout.rs
+++ b/crates/pegboard/src/board/rollout.rs
@@ -6,13 +6,13 @@
 use jig::rollout::Order;
 use jzon::JsonValue;
 use rack::Micros;
-use rack::rollout::{Rollout, RolloutChange, Stage, Tally};
+use rack::rollout::{Rollout, RolloutChange, Stage, Tally, tally_interval};
 use rack::state::{Command, Server};
 use rack::talk::ToStore;
 use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 
-use super::{Output, PARTS};
+use super::Output;
 
 /// What of the rollouts a call asks for, once the state has come far enough to tell.
 pub(super) enum Shown {
@@ -127,7 +127,7 @@
             now: self.now,
             tallies: &self.tallies,
             proxies: &proxies,
-            tally_us: self.terms.beat_us / PARTS,
+            tally_us: tally_interval(self.terms.beat_us, proxies.len()),
             settle_us: self.terms.settle_us,
         };
         // A registry that has just come to lead has not been told yet what the others heard: it takes no version further.
--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -236,7 +236,7 @@
             book,
             rng: fastrand::Rng::with_seed(seed ^ 1),
             beat_us,
-            rollouts: Rollouts::new(place.ip, seed, place.trial_share, beat_us / 3),
+            rollouts: Rollouts::new(place.ip, seed, place.trial_share, beat_us),
             placed: BTreeMap::new(),
             drills: Drills::new(place.ip, seed, beat_us),
             held: BTreeMap::new(),
@@ -745,7 +745,7 @@
             self.settle_in();
         }
         let book = &self.book;
-        self.rollouts.learn(self.now, &self.copy.state.rollouts, |service| book.service(service));
+        self.rollouts.learn(self.now, &self.copy.state.rollouts, among.0, |service| book.service(service));
         self.relist(out);
     }
 
--- a/crates/proxy/src/rollout.rs
+++ b/crates/proxy/src/rollout.rs
@@ -4,10 +4,11 @@
 //! While a version is on trial, each proxy sends it no more than a fixed share of the requests that it sends to the service
 //! itself. So the share holds over all proxies together, whatever any of them knows of the others.
 
-use rack::rollout::{Answers, Rollouts as Agreed, RouteTally, Stage, Tally};
+use rack::rollout::{Answers, Rollouts as Agreed, RouteTally, Stage, Tally, tally_interval};
 use rack::{Micros, Rev};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// The part of the settings' bound that a trial may use: what arrives is not quite what was sent.
 const EXPOSURE_USED: f64 = 0.8;
@@ -53,7 +54,10 @@
     ip: Ipv4Addr,
     life: u64,
     share: f64,
+    beat_us: Micros,
+    /// Between two tallies, and how long this proxy waits with one that all proxies have a reason to send at once.
     tally_us: Micros,
+    stagger: f64,
     running: BTreeMap<Rev, Running>,
     count: u64,
     tally_at: Micros,
@@ -65,9 +69,19 @@
 }
 
 impl Rollouts {
-    /// `share`: as [`trial_share`] has it. `tally_us`: between two tallies.
-    pub fn new(ip: Ipv4Addr, life: u64, share: f64, tally_us: Micros) -> Rollouts {
-        Rollouts { ip, life, share, tally_us, running: BTreeMap::new(), count: 0, tally_at: Micros::MAX }
+    /// `share`: as [`trial_share`] has it. `beat_us`: between two calls of a server.
+    pub fn new(ip: Ipv4Addr, life: u64, share: f64, beat_us: Micros) -> Rollouts {
+        Rollouts {
+            ip,
+            life,
+            share,
+            beat_us,
+            tally_us: tally_interval(beat_us, 1),
+            stagger: xxh3_64_with_seed(&ip.octets(), life) as f64 / u64::MAX as f64,
+            running: BTreeMap::new(),
+            count: 0,
+            tally_at: Micros::MAX,
+        }
     }
 
     pub fn is_idle(&self) -> bool {
@@ -78,8 +92,16 @@
         if self.is_idle() { Micros::MAX } else { self.tally_at }
     }
 
-    /// Takes over what is agreed; `number` gives the number of a service.
-    pub fn learn(&mut self, now: Micros, agreed: &Agreed, number: impl Fn(&str) -> Option<u32>) {
+    /// Takes over what is agreed among so many proxies; `number` gives the number of a service.
+    pub fn learn(
+        &mut self,
+        now: Micros,
+        agreed: &Agreed,
+        proxies: usize,
+        number: impl Fn(&str) -> Option<u32>,
+    ) {
+        self.tally_us = tally_interval(self.beat_us, proxies);
+        let soon = now + (self.tally_us as f64 * self.stagger) as Micros;
         self.running.retain(|epoch, _| agreed.running().any(|r| r.epoch == *epoch));
         for rollout in agreed.running() {
             let Some(service) = number(&rollout.order.service) else { continue };
@@ -88,11 +110,11 @@
             let running = self.running.entry(rollout.epoch).or_insert_with(new);
             if running.stage != stage {
                 running.stage = stage;
-                self.tally_at = now;
+                self.tally_at = self.tally_at.min(soon);
             }
         }
         if !self.is_idle() && self.tally_at == Micros::MAX {
-            self.tally_at = now + self.tally_us;
+            self.tally_at = soon;
         }
         if self.is_idle() {
             self.tally_at = Micros::MAX;
--- a/crates/rack/src/rollout.rs
+++ b/crates/rack/src/rollout.rs
@@ -276,6 +276,16 @@
     }
 }
 
+/// Between two tallies of a proxy: so long for each proxy, as the tallies of a region go over the links of a few; but no
+/// longer than a revert can wait for.
+const TALLY_EACH_US: Micros = 6_000;
+const MAX_TALLY_US: Micros = 1_500_000;
+
+/// How often a proxy tells what it counted, with so many proxies, in microseconds. Servers call every `beat_us`.
+pub fn tally_interval(beat_us: Micros, proxies: usize) -> Micros {
+    (beat_us / 3).max((TALLY_EACH_US * proxies as Micros).min(MAX_TALLY_US))
+}
+
 /// What one life of a proxy counted of a rollout so far. Of two of one life the one with the greater count holds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Tally {
