Soak rollouts of good and bad versions, and signal only processes that watch for signals

Signals wait for the process's handlers (SigCgt), rule START bounds that wait by 3 s; settings files are replaced whole; what ended together starts together.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -155,7 +155,7 @@
     let System::Run { scenario, out, bin, seed, quiet } = command;
     let at = |e: &dyn std::fmt::Display| format!("{}: {e}", scenario.display());
     let text = std::fs::read_to_string(&scenario).map_err(|e| at(&e))?;
-    let s = dryfit::scenario::Scenario::read(&text).map_err(|e| at(&e))?;
+    let s = system::rollouts::Script::read(&text).map_err(|e| at(&e))?;
     let options = system::Options { out: out.clone(), bin, seed, loud: !quiet, verbose: false };
     // A signal to the lab ends what the lab has started, too: the day is dropped.
     let mut asked = signal(SignalKind::terminate()).map_err(|e| format!("cannot watch for signals: {e}"))?;
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -8,7 +8,7 @@
 pub mod schedule;
 pub mod shape;
 
-use crate::system;
+use crate::system::{self, rollouts::Script};
 use budget::ProcessBudget;
 use dryfit::scenario::Scenario;
 use report::{Report, Row};
@@ -77,9 +77,9 @@
         let next = lock(waiting).pop_front();
         let Some(seed) = next else { return Ok(()) };
         let text = schedule::draw(&options.shape, seed);
-        let scenario = Scenario::read(&text).map_err(|e| format!("seed {seed}: {e}"))?;
-        let _room = budget.take(processes_of(&scenario));
-        let Some(row) = play(options, seed, &text, &scenario)? else {
+        let script = Script::read(&text).map_err(|e| format!("seed {seed}: {e}"))?;
+        let _room = budget.take(processes_of(&script.scenario));
+        let Some(row) = play(options, seed, &text, &script)? else {
             lock(waiting).clear();
             return Ok(());
         };
@@ -93,7 +93,7 @@
 }
 
 /// One day; what it left is removed where it kept all rules. None: the lab was asked to end.
-fn play(options: &Options, seed: u64, text: &str, scenario: &Scenario) -> Result<Option<Row>, String> {
+fn play(options: &Options, seed: u64, text: &str, script: &Script) -> Result<Option<Row>, String> {
     let dir = options.out.join(format!("seed-{seed}"));
     clear(&dir)?;
     let day_options =
@@ -107,13 +107,14 @@
         let mut asked =
             signal(SignalKind::terminate()).map_err(|e| format!("cannot watch for signals: {e}"))?;
         tokio::select! {
-            day = system::run(scenario, &day_options) => Ok(Some(day)),
+            day = system::run(script, &day_options) => Ok(Some(day)),
             _ = asked.recv() => Ok::<_, String>(None),
             _ = tokio::signal::ctrl_c() => Ok(None),
         }
     });
     drop(runtime);
     let Some(day) = day? else { return Ok(None) };
+    let scenario = &script.scenario;
     let row = match &day {
         Ok(day) => {
             evidence::write(&dir, text, day)?;
--- a/crates/lab/src/soak/report.rs
+++ b/crates/lab/src/soak/report.rs
@@ -18,6 +18,9 @@
     /// Broken rules, and how many cases of each.
     pub broken: BTreeMap<&'static str, usize>,
     pub own_ends: usize,
+    pub rollouts: usize,
+    /// Rollouts not over as they should be by their term; these alone do not fail a day.
+    pub missed_duties: usize,
     /// By how much a process's loop and the rig's own clock were late, in milliseconds.
     pub process_lag_ms: u64,
     pub rig_lag_ms: u64,
@@ -41,6 +44,8 @@
             probes: day.observed.probes,
             broken,
             own_ends: day.own_ends.len(),
+            rollouts: day.observed.rollouts.len(),
+            missed_duties: day.missed_duties.len(),
             process_lag_ms,
             rig_lag_ms: day.observed.rig_lag / 1000,
             unplayed: None,
@@ -57,6 +62,8 @@
             probes: 0,
             broken: BTreeMap::new(),
             own_ends: 0,
+            rollouts: 0,
+            missed_duties: 0,
             process_lag_ms: 0,
             rig_lag_ms: 0,
             unplayed: Some(why.to_string()),
@@ -81,13 +88,15 @@
 
     pub fn line(&self) -> String {
         format!(
-            "seed {:4}  {:8} {:4} proxies  {:6} of {:6} served  {:5} probes  late: processes {:5} ms, rig {:4} ms  {}",
+            "seed {:4}  {:8} {:4} proxies  {:6} of {:6} served  {:5} probes  {} rollouts, {} not over by the term  late: processes {:5} ms, rig {:4} ms  {}",
             self.seed,
             self.kind,
             self.proxies,
             self.served,
             self.owed,
             self.probes,
+            self.rollouts,
+            self.missed_duties,
             self.process_lag_ms,
             self.rig_lag_ms,
             self.verdict()
@@ -115,6 +124,9 @@
         for (rule, (cases, days)) in rules {
             let _ = writeln!(out, "{rule}: {cases} cases on {days} days");
         }
+        let rollouts: usize = self.rows.iter().map(|row| row.rollouts).sum();
+        let missed: usize = self.rows.iter().map(|row| row.missed_duties).sum();
+        let _ = writeln!(out, "{missed} of {rollouts} rollouts not over as wanted by their term");
         let own_ends: usize = self.rows.iter().map(|row| row.own_ends).sum();
         if own_ends > 0 {
             let _ = writeln!(out, "{own_ends} processes ended by themselves");
@@ -145,6 +157,8 @@
             "owed",
             "served",
             "probes",
+            "rollouts",
+            "missed_duties",
             "process_lag_ms",
             "rig_lag_ms",
             "verdict",
@@ -158,6 +172,8 @@
                 row.owed.to_string(),
                 row.served.to_string(),
                 row.probes.to_string(),
+                row.rollouts.to_string(),
+                row.missed_duties.to_string(),
                 row.process_lag_ms.to_string(),
                 row.rig_lag_ms.to_string(),
                 row.verdict(),
--- a/crates/lab/src/soak/schedule.rs
+++ b/crates/lab/src/soak/schedule.rs
@@ -1,6 +1,7 @@
 //! Draws a day's schedule from a seed: a scenario in text, so that it can be read, played again and cut down by hand.
 
 use super::shape::Shape;
+use crate::system::rollouts::Quality;
 use dryfit::plan::Flaw;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -10,6 +11,10 @@
 const FIRST: f64 = 8.5;
 /// Nothing new is begun so long before the day ends.
 const LAST: f64 = 7.0;
+/// Terms of rollouts, in seconds, at least and at most.
+const TERMS: (f64, f64) = (13.0, 18.0);
+/// Rollouts are drawn from a source of their own, so that the rest of a seed's day stays as it was without them.
+const ROLLOUTS: u64 = 0x726f_6c6c_6f75_7473;
 
 /// What a day is about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -102,6 +107,8 @@
             draft.leaving_servers(from, to, (0.7, 2.5));
         }
     }
+    draft.rng = StdRng::seed_from_u64(seed ^ ROLLOUTS);
+    draft.rollouts(from, to);
     draft.text
 }
 
@@ -228,6 +235,27 @@
         }
     }
 
+    /// One to three rollouts that overlap with all else, at times one more of the same service after the first.
+    fn rollouts(&mut self, from: f64, to: f64) {
+        let mut services: Vec<String> = self.shape.services.iter().map(|s| s.0.clone()).collect();
+        services.shuffle(&mut self.rng);
+        services.truncate(self.rng.gen_range(1..4));
+        for service in services {
+            let at = self.rng.gen_range(from..from + (to - from) * 0.3);
+            self.rollout(at, &service);
+            if self.rng.gen_bool(0.4) {
+                self.rollout(at + 4.0, &service);
+            }
+        }
+    }
+
+    fn rollout(&mut self, at: f64, service: &str) {
+        // Half of them are good.
+        let quality = Quality::ALL[self.rng.gen_range(0..6usize).saturating_sub(2)];
+        let term = self.rng.gen_range(TERMS.0..TERMS.1);
+        self.at(at, format_args!("rollout {service} {} term {term:.2}", quality.name()));
+    }
+
     fn leaving_servers(&mut self, from: f64, to: f64, gap: (f64, f64)) {
         let mut at = from;
         while at < to {
--- a/crates/lab/src/system/machines.rs
+++ b/crates/lab/src/system/machines.rs
@@ -2,8 +2,10 @@
 //! loopback; signalled, ended, robbed of their disks; and ended all of them when the rig goes, whatever happens.
 
 use super::call::{Call, good};
+use super::handlers::{HANDLERS_LIMIT, catches};
 use super::log::{Log, lock};
-use super::{MS, SECOND};
+use super::observed::LateHandlers;
+use super::{MS, all};
 use dryfit::Micros;
 use dryfit::record::Host;
 use jig::Scheme;
@@ -19,6 +21,10 @@
 /// From the start of a process until it takes part, at the most; a trouble lasts so much longer.
 const UP: Micros = 500 * MS;
 const LOOK: Duration = Duration::from_millis(50);
+/// Between two looks whether a process that was just started has its signal handlers.
+const HANDLERS_LOOK: Duration = Duration::from_millis(10);
+/// Between the end of processes by themselves and their next start.
+const FELL_BACK: Duration = Duration::from_millis(500);
 /// Of processor time, as the kernel counts it.
 const TICKS_PER_SECOND: u64 = 100;
 
@@ -52,6 +58,7 @@
     lives: u64,
     /// It was asked to end in order, and whoever asked starts it again.
     ending: bool,
+    started_at: Instant,
     /// Since when it has not run.
     ended_at: Option<Instant>,
 }
@@ -110,7 +117,7 @@
         if held.child.is_some() {
             return Ok(());
         }
-        std::fs::write(&self.path, &held.part.settings).map_err(|e| cannot(&self.path, e))?;
+        write_whole(&self.path, &held.part.settings)?;
         let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log);
         let log = log.map_err(|e| cannot(&self.log, e))?;
         let child = Command::new(&self.binary)
@@ -124,6 +131,7 @@
             .map_err(|e| cannot(&self.binary, e))?;
         held.child = Some(child);
         (held.ending, held.ended_at) = (false, None);
+        held.started_at = Instant::now();
         held.lives += 1;
         Ok(())
     }
@@ -152,17 +160,54 @@
 
     /// The settings file as it is to be read now.
     fn rewrite(&self) -> Result<(), String> {
-        std::fs::write(&self.path, &lock(&self.held).part.settings)
-            .map_err(|e| format!("{}: {e}", self.path.display()))
+        write_whole(&self.path, &lock(&self.held).part.settings)
     }
 
-    pub fn signal(&self, signal: Signal) {
+    /// Waits until the process that runs now catches this signal, and puts down one that takes too long. Whether it may be
+    /// sent; no where the process has ended, or is too late.
+    async fn stands(&self, log: &Log, signal: Signal) -> bool {
+        let life = self.life();
+        let limit = Duration::from_micros(HANDLERS_LIMIT);
+        loop {
+            let (now, pid, age) = {
+                let held = lock(&self.held);
+                (held.lives, held.child.as_ref().map(Child::id), held.started_at.elapsed())
+            };
+            let Some(pid) = pid.filter(|_| now == life) else { return false };
+            if catches(Pid::from_raw(pid as i32), signal) {
+                return true;
+            }
+            if age > limit {
+                // Not where it has ended and nobody has looked yet.
+                if !self.gone() {
+                    let waited = age.as_micros() as Micros;
+                    let late = LateHandlers { at: log.now(), process: self.name.clone(), life, waited };
+                    log.book().observed.late_handlers.push(late);
+                }
+                return false;
+            }
+            tokio::time::sleep(HANDLERS_LOOK).await;
+        }
+    }
+
+    /// To a process that runs, whether or not it catches it.
+    fn signal(&self, signal: Signal) {
         // Under the lock, so the number still is this child's.
         if let Some(child) = &lock(&self.held).child {
             let _ = kill(Pid::from_raw(child.id() as i32), signal);
         }
     }
 
+    /// To a process that catches it: another life may have begun since that was waited for.
+    fn signal_caught(&self, signal: Signal) {
+        if let Some(child) = &lock(&self.held).child {
+            let pid = Pid::from_raw(child.id() as i32);
+            if catches(pid, signal) {
+                let _ = kill(pid, signal);
+            }
+        }
+    }
+
     /// SIGKILL, without waiting for the end. That it is not to run any more is said first: else its end would pass for one
     /// of its own.
     fn send_kill(&self) {
@@ -184,14 +229,17 @@
         held.ended_at.get_or_insert_with(Instant::now);
     }
 
-    /// SIGTERM, and SIGKILL to what is still there after the grace.
-    pub async fn terminate(&self, grace: Duration) {
+    /// SIGTERM once its handlers are in place, and SIGKILL to what is still there after the grace.
+    async fn terminate(&self, log: &Log, grace: Duration) {
+        let stands = self.stands(log, Signal::SIGTERM).await;
         let life = {
             let mut held = lock(&self.held);
             (held.wanted, held.ending) = (false, true);
             held.lives
         };
-        self.signal(Signal::SIGTERM);
+        if stands {
+            self.signal_caught(Signal::SIGTERM);
+        }
         let until = tokio::time::Instant::now() + grace;
         // Another who ended it may have started it again meanwhile.
         let over = || self.gone() || self.life() != life;
@@ -214,6 +262,13 @@
     }
 }
 
+/// A file that is never seen in part: a process may be starting and read it just now.
+fn write_whole(path: &Path, text: &str) -> Result<(), String> {
+    let next = path.with_extension("next");
+    let written = std::fs::write(&next, text).and_then(|()| std::fs::rename(&next, path));
+    written.map_err(|e| format!("{}: {e}", path.display()))
+}
+
 pub struct Machines {
     pub scheme: Scheme,
     pub dir: PathBuf,
@@ -259,6 +314,7 @@
                     wanted: false,
                     lives: 0,
                     ending: false,
+                    started_at: Instant::now(),
                     ended_at: None,
                 }),
             });
@@ -286,8 +342,8 @@
         Ok(())
     }
 
-    /// The settings files of these name other seeds, and SIGHUP says so.
-    pub fn hang_up(&self, log: &Log, which: &[&Process], turned: usize) {
+    /// The settings files of these name other seeds, and SIGHUP says so to each that runs and has its handlers.
+    pub async fn hang_up(&self, log: &Log, which: &[&Process], turned: usize) {
         let names: Vec<&str> = which.iter().map(|p| p.name.as_str()).collect();
         log.note(format!("SIGHUP: {}", names.join(", ")));
         for p in which {
@@ -295,9 +351,14 @@
             if let Err(why) = written {
                 log.note(why);
             }
-            log.book().hangups.push((log.now(), p.host));
-            p.signal(Signal::SIGHUP);
         }
+        all(which.iter().map(|p| async {
+            if p.stands(log, Signal::SIGHUP).await {
+                log.book().hangups.push((log.now(), p.host));
+                p.signal_caught(Signal::SIGHUP);
+            }
+        }))
+        .await;
     }
 
     pub fn cores(&self) -> usize {
@@ -392,10 +453,11 @@
 
     /// Ends a process in order and starts it again after `back`.
     pub async fn roll(&self, log: &Log, p: &Process, grace: Duration, back: Micros) {
+        p.stands(log, Signal::SIGTERM).await;
         let asked = log.trouble(p.host, true, "asked to end");
         log.over(asked, 0); // a process that serves on is bound again once the contact time is over
         log.note(format!("asked to end: {}", p.name));
-        p.terminate(grace).await;
+        p.terminate(log, grace).await;
         let away = log.trouble(p.host, true, "ended");
         log.note(format!("ended: {}", p.name));
         tokio::time::sleep(Duration::from_micros(back)).await;
@@ -415,28 +477,28 @@
         troubles.into_iter().for_each(|t| log.over(t, UP));
     }
 
-    /// Starts again what ended by itself, as the platform would, and says so.
+    /// Starts again what ended by itself, as the platform would, and says so: all that ended together start together.
     pub async fn watch(&self, log: &Log) {
         loop {
-            for p in self.processes.iter().filter(|p| p.fell()) {
+            let fallen: Vec<&Process> = self.processes.iter().filter(|p| p.fell()).collect();
+            for p in &fallen {
                 log.note(format!("{} has ended by itself, see {}", p.name, p.log.display()));
                 log.book().own_ends.push(p.name.clone());
-                tokio::time::sleep(Duration::from_micros(SECOND / 2)).await;
-                self.again(log, &[p]);
+            }
+            if !fallen.is_empty() {
+                tokio::time::sleep(FELL_BACK).await;
+                self.again(log, &fallen);
             }
             tokio::time::sleep(LOOK).await;
         }
     }
 
     /// Ends all, proxies first, as one would by hand.
-    pub async fn stop(&self, grace: Duration) {
+    pub async fn stop(&self, log: &Log, grace: Duration) {
         let proxies = self.processes.iter().filter(|p| p.program == Program::Proxy);
         let rest = self.processes.iter().filter(|p| p.program != Program::Proxy);
         for group in [proxies.collect::<Vec<_>>(), rest.collect()] {
-            group.iter().for_each(|p| p.signal(Signal::SIGTERM));
-            for p in group {
-                p.terminate(grace).await;
-            }
+            all(group.into_iter().map(|p| p.terminate(log, grace))).await;
         }
     }
 }
--- a/crates/lab/src/system/mod.rs
+++ b/crates/lab/src/system/mod.rs
@@ -5,11 +5,15 @@
 mod call;
 mod clients;
 mod connections;
+pub mod handlers;
 mod log;
 mod machines;
 pub mod observed;
 mod operator;
 mod play;
+mod rollout_play;
+pub mod rollout_rules;
+pub mod rollouts;
 pub mod rules;
 mod servers;
 pub mod table;
@@ -29,7 +33,10 @@
 use observed::Observed;
 use operator::Operator;
 use play::{Armed, Player};
+use rollout_play::RolloutPlayer;
+use rollouts::{PlannedRollout, Script};
 use servers::Servers;
+use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
@@ -64,6 +71,8 @@
     /// What was expected and did not come about, broken rules among it.
     pub unmet: Vec<String>,
     pub own_ends: Vec<String>,
+    /// Rollouts that were not over as they should have been by their term.
+    pub missed_duties: Vec<String>,
     pub notes: Vec<(Micros, String)>,
     pub observed: Observed,
 }
@@ -93,6 +102,9 @@
     out["cold_excess"] = b.cold_excess.into();
     out["cold_margin"] = b.cold_margin.into();
     out["ttl_max_s"] = b.ttl_s.into();
+    out["exposure_share"] = rollout_rules::EXPOSURE_SHARE.into();
+    out["exposure_margin"] = rollout_rules::EXPOSURE_MARGIN.into();
+    out["revert_limit_ms"] = ms(rollout_rules::REVERT_LIMIT);
     out
 }
 
@@ -107,10 +119,13 @@
 }
 
 /// Plays a day. All that it started has ended when this returns.
-pub async fn run(s: &Scenario, options: &Options) -> Result<Day, String> {
+pub async fn run(script: &Script, options: &Options) -> Result<Day, String> {
+    let s = &script.scenario;
     let zones: Vec<String> = s.zones.iter().map(|z| z.0.clone()).collect();
     play::fits(s, &zones)?;
-    let places: usize = s.servers.iter().map(|x| x.1).sum();
+    let of_service = |name: &str| s.servers.iter().filter(|x| x.0 == name).map(|x| x.1).sum::<usize>();
+    let first: usize = s.servers.iter().map(|x| x.1).sum();
+    let places = first + script.rollouts.iter().map(|r| of_service(&r.service)).sum::<usize>();
     if places > MOST_SERVERS || s.ends <= TRAFFIC + QUIET {
         return Err(format!("a day has up to {MOST_SERVERS} servers and more than 12 seconds"));
     }
@@ -129,6 +144,7 @@
     let log = Arc::new(Log::new(options.loud));
     let day = Playing {
         s,
+        rollouts: &script.rollouts,
         log: log.clone(),
         machines: machines.clone(),
         bounds: bounds.clone(),
@@ -136,7 +152,7 @@
     };
     let played = day.play().await;
     // In order where there is time for it, and in any case: each process is killed when the machines are dropped.
-    machines.stop(Duration::from_micros(bounds.grace)).await;
+    machines.stop(&log, Duration::from_micros(bounds.grace)).await;
     played?;
     let book = std::mem::take(&mut *log.book());
     let (own_ends, notes) = (book.own_ends.clone(), book.notes.clone());
@@ -145,13 +161,17 @@
     let mut breaches = judge(&record);
     breaches.extend(unasked);
     breaches.extend(rules::judge(&record, &observed, &hangups));
+    let of_rollouts = rollout_rules::judge(&record, &observed);
+    breaches.extend(of_rollouts.breaches);
+    let missed_duties = of_rollouts.missed_duties;
     let mut unmet = unmet(s, &record, &breaches);
     unmet.extend(own_ends.iter().map(|name| format!("{name} ended by itself")));
-    Ok(Day { record, breaches, unmet, own_ends, notes, observed })
+    Ok(Day { record, breaches, unmet, own_ends, missed_duties, notes, observed })
 }
 
 struct Playing<'a> {
     s: &'a Scenario,
+    rollouts: &'a [PlannedRollout],
     log: Arc<Log>,
     machines: Arc<Machines>,
     bounds: Bounds,
@@ -164,7 +184,8 @@
         let (send, mut fired) = tokio::sync::mpsc::unbounded_channel();
         let armed = Arc::new(Armed::new(send));
         let limit = self.bounds.drain_limit;
-        let servers = Arc::new(Servers::new(s, log.clone(), machines.clone(), limit, self.seed));
+        let servers =
+            Arc::new(Servers::new(s, self.rollouts, log.clone(), machines.clone(), limit, self.seed));
         let plan = Plan::of(s);
         let clients = Clients::new(s, &plan, log.clone(), machines.clone(), self.seed ^ 1);
         let clients = Arc::new(clients);
@@ -216,6 +237,10 @@
                 player.act(what).await;
             });
         }
+        for of_service in by_service(self.rollouts) {
+            let (log, servers, operator) = (log.clone(), servers.clone(), operator.clone());
+            open.spawn(Arc::new(RolloutPlayer { log, servers, operator, ends: s.ends }).play(of_service));
+        }
         let (reader, reads_from) = (operator.clone(), s.ends.saturating_sub(self.bounds.contact));
         let reading = log.clone();
         open.spawn(async move {
@@ -244,3 +269,21 @@
         ended.map_err(|_| "something that was done did not come to its end".to_string())?
     }
 }
+
+fn by_service(rollouts: &[PlannedRollout]) -> Vec<Vec<PlannedRollout>> {
+    let mut services: BTreeMap<&str, Vec<PlannedRollout>> = BTreeMap::new();
+    for rollout in rollouts {
+        services.entry(&rollout.service).or_default().push(rollout.clone());
+    }
+    services.into_values().collect()
+}
+
+/// All at once, to the end of the last.
+async fn all<F: Future<Output = ()>>(work: impl Iterator<Item = F>) {
+    let mut open: Vec<_> = work.map(Box::pin).collect();
+    std::future::poll_fn(|cx| {
+        open.retain_mut(|f| f.as_mut().poll(cx).is_pending());
+        if open.is_empty() { std::task::Poll::Ready(()) } else { std::task::Poll::Pending }
+    })
+    .await;
+}
--- a/crates/lab/src/system/observed.rs
+++ b/crates/lab/src/system/observed.rs
@@ -1,8 +1,9 @@
 //! What clients, servers and the platform saw beside the record: connections that were kept, answers of the directory,
 //! readiness, and the time that servers were handed.
 
+use super::rollouts::Quality;
 use dryfit::Micros;
-use dryfit::record::Host;
+use dryfit::record::{Fate, Host};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A process was asked whether it is ready.
@@ -40,6 +41,64 @@
     pub ms: u64,
 }
 
+/// A process had no signal handlers so long after its start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LateHandlers {
+    pub at: Micros,
+    pub process: String,
+    pub life: u64,
+    pub waited: Micros,
+}
+
+/// A rollout as an operator ordered it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OrderedRollout {
+    pub sent: Micros,
+    pub service: String,
+    pub version: String,
+    pub quality: Quality,
+    pub term: Micros,
+    pub fate: Fate,
+}
+
+/// What a registry told of a service's rollout.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RolloutState {
+    InProgress,
+    Completed,
+    Reverted,
+}
+
+impl RolloutState {
+    pub fn read(word: &str) -> Option<RolloutState> {
+        match word {
+            "in_progress" => Some(RolloutState::InProgress),
+            "completed" => Some(RolloutState::Completed),
+            "reverted" => Some(RolloutState::Reverted),
+            _ => None,
+        }
+    }
+}
+
+/// A reading of a service's rollout, between these moments.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RolloutView {
+    pub from: Micros,
+    pub until: Micros,
+    pub service: String,
+    /// The version and its state; none: there is no rollout.
+    pub told: Option<(String, RolloutState)>,
+    /// Why it is so, in the registry's words.
+    pub reason: String,
+}
+
+/// A server of a bad version answered with an error, or several times slower than the others.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BadAnswer {
+    pub at: Micros,
+    pub server: String,
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Observed {
     /// Tries over a connection that had carried requests before.
@@ -55,4 +114,8 @@
     /// The most by which the rig's own clock was late.
     pub rig_lag: Micros,
     pub probes: u64,
+    pub late_handlers: Vec<LateHandlers>,
+    pub rollouts: Vec<OrderedRollout>,
+    pub rollout_views: Vec<RolloutView>,
+    pub bad_answers: Vec<BadAnswer>,
 }
--- a/crates/lab/src/system/operator.rs
+++ b/crates/lab/src/system/operator.rs
@@ -4,7 +4,9 @@
 use super::call::Call;
 use super::log::{Log, Sent, lock};
 use super::machines::Machines;
+use super::observed::{RolloutState, RolloutView};
 use super::play::Armed;
+use super::rollouts::PlannedRollout;
 use super::{MS, SECOND};
 use dryfit::Micros;
 use dryfit::plan::{Plan, Wish};
@@ -66,7 +68,7 @@
         };
         let target = "/api/configuration".to_string();
         let call = Call { method, target, if_match: Some(&if_match), body: &body };
-        let fate = self.order(&call, self.ends).await;
+        let fate = self.order(&call, self.ends, false).await;
         self.log.book().changes[change].fate = fate;
         self.log.note(format!("version {version} on {base}: {}", said(fate)));
         let taken = matches!(fate, Fate::Acknowledged(_));
@@ -99,7 +101,7 @@
             book.evacuations.len() - 1
         };
         let call = Call::plain(if on { "POST" } else { "DELETE" }, format!("/api/evacuation/{zone}"));
-        let fate = self.order(&call, sent + self.bounds.ack_limit).await;
+        let fate = self.order(&call, sent + self.bounds.ack_limit, false).await;
         self.log.book().evacuations[place].fate = fate;
         let what = if on { "evacuation" } else { "return" };
         self.log.note(format!("{what} of {zone}: {}", said(fate)));
@@ -110,7 +112,45 @@
         taken
     }
 
-    async fn order(&self, call: &Call<'_>, until: Micros) -> Fate {
+    /// Orders a rollout. Other orders do not wait for it.
+    pub async fn start_rollout(&self, rollout: &PlannedRollout) -> Fate {
+        let body = jzon::object! {
+            service_ref: rollout.service.as_str(),
+            target_version: rollout.version.as_str(),
+            rollout_term_s: rollout.term as f64 / SECOND as f64,
+        }
+        .dump();
+        let target = "/api/rollouts".to_string();
+        let call = Call { method: "POST", target, if_match: None, body: &body };
+        let fate = self.order(&call, self.log.now() + self.bounds.ack_limit, true).await;
+        self.log.note(format!("rollout of {} to {}: {}", rollout.service, rollout.version, said(fate)));
+        if matches!(fate, Fate::Acknowledged(_)) {
+            self.armed.fire("order");
+        }
+        fate
+    }
+
+    /// Asks one registry for a service's rollout. None: no clear answer.
+    pub async fn read_rollout(&self, service: &str) -> Option<RolloutView> {
+        let from = self.log.now();
+        let core = lock(&self.rng).gen_range(0..self.machines.cores());
+        let call = Call::plain("GET", format!("/api/rollouts/{service}"));
+        let answer = call.on(self.machines.control(core), || {}).await?;
+        let (told, reason) = match answer.status {
+            404 => (None, String::new()),
+            200 => {
+                let body = jzon::parse(std::str::from_utf8(&answer.body).ok()?).ok()?;
+                let state = RolloutState::read(body["server_state"].as_str()?)?;
+                let version = body["target_version"].as_str()?.to_string();
+                (Some((version, state)), body["reason"].as_str().unwrap_or_default().to_string())
+            }
+            _ => return None,
+        };
+        Some(RolloutView { from, until: self.log.now(), service: service.to_string(), told, reason })
+    }
+
+    /// Repeats an order until it is acknowledged. Where `may_be_under_way`, a 409 to a repeat acknowledges it, too.
+    async fn order(&self, call: &Call<'_>, until: Micros, may_be_under_way: bool) -> Fate {
         let mut tries = 0;
         while self.log.now() <= until.min(self.ends) {
             let core = lock(&self.rng).gen_range(0..self.machines.cores());
@@ -119,6 +159,7 @@
             let now = self.log.now();
             match answer.map_or(0, |a| a.status) {
                 200..300 => return Fate::Acknowledged(now),
+                409 if may_be_under_way && tries > 1 => return Fate::Acknowledged(now),
                 400 | 409 | 412 | 413 | 422 => return Fate::Refused(now),
                 _ => tokio::time::sleep(Duration::from_micros((50 * MS) << tries.min(4))).await,
             }
--- a/crates/lab/src/system/play.rs
+++ b/crates/lab/src/system/play.rs
@@ -6,7 +6,7 @@
 use super::operator::Operator;
 use super::servers::Servers;
 use super::watcher::{once_applied, running_proxies};
-use super::{MS, SECOND};
+use super::{MS, SECOND, all};
 use dryfit::Micros;
 use dryfit::odd::Odd;
 use dryfit::plan::Wish;
@@ -192,7 +192,8 @@
             }
             What::Hangup { who } => {
                 let which = self.named(&who).await;
-                self.machines.hang_up(&self.log, &which, self.hangups.fetch_add(1, Relaxed));
+                let turned = self.hangups.fetch_add(1, Relaxed);
+                self.machines.hang_up(&self.log, &which, turned).await;
             }
             What::Odd(Odd::Roll { who, by, every, back }) => self.roll(&who, by, every, back).await,
             What::Stall { who, last } => {
@@ -288,13 +289,3 @@
         }
     }
 }
-
-/// All at once, to the end of the last.
-async fn all<F: Future<Output = ()>>(work: impl Iterator<Item = F>) {
-    let mut open: Vec<_> = work.map(Box::pin).collect();
-    std::future::poll_fn(|cx| {
-        open.retain_mut(|f| f.as_mut().poll(cx).is_pending());
-        if open.is_empty() { std::task::Poll::Ready(()) } else { std::task::Poll::Pending }
-    })
-    .await;
-}
--- a/crates/lab/src/system/rules.rs
+++ b/crates/lab/src/system/rules.rs
@@ -40,6 +40,7 @@
         judge.ready_after_end(),
         judge.stale_directory(),
         judge.denied_apart(),
+        judge.handlers(),
     ];
     found.into_iter().flatten().collect()
 }
@@ -289,6 +290,20 @@
         breach("DRAIN", None, what)
     }
 
+    /// START: a process that was started has its signal handlers soon.
+    fn handlers(&self) -> Option<Breach> {
+        let late = &self.observed.late_handlers;
+        let first = late.first()?;
+        let what = format!(
+            "{} starts without signal handlers in time, the first {} at {:.3}, {:.1} s after its start",
+            late.len(),
+            first.process,
+            seconds(first.at),
+            seconds(first.waited)
+        );
+        breach("START", None, what)
+    }
+
     /// DENIED: machines out of touch refuse for good what every configuration of the day allows.
     fn denied_apart(&self) -> Option<Breach> {
         let everywhere = |t: &Try| {
--- a/crates/lab/src/system/servers.rs
+++ b/crates/lab/src/system/servers.rs
@@ -4,8 +4,9 @@
 use super::call::{Call, good};
 use super::log::{Log, arrival, lock};
 use super::machines::Machines;
-use super::observed::TimeHanded;
-use super::{MS, SECOND};
+use super::observed::{BadAnswer, TimeHanded};
+use super::rollouts::{ERROR_PART, PlannedRollout, Quality, SLOW_TIMES, server_prefix};
+use super::{MS, SECOND, all};
 use crate::http::{Conn, Request, header, response};
 use dryfit::Micros;
 use dryfit::record::{Arrival, Cold, Leave};
@@ -22,6 +23,10 @@
 const SLOTS: usize = 3;
 const QUEUE: usize = 3;
 const FIRST_PORT: u16 = 8080;
+/// The version of all servers that run from the beginning.
+const FIRST_VERSION: &str = "v1";
+/// Servers of a new version start within so long of each other.
+const START_SPREAD: Micros = 500 * MS;
 /// Servers share this many addresses and differ by port.
 const ADDRESSES: usize = 3;
 /// Kept connections are closed after this; callers are told a second less.
@@ -51,6 +56,11 @@
     addr: SocketAddr,
     zone: String,
     region: String,
+    /// Of its software.
+    version: String,
+    quality: Quality,
+    /// No server starts here: those of the version have not begun, or have been stopped for good.
+    retired: AtomicBool,
     lives: AtomicUsize,
     now: Mutex<Option<(Arc<Life>, JoinHandle<()>)>>,
 }
@@ -59,6 +69,9 @@
 struct Life {
     id: String,
     service: String,
+    version: String,
+    quality: Quality,
+    begun: Micros,
     addr: SocketAddr,
     zone: String,
     region: String,
@@ -89,28 +102,39 @@
 impl Servers {
     pub fn new(
         s: &Scenario,
+        rollouts: &[PlannedRollout],
         log: Arc<Log>,
         machines: Arc<Machines>,
         drain_limit: Micros,
         seed: u64,
     ) -> Servers {
         let block = machines.block.parts;
-        let mut places = Vec::new();
-        for (service, n) in &s.servers {
-            for i in 0..*n {
+        let mut places: Vec<Place> = Vec::new();
+        let mut add = |service: &str, prefix: String, n: usize, rollout: Option<&PlannedRollout>| {
+            for i in 0..n {
                 let ip = jig::scheme::FIRST_SERVER + (places.len() % ADDRESSES) as u8;
                 let port = FIRST_PORT + (places.len() / ADDRESSES) as u16;
                 let (zone, region) = s.zones[i % s.zones.len()].clone();
                 places.push(Place {
-                    name: format!("{service}{}", i + 1),
-                    service: Mutex::new(service.clone()),
+                    name: format!("{prefix}{}", i + 1),
+                    service: Mutex::new(service.to_string()),
                     addr: (Ipv4Addr::new(127, block[0], block[1], ip), port).into(),
                     zone,
                     region,
+                    version: rollout.map_or(FIRST_VERSION, |r| &r.version).to_string(),
+                    quality: rollout.map_or(Quality::Good, |r| r.quality),
+                    retired: AtomicBool::new(rollout.is_some()),
                     lives: AtomicUsize::new(0),
                     now: Mutex::new(None),
                 });
             }
+        };
+        for (service, n) in &s.servers {
+            add(service, service.clone(), *n, None);
+        }
+        for rollout in rollouts {
+            let n = s.servers.iter().find(|(name, _)| *name == rollout.service).map_or(0, |(_, n)| *n);
+            add(&rollout.service, server_prefix(&rollout.service, &rollout.version), n, Some(rollout));
         }
         let beat = machines.scheme.beat_period_ms * MS;
         let rng = Mutex::new(StdRng::seed_from_u64(seed));
@@ -134,13 +158,45 @@
         lock(&self.places[place].now).as_ref().map(|(life, _)| life.clone())
     }
 
+    fn of_version(&self, service: &str, version: &str) -> Vec<usize> {
+        let is = |p: &Place| p.version == version && *lock(&p.service) == service;
+        (0..self.places.len()).filter(|n| is(&self.places[*n])).collect()
+    }
+
+    /// The servers of a new version start, spread over a moment.
+    pub async fn start_version(self: &Arc<Self>, service: &str, version: &str) {
+        let starts = self.of_version(service, version).into_iter().map(|place| async move {
+            tokio::time::sleep(Duration::from_micros((START_SPREAD as f64 * self.chance()) as u64)).await;
+            self.places[place].retired.store(false, Relaxed);
+            self.start(place, None, true).await;
+        });
+        all(starts).await;
+    }
+
+    /// No more servers of this version start; which there are.
+    pub fn retire_version(&self, service: &str, version: &str) -> Vec<usize> {
+        let places = self.of_version(service, version);
+        places.iter().for_each(|n| self.places[*n].retired.store(true, Relaxed));
+        places
+    }
+
+    /// All servers of the service but those of this version stop at once and for good.
+    pub fn retire_others(&self, service: &str, version: &str) {
+        for (n, p) in self.places.iter().enumerate() {
+            if p.version != version && *lock(&p.service) == service {
+                p.retired.store(true, Relaxed);
+                self.end(n);
+            }
+        }
+    }
+
     /// A server starts at this place, unless one is there; `cold`: during traffic.
     pub async fn start(self: &Arc<Self>, place: usize, service: Option<String>, cold: bool) {
         let p = &self.places[place];
         if let Some(service) = service {
             *lock(&p.service) = service;
         }
-        if lock(&p.now).is_some() {
+        if p.retired.load(Relaxed) || lock(&p.now).is_some() {
             return;
         }
         let listener = match TcpListener::bind(p.addr).await {
@@ -152,6 +208,9 @@
         let life = Arc::new(Life {
             id: format!("{}-{}", p.name, p.lives.fetch_add(1, Relaxed) + 1),
             service: lock(&p.service).clone(),
+            version: p.version.clone(),
+            quality: p.quality,
+            begun: now,
             addr: p.addr,
             zone: p.zone.clone(),
             region: p.region.clone(),
@@ -276,8 +335,8 @@
         let body = jzon::object! {
             server_address: life.addr.to_string(),
             information: {
-                service_ref: life.service.as_str(), config_version: "v1", zone_name: life.zone.as_str(),
-                slot_count: SLOTS
+                service_ref: life.service.as_str(), config_version: life.version.as_str(),
+                zone_name: life.zone.as_str(), slot_count: SLOTS
             },
             status_report: {
                 server_state: if draining { "draining" } else { "available" },
@@ -416,7 +475,9 @@
     arrival(&mut log.book(), attempt, at).ran = Some(begun);
     let _working = Working { log, life, attempt, at };
     let slow = begun < life.cold_until.load(Relaxed).max(life.slow_until.load(Relaxed));
-    let took = servers.work as f64 * (0.5 + servers.chance()) * if slow { SLOWER } else { 1.0 };
+    let slow_version = life.quality == Quality::Slow;
+    let times = if slow { SLOWER } else { 1.0 } * if slow_version { SLOW_TIMES } else { 1.0 };
+    let took = servers.work as f64 * (0.5 + servers.chance()) * times;
     tokio::select! {
         () = tokio::time::sleep(Duration::from_micros(took as u64)) => {}
         () = closed(stream) => return None,
@@ -430,6 +491,14 @@
     if log.now() > now + left {
         return Some(response(504, &headers, b""));
     }
+    let fails = life.quality.fails(begun - life.begun) && servers.chance() < ERROR_PART;
+    if fails || slow_version {
+        let bad = BadAnswer { at: log.now(), server: life.id.clone() };
+        log.book().observed.bad_answers.push(bad);
+    }
+    if fails {
+        return Some(response(500, &headers, b""));
+    }
     headers.push(("X-Server-Seal", named.clone()));
     Some(response(200, &headers, &body(attempt, request.target.starts_with("/r-kawe/"))))
 }
--- a/crates/lab/src/system/table.rs
+++ b/crates/lab/src/system/table.rs
@@ -79,6 +79,9 @@
         day.own_ends.len()
     );
     out.push_str("Servers, clients and operator are stand-ins; the three programs are real.\n");
+    for what in &day.missed_duties {
+        let _ = writeln!(out, "duty missed: {what}");
+    }
     for what in &day.unmet {
         let _ = writeln!(out, "NOT KEPT {what}");
     }
--- a/crates/lab/tests/signals.rs
+++ b/crates/lab/tests/signals.rs
@@ -3,6 +3,7 @@
 
 mod common;
 
+use curlewfront_lab::system::handlers::catches;
 use nix::sys::signal::{Signal, kill};
 use nix::sys::stat::Mode;
 use nix::unistd::{Pid, mkfifo};
@@ -28,10 +29,24 @@
         // Opens once the program has opened the other end, to read.
         let mut settings =
             std::fs::OpenOptions::new().write(true).open(&pipe).expect("it reads its settings");
-        kill(Pid::from_raw(child.id() as i32), Signal::SIGHUP).expect("it runs");
+        let pid = Pid::from_raw(child.id() as i32);
+        // Guards against a rig that sends signals to processes which do not watch for them yet.
+        assert!(catches(pid, Signal::SIGHUP) && catches(pid, Signal::SIGTERM), "{program}");
+        assert!(!catches(pid, Signal::SIGKILL), "{program}");
+        kill(pid, Signal::SIGHUP).expect("it runs");
         let _ = settings.write_all(b"{}");
         drop(settings);
         let ended = child.wait().expect("it ends, as these settings are no good");
         assert_eq!((ended.signal(), ended.code()), (None, Some(1)), "{program}");
     }
 }
+
+#[test]
+fn a_program_that_does_not_watch_for_signals_is_seen_to_catch_none() {
+    let mut child = Command::new("sleep").arg("60").spawn().expect("it starts");
+    let pid = Pid::from_raw(child.id() as i32);
+    assert!(!catches(pid, Signal::SIGHUP) && !catches(pid, Signal::SIGTERM));
+    child.kill().expect("it runs");
+    child.wait().expect("it ends");
+    assert!(!catches(pid, Signal::SIGTERM), "there is no such process any more");
+}
--- a/crates/lab/tests/soak.rs
+++ b/crates/lab/tests/soak.rs
@@ -4,7 +4,8 @@
 mod common;
 
 use curlewfront_lab::soak::{self, Options, schedule, shape::Shape};
-use curlewfront_lab::system::observed::{Observed, Readiness, StaleAddress, TimeHanded};
+use curlewfront_lab::system::observed::{LateHandlers, Observed, Readiness, StaleAddress, TimeHanded};
+use curlewfront_lab::system::rollouts::Script;
 use curlewfront_lab::system::rules;
 use dryfit::SECOND;
 use dryfit::hunt::play;
@@ -185,6 +186,12 @@
     assert_eq!(rules, ["DENIED"]);
 }
 
+#[test]
+fn a_process_without_signal_handlers_in_time() {
+    let late = LateHandlers { at: 20 * SECOND, process: "e1.proxy".into(), life: 2, waited: 3 * SECOND };
+    assert_eq!(broken(|seen| seen.observed.late_handlers.push(late)), ["START"]);
+}
+
 /// A seed is a day: it is drawn alike each time, can be read, and is about what its kind says.
 #[test]
 fn a_seed_draws_the_same_day_each_time() {
@@ -192,7 +199,9 @@
         for seed in 1..=30 {
             let text = schedule::draw(&shape, seed);
             assert_eq!(text, schedule::draw(&shape, seed));
-            let day = Scenario::read(&text).unwrap_or_else(|e| panic!("seed {seed}: {e}"));
+            let script = Script::read(&text).unwrap_or_else(|e| panic!("seed {seed}: {e}"));
+            assert!(!script.rollouts.is_empty(), "seed {seed}");
+            let day = script.scenario;
             assert!(day.keeps_connections && day.probes && day.events.len() > 10, "seed {seed}");
             let crowded = seed % shape.crowded_every == shape.crowded_every - 1;
             assert_eq!(day.edges == shape.crowded, crowded, "seed {seed}");
@@ -200,7 +209,7 @@
     }
 }
 
-/// The short run of CI: planned work, core machines that end, kills. The bounds in time are seconds, which only a hang
+/// The short run of CI: planned work, core machines that end, kills, each with rollouts. The bounds in time are seconds, which only a hang
 /// reaches.
 #[test]
 fn a_short_soak_keeps_all_rules() {
@@ -212,5 +221,6 @@
     assert_eq!(report.rows.len(), 3);
     let lines: Vec<String> = report.rows.iter().map(|row| row.line()).collect();
     assert_eq!(report.failed(), 0, "kept in {}:\n{}", options.out.display(), lines.join("\n"));
-    assert!(report.rows.iter().all(|row| row.served > 0 && row.probes > 0), "{}", lines.join("\n"));
+    let all = report.rows.iter().all(|row| row.served > 0 && row.probes > 0 && row.rollouts > 0);
+    assert!(all, "{}", lines.join("\n"));
 }
--- a/crates/lab/tests/system.rs
+++ b/crates/lab/tests/system.rs
@@ -3,18 +3,19 @@
 
 mod common;
 
+use curlewfront_lab::system::observed::RolloutState;
+use curlewfront_lab::system::rollouts::Script;
 use curlewfront_lab::system::{self, Day, Options};
 use dryfit::record::Fate;
-use dryfit::scenario::Scenario;
 use std::path::PathBuf;
 
 fn play(name: &str, text: &str) -> Day {
     let out = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
-    let scenario = Scenario::read(text).expect("a proper scenario");
+    let script = Script::read(text).expect("a proper scenario");
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().expect("a runtime");
     let bin = common::built(&["curlewfront-planchest", "curlewfront-pegboard", "curlewfront-proxy"]);
     let options = Options { out, bin, seed: 3, loud: false, verbose: false };
-    runtime.block_on(system::run(&scenario, &options)).expect("a day")
+    runtime.block_on(system::run(&script, &options)).expect("a day")
 }
 
 /// Those that speak of what happened, not of when.
@@ -60,17 +61,43 @@
     assert!(day.record.tries.iter().flat_map(|t| &t.arrivals).any(|a| a.broke), "answers were lost");
 }
 
+// Seen in a soak (seed 6664): SIGHUP came between the start of a process and its first statement, and ended 16 proxies.
+#[test]
+fn a_hangup_as_all_start_again_ends_none() {
+    let mut text =
+        "seconds 20\ncores a\nedges 8\nservice tiro 2\nservice utu 2\nservice kawe 2\nclients 6\nrate 10\n\
+                    at 9 kill edges back 0.3\n"
+            .to_string();
+    for n in 0..30 {
+        text += &format!("at {:.2} hup edges\n", 9.25 + f64::from(n) / 100.0);
+    }
+    let day = play("hangup-at-start", &text);
+    kept(&day);
+}
+
+/// A bad version is reverted while the core's leader is killed; what was told of it is not taken back.
+#[test]
+fn a_bad_version_is_reverted_though_the_leader_is_killed() {
+    let text = "seconds 30\ncores a b a\nedges 3\nservice tiro 4\nservice utu 2\nservice kawe 2\nclients 12\nrate 120\n\
+                work 20\nat 9 rollout tiro errors term 14\nat 9.5 kill leader back 1";
+    let day = play("rollout-reverted", text);
+    kept(&day);
+    assert!(!day.breaches.iter().any(|b| b.rule == "EXPOSURE"), "{:?}", day.unmet);
+    let last = day.observed.rollout_views.iter().filter_map(|v| v.told.clone()).next_back();
+    assert_eq!(last, Some(("v2".to_string(), RolloutState::Reverted)), "{:?}", day.notes);
+}
+
 /// What one machine cannot show is refused before anything starts.
 #[test]
 fn what_cannot_be_played_is_said_at_once() {
     for line in
         ["at 12 cut core1 from all for 3", "at 12 crash tiro1 dark", "at 12 kill core9", "at 12 drain tiro99"]
     {
-        let scenario = Scenario::read(line).expect("a scenario");
+        let script = Script::read(line).expect("a scenario");
         let options =
             Options { out: "unused".into(), bin: "unused".into(), seed: 1, loud: false, verbose: false };
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-        let refused = runtime.block_on(system::run(&scenario, &options)).err().expect("refused");
+        let refused = runtime.block_on(system::run(&script, &options)).err().expect("refused");
         assert!(refused.starts_with("at 12 s: "), "{refused}");
     }
     assert!(!std::path::Path::new("unused").exists());
