Play rollouts beside lost leaders, cuts, lost power and disks, grey servers and hasty clients

Scenarios for each kind of bad version, and for a good and a bad version beside each of the faults; clients that try again at once (hasty) and a core machine that is replaced by an empty one at another address (replace-core).

--- a/crates/dryfit/src/odd.rs
+++ b/crates/dryfit/src/odd.rs
@@ -53,12 +53,22 @@
     LoseAcks { part: f64, last: Micros },
     /// Of so many in a hundred changes a copy comes late, to any machine.
     Copies { part: f64, late: Micros, last: Micros },
+    /// So many in a hundred clients try again at once and often.
+    Hasty { part: f64, last: Micros },
+    /// A machine of the core is gone for good; an empty one comes in its place, at another address.
+    ReplaceCore { who: String, after: Micros },
     /// An operator has a service moved to another version of its servers.
     Rollout(Rollout),
 }
 
 pub(crate) fn read(word: &str, w: &mut Words) -> Result<Option<Odd>> {
     Ok(Some(match word {
+        "hasty" => Odd::Hasty { part: w.number("the part")? / 100.0, last: w.last()? },
+        "replace-core" => {
+            let who = w.next("who")?.to_string();
+            w.must("after")?;
+            Odd::ReplaceCore { who, after: w.seconds("after")? }
+        }
         "rollout" => Odd::Rollout(rollout::read(w)?),
         "storm" => {
             let operators = w.number("operators")? as usize;
@@ -222,6 +232,8 @@
                     self.reseed(owner);
                 }
             }
+            Odd::Hasty { part, last } => self.hasty = (part, now + last),
+            Odd::ReplaceCore { who, after } => self.replace_core(&who, after),
             Odd::Rollout(rollout) => self.rollout_begins(&rollout),
             Odd::Storm { operators, gap, last } => self.storm(operators, gap, last),
             Odd::LoseAcks { part, last } => self.operators.loses = (part, now + last),
--- a/crates/dryfit/src/outside.rs
+++ b/crates/dryfit/src/outside.rs
@@ -167,6 +167,8 @@
 /// For what was acknowledged to reach the proxies in touch.
 const NEWS: Micros = 300 * MS;
 const MOST_TRIES: u32 = 4;
+/// Of a client that tries again at once and often.
+const HASTY_TRIES: u32 = 12;
 
 impl World {
     // ---- calls on the system ----
@@ -822,10 +824,15 @@
 
     fn again(&mut self, request: u64, not_run: bool, wait: Micros) {
         let w = &mut self.wanted[request as usize];
-        if w.tries >= MOST_TRIES || (w.once && !not_run) {
+        let (part, until) = self.hasty;
+        // The first of them, whoever they are.
+        let hasty = self.now < until && (w.client as f64) < part * self.clients.len() as f64;
+        let most = if hasty { HASTY_TRIES } else { MOST_TRIES };
+        if w.tries >= most || (w.once && !not_run) {
             w.over = true;
             return;
         }
+        let wait = if hasty { MS } else { wait };
         let more = self.chance(request).u64(0..20 * MS);
         self.at(self.now + wait + more, Ev::Try(request));
     }
--- a/crates/dryfit/src/rollout.rs
+++ b/crates/dryfit/src/rollout.rs
@@ -144,6 +144,7 @@
             _ => return,
         };
         let now = self.now;
+        self.note(format!("the operator is told {}", answer.map_or("", |a| a.body.as_str())));
         let rollout = &mut self.record.rollouts[at];
         let over = |seen: &[Seen]| seen.iter().any(|s| s.is_over(&rollout.version));
         let before = over(&rollout.seen);
@@ -153,8 +154,6 @@
         }
         let (service, version) = (rollout.service.clone(), rollout.version.clone());
         let (progress, _) = state.expect("one that is over");
-        let told = answer.map_or("", |a| a.body.as_str());
-        self.note(format!("the operator sees that {service} to {version} is {}: {told}", progress.name()));
         let completed = progress == Progress::Completed;
         for place in 0..self.places.len() {
             let p = &self.places[place];
--- a/crates/dryfit/src/world.rs
+++ b/crates/dryfit/src/world.rs
@@ -138,6 +138,8 @@
     pub hot: (usize, Micros, f64),
     /// Tenants that ask a service for so many more a second, until when, and whether nothing is owed for it.
     pub crowds: Vec<(usize, String, f64, Micros, bool)>,
+    /// Which part of the clients try again at once and often, and until when.
+    pub hasty: (f64, Micros),
     pub traffic_ends: Micros,
     /// The core machines that settings files name.
     pub seeds: Vec<Ipv4Addr>,
@@ -256,6 +258,7 @@
             others: fastrand::Rng::with_seed(seed ^ 0x0be7_a705),
             hot: (0, 0, 0.0),
             crowds: Vec::new(),
+            hasty: (0.0, 0),
             traffic_ends,
             seeds: Vec::new(),
             load: Load::default(),
@@ -737,6 +740,20 @@
         }
     }
 
+    /// A machine of the core goes for good, and an empty one at another address comes in its place; settings files name it.
+    pub fn replace_core(&mut self, who: &str, after: Micros) {
+        self.lose_power(who, after, true);
+        for host in self.hosts_named(who) {
+            let [a, b, c, d] = self.hosts[host].ip.octets();
+            let (old, new) = (self.hosts[host].ip, Ipv4Addr::from([a, b, c + 1, d]));
+            self.hosts[host].ip = new;
+            self.seeds.iter_mut().filter(|ip| **ip == old).for_each(|ip| *ip = new);
+        }
+        for owner in self.owners_named("machines") {
+            self.reseed(owner);
+        }
+    }
+
     fn lose_power(&mut self, who: &str, back: Micros, wiped: bool) {
         let hosts = self.hosts_named(who);
         self.trouble(hosts.clone(), back + START, false, if wiped { "wiped" } else { "without power" });
