Judge a new version by a sequential test, over any span of time

Need: the verdict compared sums since the order, some sixty times, by a test made for one look; a version that turns bad late was diluted by its good answers before, what a proxy had counted was lost when it ended, and times were compared so far out in the tail that answers four times slower were not seen. Change: what comes in is kept by intervals of 0.25 s; each span of time until now is held against the old version over the same time by a mixture ratio of likelihoods, summed over spans (Robbins 1970, Roberts 1966). Counts of ended lives stay. The partial stage has a longest time; near its term a rollout waits for what is out at old servers only until each proxy has taken up the last stage.

--- a/crates/pegboard/src/rollouts.rs
+++ b/crates/pegboard/src/rollouts.rs
@@ -3,10 +3,15 @@
 //! Every registry gathers the tallies; the one beside the leader decides. How sure a decision is, and how that was measured:
 //! docs/system/rollouts.md.
 
-use rack::rollout::{Answers, Rollout, Rollouts, RouteTally, Stage, Tally};
-use rack::{Micros, Rev};
+mod evidence;
+mod tallies;
+
+use evidence::{Evidence, Finding};
+use rack::Micros;
+use rack::rollout::{Rollout, Stage};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
+pub use tallies::Tallies;
 
 /// A tally counts as current for so many intervals between two of them.
 const TALLY_INTERVALS: Micros = 6;
@@ -14,88 +19,25 @@
 /// When the stages of a rollout end at the earliest, as parts of its term. A version may turn bad some seconds after its
 /// start, so a trial lasts as long as its share of the requests and the later stages leave time for.
 const TRIAL_PART: f64 = 0.45;
-const PARTIAL_PART: f64 = 0.08;
+const PARTIAL_PART: f64 = 0.16;
+/// A version is at the partial stage no longer than this: if it is bad, that is what it may cost.
+const PARTIAL_MOST_PART: f64 = 0.20;
+/// Where a trial took longer, as after a change of the leader, the partial stage ends from here on if it had its least part.
+const LATE_PART: f64 = 0.68;
+const PARTIAL_LEAST_PART: f64 = 0.08;
 /// A trial that has not shown enough by then is reverted, so that it is over by the term.
 const REVERT_PART: f64 = 0.85;
-/// From then on a rollout that is whole no longer waits for the old servers to be idle.
-const COMPLETE_PART: f64 = 0.93;
+/// From then on a rollout that is whole waits for the old servers to be idle only as long as proxies take to leave them.
+const COMPLETE_PART: f64 = 0.90;
 
 /// Answers of the new version without which a trial says nothing: over all routes, and on a route that is much used.
 const MIN_ANSWERS: u32 = 50;
 const MIN_ROUTE_ANSWERS: u32 = 15;
 const MUCH_USED: u32 = 200;
-
-/// A share of the new version's answers is worse than that of the old by more than chance, by so many standard deviations:
-/// enough to revert, and enough to wait with the next stage. Both are looked at several times a second.
-const REVERT_DEVIATIONS: f64 = 3.5;
-const DOUBT_DEVIATIONS: f64 = 2.0;
-/// Differences that are borne: of failures, and of slow answers, as servers of one version differ in speed.
-const FAILED_TOLERANCE: f64 = 0.03;
-const SLOW_TOLERANCE: f64 = 0.10;
-/// The part of the old version's answers that take longest; answers are slow that take longer than those by so many buckets.
-const SLOW_PART: f64 = 0.05;
-const SLOW_BUCKETS: usize = 2;
-/// Fewer bad answers than this are no reason to revert; fewer answers than this say nothing of times.
-const MIN_BAD: u32 = 6;
-const MIN_TIMES: u32 = 40;
-
-/// The last tally of each proxy, for each rollout.
-#[derive(Default)]
-pub struct Tallies {
-    heard: BTreeMap<(Rev, Ipv4Addr), (Tally, Micros)>,
-    /// Those that the other registries have not been told of.
-    untold: Vec<Tally>,
-}
-
-impl Tallies {
-    /// `told`: by another registry, so all of them have it.
-    pub fn take(&mut self, now: Micros, tally: Tally, told: bool) {
-        let key = (tally.epoch, tally.ip);
-        let known = self.heard.get(&key).map(|(t, _)| t);
-        if known.is_some_and(|t| t.life == tally.life && t.count >= tally.count) {
-            return;
-        }
-        if !told {
-            self.untold.retain(|t| (t.epoch, t.ip) != key);
-            self.untold.push(tally.clone());
-        }
-        self.heard.insert(key, (tally, now));
-    }
-
-    /// What is to be told to the other registries.
-    pub fn news(&mut self) -> Vec<Tally> {
-        std::mem::take(&mut self.untold)
-    }
-
-    /// Forgets those of rollouts that have ended.
-    pub fn keep(&mut self, rollouts: &Rollouts) {
-        let runs = |epoch: Rev| rollouts.running().any(|r| r.epoch == epoch);
-        self.heard.retain(|(epoch, _), _| runs(*epoch));
-        self.untold.retain(|t| runs(t.epoch));
-    }
-
-    fn of(&self, epoch: Rev) -> impl Iterator<Item = &(Tally, Micros)> {
-        self.heard.range((epoch, Ipv4Addr::UNSPECIFIED)..=(epoch, Ipv4Addr::BROADCAST)).map(|(_, t)| t)
-    }
-
-    /// All that was counted of a rollout, by route.
-    fn sum(&self, epoch: Rev) -> Vec<RouteTally> {
-        let mut routes: BTreeMap<u32, RouteTally> = BTreeMap::new();
-        for tally in self.of(epoch).flat_map(|(t, _)| &t.routes) {
-            let none = || RouteTally { route: tally.route, old: Answers::default(), new: Answers::default() };
-            let sum = routes.entry(tally.route).or_insert_with(none);
-            sum.old.add(&tally.old);
-            sum.new.add(&tally.new);
-        }
-        routes.into_values().collect()
-    }
-
-    /// Whether this proxy has taken up the stage and has nothing out at the old servers any more.
-    fn has_left(&self, rollout: &Rollout, ip: Ipv4Addr) -> bool {
-        let heard = self.heard.get(&(rollout.epoch, ip));
-        heard.is_some_and(|(t, _)| t.rev >= rollout.stage_rev && t.old_out == 0)
-    }
-}
+/// As long as this many answers of a version's warm servers are missing on the busiest route, its times are not known; a
+/// trial waits for them until this part of its term.
+const MIN_WARM: u32 = 150;
+const WARM_PART: f64 = 0.50;
 
 /// What a rollout is judged beside.
 pub struct Ground<'a> {
@@ -125,27 +67,29 @@
 impl Ground<'_> {
     /// What is to become of a running rollout now, if anything.
     pub fn step(&self, rollout: &Rollout) -> Option<Step> {
-        let routes = self.tallies.sum(rollout.epoch);
-        if let Some(reason) = fault(&routes, REVERT_DEVIATIONS) {
-            return Step::to(Stage::Reverted, reason);
-        }
-        let doubt = fault(&routes, DOUBT_DEVIATIONS);
         let term_us = f64::from(rollout.order.term_ms) * 1000.0;
+        let intervals = self.tallies.intervals(rollout.epoch);
+        let looks = term_us / self.tally_us.max(1) as f64;
+        let doubt = match (Evidence { intervals, looks }).finding() {
+            Finding::Bad(reason) => return Step::to(Stage::Reverted, reason),
+            Finding::Doubtful(reason) => Some(reason),
+            Finding::Nothing => None,
+        };
         let part_of_term = |age_us: Micros| age_us as f64 / term_us;
         let age = part_of_term(rollout.age_us(self.now));
         let stage_age = part_of_term(rollout.stage_age_us(self.now));
         match rollout.stage {
-            Stage::Trial if age >= TRIAL_PART && doubt.is_none() && self.shows_enough(rollout, &routes) => {
+            Stage::Trial if age >= TRIAL_PART && doubt.is_none() && self.shows_enough(rollout, age) => {
                 Step::to(Stage::Partial, "the new version does as well as the old one")
             }
             Stage::Trial if age >= REVERT_PART => {
                 let why = doubt.unwrap_or_else(|| "too little was seen of the new version".to_string());
                 Step::to(Stage::Reverted, format!("no verdict in time: {why}"))
             }
-            Stage::Partial if stage_age >= PARTIAL_PART && doubt.is_none() => {
-                Step::to(Stage::Whole, "the new version does as well under its full load")
+            Stage::Partial if partial_is_over(age, stage_age) && doubt.is_none() => {
+                Step::to(Stage::Whole, "the new version does as well under more load")
             }
-            Stage::Partial if age >= REVERT_PART => {
+            Stage::Partial if stage_age >= PARTIAL_MOST_PART => {
                 let why = doubt.unwrap_or_default();
                 Step::to(Stage::Reverted, format!("no verdict in time: {why}"))
             }
@@ -155,92 +99,42 @@
     }
 
     /// A verdict needs proxies that tell, and answers of the new version on each route that is much used.
-    fn shows_enough(&self, rollout: &Rollout, routes: &[RouteTally]) -> bool {
+    fn shows_enough(&self, rollout: &Rollout, age: f64) -> bool {
         let recent = |at: Micros| self.now <= at + TALLY_INTERVALS * self.tally_us;
-        if !self.tallies.of(rollout.epoch).any(|(_, heard_at)| recent(*heard_at)) {
+        if !self.tallies.heard_at(rollout.epoch).is_some_and(recent) {
             return self.proxies.is_empty();
         }
-        let new: u32 = routes.iter().map(|r| r.new.ended).sum();
-        let old: u32 = routes.iter().map(|r| r.old.ended).sum();
-        let each = |r: &RouteTally| r.old.ended < MUCH_USED || r.new.ended >= MIN_ROUTE_ANSWERS;
+        let mut ended: BTreeMap<u32, (u32, u32)> = BTreeMap::new();
+        let mut warm: BTreeMap<u32, u32> = BTreeMap::new();
+        for tally in self.tallies.intervals(rollout.epoch).iter().flat_map(|i| i.routes.values()) {
+            let (old, new) = ended.entry(tally.route).or_default();
+            *old += tally.old.ended;
+            *new += tally.new.ended;
+            *warm.entry(tally.route).or_default() += tally.new.times.iter().sum::<u32>();
+        }
+        let (old, new) = ended.values().fold((0, 0), |(old, new), (o, n)| (old + o, new + n));
+        let each = |(old, new): &(u32, u32)| *old < MUCH_USED || *new >= MIN_ROUTE_ANSWERS;
         let unused = old + new < MIN_ANSWERS;
-        unused || (new >= MIN_ANSWERS && routes.iter().all(each))
+        let timed = age >= WARM_PART || warm.values().any(|n| *n >= MIN_WARM);
+        unused || (new >= MIN_ANSWERS && timed && ended.values().all(each))
     }
 
     fn completes(&self, rollout: &Rollout, age: f64) -> Option<Step> {
-        let left = self.proxies.iter().all(|ip| self.tallies.has_left(rollout, *ip));
-        if left {
+        let from = self.now.saturating_sub(TALLY_INTERVALS * self.tally_us);
+        if self.proxies.iter().all(|ip| self.tallies.has_left(rollout, *ip, from)) {
             return Step::to(Stage::Completed, "nothing goes to the old servers any more");
         }
-        let settled = rollout.stage_age_us(self.now) > 2 * self.settle_us;
-        if age >= COMPLETE_PART || settled {
+        let stage_age_us = rollout.stage_age_us(self.now);
+        let taken_up = || self.proxies.iter().all(|ip| self.tallies.has_taken_up(rollout, *ip, from));
+        let left = stage_age_us > self.settle_us || (stage_age_us > self.settle_us / 2 && taken_up());
+        if (age >= COMPLETE_PART && left) || stage_age_us > 2 * self.settle_us {
             return Step::to(Stage::Completed, "every proxy in touch has left the old servers");
         }
         None
     }
 }
 
-/// What speaks against the new version, on one route or over all of them.
-fn fault(routes: &[RouteTally], deviations: f64) -> Option<String> {
-    let mut all = RouteTally { route: 0, old: Answers::default(), new: Answers::default() };
-    for r in routes {
-        all.old.add(&r.old);
-        all.new.add(&r.new);
-    }
-    // Times of several routes are not alike, so these are compared route by route alone.
-    failing(&all, deviations)
-        .or_else(|| routes.iter().find_map(|r| failing(r, deviations).or_else(|| slow(r, deviations))))
-}
-
-fn failing(r: &RouteTally, deviations: f64) -> Option<String> {
-    let (new, old) = (Share::of(r.new.failed, r.new.ended), Share::of(r.old.failed, r.old.ended));
-    let worse = r.new.failed >= MIN_BAD && new.exceeds(old, FAILED_TOLERANCE, deviations);
-    worse.then(|| {
-        format!("{} of {} answers failed, before {} of {}", new.part, new.whole, old.part, old.whole)
-    })
-}
-
-fn slow(r: &RouteTally, deviations: f64) -> Option<String> {
-    let (new, old) = (&r.new.times, &r.old.times);
-    let whole = |times: &[u32]| times.iter().sum::<u32>();
-    if whole(old) < MIN_TIMES || whole(new) == 0 {
-        return None;
-    }
-    // From this bucket on an answer is among the slowest of the old version.
-    let most = (f64::from(whole(old)) * SLOW_PART) as u32;
-    let mut beyond = 0;
-    let from = (0..old.len()).rev().find(|n| {
-        beyond += old[*n];
-        beyond > most
-    });
-    let from = from.map_or(0, |n| n + 1 + SLOW_BUCKETS);
-    let slow = |times: &[u32]| Share::of(times.iter().skip(from).sum(), whole(times));
-    let (new, old) = (slow(new), slow(old));
-    let worse = new.part >= MIN_BAD && new.exceeds(old, SLOW_TOLERANCE, deviations);
-    worse.then(|| {
-        format!("{} of {} answers were slow, before {} of {}", new.part, new.whole, old.part, old.whole)
-    })
-}
-
-/// A part of a whole, counted.
-#[derive(Clone, Copy)]
-struct Share {
-    part: u32,
-    whole: u32,
-}
-
-impl Share {
-    fn of(part: u32, whole: u32) -> Share {
-        Share { part, whole }
-    }
-
-    /// Whether this one is larger than another by more than `tolerance`, and by so many standard deviations more than
-    /// chance would make it (two proportions, each smoothed by a half so that none of few is not taken for never).
-    fn exceeds(self, other: Share, tolerance: f64, deviations: f64) -> bool {
-        let rate = |s: Share| (f64::from(s.part) + 0.5) / (f64::from(s.whole) + 1.0);
-        let variance = |s: Share| rate(s) * (1.0 - rate(s)) / (f64::from(s.whole) + 1.0);
-        let expected = if other.whole == 0 { 0.0 } else { rate(other) };
-        let spread = (variance(self) + if other.whole == 0 { 0.0 } else { variance(other) }).sqrt();
-        self.whole > 0 && rate(self) - expected - tolerance > deviations * spread
-    }
+/// Ages as parts of the term.
+fn partial_is_over(age: f64, stage_age: f64) -> bool {
+    stage_age >= PARTIAL_PART || (age >= LATE_PART && stage_age >= PARTIAL_LEAST_PART)
 }
