Merge the verdict over any span of time, and promote by evidence alone

Found by the soak and by a review: fewer than 50 answers in all counted as a service that nobody uses, and a registry that heard no proxy took a version on; so bad versions were completed on services of which little is asked, and as proxies ended in series. Cause: silence was taken for consent. Change: a version goes on only by answers counted at its stage, while a quarter of the proxies tell; a small part of the margin of the settings lets a trial begin where little is asked, for proxies that ran before the order; proxies that tell of requests at old servers are waited for until the term is near, silent ones as long as proxies in touch may take; more is borne once the new version serves alone. Measured: tests of rack, proxy and pegboard pass, among them one that fails without each of the last two changes of the proxy.

--- a/crates/dryfit/src/process.rs
+++ b/crates/dryfit/src/process.rs
@@ -253,7 +253,10 @@
                         zones: zones.clone(),
                         leeway,
                         times: Times { settle_us: b.config_apply, hold_us: b.contact },
-                        trial_share: proxy::rollout::trial_share(Some(b.exposure_share)),
+                        exposure: proxy::rollout::Exposure::of(
+                            Some(b.exposure_share),
+                            Some(b.exposure_margin),
+                        ),
                     },
                 );
                 let node = Node { ip, name, zone: zone.0, region: zone.1, front };
--- a/crates/dryfit/src/weigh.rs
+++ b/crates/dryfit/src/weigh.rs
@@ -205,9 +205,9 @@
     let me = node(0);
     let leeway = Leeway { excess: 0.1, margin: 20.0, period_s: 5.0, retry_ratio: 0.2, retry_slack: 60.0 };
     let zones = ZONES.iter().map(|z| (z.0.into(), z.1.into())).collect();
-    let trial_share = proxy::rollout::trial_share(None);
+    let exposure = proxy::rollout::Exposure::of(None, None);
     let (zone, region) = (me.zone, me.region);
-    let place = Place { ip: me.ip, zone, region, zones, leeway, times: Times::default(), trial_share };
+    let place = Place { ip: me.ip, zone, region, zones, leeway, times: Times::default(), exposure };
     Front::new(place, BEAT_US, 1, 0)
 }
 
--- a/crates/pegboard/src/rollouts/evidence.rs
+++ b/crates/pegboard/src/rollouts/evidence.rs
@@ -13,22 +13,26 @@
 use std::collections::BTreeSet;
 
 /// A good version may be reverted with this chance, were its servers alike.
-const FALSE_REVERT: f64 = 0.001;
+const FALSE_REVERT: f64 = 0.005;
 /// Differences that are borne: of failures, and of slow answers, as servers of one version differ.
 const FAILED_TOLERANCE: f64 = 0.05;
-const SLOW_TOLERANCE: f64 = 0.10;
+const SLOW_TOLERANCE: f64 = 0.04;
 /// Bad versions are looked for whose share of bad answers is larger by these parts of what remains to all.
 const EXCESSES: [f64; 6] = [0.05, 0.1, 0.2, 0.35, 0.5, 0.8];
 /// Fewer bad answers than this are no reason to revert, or to wait.
 const MIN_BAD: u32 = 5;
 const MIN_DOUBTFUL: u32 = 2;
+/// Likewise for slow answers, of which a good version has some.
+const MIN_DOUBTFUL_SLOW: u32 = 8;
 /// Evidence that is enough to wait: the likelihoods' ratio over any span of time, and over all of it.
 const DOUBT_ANY: f64 = 20.0;
-const DOUBT_WHOLE: f64 = 1.0;
+const DOUBT_WHOLE: f64 = 0.5;
 /// The old version's share is taken from as long a time as it takes to have so many of its answers.
 const MIN_OLD: u32 = 100;
+/// As many answers of all routes count beside those of a route, so that one that is little used is not without an estimate.
+const PRIOR: f64 = 50.0;
 /// The part of the old version's answers that take longest; answers are slow that take longer than those by so many buckets.
-const SLOW_PART: f64 = 0.05;
+const SLOW_PART: f64 = 0.25;
 const SLOW_BUCKETS: usize = 2;
 /// Fewer answers of the old version than this say nothing of times.
 const MIN_TIMES: u32 = 40;
@@ -57,8 +61,13 @@
 
     /// Smoothed, so that none of few is not taken for never, and larger by its standard deviation.
     fn upper(self) -> f64 {
-        let whole = f64::from(self.whole) + 1.0;
-        let rate = (f64::from(self.part) + 0.5) / whole;
+        self.upper_beside(0.5, 1.0)
+    }
+
+    /// As if so many more had been counted, and so many of them bad.
+    fn upper_beside(self, part: f64, whole: f64) -> f64 {
+        let whole = f64::from(self.whole) + whole;
+        let rate = (f64::from(self.part) + part) / whole;
         rate + (rate * (1.0 - rate) / whole).sqrt()
     }
 
@@ -101,10 +110,42 @@
         spans
     }
 
-    /// The largest share of the old version that is to be reckoned with over a span.
-    fn expected(&self, span: usize) -> f64 {
+    /// What of the old version is to be reckoned with over a span.
+    fn old(&self, span: usize) -> Share {
         let enough = self.old[span..].iter().find(|o| o.whole >= MIN_OLD).or(self.old.last());
-        enough.map_or(1.0, |o| o.upper())
+        enough.copied().unwrap_or_default()
+    }
+}
+
+/// What a version's shares are held against.
+struct Trial<'s> {
+    spans: &'s Spans,
+    /// Those of all routes, where these are of one.
+    all: Option<&'s Spans>,
+    tolerance: f64,
+    min_doubtful: u32,
+    what: &'static str,
+}
+
+impl<'s> Trial<'s> {
+    fn failing(spans: &'s Spans, all: Option<&'s Spans>) -> Trial<'s> {
+        let (tolerance, min_doubtful) = (FAILED_TOLERANCE, MIN_DOUBTFUL);
+        Trial { spans, all, tolerance, min_doubtful, what: "failed" }
+    }
+
+    fn slow(spans: &'s Spans) -> Trial<'s> {
+        let (tolerance, min_doubtful) = (SLOW_TOLERANCE, MIN_DOUBTFUL_SLOW);
+        Trial { spans, all: None, tolerance, min_doubtful, what: "were slow" }
+    }
+
+    /// The largest share that is borne over a span.
+    fn tolerated(&self, span: usize) -> f64 {
+        let old = self.spans.old(span);
+        let expected = match self.all.map(|all| all.old(span).upper()) {
+            Some(all) => all.max(old.upper_beside(PRIOR * all, PRIOR)),
+            None => old.upper(),
+        };
+        (expected + self.tolerance).min(0.99)
     }
 }
 
@@ -112,6 +153,8 @@
 pub(super) struct Evidence<'a> {
     pub(super) intervals: &'a [Interval],
     pub(super) looks: f64,
+    /// Differences that are borne besides the usual ones.
+    pub(super) extra_tolerance: f64,
 }
 
 impl Evidence<'_> {
@@ -121,14 +164,14 @@
         let bar = (self.looks.max(1.0) * tests / FALSE_REVERT).ln();
         let failures = |r: &RouteTally| (failed(&r.old), failed(&r.new));
         let all = Spans::of(self.intervals, |i| sum(i.routes.values().map(failures)));
-        let mut findings = vec![judge(&all, &[&all], FAILED_TOLERANCE, bar, "failed")];
+        let mut findings = vec![self.judge(Trial::failing(&all, None), bar)];
         for route in routes {
             let on_route = |i: &Interval| i.routes.get(&route).map(failures).unwrap_or_default();
             let spans = Spans::of(self.intervals, on_route);
-            findings.push(judge(&spans, &[&spans, &all], FAILED_TOLERANCE, bar, "failed"));
+            findings.push(self.judge(Trial::failing(&spans, Some(&all)), bar));
             // Times of several routes are not alike, so these are compared route by route alone.
             if let Some(spans) = self.slow_spans(route) {
-                findings.push(judge(&spans, &[&spans], SLOW_TOLERANCE, bar, "were slow"));
+                findings.push(self.judge(Trial::slow(&spans), bar));
             }
         }
         let bad = findings.iter().position(|f| matches!(f, Finding::Bad(_)));
@@ -136,6 +179,10 @@
         worst.map_or(Finding::Nothing, |n| findings.swap_remove(n))
     }
 
+    fn judge(&self, trial: Trial, bar: f64) -> Finding {
+        judge(&Trial { tolerance: trial.tolerance + self.extra_tolerance, ..trial }, bar)
+    }
+
     fn slow_spans(&self, route: u32) -> Option<Spans> {
         let tallies = || self.intervals.iter().filter_map(|i| i.routes.get(&route));
         let mut old = Answers::default();
@@ -171,13 +218,12 @@
     from.map(|n| n + 1 + SLOW_BUCKETS)
 }
 
-/// `beside`: the new version is no worse than the old one if it is not worse than any of these.
-fn judge(spans: &Spans, beside: &[&Spans], tolerance: f64, bar: f64, what: &str) -> Finding {
+fn judge(trial: &Trial, bar: f64) -> Finding {
+    let spans = trial.spans;
     let mut ratios: Vec<(f64, usize)> = Vec::new();
-    for (span, new) in spans.new.iter().enumerate() {
-        let expected = beside.iter().map(|b| b.expected(span)).fold(0.0, f64::max);
-        let tolerated = (expected + tolerance).min(0.99);
-        // What is no larger than what is tolerated adds nothing to speak of.
+    for (span, new) in spans.new.iter().enumerate().filter(|(_, new)| new.part > 0) {
+        let tolerated = trial.tolerated(span);
+        // What is no larger than what is borne adds nothing to speak of.
         if f64::from(new.part) > tolerated * f64::from(new.whole) {
             ratios.push((new.likelihood_ratio(tolerated), span));
         }
@@ -187,7 +233,7 @@
     };
     let (new, old) = (spans.new[span], spans.old[span]);
     let reason = || {
-        let (part, whole) = (new.part, new.whole);
+        let (part, whole, what) = (new.part, new.whole, trial.what);
         format!("{part} of {whole} answers {what}, of the old version's {} of {}", old.part, old.whole)
     };
     let sum = log_sum(ratios.iter().map(|(ratio, _)| *ratio));
@@ -195,7 +241,7 @@
         return Finding::Bad(reason());
     }
     let whole = ratios.iter().any(|(r, s)| *s + 1 == spans.new.len() && *r >= DOUBT_WHOLE.ln());
-    if new.part >= MIN_DOUBTFUL && (most >= DOUBT_ANY.ln() || whole) {
+    if new.part >= trial.min_doubtful && (most >= DOUBT_ANY.ln() || whole) {
         return Finding::Doubtful(reason());
     }
     Finding::Nothing
--- a/crates/pegboard/src/rollouts/summary.rs
+++ b/crates/pegboard/src/rollouts/summary.rs
@@ -27,7 +27,9 @@
 impl Tallies {
     /// What proxies have told here of the old and of the new version; None before any has. For views alone.
     pub fn summary(&self, epoch: Rev) -> Option<(Summary, Summary)> {
-        self.heard_at(epoch)?;
+        if !self.knows(epoch) {
+            return None;
+        }
         let (mut old, mut new) = (Answers::default(), Answers::default());
         for route in self.intervals(epoch).iter().flat_map(|i| i.routes.values()) {
             old.add(&route.old);
--- a/crates/pegboard/src/rollouts/tallies.rs
+++ b/crates/pegboard/src/rollouts/tallies.rs
@@ -72,19 +72,36 @@
         self.intervals.get(&epoch).map_or(&[], Vec::as_slice)
     }
 
-    /// When any proxy last told of a rollout.
-    pub(super) fn heard_at(&self, epoch: Rev) -> Option<Micros> {
-        let first = (epoch, Ipv4Addr::UNSPECIFIED, 0);
-        let last = (epoch, Ipv4Addr::BROADCAST, u64::MAX);
-        self.heard.range(first..=last).map(|(_, (_, at))| *at).max()
+    /// The intervals of a rollout that began at that time or later.
+    pub(super) fn since(&self, epoch: Rev, from: Micros) -> impl Iterator<Item = &Interval> {
+        self.intervals(epoch).iter().filter(move |i| i.number * INTERVAL_US >= from)
+    }
+
+    /// Whether any proxy has told of a rollout.
+    pub(super) fn knows(&self, epoch: Rev) -> bool {
+        self.intervals.contains_key(&epoch)
+    }
+
+    /// Whether this proxy has told of a rollout since then.
+    pub(super) fn is_heard(&self, epoch: Rev, ip: Ipv4Addr, from: Micros) -> bool {
+        self.recent(epoch, ip, from).next().is_some()
     }
 
     /// Whether this proxy has taken up the stage and has nothing out at the old servers any more, in any of its lives that
     /// was heard of since `from`.
     pub(super) fn has_left(&self, rollout: &Rollout, ip: Ipv4Addr, from: Micros) -> bool {
-        let lives = self.heard.range((rollout.epoch, ip, 0)..=(rollout.epoch, ip, u64::MAX));
-        let mut recent = lives.map(|(_, heard)| heard).filter(|(_, at)| *at >= from).peekable();
-        recent.peek().is_some() && recent.all(|(t, _)| t.rev >= rollout.stage_rev && t.old_out == 0)
+        self.has_taken_up(rollout, ip, from) && self.recent(rollout.epoch, ip, from).all(|t| t.old_out == 0)
+    }
+
+    /// Likewise, whatever it has out.
+    pub(super) fn has_taken_up(&self, rollout: &Rollout, ip: Ipv4Addr, from: Micros) -> bool {
+        let mut recent = self.recent(rollout.epoch, ip, from).peekable();
+        recent.peek().is_some() && recent.all(|t| t.rev >= rollout.stage_rev)
+    }
+
+    fn recent(&self, epoch: Rev, ip: Ipv4Addr, from: Micros) -> impl Iterator<Item = &Tally> {
+        let lives = self.heard.range((epoch, ip, 0)..=(epoch, ip, u64::MAX)).map(|(_, heard)| heard);
+        lives.filter(move |(_, at)| *at >= from).map(|(tally, _)| tally)
     }
 }
 
--- a/crates/proxy/src/book.rs
+++ b/crates/proxy/src/book.rs
@@ -3,7 +3,7 @@
 //! way when a new configuration comes keeps its meaning.
 
 use crate::cramp::Times;
-use crate::rollout::{Placed, Side};
+use crate::rollout::{Exposure, Placed, Side};
 use curlewfront::{Class, Effect, Entry, Micros, Plan, Settings, State as Standing};
 use jig::config::{Config, Service};
 use rack::Rev;
@@ -25,8 +25,8 @@
     pub zones: BTreeMap<String, String>,
     pub leeway: Leeway,
     pub times: Times,
-    /// The share of a service's requests that a version on trial may get.
-    pub trial_share: f64,
+    /// What a version on trial may get.
+    pub exposure: Exposure,
 }
 
 /// By how much quotas may be exceeded, as the settings tell: by a part of what they allow and some requests more.
@@ -343,7 +343,7 @@
     pub fn list(&mut self, now: Micros, state: &State) -> List {
         let mut list =
             List { entries: Vec::new(), peers: BTreeMap::new(), placed: BTreeMap::new(), changes_at: None };
-        let duties = duties(state, self.place.trial_share);
+        let duties = duties(state, self.place.exposure.share);
         let duty = |s: &Server| duties.get(s.id.as_str()).copied().unwrap_or(Duty::Regular);
         let known: Vec<Known> = state.servers.values().map(|s| self.known(s)).collect();
         // For each zone's proxies, how near the nearest servers of each service are; so, how many proxies go first to
--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -236,7 +236,7 @@
             book,
             rng: fastrand::Rng::with_seed(seed ^ 1),
             beat_us,
-            rollouts: Rollouts::new(place.ip, seed, place.trial_share, beat_us),
+            rollouts: Rollouts::new(place.ip, seed, place.exposure, beat_us, now),
             placed: BTreeMap::new(),
             drills: Drills::new(place.ip, seed, beat_us),
             held: BTreeMap::new(),
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -6,7 +6,7 @@
 use proxy::cramp::Times;
 use proxy::feed::{self, Feed};
 use proxy::front::{self, Ask, End, Front, Reached};
-use proxy::rollout::trial_share;
+use proxy::rollout::Exposure;
 use proxy::servers::{self, Note};
 use proxy::watch::Watch;
 use rack::Micros;
@@ -102,8 +102,8 @@
         settle_us: b.config_apply_ms.map_or(usual.settle_us, ms),
         hold_us: b.contact_ms.map_or(usual.hold_us, ms),
     };
-    let trial_share = trial_share(b.exposure_share);
-    let place = Place { ip: s.ip, zone, region, zones, leeway, times, trial_share };
+    let exposure = Exposure::of(b.exposure_share, b.exposure_margin);
+    let place = Place { ip: s.ip, zone, region, zones, leeway, times, exposure };
     let node = Node {
         ip: s.ip,
         name: s.name.clone(),
--- a/crates/proxy/src/rollout.rs
+++ b/crates/proxy/src/rollout.rs
@@ -16,6 +16,12 @@
 const DEFAULT_EXPOSURE: f64 = 0.1;
 /// Requests that a proxy may be behind its share, and catch up with.
 const MAX_CREDIT: f64 = 2.0;
+/// The part of the settings' margin that a trial may use besides, divided over all proxies: where little is asked the share
+/// alone would show nothing.
+const MARGIN_USED: f64 = 0.5;
+/// A proxy that has run for less than this before it learns of a rollout gets no part of the margin: an earlier life of it may
+/// have had it.
+const MARGIN_AFTER_US: Micros = 5_000_000;
 
 /// Which versions a server belongs to while a rollout runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,7 +59,8 @@
 pub struct Rollouts {
     ip: Ipv4Addr,
     life: u64,
-    share: f64,
+    exposure: Exposure,
+    started: Micros,
     beat_us: Micros,
     /// Between two tallies, and how long this proxy waits with one that all proxies have a reason to send at once.
     tally_us: Micros,
@@ -63,18 +70,33 @@
     tally_at: Micros,
 }
 
-/// The share of a service's requests that a version on trial may get.
-pub fn trial_share(exposure_share: Option<f64>) -> f64 {
-    EXPOSURE_USED * exposure_share.unwrap_or(DEFAULT_EXPOSURE).clamp(0.0, 1.0)
+/// What a version on trial may get, over all proxies.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Exposure {
+    /// Of a service's requests.
+    pub share: f64,
+    /// Requests besides.
+    pub margin: f64,
+}
+
+impl Exposure {
+    /// Less than the settings allow, as what arrives is not quite what was sent.
+    pub fn of(exposure_share: Option<f64>, exposure_margin: Option<f64>) -> Exposure {
+        Exposure {
+            share: EXPOSURE_USED * exposure_share.unwrap_or(DEFAULT_EXPOSURE).clamp(0.0, 1.0),
+            margin: MARGIN_USED * exposure_margin.unwrap_or(0.0).max(0.0),
+        }
+    }
 }
 
 impl Rollouts {
-    /// `share`: as [`trial_share`] has it. `beat_us`: between two calls of a server.
-    pub fn new(ip: Ipv4Addr, life: u64, share: f64, beat_us: Micros) -> Rollouts {
+    /// `beat_us`: between two calls of a server.
+    pub fn new(ip: Ipv4Addr, life: u64, exposure: Exposure, beat_us: Micros, now: Micros) -> Rollouts {
         Rollouts {
             ip,
             life,
-            share,
+            exposure,
+            started: now,
             beat_us,
             tally_us: tally_interval(beat_us, 1),
             stagger: xxh3_64_with_seed(&ip.octets(), life) as f64 / u64::MAX as f64,
@@ -106,7 +128,9 @@
         for rollout in agreed.running() {
             let Some(service) = number(&rollout.order.service) else { continue };
             let stage = rollout.stage;
-            let new = || Running { service, stage, credit: 0.0, routes: BTreeMap::new() };
+            let settled = now >= self.started + MARGIN_AFTER_US;
+            let credit = if settled { self.exposure.margin / proxies.max(1) as f64 } else { 0.0 };
+            let new = || Running { service, stage, credit, routes: BTreeMap::new() };
             let running = self.running.entry(rollout.epoch).or_insert_with(new);
             if running.stage != stage {
                 running.stage = stage;
@@ -141,9 +165,9 @@
 
     /// A request went to the service for the first time, to whichever server.
     pub fn sent(&mut self, service: u32) {
-        let share = self.share;
+        let share = self.exposure.share;
         if let Some(running) = self.on_trial(service) {
-            running.credit = (running.credit + share).min(MAX_CREDIT);
+            running.credit = (running.credit + share).min(MAX_CREDIT.max(running.credit));
         }
     }
 
--- a/crates/proxy/tests/rollout.rs
+++ b/crates/proxy/tests/rollout.rs
@@ -4,6 +4,7 @@
 
 use common::*;
 use proxy::front::Reached;
+use proxy::rollout::{Exposure, Rollouts};
 use rack::rollout::{Order, RolloutChange, Stage};
 use rack::state::{Command, ServerChange};
 
@@ -140,3 +141,17 @@
     proxy.now += SECOND;
     assert!(proxy.front.tallies(proxy.now).is_empty(), "it has ended");
 }
+
+/// Guards against a margin that is given out anew to each life of a proxy, so that restarts in series add up.
+#[test]
+fn a_part_of_the_margin_goes_to_proxies_that_ran_before_the_rollout_alone() {
+    let exposure = Exposure::of(Some(0.1), Some(50.0));
+    for (ran_us, reserved) in [(20 * SECOND, 12), (SECOND, 0)] {
+        let ip = node(1, "north-a").ip;
+        let mut rollouts = Rollouts::new(ip, 7, exposure, SECOND, 0);
+        let proxy = rolling();
+        rollouts.learn(ran_us, &proxy.front.copy.state.rollouts, 2, |_| Some(0));
+        let granted = (0..100).filter(|_| rollouts.reserve(0)).count();
+        assert_eq!(granted, reserved, "of 25 for two proxies");
+    }
+}
