--- a/crates/pegboard/src/rollouts.rs
+++ b/crates/pegboard/src/rollouts.rs
@@ -30,7 +30,7 @@
 /// A trial that has not shown enough by then is reverted, so that it is over by the term.
 const REVERT_PART: f64 = 0.85;
 /// From then on a rollout that is whole waits for the old servers to be idle only as long as proxies take to leave them.
-const COMPLETE_PART: f64 = 0.90;
+const COMPLETE_PART: f64 = 0.85;
 
 /// Answers of the new version without which a trial says nothing: over all routes, and on a route that is much used; and
 /// without which the partial stage says nothing.
