--- a/crates/pegboard/src/rollouts/evidence.rs
+++ b/crates/pegboard/src/rollouts/evidence.rs
@@ -15,13 +15,13 @@
 /// A good version may be reverted with this chance, were its servers alike.
 const FALSE_REVERT: f64 = 0.005;
 /// Differences that are borne: of failures, and of slow answers, as servers of one version differ.
-const FAILED_TOLERANCE: f64 = 0.05;
+const FAILED_TOLERANCE: f64 = 0.03;
 const SLOW_TOLERANCE: f64 = 0.04;
 /// Bad versions are looked for whose share of bad answers is larger by these parts of what remains to all.
 const EXCESSES: [f64; 6] = [0.05, 0.1, 0.2, 0.35, 0.5, 0.8];
 /// Fewer bad answers than this are no reason to revert, or to wait.
 const MIN_BAD: u32 = 5;
-const MIN_DOUBTFUL: u32 = 2;
+const MIN_DOUBTFUL: u32 = 3;
 /// Likewise for slow answers, of which a good version has some.
 const MIN_DOUBTFUL_SLOW: u32 = 8;
 /// Evidence that is enough to wait: the likelihoods' ratio over any span of time, and over all of it.
--- a/crates/pegboard/tests/rollout_errors/main.rs
+++ b/crates/pegboard/tests/rollout_errors/main.rs
@@ -8,7 +8,7 @@
 
 /// Constants of the verdict were chosen on the first seeds alone.
 const CHOSEN_ON: std::ops::Range<u64> = 0..40;
-const JUDGED_ON: std::ops::Range<u64> = 10_000..10_100;
+const JUDGED_ON: std::ops::Range<u64> = 20_000..20_100;
 
 /// The counts of one kind of rollout.
 #[derive(Clone, Copy, Default)]
