--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -364,7 +364,8 @@
         if booking > 0 {
             self.booked.asked(booking as usize);
         }
-        let reserved = rehearsed.is_none() && self.rollouts.reserve(service);
+        let route_key = tenant_key(&route.name);
+        let reserved = rehearsed.is_none() && self.rollouts.reserve(service, route_key);
         let trials = if reserved { self.book.trials_in(zones) } else { 0 };
         let open = Open {
             name: ask.name.clone(),
@@ -373,7 +374,7 @@
             plan,
             booking,
             service,
-            route: tenant_key(&route.name),
+            route: route_key,
             reserved,
             tries: Vec::new(),
             spare: None,
@@ -530,7 +531,7 @@
             if open.booking > 0 {
                 self.booked.passes(open.booking as usize);
             }
-            self.rollouts.sent(open.service);
+            self.rollouts.sent(open.service, open.route);
         }
         let placed = self.placed.get(&server).copied();
         if std::mem::take(&mut open.reserved) && !placed.is_some_and(|p| p.trial) {
--- a/crates/proxy/src/rollout.rs
+++ b/crates/proxy/src/rollout.rs
@@ -6,7 +6,7 @@
 
 use rack::rollout::{Answers, Rollouts as Agreed, RouteTally, Stage, Tally, tally_interval};
 use rack::{Micros, Rev};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -15,7 +15,11 @@
 /// Where the settings tell no bound.
 const DEFAULT_EXPOSURE: f64 = 0.1;
 /// Requests that a proxy may be behind its share, and catch up with.
-const MAX_CREDIT: f64 = 2.0;
+const MAX_CREDIT: f64 = 3.0;
+/// Places in the share go to routes of which little is asked first, as their answers are few: others leave one in reserve.
+const BUSY_ROUTE_CREDIT: f64 = 2.0;
+/// A route is busy that has this part of what this proxy sends to the service.
+const BUSY_PART: f64 = 0.25;
 /// The part of the settings' margin that a trial may use besides, divided over all proxies: where little is asked the share
 /// alone would show nothing.
 const MARGIN_USED: f64 = 0.5;
@@ -53,6 +57,26 @@
     /// Requests that may yet go to servers on trial.
     credit: f64,
     routes: BTreeMap<u32, RouteTally>,
+    /// Requests that were sent to the service, by route; and the routes whose last one took a place.
+    sent: BTreeMap<u32, u32>,
+    took_last: BTreeSet<u32>,
+}
+
+impl Running {
+    fn is_busy(&self, route: u32) -> bool {
+        let all: u32 = self.sent.values().sum();
+        let of_route = self.sent.get(&route).copied().unwrap_or(0);
+        f64::from(of_route) >= BUSY_PART * f64::from(all)
+    }
+
+    /// Every second request of a route at the most, so that its answers at the old version are counted, too.
+    fn may_take(&mut self, route: u32) -> bool {
+        if self.took_last.remove(&route) {
+            return false;
+        }
+        let least = if self.is_busy(route) { BUSY_ROUTE_CREDIT } else { 1.0 };
+        self.credit >= least
+    }
 }
 
 /// The running rollouts as this life of a proxy sees them, by their epochs.
@@ -130,7 +154,8 @@
             let stage = rollout.stage;
             let settled = now >= self.started + MARGIN_AFTER_US;
             let credit = if settled { self.exposure.margin / proxies.max(1) as f64 } else { 0.0 };
-            let new = || Running { service, stage, credit, routes: BTreeMap::new() };
+            let (routes, sent, took_last) = Default::default();
+            let new = || Running { service, stage, credit, routes, sent, took_last };
             let running = self.running.entry(rollout.epoch).or_insert_with(new);
             if running.stage != stage {
                 running.stage = stage;
@@ -150,9 +175,13 @@
     }
 
     /// Takes one request's place in the share, if there is one; it is given back by [`Rollouts::give_back`].
-    pub fn reserve(&mut self, service: u32) -> bool {
-        let Some(running) = self.on_trial(service).filter(|r| r.credit >= 1.0) else { return false };
+    pub fn reserve(&mut self, service: u32, route: u32) -> bool {
+        let Some(running) = self.on_trial(service) else { return false };
+        if !running.may_take(route) {
+            return false;
+        }
         running.credit -= 1.0;
+        running.took_last.insert(route);
         true
     }
 
@@ -164,9 +193,10 @@
     }
 
     /// A request went to the service for the first time, to whichever server.
-    pub fn sent(&mut self, service: u32) {
+    pub fn sent(&mut self, service: u32, route: u32) {
         let share = self.exposure.share;
         if let Some(running) = self.on_trial(service) {
+            *running.sent.entry(route).or_default() += 1;
             running.credit = (running.credit + share).min(MAX_CREDIT.max(running.credit));
         }
     }
