--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -495,8 +495,7 @@
             Action::Refuse { id, retry_after_us, over } => {
                 self.counts.refused += 1;
                 let (status, why) = if over { (429, "beyond the quota") } else { (503, "not now") };
-                let after_us = if over { self.comes_again(id, retry_after_us) } else { retry_after_us };
-                self.answer(id, Answer::later(status, why, after_us), out);
+                self.answer(id, Answer::later(status, why, retry_after_us), out);
             }
             Action::Fail { id } => {
                 self.counts.failed += 1;
@@ -548,13 +547,6 @@
         out.push(Output::Send(Job { id, attempt, server, name, instance, passage, again, until }));
     }
 
-    /// When a request that its tenant's share here does not bear may come again, to any proxy.
-    fn comes_again(&self, id: u64, here_us: Micros) -> Micros {
-        let Some(plan) = self.open.get(&id).map(|o| o.plan) else { return here_us };
-        let nodes = self.copy.state.nodes.len();
-        self.tenants.comes_again(self.now, plan, self.book.even(plan, nodes), nodes, here_us)
-    }
-
     fn answer(&mut self, id: u64, answer: Answer, out: &mut Vec<Output>) {
         let Some(open) = self.open.get_mut(&id) else { return };
         if !open.closed {
--- a/crates/proxy/src/tenants.rs
+++ b/crates/proxy/src/tenants.rs
@@ -135,19 +135,6 @@
         !floods || t.earned(now, even, nodes, true) >= 1.0
     }
 
-    /// After how long a request that is refused here may come again. A client's next try goes to any proxy: while readings
-    /// tell that the quota has room, the others have what this one lacks, and the whole quota brings a request sooner than
-    /// this proxy's share does. It comes no sooner than the next reading, which would tell of a flood. In a flood all shares
-    /// are spent alike, and with nobody to talk to each counts on its own.
-    pub fn comes_again(&self, now: Micros, plan: usize, even: Even, nodes: usize, here_us: Micros) -> Micros {
-        let has_room = self.lately_read(now, plan).is_some_and(|t| !t.flooded && now >= t.unforgiven_until);
-        if !has_room || even.rate <= 0.0 {
-            return here_us;
-        }
-        let whole_us = (1e6 / (even.rate * nodes.max(1) as f64)) as Micros;
-        here_us.min(whole_us.max(self.every_us))
-    }
-
     /// The last reading, if it still holds, tells of a flood.
     fn is_flooded(&self, now: Micros, plan: usize) -> bool {
         self.lately_read(now, plan).is_some_and(|t| t.flooded)
--- a/crates/proxy/tests/tenants.rs
+++ b/crates/proxy/tests/tenants.rs
@@ -280,36 +280,3 @@
     tenants.read(later, later, 1, &over, 100, quota);
     assert!(tenants.may_send(later, 1, even, 100), "the flood is over");
 }
-
-// Guards against clients that are told to wait for this proxy's share, though their next try goes to any proxy: what came
-// back after that was served, but late.
-#[test]
-fn who_is_refused_while_the_quota_has_room_comes_again_when_the_whole_quota_brings_one() {
-    let site = site(85);
-    let even = Even { rate: 2.0 / 85.0, burst: 0.2, ahead: 2.0 };
-    let quota = Quota { rate: 2.0, burst: even.burst };
-    let calm = Reading { tenant: 0, wanted: 1_000, used: 1_000, shares: 85_000 };
-    let flood = Reading { wanted: 12_000, used: 1_900, ..calm };
-    let after = |t: &Tenants, now| t.comes_again(now, site.plan, even, 85, SECOND);
-    let mut tenants = Tenants::new(EVERY, 1);
-    let now = 10 * EVERY;
-    assert_eq!(after(&tenants, now), SECOND, "nothing is read yet");
-    tenants.read(now, now, site.plan, &calm, 85, quota);
-    assert!(after(&tenants, now).abs_diff(SECOND / 2) <= 1, "two a second");
-    assert_eq!(
-        tenants.comes_again(now, site.plan, even, 85, 20_000),
-        20_000,
-        "no later than this proxy has one"
-    );
-    let large = Even { rate: 1.0, ..even };
-    assert_eq!(
-        tenants.comes_again(now, site.plan, large, 85, SECOND),
-        EVERY,
-        "a reading may tell of a flood first"
-    );
-    assert_eq!(after(&tenants, now + 20 * EVERY), SECOND, "that reading is old");
-    tenants.read(now, now, site.plan, &flood, 85, quota);
-    assert_eq!(after(&tenants, now), SECOND, "in a flood all shares are spent");
-    tenants.read(now + EVERY, now + EVERY, site.plan, &calm, 85, quota);
-    assert_eq!(after(&tenants, now + EVERY), SECOND, "just after a flood readings waver");
-}
