Show requests refused though their quota has room, known red

One of 85 gateways reads that 0.6 of a quota of 10 a second is used; of 30 requests that come there every 0.3 s 7 get out. The raised burst wants a whole request saved up, which an even share earns in seconds.

--- a/tests/quotas.rs
+++ b/tests/quotas.rs
@@ -383,3 +383,28 @@
     assert_eq!(one_of_ninety(costly, 1.0), one_of_ninety(rate(20.0, 25.0), 1.0));
     assert_eq!(let_through(lossless, Some(1.0)), let_through(rate(20.0, 25.0), Some(1.0)));
 }
+
+// Guards against requests refused below a small quota that comes through many gateways: with room read, the larger
+// burst asked for a whole request saved up, which an even share earns in seconds.
+#[test]
+fn each_reading_that_shows_room_lets_one_more_request_out_at_any_of_many_gateways() {
+    // Ten a second over 85 gateways; here three are asked a second, at one gateway for a while.
+    for (used, least, most) in [(0.6, 28, 30), (0.9, 0, 12)] {
+        let bounds =
+            Settings { balancers: 85, loose_under: 0.85, loose_burst: 4.0, ..settings(rate(10.0, 4.0)) };
+        let mut g = Gateway::with_servers(Settings { starts_empty: true, meter_us: 300 * MS, ..bounds }, 8);
+        let mut through = 0;
+        for id in 0..30 {
+            let mut acts = g.ask(NewRequest { spread: 85, ..request(id) });
+            acts.extend(g.pass(300 * MS));
+            for act in acts {
+                if let Action::Send { id, server, .. } = act {
+                    through += 1;
+                    g.back(answer(id, 0, server, Outcome::Ok));
+                }
+            }
+            g.tell(Event::Used { customer: 7, used });
+        }
+        assert!((least..=most).contains(&through), "{through} of 30 at a reading of {used}");
+    }
+}
