Leave the order of servers as it was where nothing is on trial

Cause: all servers were listed one step farther, so that those on trial could come first; the decisions then passed over one empty tier more and drew one chance more for each pick. Change: only services with servers on trial are listed farther.

--- a/crates/proxy/src/book.rs
+++ b/crates/proxy/src/book.rs
@@ -99,9 +99,9 @@
 const ELSEWHERE: f64 = 1.0;
 /// How far a server of another zone of this region is.
 pub const REGION: u32 = 1;
-/// How near servers are as the decisions see it: those on trial come first, for requests that may go there.
+/// How near servers on trial are as the decisions see it. All others of their service are farther by one meanwhile, so that
+/// those on trial come first for requests that may go there.
 const TRIAL_NEAR: u32 = 0;
-const REGULAR_NEAR: u32 = 1;
 /// Zones beyond this number take no part in trials: each zone's servers on trial are in a zone of their own, whose number is
 /// larger by this, so that a request's zones tell whether it may go there.
 const TRIAL_ZONES: u32 = 32;
@@ -113,11 +113,6 @@
 /// While less than this part of a tenant's quota is used everywhere, so many of its requests may come at once here.
 const LOOSE_UNDER: f64 = 0.85;
 const LOOSE_BURST: f64 = 4.0;
-/// As far as the decisions may go for a request that may go no farther than this.
-pub fn reach_of(near: u32) -> u32 {
-    REGULAR_NEAR + near
-}
-
 const TICK_US: Micros = 1_000;
 const RETRY_AFTER_US: Micros = 1_000_000;
 
@@ -167,6 +162,8 @@
     next_server: u64,
     /// Servers that said they are another one: not to be used under the old name.
     misled: BTreeSet<u64>,
+    /// Services with servers on trial, as listed last.
+    on_trial: BTreeSet<u32>,
 }
 
 /// A server as a shell needs to know it.
@@ -222,6 +219,7 @@
             servers: HashMap::new(),
             next_server: 0,
             misled: BTreeSet::new(),
+            on_trial: BTreeSet::new(),
         }
     }
 
@@ -268,6 +266,11 @@
         inside.filter_map(|(z, _)| self.zones.known(z)).filter(|n| *n < 64).fold(0, |set, n| set | 1 << n)
     }
 
+    /// As far as the decisions may go for a request to a service that may go no farther than `near`.
+    pub fn reach(&self, service: u32, near: u32) -> u32 {
+        near + u32::from(self.on_trial.contains(&service))
+    }
+
     /// The bits of the zones whose servers a request may go to that goes to none on trial.
     pub fn without_trials(&self, zones: u64) -> u64 {
         if self.has_trial_zones() { zones & REGULAR_MASK } else { zones }
@@ -370,6 +373,8 @@
                 }
             }
         }
+        let trials = listed().filter(|(s, _)| duty(s) == Duty::Trial);
+        self.on_trial = trials.map(|(_, k)| k.peer.service).collect();
         // Services that no configuration names yet have servers nonetheless; they get nothing.
         let mut services: BTreeMap<u32, &Service> = BTreeMap::new();
         for service in state.config.iter().flat_map(|c| &c.services) {
@@ -401,7 +406,7 @@
                 zone: if trial { zone + TRIAL_ZONES } else { zone },
                 state: if up { Standing::Up } else { Standing::Draining },
                 service,
-                near: if trial { TRIAL_NEAR } else { REGULAR_NEAR + near },
+                near: if trial { TRIAL_NEAR } else { self.reach(service, near) },
                 part,
                 cold_rate,
                 cold_until_us: if cold { cold_until } else { 0 },
--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -4,7 +4,7 @@
 //! What a status says is kept apart from how it came about: 429 and 503 promise that a request has not run and will not,
 //! so they go out only where that is known or where the request may run more than once anyway.
 
-use crate::book::{Book, List, Peer, Place, REGION, reach_of};
+use crate::book::{Book, List, Peer, Place, REGION};
 use crate::cramp::{Cramp, Shown};
 use crate::drill::{Drills, Meeting, Met, Verdict};
 use crate::rollout::{Ended, Placed, Rollouts, Side};
@@ -409,7 +409,7 @@
             *up && p.service == service && p.near <= REGION && (p.zone >= 64 || zones & 1 << p.zone != 0)
         };
         if route.kind == Kind::Download && self.peers.values().any(here) {
-            reach_of(REGION)
+            self.book.reach(service, REGION)
         } else {
             u32::MAX
         }
