--- a/crates/dryfit/src/hunt.rs
+++ b/crates/dryfit/src/hunt.rs
@@ -340,6 +340,61 @@
     text
 }
 
+/// A day of two rollouts, one of a good version, and of faults around them. What is lost at one time stays within what may be.
+pub fn draw_rollouts(seed: u64) -> String {
+    let mut rng = fastrand::Rng::with_seed(seed ^ 0x7011);
+    let cores = *rng.choice(&["a b a", "a c a", "a b a b a"]).expect("some");
+    let edges = rng.usize(4..=10);
+    let mut text =
+        format!("cores {cores}\nedges {edges}\nrate 60\nquota 1000\nservice utu 12\nservice tiro 12\n");
+    let bad = match rng.u32(0..3) {
+        0 => "slow".to_string(),
+        1 => format!("late {:.1}", 1.0 + rng.f64() * 3.0),
+        _ => format!("errors share {:.1}", 0.3 + rng.f64() * 0.7),
+    };
+    let mut lines = vec![
+        (8.0, "crowd t0 to utu 140 for 60".to_string()),
+        (8.0, "crowd t1 to tiro 140 for 60".to_string()),
+        (10.0, "rollout utu to v2 within 12".to_string()),
+        (10.0 + rng.f64(), format!("rollout tiro to v2 within 12 bad {bad}")),
+    ];
+    let mut at = 9.5 + rng.f64() * 3.0;
+    while at < 22.0 {
+        let (back, last) = (0.2 + rng.f64() * 3.0, 1.0 + rng.f64() * 4.0);
+        let edge = rng.usize(1..=edges);
+        let (what, pause) = match rng.u32(0..12) {
+            0 => (format!("kill leader back {back:.2}"), 5.0),
+            1 => (format!("power core2 back {back:.2}"), 5.0),
+            2 => (format!("wipe core3 back {back:.2}"), 8.0),
+            3 => (format!("cut leader from all for {last:.2}"), last + 4.0),
+            4 => (format!("cut leader from cores for {last:.2} oneway"), last + 4.0),
+            5 => (format!("cut edge{edge} from all for {last:.2}"), 1.0),
+            6 => (format!("power edge{edge} back {back:.2}"), 1.0),
+            7 => (format!("term edge{edge} back {back:.2}"), 1.0),
+            8 => ("kill machines back 0.7".to_string(), 7.0),
+            9 => (format!("lose-acks 60 for {last:.2}"), 1.0),
+            10 => (format!("power zone:b back {back:.2}"), 8.0),
+            _ => (format!("replace-core core3 after {back:.2}"), 9.0),
+        };
+        let trigger = if rng.u32(0..4) == 0 && at < 10.0 { "when order " } else { "" };
+        lines.push((at, format!("{trigger}{what}")));
+        at += pause + rng.f64() * 4.0;
+    }
+    let closes = at.max(14.0);
+    if rng.bool() {
+        lines.push((closes, "closing power machines back 2".to_string()));
+        if rng.bool() {
+            lines.push((closes, "wipe core1 back 2".to_string()));
+        }
+    }
+    lines.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let _ = writeln!(text, "seconds {:.1}\nexpect duty open", closes + 30.0);
+    for (at, line) in lines {
+        let _ = writeln!(text, "at {at:.3} {line}");
+    }
+    text
+}
+
 /// What a reader needs of a day on which something does not hold.
 pub fn report(played: &Played) -> String {
     let mut out = String::new();
--- a/crates/dryfit/src/main.rs
+++ b/crates/dryfit/src/main.rs
@@ -22,6 +22,8 @@
     let days = Arg::new("days").long("days").value_parser(value_parser!(u64)).default_value("200");
     let answers = Arg::new("answers").long("answers").action(ArgAction::SetTrue);
     let answers = answers.help("Days of servers that answer as they should not, and all that goes with it");
+    let rollouts = Arg::new("rollouts").long("rollouts").action(ArgAction::SetTrue).conflicts_with("answers");
+    let rollouts = rollouts.help("Days of two rollouts beside faults");
     let file = Arg::new("scenario").required(true).value_parser(value_parser!(PathBuf));
     Command::new("dryfit")
         .about("Plays days of curlewfront's programs on simulated time, and judges them")
@@ -37,7 +39,7 @@
             Command::new("hunt")
                 .about("Plays days drawn by chance")
                 .args([days, seed.clone().help("Of the first day; each further day has the next one")])
-                .arg(answers.clone()),
+                .args([answers.clone(), rollouts.clone()]),
         )
         .subcommand(
             Command::new("seconds")
@@ -63,7 +65,7 @@
                 .args(["proxies", "servers", "tenants", "routes", "active"].map(several)),
         )
         .subcommand(
-            Command::new("day").about("Plays one drawn day").args([seed, log, unserved, answers, reasons]),
+            Command::new("day").about("Plays one drawn day").args([seed, log, unserved, answers, rollouts, reasons]),
         )
 }
 
@@ -137,7 +139,11 @@
 }
 
 fn drawn(args: &ArgMatches, seed: u64) -> String {
-    if args.get_flag("answers") { hunt::draw_answers(seed) } else { hunt::draw(seed) }
+    match () {
+        _ if args.get_flag("answers") => hunt::draw_answers(seed),
+        _ if args.get_flag("rollouts") => hunt::draw_rollouts(seed),
+        _ => hunt::draw(seed),
+    }
 }
 
 fn one(args: &ArgMatches, scenario: &Scenario) -> Result<bool> {
