List servers that come in a row while a rollout runs together

Class: work in proportion to the fleet for each change of one member. Change: while a rollout runs, news of servers that come are gathered for 150 ms; those that leave or turn cold are listed at once.

--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -15,7 +15,7 @@
 use rack::copy::{Copy, Took};
 use rack::drill::Rows;
 use rack::rollout::Tally;
-use rack::state::{Command, State};
+use rack::state::{Command, ServerChange, State};
 use rack::talk::{Lease, News, Reading, Use, tenant_key};
 use std::collections::hash_map::Entry::Occupied;
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -203,6 +203,7 @@
     /// How many proxies there are, and the place of this one, as the decisions know it.
     among: (usize, usize),
     relist_at: Option<Micros>,
+    listed_at: Micros,
     tenants: Tenants,
     cramp: Cramp,
     /// What is done under each booking, and what of them was last told to the decisions.
@@ -252,6 +253,7 @@
             peers: BTreeMap::new(),
             among: (1, 0),
             relist_at: None,
+            listed_at: 0,
             tenants: Tenants::new(beat_us / 3, seed),
             spent: Vec::new(),
             acts: Vec::new(),
@@ -723,6 +725,7 @@
     fn news(&mut self, news: News, out: &mut Vec<Output>) {
         // A gap is mended by the next report, which tells how far this copy has come.
         let of_drills = |c: &Command| matches!(c, Command::Drill(_));
+        let adds_servers_alone = adds_servers_alone(&news);
         let drills_alone = matches!(&news, News::Run { commands, .. }
             if !commands.is_empty() && commands.iter().all(|(_, c)| of_drills(c)));
         if !self.take_news(news) {
@@ -747,6 +750,11 @@
         }
         let book = &self.book;
         self.rollouts.learn(self.now, &self.copy.state.rollouts, among.0, |service| book.service(service));
+        let soon = self.listed_at + GATHER_US;
+        if adds_servers_alone && !self.rollouts.is_idle() && self.now < soon {
+            self.relist_at = Some(self.relist_at.map_or(soon, |at| at.min(soon)));
+            return;
+        }
         self.relist(out);
     }
 
@@ -851,7 +859,7 @@
 
     fn relist(&mut self, out: &mut Vec<Output>) {
         let List { entries, peers, placed, changes_at } = self.book.list(self.now, &self.copy.state);
-        (self.relist_at, self.placed) = (changes_at, placed);
+        (self.relist_at, self.listed_at, self.placed) = (changes_at, self.now, placed);
         let gone: Vec<u64> = self.peers.keys().filter(|n| !peers.contains_key(n)).copied().collect();
         for server in gone {
             self.peers.remove(&server);
@@ -867,6 +875,17 @@
     }
 }
 
+/// While a rollout runs, servers come by the hundred, each with news of its own; the list is made anew for all that come within
+/// so long.
+const GATHER_US: Micros = 150_000;
+
+/// The news tell of nothing but servers that are there, and take none away.
+fn adds_servers_alone(news: &News) -> bool {
+    let adds = |c: &ServerChange| matches!(c, ServerChange::Up(_) | ServerChange::Runs { .. });
+    let of = |command: &Command| matches!(command, Command::Servers(all) if all.iter().all(adds));
+    matches!(news, News::Run { commands, .. } if !commands.is_empty() && commands.iter().all(|(_, c)| of(c)))
+}
+
 /// A quota of which nothing is left but the even share, as from now: what was saved up is spent.
 const SPENT: f64 = 1.2;
 
--- a/crates/proxy/tests/rollout.rs
+++ b/crates/proxy/tests/rollout.rs
@@ -173,3 +173,22 @@
     }
     assert!(rare[1] >= 20 && rare[0] >= 25, "at the old version and at the new one: {rare:?}");
 }
+
+/// Guards against proxies that make their list anew for each of hundreds of servers that start beside the old ones, and serve
+/// nobody meanwhile.
+#[test]
+fn servers_that_come_in_a_row_while_a_rollout_runs_are_listed_together_and_those_that_leave_at_once() {
+    let mut proxy = rolling();
+    proxy.now += SECOND;
+    proxy.learn(server(20, "n20", "heron", "north-a", 0));
+    let listed = proxy.ids.len();
+    for n in 21..40 {
+        proxy.learn(server(n, &format!("n{n}"), "heron", "north-a", 0));
+        assert_eq!(proxy.ids.len(), listed, "not yet");
+    }
+    proxy.now += SECOND / 4;
+    proxy.tell(proxy::front::Input::Tick);
+    assert_eq!(proxy.ids.len(), listed + 19);
+    proxy.learn(Command::Servers(vec![ServerChange::Draining { id: "o1".into() }]));
+    assert!(!proxy.up().contains(&"o1"));
+}
