--- /dev/null
+++ b/crates/net/src/pool/tests.rs
@@ -0,0 +1,135 @@
+//! Tests of the actor of a server, which hand it messages in a chosen order.
+
+use super::*;
+use crate::clock::{Alarm, Alarms, Clock};
+use std::net::TcpListener;
+
+/// A wire that does nothing.
+struct NoOpWire;
+
+impl Wire for NoOpWire {
+    type Note = ();
+    type HeadInfo = ();
+
+    fn attempt_headers(&self, _: &Job<()>, _: Micros, _: &mut Vec<u8>) {}
+
+    fn response_head(&self, _: &Job<()>, _: &http::Response) -> ResponseMatch<()> {
+        ResponseMatch::Expected(())
+    }
+
+    fn ended(&self, _: Ended<NoOpWire>) {}
+}
+
+/// A server's actor with one connection that has just ended with an attempt in its mailbox.
+fn server(listener: &TcpListener) -> Server<NoOpWire> {
+    let clock = Clock::start();
+    let alarms = Alarms::start(clock).expect("a timer");
+    let resources = Arc::new(Resources::new(1000, 64, clock, alarms, Box::new(|_| {})));
+    let inbox = Arc::new(Mailbox::new(Alarm::new(clock).expect("a timer").waker()));
+    let request =
+        Arc::new(ForwardedRequest { head: b"GET / HTTP/1.1\r\n".to_vec(), body: BufferedBody::default() });
+    inbox.post(ToConn::Carry(Job {
+        id: 5,
+        attempt: 0,
+        request,
+        same_server_retry: false,
+        until: clock.now() + 1_000_000,
+        note: (),
+    }));
+    let settings = Settings {
+        dial_us: 100_000,
+        answer_us: 100_000,
+        idle_us: 1_000_000,
+        max_connections: 1000,
+        tcp_user_timeout: None,
+        bounds: Bounds { head: 4096, body: 4096 },
+    };
+    let addr = listener.local_addr().expect("bound");
+    let mut server = Server::new(addr, resources, Arc::new(NoOpWire), settings, channel().0);
+    server.conns.insert(1, Conn { inbox, connected: true, job: Some((5, 0)) });
+    server.busy.insert((5, 0), 1);
+    server.last_conn = 1;
+    server
+}
+
+/// Otherwise the attempt would be lost, and its client would wait until its deadline.
+#[test]
+fn an_attempt_handed_to_a_connection_that_has_ended_goes_to_another() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let mut server = server(&listener);
+    server.handle(ToServer::Ended { conn: 1, unsent: None });
+    assert_eq!(server.busy, HashMap::from([((5, 0), 2)]));
+    assert!(server.conns.contains_key(&2) && !server.conns.contains_key(&1));
+    assert!(listener.accept().is_ok());
+}
+
+#[test]
+fn a_connection_that_has_rested_goes_before_one_that_was_just_used() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let mut server = server(&listener);
+    let now = server.resources.clock.now();
+    let idle = |(conn, since)| Idle { conn, since, until: None };
+    server.idle = [(1, now - 50_000), (2, now - 20_000), (3, now), (4, now)].map(idle).into();
+    let order: Vec<u64> = std::iter::from_fn(|| server.take_idle()).collect();
+    assert_eq!(order, [2, 1, 4, 3]);
+}
+
+/// On the connection that carried the first attempt, a second answer to it could not be told from this one's
+/// answer.
+#[test]
+fn a_second_attempt_of_a_request_gets_a_connection_of_its_own() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let mut server = server(&listener);
+    server.handle(ToServer::Free { conn: 1, keep_us: None });
+    let request =
+        Arc::new(ForwardedRequest { head: b"GET / HTTP/1.1\r\n".to_vec(), body: BufferedBody::default() });
+    let until = server.resources.clock.now() + 1_000_000;
+    for (id, same_server_retry, conn) in [(5, true, 2), (6, false, 1)] {
+        let request = request.clone();
+        server.handle(ToServer::Send(Job { id, attempt: 1, request, same_server_retry, until, note: () }));
+        assert_eq!(server.busy[&(id, 1)], conn);
+    }
+}
+
+/// Its request is already answered: if it were sent now, it would run for nobody, or twice.
+#[test]
+fn an_attempt_given_up_meanwhile_is_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let mut server = server(&listener);
+    server.handle(ToServer::GiveUp { id: 5, attempt: 0, late: None });
+    server.handle(ToServer::Ended { conn: 1, unsent: None });
+    assert!(server.busy.is_empty() && server.conns.is_empty());
+}
+
+#[test]
+fn a_connection_is_used_no_longer_than_its_server_keeps_it() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let mut server = server(&listener);
+    server.settings.idle_us = 60_000_000;
+    let now = server.resources.clock.now();
+    let idle = |(conn, until)| Idle { conn, since: now - 30_000_000, until };
+    server.idle = [(1, None), (2, Some(now - 1)), (3, Some(now + 9_000_000))].map(idle).into();
+    server.close_expired();
+    assert_eq!(server.idle.iter().map(|i| i.conn).collect::<Vec<u64>>(), [1, 3]);
+    server.handle(ToServer::Set(Settings { idle_us: 1_000_000, ..server.settings.clone() }));
+    assert_eq!(server.idle.iter().map(|i| i.conn).collect::<Vec<u64>>(), [3], "what it says goes first");
+}
+
+#[test]
+fn no_more_connections_are_opened_than_there_may_be() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let mut server = server(&listener);
+    server.settings.max_connections = 1;
+    let request =
+        Arc::new(ForwardedRequest { head: b"GET / HTTP/1.1\r\n".to_vec(), body: BufferedBody::default() });
+    let until = server.resources.clock.now() + 1_000_000;
+    server.handle(ToServer::Send(Job {
+        id: 6,
+        attempt: 0,
+        request,
+        same_server_retry: false,
+        until,
+        note: (),
+    }));
+    assert!(!server.busy.contains_key(&(6, 0)) && server.conns.len() == 1);
+}
