Log what a failed attempt's connection went through, and write the log out after a cut

Change: an attempt's error carries the history of its connection (age, time since it was established, attempts it was given); the line has the client's name of the attempt; a cancelled attempt is logged; a proxy writes its log out when its own pool ended a connection at which the server may be at work.

--- a/crates/net/src/errors.rs
+++ b/crates/net/src/errors.rs
@@ -1,5 +1,6 @@
 //! The error of a failed attempt, with the progress the attempt had made.
 
+use crate::Micros;
 use std::fmt;
 use std::io;
 
@@ -36,13 +37,36 @@
     Panic,
 }
 
+/// The history of a connection when its attempt failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionHistory {
+    /// Time since it began to be opened.
+    pub age_us: Micros,
+    /// Time since it was established; None: it never was.
+    pub established_us: Option<Micros>,
+    /// The number of attempts it was given, with the one that failed.
+    pub attempts: u32,
+}
+
 #[derive(Debug)]
 pub struct AttemptError {
     pub progress: Progress,
     pub cause: Cause,
+    /// None: the attempt was not given to a connection.
+    pub connection: Option<ConnectionHistory>,
 }
 
 impl AttemptError {
+    /// An attempt that fails before any connection is opened for it.
+    pub fn without_connection(cause: Cause) -> AttemptError {
+        AttemptError { progress: Progress::Dialing, cause, connection: None }
+    }
+
+    /// True if the pool itself ended the connection although the server may be working on the request.
+    pub fn cut_by_pool(&self) -> bool {
+        matches!(self.cause, Cause::DialTimeout | Cause::ServerGone) && !self.never_ran()
+    }
+
     /// True if the server cannot have run the request: its head was not completely written.
     pub fn never_ran(&self) -> bool {
         self.progress < Progress::Written
@@ -59,31 +83,31 @@
         };
         match &self.cause {
             Cause::Io(e) => write!(f, "{e} {at}"),
-            Cause::Ended => write!(f, "connection ended {at}"),
+            Cause::Ended => write!(f, "the server ended the connection {at}"),
             Cause::Malformed(what) => write!(f, "{what} {at}"),
-            Cause::DialTimeout => write!(f, "not up in time {at}"),
+            Cause::DialTimeout => write!(f, "the pool closed a connection not established in time {at}"),
             Cause::MostConnections => write!(f, "no connection left {at}"),
             Cause::NoDescriptor => write!(f, "no descriptor left {at}"),
-            Cause::ServerGone => write!(f, "server left the list {at}"),
+            Cause::ServerGone => write!(f, "the pool closed it as its server left the list {at}"),
             Cause::Panic => write!(f, "panic {at}"),
+        }?;
+        self.connection.map_or(Ok(()), |connection| write!(f, "; {connection}"))
+    }
+}
+
+impl fmt::Display for ConnectionHistory {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let ms = |us: Micros| us / 1000;
+        write!(f, "connection opened {} ms ago, ", ms(self.age_us))?;
+        match self.established_us {
+            Some(us) => write!(f, "established {} ms ago", ms(us))?,
+            None => write!(f, "never established")?,
         }
+        write!(f, ", attempt {} on it", self.attempts)
     }
 }
 
 impl std::error::Error for AttemptError {}
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// An attempt that may have run must not count as one that never ran: if it were sent again, it could take
-    /// effect twice.
-    #[test]
-    fn only_what_was_not_written_whole_never_ran() {
-        let never_ran = |progress| AttemptError { progress, cause: Cause::Ended }.never_ran();
-        assert!(never_ran(Progress::Dialing));
-        assert!(never_ran(Progress::Writing));
-        assert!(!never_ran(Progress::Written));
-        assert!(!never_ran(Progress::Answering));
-    }
-}
+mod tests;
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -11,7 +11,7 @@
 mod tests;
 
 use crate::Micros;
-use crate::errors::{AttemptError, Cause, Progress};
+use crate::errors::{AttemptError, Cause};
 use crate::http::{self, Bounds};
 use crate::limits::{BufferedBody, ConnectionKind};
 use crate::mailbox::Mailbox;
@@ -436,8 +436,7 @@
     }
 
     fn report_failure(&self, job: Job<W::Note>, cause: Cause) {
-        let error = AttemptError { progress: Progress::Dialing, cause };
-        self.wire.ended(Ended::failed(job, 0, error));
+        self.wire.ended(Ended::failed(job, 0, AttemptError::without_connection(cause)));
     }
 
     fn dial(&mut self, job: Job<W::Note>) {
--- a/crates/net/src/pool/connection.rs
+++ b/crates/net/src/pool/connection.rs
@@ -2,7 +2,8 @@
 
 use super::exchange::{AfterFailure, Exchange, ReadResult};
 use super::{Job, Settings, ToConn, ToServer, Wire};
-use crate::errors::Cause;
+use crate::Micros;
+use crate::errors::{Cause, ConnectionHistory};
 use crate::limits::Fd;
 use crate::mailbox::Mailbox;
 use crate::resources::Resources;
@@ -30,7 +31,9 @@
     fd: Fd,
 ) {
     let exchange = Exchange::new(job, context.settings.bounds, context.settings.answer_us);
-    let mut connection = Connection { context, io, inbox, exchange, _fd: fd };
+    let opened_at = context.resources.clock.now();
+    let mut connection =
+        Connection { context, io, inbox, exchange, opened_at, established_at: None, attempts: 1, _fd: fd };
     may::go!(move || {
         // A panic ends only this connection; the outcome of its attempt is still reported.
         let result = catch_unwind(AssertUnwindSafe(|| connection.run()));
@@ -46,6 +49,10 @@
     io: Watched<TcpStream>,
     inbox: Arc<Mailbox<ToConn<W::Note>>>,
     exchange: Exchange<W>,
+    opened_at: Micros,
+    established_at: Option<Micros>,
+    /// Attempts that it was given.
+    attempts: u32,
     _fd: Fd,
 }
 
@@ -57,6 +64,7 @@
             while let Some(message) = self.inbox.pop() {
                 match message {
                     ToConn::Carry(job) => {
+                        self.attempts += 1;
                         let (wire, now) = (&*self.context.wire, self.context.resources.clock.now());
                         if let Err(job) = self.exchange.carry(job, wire, now, &mut self.io.inner()) {
                             return Some(job);
@@ -91,7 +99,9 @@
                 return if events & events::ENDED != 0 { Err(Cause::Ended) } else { Ok(false) };
             }
             let _ = self.context.server.send(ToServer::Connected { conn: self.context.number });
-            self.exchange.connected(wire, resources.clock.now());
+            let now = resources.clock.now();
+            self.established_at = Some(now);
+            self.exchange.connected(wire, now);
         }
         if events & (events::READABLE | events::ENDED) != 0 {
             match self.exchange.read(wire, &mut self.io.inner(), events & events::ENDED != 0)? {
@@ -123,10 +133,22 @@
         match self.exchange.fail(cause) {
             AfterFailure::Nothing => None,
             AfterFailure::Unsent(job) => Some(job),
-            AfterFailure::Failed(ended) => {
+            AfterFailure::Failed(mut ended) => {
+                if let Err(error) = &mut ended.outcome {
+                    error.connection = Some(self.history());
+                }
                 self.context.wire.ended(ended);
                 None
             }
         }
     }
+
+    fn history(&self) -> ConnectionHistory {
+        let now = self.context.resources.clock.now();
+        ConnectionHistory {
+            age_us: now.saturating_sub(self.opened_at),
+            established_us: self.established_at.map(|at| now.saturating_sub(at)),
+            attempts: self.attempts,
+        }
+    }
 }
--- a/crates/net/src/pool/exchange.rs
+++ b/crates/net/src/pool/exchange.rs
@@ -324,7 +324,11 @@
         if unsent && !matches!(cause, Cause::Panic) {
             return AfterFailure::Unsent(job);
         }
-        AfterFailure::Failed(Ended::failed(job, self.begun_at, AttemptError { progress, cause }))
+        AfterFailure::Failed(Ended::failed(
+            job,
+            self.begun_at,
+            AttemptError { progress, cause, connection: None },
+        ))
     }
 }
 
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -370,6 +370,9 @@
                     }
                 }
                 dispatcher::Output::CancelAttempt { id, attempt, server, timed_out_sent_at } => {
+                    let why =
+                        if timed_out_sent_at.is_some() { "timed out" } else { "is not needed any more" };
+                    log::info!("attempt {id}.{attempt} cancelled: it {why}");
                     if let Some(peer) = self.peers.get(&server) {
                         peer.give_up(id, attempt, timed_out_sent_at);
                     }
--- a/crates/proxy/src/servers.rs
+++ b/crates/proxy/src/servers.rs
@@ -71,7 +71,11 @@
                 body,
             }),
             Err(why) => {
-                log::info!("attempt {}.{} failed: {why}", ended.id, ended.attempt);
+                let name = String::from_utf8_lossy(&ended.note.name);
+                log::info!("attempt {}.{} ({name}) failed: {why}", ended.id, ended.attempt);
+                if why.cut_by_pool() {
+                    runtime::log_buffer::dump("an attempt was cut while its server may have worked on it");
+                }
                 AttemptResult::Broken { execution: reached(&why) }
             }
         };
