Reproduce the cut of an attempt whose connection comes up as its time runs out

Evidence: in three tests the actor of a server handles the timer of a connection, or a list without the server, after the server has read the request and before the actor has handled the connection's own message. Each attempt is reported as failed: Written, DialTimeout or ServerGone. A fourth test plants no order: over the public interface, limits of 0 to 149 microseconds for connections over loopback.

--- a/crates/net/src/pool/tests.rs
+++ b/crates/net/src/pool/tests.rs
@@ -2,12 +2,19 @@
 
 use super::*;
 use crate::clock::{Alarm, Alarms, Clock};
+use std::io::{BufRead, BufReader, Write};
 use std::net::TcpListener;
+use std::sync::{Mutex, mpsc};
 
-/// A wire that does nothing.
-struct NoOpWire;
+/// Limit of each wait; only a hang reaches it.
+const WAIT: Duration = Duration::from_secs(10);
 
-impl Wire for NoOpWire {
+/// Sends the outcome of each attempt to the test: the status, or the error.
+struct RecordingWire(Mutex<mpsc::Sender<Outcome>>);
+
+type Outcome = Result<u16, AttemptError>;
+
+impl Wire for RecordingWire {
     type Note = ();
     type HeadInfo = ();
 
@@ -17,25 +24,25 @@
         ResponseMatch::Expected(())
     }
 
-    fn ended(&self, _: Ended<NoOpWire>) {}
+    fn ended(&self, ended: Ended<RecordingWire>) {
+        let outcome = ended.outcome.map(|served| served.status);
+        let _ = self.0.lock().expect("not poisoned").send(outcome);
+    }
 }
 
-/// A server's actor with one connection that has just ended with an attempt in its mailbox.
-fn server(listener: &TcpListener) -> Server<NoOpWire> {
+fn job(clock: Clock, id: u64, attempt: u32, same_server_retry: bool) -> Job<()> {
+    let request =
+        Arc::new(ForwardedRequest { head: b"GET / HTTP/1.1\r\n".to_vec(), body: BufferedBody::default() });
+    Job { id, attempt, request, same_server_retry, until: clock.now() + 10_000_000, note: () }
+}
+
+/// A server's actor without connections, and the outcomes of its attempts. No message of a connection reaches the
+/// actor: the test hands it those that it is to have handled.
+fn new_server(addr: SocketAddr) -> (Server<RecordingWire>, mpsc::Receiver<Outcome>) {
+    crate::set_up();
     let clock = Clock::start();
     let alarms = Alarms::start(clock).expect("a timer");
     let resources = Arc::new(Resources::new(1000, 64, clock, alarms, Box::new(|_| {})));
-    let inbox = Arc::new(Mailbox::new(Alarm::new(clock).expect("a timer").waker()));
-    let request =
-        Arc::new(ForwardedRequest { head: b"GET / HTTP/1.1\r\n".to_vec(), body: BufferedBody::default() });
-    inbox.post(ToConn::Carry(Job {
-        id: 5,
-        attempt: 0,
-        request,
-        same_server_retry: false,
-        until: clock.now() + 1_000_000,
-        note: (),
-    }));
     let settings = Settings {
         dial_us: 100_000,
         answer_us: 100_000,
@@ -44,8 +51,17 @@
         tcp_user_timeout: None,
         bounds: Bounds { head: 4096, body: 4096 },
     };
-    let addr = listener.local_addr().expect("bound");
-    let mut server = Server::new(addr, resources, Arc::new(NoOpWire), settings, channel().0);
+    let (outcomes, ended) = mpsc::channel();
+    let wire = Arc::new(RecordingWire(Mutex::new(outcomes)));
+    (Server::new(addr, resources, wire, settings, channel().0), ended)
+}
+
+/// A server's actor with one connection that has just ended with an attempt in its mailbox.
+fn server(listener: &TcpListener) -> Server<RecordingWire> {
+    let (mut server, _) = new_server(listener.local_addr().expect("bound"));
+    let clock = server.resources.clock;
+    let inbox = Arc::new(Mailbox::new(Alarm::new(clock).expect("a timer").waker()));
+    inbox.post(ToConn::Carry(job(clock, 5, 0, false)));
     server.conns.insert(1, Conn { inbox, connected: true, job: Some((5, 0)) });
     server.busy.insert((5, 0), 1);
     server.last_conn = 1;
@@ -133,3 +149,44 @@
     }));
     assert!(!server.busy.contains_key(&(6, 0)) && server.conns.len() == 1);
 }
+
+/// The actor handles `message` when its server is already at work on an attempt over a new connection, whose
+/// `Connected` has not reached the actor yet. Returns the outcome of the attempt, which the server then answers.
+fn outcome_of_an_attempt_at_work_when(
+    message: impl FnOnce(SocketAddr) -> ToServer<RecordingWire>,
+) -> Outcome {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("bound");
+    let (mut server, ended) = new_server(addr);
+    server.handle(ToServer::Send(job(server.resources.clock, 1, 0, false)));
+    let mut stream = BufReader::new(listener.accept().expect("a connection").0);
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        assert!(stream.read_line(&mut head).expect("a request") > 0);
+    }
+    server.handle(message(addr));
+    // An error shows that the connection has been cut; the outcome says so too.
+    let _ = stream.get_mut().write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    ended.recv_timeout(WAIT).expect("an outcome")
+}
+
+/// Otherwise a connection that comes up as its time to be established runs out is cut while its server works.
+#[test]
+fn a_connect_timeout_does_not_cut_an_attempt_at_work() {
+    let outcome = outcome_of_an_attempt_at_work_when(|_| ToServer::DialTimeout { conn: 1 });
+    assert!(matches!(outcome, Ok(200)), "{outcome:?}");
+}
+
+/// A server that drains finishes what it has begun.
+#[test]
+fn a_server_that_stops_taking_requests_keeps_an_attempt_at_work() {
+    let outcome = outcome_of_an_attempt_at_work_when(|addr| ToServer::Update { addr, up: false });
+    assert!(matches!(outcome, Ok(200)), "{outcome:?}");
+}
+
+/// A server that leaves the list may still finish what it has begun.
+#[test]
+fn a_server_that_leaves_the_list_keeps_an_attempt_at_work() {
+    let outcome = outcome_of_an_attempt_at_work_when(|_| ToServer::Remove);
+    assert!(matches!(outcome, Ok(200)), "{outcome:?}");
+}
--- a/crates/net/tests/sockets.rs
+++ b/crates/net/tests/sockets.rs
@@ -72,18 +72,26 @@
     ended: Receiver<Ended<ById>>,
 }
 
+/// Settings of a pool whose time limits only a hang reaches.
+fn pool_settings() -> Settings {
+    Settings {
+        dial_us: 5_000_000,
+        answer_us: 5_000_000,
+        idle_us: 30_000_000,
+        max_connections: 10,
+        tcp_user_timeout: Some(WAIT),
+        bounds: BOUNDS,
+    }
+}
+
 impl Server {
     fn start() -> Server {
+        Server::start_with(pool_settings())
+    }
+
+    fn start_with(settings: Settings) -> Server {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let (outcomes, ended) = channel();
-        let settings = Settings {
-            dial_us: 5_000_000,
-            answer_us: 5_000_000,
-            idle_us: 30_000_000,
-            max_connections: 10,
-            tcp_user_timeout: Some(WAIT),
-            bounds: BOUNDS,
-        };
         let addr = listener.local_addr().expect("bound");
         let wire = Arc::new(ById { outcomes: Mutex::new(outcomes), before: OnceLock::new() });
         let resources = resources();
@@ -201,6 +209,43 @@
     );
 }
 
+/// Whichever comes first, the connection or the limit of its time to come up: an attempt whose request the server has
+/// got gets the server's answer, and the others never ran. No order is planted, so this also covers those that the tests
+/// of the actor don't bring about.
+#[test]
+fn an_attempt_whose_connect_limit_ends_as_its_connection_comes_up_is_answered_or_never_ran() {
+    const ATTEMPTS: u64 = 2_000;
+    const LONGEST_LIMIT_US: u64 = 150;
+    let server = Server::start_with(Settings { max_connections: usize::MAX, ..pool_settings() });
+    let accepting = server.listener.try_clone().expect("a descriptor");
+    std::thread::spawn(move || {
+        for stream in accepting.incoming().map_while(Result::ok) {
+            std::thread::spawn(move || {
+                let mut conn = BufReader::new(stream);
+                if let Some((head, _)) = message(&mut conn) {
+                    let id = head[1 + head.find('/').expect("a path")..].split(' ').next().expect("an id");
+                    let id = id.parse().expect("a number");
+                    let _ = conn.get_mut().write_all(answer(id, "got").as_bytes());
+                    let _ = conn.read(&mut [0]);
+                }
+            });
+        }
+    });
+    let (mut answered, mut cut) = (0, Vec::new());
+    for id in 0..ATTEMPTS {
+        let dial_us = id % LONGEST_LIMIT_US;
+        server.peer.set(Settings { dial_us, max_connections: usize::MAX, ..pool_settings() });
+        server.peer.close_idle();
+        server.send_by("GET", id, Vec::new());
+        match server.ended().outcome {
+            Ok(_) => answered += 1,
+            Err(error) if error.never_ran() => {}
+            Err(error) => cut.push(error.to_string()),
+        }
+    }
+    assert!(cut.is_empty(), "{} cut, {answered} answered: {:?}", cut.len(), cut.first());
+}
+
 #[test]
 fn an_answer_cut_short_is_never_one() {
     let server = Server::start();
