Let a connection decide by its own state whether an order to close it still holds

Cause: the actor of a server judged by its own copy of a connection's state, and the connection obeyed without a look. A timer of the connection, or a list without the server, that was handled before the connection's own message 'established' cut an attempt that had been written.

Change: an order to close names the state it is meant for (not established, idle, or carrying this attempt), and the connection's coroutine, which owns that state, ignores one that no longer applies, as the listener's connections do already. This covers the timer, both lists, idle connections and attempts that are given up; there is no special case for a proxy that stops.

--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -201,13 +201,26 @@
 /// A message to the coroutine of a connection.
 enum ToConn<Note> {
     Carry(Job<Note>),
-    /// Close. With a cause, an attempt that is under way is reported as failed.
-    Close(Option<Cause>),
+    /// Close the connection if it is still in this state.
+    Close(Expected),
+}
+
+/// The state of a connection in which it is to be closed. The actor's copy of that state may be out of date, as a
+/// message about a change may still be under way. So the actor only says which state it means, and the connection,
+/// which knows whether a server may be at work, compares.
+enum Expected {
+    /// Not established yet. Its attempt fails with this cause.
+    Dialing(Cause),
+    /// No attempt is under way.
+    Idle,
+    /// This attempt is under way: request id and attempt number. It ends without an outcome.
+    Carrying(u64, u32),
 }
 
 /// A connection, as its server's actor knows it.
 struct Conn<Note> {
     inbox: Arc<Mailbox<ToConn<Note>>>,
+    /// The connection has said that it is established.
     connected: bool,
     /// The request id and attempt number that it carries.
     job: Option<(u64, u32)>,
@@ -288,7 +301,7 @@
             ToServer::Send(job) => self.send(job),
             ToServer::GiveUp { id, attempt, late } => {
                 if let Some(conn) = self.busy.remove(&(id, attempt)) {
-                    self.close(conn, None);
+                    self.close(conn, Expected::Carrying(id, attempt));
                 }
                 // Nothing has come from the server since that attempt was sent: its machine may be gone, which open
                 // connections do not show. A new connection shows it soon, and if it fails, proves that its attempt
@@ -321,7 +334,7 @@
                 }
                 self.last_heard_at = self.resources.clock.now();
                 if !self.up {
-                    return self.close(conn, None);
+                    return self.close(conn, Expected::Idle);
                 }
                 let since = self.last_heard_at;
                 let until = keep_us.map(|keep| since.saturating_add(keep - KEEP_MARGIN_US.min(keep / 2)));
@@ -349,7 +362,7 @@
             }
             ToServer::DialTimeout { conn } => {
                 if self.conns.get(&conn).is_some_and(|c| !c.connected) {
-                    self.close(conn, Some(Cause::DialTimeout));
+                    self.close(conn, Expected::Dialing(Cause::DialTimeout));
                 }
             }
             ToServer::Sweep => {
@@ -368,19 +381,19 @@
         }
         let dialing: Vec<u64> = self.conns.iter().filter(|(_, c)| !c.connected).map(|(n, _)| *n).collect();
         for conn in dialing {
-            self.close(conn, Some(Cause::ServerGone));
+            self.close(conn, Expected::Dialing(Cause::ServerGone));
         }
     }
 
-    fn close(&mut self, conn: u64, cause: Option<Cause>) {
+    fn close(&mut self, conn: u64, expected: Expected) {
         if let Some(c) = self.conns.get(&conn) {
-            c.inbox.post(ToConn::Close(cause));
+            c.inbox.post(ToConn::Close(expected));
         }
     }
 
     fn close_idle(&mut self) {
         for idle in std::mem::take(&mut self.idle) {
-            self.close(idle.conn, None);
+            self.close(idle.conn, Expected::Idle);
         }
     }
 
@@ -394,7 +407,7 @@
         self.idle = kept;
         let expired: VecDeque<Idle> = expired;
         for idle in expired {
-            self.close(idle.conn, None);
+            self.close(idle.conn, Expected::Idle);
         }
     }
 
--- a/crates/net/src/pool/connection.rs
+++ b/crates/net/src/pool/connection.rs
@@ -1,7 +1,7 @@
 //! The coroutine of one connection to a server, which carries one attempt at a time.
 
 use super::exchange::{AfterFailure, Exchange, ReadResult};
-use super::{Job, Settings, ToConn, ToServer, Wire};
+use super::{Expected, Job, Settings, ToConn, ToServer, Wire};
 use crate::Micros;
 use crate::errors::{Cause, ConnectionHistory};
 use crate::limits::Fd;
@@ -70,13 +70,16 @@
                             return Some(job);
                         }
                     }
-                    ToConn::Close(cause) => {
-                        if let Some(cause) = cause {
-                            return self.fail(cause);
-                        }
+                    ToConn::Close(Expected::Dialing(cause)) if !self.exchange.is_connected() => {
+                        return self.fail(cause);
+                    }
+                    ToConn::Close(Expected::Idle) if self.exchange.is_idle() => return None,
+                    ToConn::Close(Expected::Carrying(id, attempt)) if self.exchange.carries(id, attempt) => {
                         self.exchange.give_up();
                         return None;
                     }
+                    // Its state has changed since the actor heard of it.
+                    ToConn::Close(_) => {}
                 }
             }
             match self.step(events) {
--- a/crates/net/src/pool/exchange.rs
+++ b/crates/net/src/pool/exchange.rs
@@ -102,6 +102,16 @@
         self.connected
     }
 
+    /// Whether no attempt is under way.
+    pub fn is_idle(&self) -> bool {
+        self.job.is_none()
+    }
+
+    /// Whether this attempt is under way.
+    pub fn carries(&self, id: u64, attempt: u32) -> bool {
+        self.job.as_ref().is_some_and(|job| (job.id, job.attempt) == (id, attempt))
+    }
+
     /// How far the attempt has come, derived from what was written and read.
     fn progress(&self) -> Progress {
         match &self.answer {
--- a/crates/net/src/pool/tests.rs
+++ b/crates/net/src/pool/tests.rs
@@ -3,7 +3,7 @@
 use super::*;
 use crate::clock::{Alarm, Alarms, Clock};
 use std::io::{BufRead, BufReader, Write};
-use std::net::TcpListener;
+use std::net::{TcpListener, TcpStream};
 use std::sync::{Mutex, mpsc};
 
 /// Limit of each wait; only a hang reaches it.
@@ -150,6 +150,24 @@
     assert!(!server.busy.contains_key(&(6, 0)) && server.conns.len() == 1);
 }
 
+fn accept(listener: &TcpListener) -> BufReader<TcpStream> {
+    let (stream, _) = listener.accept().expect("a connection");
+    stream.set_read_timeout(Some(WAIT)).expect("an option");
+    BufReader::new(stream)
+}
+
+fn read_request(stream: &mut BufReader<TcpStream>) {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        assert!(stream.read_line(&mut head).expect("a request") > 0);
+    }
+}
+
+fn answer(stream: &mut BufReader<TcpStream>) {
+    // An error shows that the connection has been cut; the outcome of the attempt says so too.
+    let _ = stream.get_mut().write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+}
+
 /// The actor handles `message` when its server is already at work on an attempt over a new connection, whose
 /// `Connected` has not reached the actor yet. Returns the outcome of the attempt, which the server then answers.
 fn outcome_of_an_attempt_at_work_when(
@@ -159,14 +177,10 @@
     let addr = listener.local_addr().expect("bound");
     let (mut server, ended) = new_server(addr);
     server.handle(ToServer::Send(job(server.resources.clock, 1, 0, false)));
-    let mut stream = BufReader::new(listener.accept().expect("a connection").0);
-    let mut head = String::new();
-    while !head.ends_with("\r\n\r\n") {
-        assert!(stream.read_line(&mut head).expect("a request") > 0);
-    }
+    let mut stream = accept(&listener);
+    read_request(&mut stream);
     server.handle(message(addr));
-    // An error shows that the connection has been cut; the outcome says so too.
-    let _ = stream.get_mut().write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    answer(&mut stream);
     ended.recv_timeout(WAIT).expect("an outcome")
 }
 
@@ -190,3 +204,43 @@
     let outcome = outcome_of_an_attempt_at_work_when(|_| ToServer::Remove);
     assert!(matches!(outcome, Ok(200)), "{outcome:?}");
 }
+
+/// The same messages do end a connection that is not established: its attempt may still go to another server.
+#[test]
+fn a_connection_that_is_not_established_ends_and_its_attempt_never_ran() {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+    socket.listen(0).expect("listening");
+    let listener = TcpListener::from(socket);
+    let addr = listener.local_addr().expect("bound");
+    let _fills_the_queue = TcpStream::connect(addr).expect("a connection");
+    let (mut server, ended) = new_server(addr);
+    let messages =
+        [ToServer::DialTimeout { conn: 1 }, ToServer::Update { addr, up: false }, ToServer::Remove];
+    for (id, message) in (1..).zip(messages) {
+        server.up = true;
+        server.handle(ToServer::Send(job(server.resources.clock, id, 0, false)));
+        server.handle(message);
+        let error = ended.recv_timeout(WAIT).expect("an outcome").expect_err("no connection");
+        assert!(error.never_ran() && matches!(error.cause, Cause::DialTimeout | Cause::ServerGone));
+        assert_eq!(error.connection.expect("one was opened").established_us, None);
+    }
+}
+
+/// The answer of an attempt crosses the order to give the attempt up: the connection is as usable as after any answer.
+#[test]
+fn an_attempt_given_up_after_its_answer_does_not_cost_its_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let (mut server, ended) = new_server(listener.local_addr().expect("bound"));
+    server.handle(ToServer::Send(job(server.resources.clock, 1, 0, false)));
+    let mut stream = accept(&listener);
+    read_request(&mut stream);
+    answer(&mut stream);
+    assert!(matches!(ended.recv_timeout(WAIT).expect("an outcome"), Ok(200)));
+    server.handle(ToServer::GiveUp { id: 1, attempt: 0, late: None });
+    server.handle(ToServer::Free { conn: 1, keep_us: None });
+    server.handle(ToServer::Send(job(server.resources.clock, 2, 0, false)));
+    read_request(&mut stream);
+    answer(&mut stream);
+    assert!(matches!(ended.recv_timeout(WAIT).expect("an outcome"), Ok(200)));
+}
