Judge requests that are given up after SIGTERM while their server works on them

Need: the judge's LOST saw connections that end without an answer only.

Change: an arrival at a server records when the proxy's end was closed while the server worked on it, simulated and in the stand-ins of the soak; LOST also is the proxy's own answer to such a request within the grace of a SIGTERM. A request sent up to 3 s after it may be given up in the last sixth of the grace, as the rule says.

--- a/crates/lab/src/system/log.rs
+++ b/crates/lab/src/system/log.rs
@@ -201,6 +201,7 @@
                 turned_away: None,
                 ran: Some(at),
                 broke: false,
+                cut: None,
             };
             book.requests.push(Request { sent: at, served: Some(at + 9), unowed: false, tenant: 0 });
             book.tries.push(Try {
--- a/crates/lab/src/system/servers.rs
+++ b/crates/lab/src/system/servers.rs
@@ -451,6 +451,7 @@
             turned_away,
             ran: None,
             broke: false,
+            cut: None,
         });
         tried.arrivals.len() - 1
     };
@@ -480,7 +481,11 @@
     let took = servers.work as f64 * (0.5 + servers.chance()) * times;
     tokio::select! {
         () = tokio::time::sleep(Duration::from_micros(took as u64)) => {}
-        () = closed(stream) => return None,
+        () = closed(stream) => {
+            let now = log.now();
+            arrival(&mut log.book(), attempt, at).cut = Some(now);
+            return None;
+        }
     }
     if log.now() < life.loses_until.load(Relaxed) {
         arrival(&mut log.book(), attempt, at).broke = true;
--- a/crates/simulator/src/judge.rs
+++ b/crates/simulator/src/judge.rs
@@ -44,6 +44,9 @@
     Refused(u16),
 }
 
+/// Of requests sent up to so long after SIGTERM, those may be given up that last into the last sixth of the grace.
+const LATE_AFTER_END: Micros = 3 * SECOND;
+
 pub fn judge(record: &Record) -> Vec<Breach> {
     let indexes = record.changes.iter().map(|c| c.config.index()).collect();
     let mut j = Judge { r: record, indexes, out: Vec::new() };
@@ -98,6 +101,7 @@
             }
         }
         self.lost(n, t);
+        self.given_up_at_work(n, t);
     }
 
     /// Ended without an answer around planned work.
@@ -119,6 +123,30 @@
         }
     }
 
+    /// After SIGTERM a request was cut off at its server, and the proxy's own answer stands in the place of the server's.
+    fn given_up_at_work(&mut self, n: u64, t: &Try) {
+        let Some(answer) = t.answer.as_ref().filter(|a| a.seal.is_none()) else { return };
+        let answer_of_a_server = |a: &Arrival| a.ran.is_some() && a.cut.is_none();
+        if t.arrivals.iter().any(|a| a.broke || answer_of_a_server(a)) {
+            return;
+        }
+        let b = &self.r.bounds;
+        let since = t.sent.saturating_sub(b.contact);
+        let calm = !self.r.troubles.iter().any(|x| !x.planned && x.from <= answer.at && x.until >= since);
+        let before_closing = self.r.closing.as_ref().is_none_or(|c| answer.at < c.at);
+        let stopping = |cut: Micros| {
+            self.r.troubles.iter().any(|x| {
+                let grace = x.from..=x.from + b.grace + SECOND;
+                let long = t.sent <= x.from + LATE_AFTER_END && cut >= x.from + b.grace - b.grace / 6;
+                x.planned && x.host == t.edge && grace.contains(&cut) && !long
+            })
+        };
+        let cut = t.arrivals.iter().filter_map(|a| a.cut).any(|cut| cut < t.until && stopping(cut));
+        if cut && calm && before_closing {
+            self.breach("LOST", n, "given up after SIGTERM while its server worked on it".into());
+        }
+    }
+
     // ---- configurations ----
 
     fn says(&self, change: usize, t: &Try) -> Says<'r> {
--- a/crates/simulator/src/outside.rs
+++ b/crates/simulator/src/outside.rs
@@ -490,9 +490,12 @@
                 if let Some(s) = &mut self.places[place].server {
                     s.odd.rested.remove(&conn);
                     s.queue.retain(|(c, ..)| *c != conn);
-                    let before = s.work.len();
-                    s.work.retain(|_, (c, _)| *c != conn);
-                    if s.work.len() < before {
+                    let cut: Vec<Rc<Work>> =
+                        s.work.extract_if(.., |_, (c, _)| *c == conn).map(|(_, w)| w.1).collect();
+                    for work in &cut {
+                        self.cut_at_work(place, work.name);
+                    }
+                    if !cut.is_empty() {
                         self.next_work(place);
                     }
                 }
@@ -530,6 +533,7 @@
             turned_away: None,
             ran: None,
             broke: false,
+            cut: None,
         };
         let status = match () {
             _ if work.instance != s.id => Some(421),
@@ -610,6 +614,15 @@
         }
     }
 
+    /// The other end of the connection was closed while this server worked on the try.
+    fn cut_at_work(&mut self, place: usize, name: u64) {
+        let (now, Some(server)) = (self.now, &self.places[place].server) else { return };
+        let arrivals = &mut self.record.tries[name as usize].arrivals;
+        if let Some(a) = arrivals.iter_mut().rev().find(|a| a.server == server.id && a.ran.is_some()) {
+            a.cut = Some(now);
+        }
+    }
+
     /// The server broke off what it had run of this try.
     pub fn broke_off(&mut self, name: u64) {
         let tried = &mut self.record.tries[name as usize];
--- a/crates/simulator/src/record.rs
+++ b/crates/simulator/src/record.rs
@@ -155,6 +155,8 @@
     pub ran: Option<Micros>,
     /// The server itself broke off.
     pub broke: bool,
+    /// When the proxy's end of the connection was closed while the server was at work.
+    pub cut: Option<Micros>,
 }
 
 /// What became of an operator's call.
@@ -495,6 +497,7 @@
                 (None, None) => "never runs".into(),
             };
             lines.push((a.at, format!("at {} in {}: {how}", a.server, a.zone)));
+            lines.extend(a.cut.map(|at| (at, format!("cut off while {} works on it", a.server))));
         }
         lines.extend(t.answer.as_ref().map(|a| (a.at, format!("answer {} seal {:?}", a.status, a.seal))));
         for m in self.met.iter().filter(|m| m.attempt == number) {
--- a/crates/simulator/tests/planted.rs
+++ b/crates/simulator/tests/planted.rs
@@ -7,7 +7,7 @@
     Answer, Arrival, Closing, Cold, Dark, Fate, Record, Spoken, Trouble, Try, Unheard, Vouched,
 };
 use simulator::scenario::Scenario;
-use simulator::{MS, SECOND};
+use simulator::{MS, Micros, SECOND};
 use std::rc::Rc;
 
 /// A day with one of everything.
@@ -246,6 +246,35 @@
     });
 }
 
+/// Plants an answer of the proxy, 503, to a request that its server worked on until it was cut off. It was sent, and cut
+/// off, so long after the SIGTERM of the proxy.
+fn given_up_at_work(r: &mut Record, sent: Micros, cut: Micros) {
+    let n = one(r, "r-tiro", 20);
+    let t = &mut r.tries[n];
+    let answer = t.answer.as_mut().expect("answered");
+    (answer.status, answer.seal) = (503, None);
+    let (from, at) = (answer.at - cut, answer.at);
+    (t.sent, t.until) = (from + sent, at + SECOND);
+    t.arrivals[0].cut = Some(at);
+    let until = from + 6 * SECOND;
+    r.troubles.push(Trouble { host: t.edge, from, until, planned: true, what: "asked to end".into() });
+}
+
+/// What the incident LOST looked like: the client has a whole answer, but not that of the server at work.
+#[test]
+fn a_request_is_given_up_after_sigterm_while_its_server_works_on_it() {
+    caught("LOST", |r| given_up_at_work(r, 500 * MS, SECOND));
+    caught("LOST", |r| given_up_at_work(r, 3_500 * MS, 5_500 * MS));
+}
+
+/// A process has to end by the end of its grace.
+#[test]
+fn a_request_that_lasts_into_the_last_sixth_of_the_grace_may_be_given_up() {
+    let mut record = day();
+    given_up_at_work(&mut record, 2_500 * MS, 5_500 * MS);
+    assert!(judge(&record).iter().all(|b| b.rule != "LOST"));
+}
+
 #[test]
 fn nothing_is_served_after_the_closing_fault() {
     caught("RECOVER", |r| {
