Give an attempt up over the pool that carries it, though its server left the list

Servers saw: work that goes on for a client that has left, or past its deadline; the proxy kept the connection.

Cause: the main loop looked the pool up by the list of servers. Once a server had left the list, an attempt in flight there could not be given up any more; where the server had gone silently, its connection, its descriptor and its actor stayed until the process ended.

Change: proxy::server_pools holds the pool of each attempt in flight until its outcome, as the gateway's attempts do; main.rs loses the code.

Measured: tests/server_pools.rs: without the change an_attempt_is_given_up_though_its_server_has_left_the_list waits 10 s in vain and fails, with it it passes in under 0.1 s; cargo test -p curlewfront-proxy passes.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -2,7 +2,8 @@
 //! that the proxy shares with the gateway; [`routing_view`] turns the agreed state into its settings; [`feed`] keeps
 //! the copy of the state up to date and passes updates on, by [`relay`] and [`tree`]; [`failure_detector`] notices
 //! silent neighbours; [`drill`] tells which requests get an injected fault, [`rollout`] what may go to a new version,
-//! [`servers`] which attempt an answer belongs to. None of them does I/O or reads a clock; `main.rs` has the sockets.
+//! [`servers`] which attempt an answer belongs to. None of them does I/O or reads a clock; `main.rs` has the sockets, with
+//! [`server_pools`] for those to servers.
 
 pub mod dispatcher;
 pub mod drill;
@@ -12,6 +13,7 @@
 pub mod reservations;
 pub mod rollout;
 pub mod routing_view;
+pub mod server_pools;
 pub mod servers;
 pub mod tenants;
 pub mod tree;
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -8,7 +8,7 @@
 use net::http::{self, Bad, Bounds};
 use net::limits::BufferedBody;
 use net::listener::{Answer, ClientTimeouts, Handler, HeadAction, Listener, Reply};
-use net::pool::{self, Job, Peer};
+use net::pool::{self, Job};
 use net::resources::Resources;
 use proxy::dispatcher::{self, AttemptResult, ClientRequest, Dispatcher, Execution};
 use proxy::failure_detector::FailureDetector;
@@ -16,6 +16,7 @@
 use proxy::reservations::BookingTimes;
 use proxy::rollout::Exposure;
 use proxy::routing_view::{Leeway, ProxySettings};
+use proxy::server_pools::ServerPools;
 use proxy::servers::{self, AttemptInfo};
 use runtime::datagram::{self, Datagrams};
 use runtime::event_loop::{Inbox, StateMachine};
@@ -123,6 +124,8 @@
     let (beat_us, now) = (s.beat_period_ms * 1000, event_loop.clock.now());
     let (finished, finished_receiver) = channel();
     let grace_us = (s.bounds.grace_period_s.unwrap_or(DEFAULT_GRACE_S) * 1e6) as Micros;
+    let servers = Arc::new(Servers::new(report_to(inbox.clone())));
+    let server_pools = ServerPools::new(resources.clone(), servers, pool_settings());
     let proxy_loop = ProxyLoop {
         dispatcher: Dispatcher::new(proxy_settings, beat_us, runtime.life, now),
         failure_detector: FailureDetector::new(node.clone(), beat_us / 3, runtime.life, now),
@@ -132,8 +135,7 @@
         relay_port: relay.port(),
         parents: BTreeMap::new(),
         followers: BTreeMap::new(),
-        servers: Arc::new(Servers::new(report_to(inbox.clone()))),
-        peers: HashMap::new(),
+        server_pools,
         replies: HashMap::new(),
         resources,
         status,
@@ -305,6 +307,17 @@
     Box::new(move |id, attempt, end| inbox.post(Message::AttemptEnded(id, attempt, end)))
 }
 
+fn pool_settings() -> pool::Settings {
+    pool::Settings {
+        dial_us: SERVER_CONNECT_TIMEOUT_US,
+        answer_us: ANSWER_STALL_TIMEOUT_US,
+        idle_us: SERVER_IDLE_US,
+        max_connections: usize::MAX,
+        tcp_user_timeout: Some(ACK_TIMEOUT),
+        bounds: ANSWER_BOUNDS,
+    }
+}
+
 /// Drives the state machines and carries out their outputs.
 struct ProxyLoop {
     dispatcher: Dispatcher,
@@ -317,8 +330,7 @@
     parents: BTreeMap<u64, LinkHandle>,
     /// Links of followers, by the links' own numbers.
     followers: BTreeMap<u64, LinkHandle>,
-    servers: Arc<Servers>,
-    peers: HashMap<u64, Peer<Servers>>,
+    server_pools: ServerPools<Servers>,
     replies: HashMap<u64, Reply>,
     resources: Arc<Resources>,
     status: Arc<Status>,
@@ -334,17 +346,6 @@
 }
 
 impl ProxyLoop {
-    fn pool_settings(&self) -> pool::Settings {
-        pool::Settings {
-            dial_us: SERVER_CONNECT_TIMEOUT_US,
-            answer_us: ANSWER_STALL_TIMEOUT_US,
-            idle_us: SERVER_IDLE_US,
-            max_connections: usize::MAX,
-            tcp_user_timeout: Some(ACK_TIMEOUT),
-            bounds: ANSWER_BOUNDS,
-        }
-    }
-
     fn run_dispatcher(&mut self, now: Micros, input: dispatcher::Input) {
         self.dispatcher.handle(now, input, &mut self.dispatcher_outputs);
         for output in std::mem::take(&mut self.dispatcher_outputs) {
@@ -361,21 +362,17 @@
                         until,
                     } = job;
                     let note = AttemptInfo { name: attempt_id, instance };
-                    let sent = self.peers.get(&server).is_some_and(|p| {
-                        p.send(Job { id, attempt, request, same_server_retry, until, note })
-                    });
-                    if !sent {
+                    let job = Job { id, attempt, request, same_server_retry, until, note };
+                    if !self.server_pools.send(server, job) {
                         let end = AttemptResult::Broken { execution: Execution::NeverRan };
                         self.inbox.post(Message::AttemptEnded(id, attempt, end));
                     }
                 }
-                dispatcher::Output::CancelAttempt { id, attempt, server, timed_out_sent_at } => {
+                dispatcher::Output::CancelAttempt { id, attempt, timed_out_sent_at, .. } => {
                     let why =
                         if timed_out_sent_at.is_some() { "timed out" } else { "is not needed any more" };
                     log::info!("attempt {id}.{attempt} cancelled: it {why}");
-                    if let Some(peer) = self.peers.get(&server) {
-                        peer.give_up(id, attempt, timed_out_sent_at);
-                    }
+                    self.server_pools.give_up(id, attempt, timed_out_sent_at);
                 }
                 dispatcher::Output::Answer(id, answer) => self.reply(id, |_| {}, answer),
                 // Faults of drills: the connection is closed in the middle of the body, or the body is sent slowly.
@@ -393,18 +390,9 @@
                     );
                 }
                 dispatcher::Output::Server { server, peer, up } => {
-                    let settings = self.pool_settings();
-                    let (resources, servers) = (&self.resources, &self.servers);
-                    let server = self.peers.entry(server).or_insert_with(|| {
-                        Peer::start(peer.addr, resources.clone(), servers.clone(), settings)
-                    });
-                    server.update(peer.addr, up);
-                }
-                dispatcher::Output::ServerRemoved { server } => {
-                    if let Some(peer) = self.peers.remove(&server) {
-                        peer.remove();
-                    }
+                    self.server_pools.update(server, peer.addr, up);
                 }
+                dispatcher::Output::ServerRemoved { server } => self.server_pools.remove(server),
             }
         }
     }
@@ -552,6 +540,7 @@
                 self.run_dispatcher(now, dispatcher::Input::ClientGone(id));
             }
             Some(Message::AttemptEnded(id, attempt, end)) => {
+                self.server_pools.ended(id, attempt);
                 self.run_dispatcher(now, dispatcher::Input::AttemptEnded { id, attempt, end });
             }
             Some(Message::Parent(link, event)) => {
