End a stopping proxy by its listener's word, not by a time

Clients may have seen: a connection that is reset unread by a proxy that stops.

Cause: 50 ms after the order to stop accepting, the main loop took the listener for closed; a loop that is late by more gives the order and exits in the same step, with connections still waiting to be accepted.

Change: the listener says when it has accepted what had come and is closed; proxy::shutdown, a state machine of its own, exits only after that, or at the end of the grace period. main.rs loses the logic.

--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -282,6 +282,8 @@
     waker: Waker,
     paused: AtomicBool,
     stopped: AtomicBool,
+    /// The listening socket is closed.
+    closed: AtomicBool,
     /// Idle connections with a single request: the count of the last sweep, and those answered since.
     idle_after_one: AtomicUsize,
     /// When a connection with several requests was last closed to free its descriptor.
@@ -331,6 +333,7 @@
             waker: socket.waker(),
             paused: AtomicBool::new(false),
             stopped: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
             idle_after_one: AtomicUsize::new(0),
             evicted_at: AtomicU64::new(0),
         });
@@ -339,10 +342,12 @@
             loop {
                 accepting.accept(&socket);
                 if accepting.stopped.load(Ordering::Relaxed) {
-                    return; // closes the listening socket, with all accepted that had come before
+                    break;
                 }
                 socket.wait();
             }
+            drop(socket);
+            accepting.closed.store(true, Ordering::Relaxed);
         });
         let sweeping = listener.clone();
         may::go!(move || {
@@ -470,6 +475,12 @@
         self.waker.wake();
     }
 
+    /// Whether it has stopped: the listening socket is closed, and all connections that had come before are accepted, as
+    /// far as there were descriptors.
+    pub fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::Relaxed)
+    }
+
     /// The number of open connections, in whatever state.
     pub fn count(&self) -> usize {
         self.open().len()
--- a/crates/net/src/listener/model.rs
+++ b/crates/net/src/listener/model.rs
@@ -176,6 +176,7 @@
         waker: alarm.waker(),
         paused: AtomicBool::new(false),
         stopped: AtomicBool::new(false),
+        closed: AtomicBool::new(false),
         idle_after_one: AtomicUsize::new(0),
         evicted_at: AtomicU64::new(u64::MAX / 2),
     });
--- a/crates/net/tests/sockets.rs
+++ b/crates/net/tests/sockets.rs
@@ -505,6 +505,25 @@
     }
 }
 
+/// A program that ends by its listener's word must not end while connections wait to be accepted.
+#[test]
+fn a_stopped_listener_is_closed_only_once_it_has_accepted_what_had_come() {
+    const CLIENTS: usize = 50;
+    let (test, listener) = start_listener();
+    let clients: Vec<TcpStream> =
+        (0..CLIENTS).map(|_| TcpStream::connect(test.addr).expect("a connection")).collect();
+    assert!(!listener.is_closed());
+    listener.stop_accepting();
+    let until = std::time::Instant::now() + WAIT;
+    while !listener.is_closed() {
+        assert!(std::time::Instant::now() < until, "the listener closes");
+        std::thread::yield_now();
+    }
+    assert_eq!(listener.count(), CLIENTS);
+    assert!(TcpStream::connect(test.addr).is_err());
+    drop(clients);
+}
+
 /// When descriptors are short, the handler's timeouts are read for each accepted connection. Here each such call
 /// stops the listener and begins another connection, so that one is always waiting to be accepted.
 #[test]
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -2,7 +2,7 @@
 //! that the proxy shares with the gateway; [`routing_view`] turns the agreed state into its settings; [`feed`] keeps
 //! the copy of the state up to date and passes updates on, by [`relay`] and [`tree`]; [`failure_detector`] notices
 //! silent neighbours; [`drill`] tells which requests get an injected fault, [`rollout`] what may go to a new version,
-//! [`servers`] which attempt an answer belongs to. None of them does I/O or reads a clock; `main.rs` has the sockets, with
+//! [`shutdown`] when the proxy exits after a signal, [`servers`] which attempt an answer belongs to. None of them does I/O or reads a clock; `main.rs` has the sockets, with
 //! [`server_pools`] for those to servers.
 
 pub mod dispatcher;
@@ -15,5 +15,6 @@
 pub mod routing_view;
 pub mod server_pools;
 pub mod servers;
+pub mod shutdown;
 pub mod tenants;
 pub mod tree;
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -18,6 +18,7 @@
 use proxy::routing_view::{Leeway, ProxySettings};
 use proxy::server_pools::ServerPools;
 use proxy::servers::{self, AttemptInfo};
+use proxy::shutdown::{ListenerStatus, Shutdown, Step};
 use runtime::datagram::{self, Datagrams};
 use runtime::event_loop::{Inbox, StateMachine};
 use runtime::link::{self, ACK_TIMEOUT, Event, LinkHandle};
@@ -44,13 +45,6 @@
 const DEFAULT_LIMITS: (usize, usize, u64, u64) = (16 * 1024, 1 << 20, 3_000_000, 15_000_000);
 /// Descriptors reserved for files and everything else that is not a connection.
 const RESERVED_DESCRIPTORS: u64 = 232;
-/// After a signal to stop, new connections are accepted for this long: the proxy is no longer ready, but clients that
-/// do not know it yet still connect.
-const KEEP_ACCEPTING_US: Micros = 1_500_000;
-/// How long the proxy waits after closing the listener for connections that had arrived before.
-const LISTENER_CLOSE_US: Micros = 50_000;
-/// Requests that are still in flight are abandoned this long before the grace period ends.
-const GRACE_RESERVE_US: Micros = 500_000;
 /// The grace period where the settings name none, in seconds.
 const DEFAULT_GRACE_S: f64 = 5.0;
 /// The retry budget where the settings name none: a fraction of the requests, and a fixed number on top of that.
@@ -144,8 +138,7 @@
         feed_outputs: Vec::new(),
         listener,
         finished,
-        grace_us,
-        stop_requested_at: None,
+        shutdown: Shutdown::new(grace_us),
     };
     event_loop.run(proxy_loop, &finished_receiver)
 }
@@ -340,9 +333,7 @@
     listener: Arc<Listener<ClientHandler>>,
     /// Told once the proxy may exit.
     finished: Sender<()>,
-    grace_us: Micros,
-    /// When a signal to stop arrived.
-    stop_requested_at: Option<Micros>,
+    shutdown: Shutdown,
 }
 
 impl ProxyLoop {
@@ -496,7 +487,7 @@
             self.status.header_wait_us.store(limits.header_wait_ms * 1000, Ordering::Relaxed);
             self.status.idle_us.store(limits.idle_limit_ms * 1000, Ordering::Relaxed);
         }
-        let ready = self.dispatcher.ready() && self.feed.has_been_fresh() && self.stop_requested_at.is_none();
+        let ready = self.dispatcher.ready() && self.feed.has_been_fresh() && !self.shutdown.is_requested();
         if self.status.ready.swap(ready, Ordering::Relaxed) != ready {
             log::info!("{}", if ready { "ready" } else { "not ready" });
         }
@@ -506,18 +497,20 @@
         }
     }
 
-    /// Whether the proxy may exit after a signal to stop. New connections are accepted for a while, as clients that do
-    /// not know yet that the proxy is not ready still connect; then the listener is closed, and each open connection
-    /// ends with its last answer.
-    fn is_finished(&self, now: Micros) -> bool {
-        let Some(stop_requested_at) = self.stop_requested_at else { return false };
-        if now >= stop_requested_at + KEEP_ACCEPTING_US {
-            self.listener.stop_accepting();
+    /// Takes the next step of the shutdown, if there is one.
+    fn advance_shutdown(&mut self, now: Micros) {
+        if !self.shutdown.is_requested() {
+            return;
+        }
+        let listener = &self.listener;
+        let status = ListenerStatus { closed: listener.is_closed(), open_connections: listener.count() };
+        match self.shutdown.step(now, status) {
+            Step::Serve => {}
+            Step::StopAccepting => listener.stop_accepting(),
+            Step::Exit => {
+                let _ = self.finished.send(());
+            }
         }
-        let grace_over = now >= stop_requested_at + self.grace_us.saturating_sub(GRACE_RESERVE_US);
-        grace_over
-            || (now >= stop_requested_at + KEEP_ACCEPTING_US + LISTENER_CLOSE_US
-                && self.listener.count() == 0)
     }
 }
 
@@ -569,7 +562,7 @@
             }
             Some(Message::Signal(SignalEvent::Stop)) => {
                 log::info!("stopping, {} requests open", self.dispatcher.open_requests());
-                self.stop_requested_at.get_or_insert(now);
+                self.shutdown.request(now);
                 self.status.draining.store(true, Ordering::Relaxed);
                 self.update_status();
                 self.run_feed(now, feed::Input::Shutdown);
@@ -587,20 +580,14 @@
         if !tallies.is_empty() {
             self.run_feed(now, feed::Input::Rollout(tallies));
         }
-        if self.is_finished(now) {
-            let _ = self.finished.send(());
-        }
+        self.advance_shutdown(now);
     }
 
     fn wake_at(&mut self) -> Micros {
-        // After a signal to stop, `is_finished` is checked this often.
-        const FINISH_CHECK_US: Micros = 50_000;
-        let finish_check =
-            self.stop_requested_at.map_or(Micros::MAX, |_| self.resources.clock.now() + FINISH_CHECK_US);
-        self.dispatcher
-            .wake_at()
-            .min(self.feed.wake_at())
-            .min(self.failure_detector.wake_at())
-            .min(finish_check)
+        /// Interval between two steps of a shutdown.
+        const SHUTDOWN_STEP_US: Micros = 50_000;
+        let stopping = self.shutdown.is_requested();
+        let next_step = if stopping { self.resources.clock.now() + SHUTDOWN_STEP_US } else { Micros::MAX };
+        self.dispatcher.wake_at().min(self.feed.wake_at()).min(self.failure_detector.wake_at()).min(next_step)
     }
 }
