--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -2,8 +2,8 @@
 //! that the proxy shares with the gateway; [`routing_view`] turns the agreed state into its settings; [`feed`] keeps
 //! the copy of the state up to date and passes updates on, by [`relay`] and [`tree`]; [`failure_detector`] notices
 //! silent neighbours; [`drill`] tells which requests get an injected fault, [`rollout`] what may go to a new version,
-//! [`shutdown`] when the proxy exits after a signal, [`servers`] which attempt an answer belongs to. None of them does I/O or reads a clock; `main.rs` has the sockets, with
-//! [`server_pools`] for those to servers.
+//! [`servers`] which attempt an answer belongs to, [`shutdown`] when the proxy exits after a signal. None of these does
+//! I/O or reads a clock; `main.rs` has the sockets, with [`server_pools`] for those to servers.
 
 pub mod dispatcher;
 pub mod drill;
