Log which orders take effect where, and by which list each attempt is sent

Cause: with a zone that gets traffic while it is emptied, nothing in the logs tells an agreed state that has opened it again from one proxy with an old list or from an attempt that was late on its way.

Every process that applies the agreed state logs each fenced order with its revision, its fencing token and what became of it, and whole states that it takes in; a registry logs the orders that it reads, at which revision, and callers that leave before their answer. The words for commands, which listings of a store used, moved to the cluster crate so that both say the same.

--- a/crates/cluster/src/copy.rs
+++ b/crates/cluster/src/copy.rs
@@ -66,6 +66,7 @@
         match news {
             News::Whole(bytes) => match State::read(now, &bytes) {
                 Ok(state) if state.rev > self.state.rev => {
+                    log::info!("revision {}: a whole state, evacuated: {:?}", state.rev, state.evacuated);
                     *self = Copy::of(state);
                     Took::Changed
                 }
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod booking;
 pub mod copy;
+mod describe;
 pub mod drill;
 pub mod follow;
 pub mod orders;
--- a/crates/cluster/src/state.rs
+++ b/crates/cluster/src/state.rs
@@ -44,6 +44,11 @@
 }
 
 impl Command {
+    /// An operator's order as a registry proposes it whose copy had come to `seen`.
+    pub fn fenced(seen: Rev, order: Command) -> Command {
+        Command::Fenced { seen, order: Box::new(order) }
+    }
+
     /// About what it takes on a link; more than that for those that are not configurations.
     pub fn size(&self) -> usize {
         16 + match self {
@@ -252,7 +257,11 @@
 
     fn order(&mut self, now: Micros, rev: Rev, command: &Command) -> Done {
         match command {
-            Command::Fenced { seen, order } => self.fenced(now, rev, *seen, order),
+            Command::Fenced { seen, order } => {
+                let done = self.fenced(now, rev, *seen, order);
+                log::info!("revision {rev}: {command}: {done:?}");
+                done
+            }
             Command::Configure(change) => match self.consider(change) {
                 Ok(None) => Done::Taken,
                 Ok(Some(config)) => {
--- a/crates/config-store/src/store.rs
+++ b/crates/config-store/src/store.rs
@@ -1,10 +1,7 @@
 //! Operations on the directory of a store that is not running: check, dump, back up, restore, and found the core anew when
 //! most of its disks are lost. Results are texts for the operator; nothing here uses the network.
 
-use cluster::booking::BookChange;
-use cluster::drill::DrillChange;
-use cluster::rollout::RolloutChange;
-use cluster::state::{Command, NodeChange, ServerChange, State};
+use cluster::state::{Command, State};
 use consensus::disk::{self, DiskError, Store, StoreContents};
 use consensus::{Disk, Entry, Member, Membership, Payload, PersistentState};
 use serde::{Deserialize, Serialize};
@@ -194,63 +191,11 @@
         Payload::Data(data) => postcard::from_bytes::<Command>(data),
     };
     match command {
-        Ok(command) => describe_command(command),
+        Ok(command) => command.to_string(),
         Err(e) => format!("not a command that this version can decode: {e}"),
     }
 }
 
-fn describe_command(command: Command) -> String {
-    match command {
-        Command::Configure(c) => {
-            let what = if c.patch { "patch" } else { "configuration" };
-            format!("{what} on {:08x}, {} bytes", c.base, c.body.len())
-        }
-        Command::Evacuate { zone, on } => {
-            format!("{} {zone}", if on { "evacuate" } else { "return" })
-        }
-        Command::Servers(changes) => {
-            let describe = |c: &ServerChange| match c {
-                ServerChange::Up(s) => format!("{} up", s.id),
-                ServerChange::Draining { id } => format!("{id} drains"),
-                ServerChange::Cold { id, .. } => format!("{id} cold"),
-                ServerChange::Gone { id, .. } => format!("{id} gone"),
-                ServerChange::Runs { id, version } => format!("{id} runs {version}"),
-            };
-            format!("servers: {}", changes.iter().map(describe).collect::<Vec<_>>().join(", "))
-        }
-        Command::Nodes(changes) => {
-            let describe = |c: &NodeChange| match c {
-                NodeChange::Up(n) => format!("{} up", n.name),
-                NodeChange::Gone { ip } => format!("{ip} gone"),
-            };
-            format!("proxies: {}", changes.iter().map(describe).collect::<Vec<_>>().join(", "))
-        }
-        Command::Book(change) => match change {
-            BookChange::Put { booking, .. } => format!("booking {}", booking.name),
-            BookChange::Cancel { name } => format!("booking {name} cancelled"),
-            BookChange::Phase { name, epoch, .. } => format!("booking {name} goes on from phase {epoch}"),
-            BookChange::Divide { name, number, parts } => {
-                format!("booking {name} divided over {}, number {number}", parts.len())
-            }
-        },
-        Command::Drill(change) => match change {
-            DrillChange::Start(drill) => format!("drill {}", drill.name),
-            DrillChange::Stop { name, why, .. } => format!("drill {name} ended: {why}"),
-            DrillChange::Rows(rows) => format!("drills: reports of {} proxies", rows.len()),
-        },
-        Command::Rollout(change) => match change {
-            RolloutChange::Start { order, .. } => {
-                format!("rollout of {} to {}", order.service, order.target_version)
-            }
-            RolloutChange::Advance { service, to, reason, .. } => {
-                format!("rollout of {service} {}: {reason}", to.name())
-            }
-            RolloutChange::Stop { service } => format!("rollout of {service} stopped"),
-        },
-        Command::Fenced { seen, order } => format!("{}, as of {seen}", describe_command(*order)),
-    }
-}
-
 // ---- backup and restore ----
 
 /// Writes the whole store to the file `to`, which must not exist yet.
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -9,6 +9,7 @@
 use crate::rollout::{AttemptEnd, RolloutServer, Rollouts, Side};
 use crate::routing_view::{Peer, ProxySettings, RoutingView, SAME_REGION, ServerList};
 use crate::tenants::{Quota, Tenants};
+use cluster::Rev;
 use cluster::copy::{Copy, Took};
 use cluster::drill::Rows;
 use cluster::rollout::Tally;
@@ -133,6 +134,8 @@
     pub same_server_retry: bool,
     /// When the attempt times out.
     pub until: Micros,
+    /// The revision of the list by which the server was chosen.
+    pub list_rev: Rev,
 }
 
 /// An answer to a client.
@@ -228,6 +231,8 @@
     /// When the list of servers is to be rebuilt though no update comes.
     relist_at: Option<Micros>,
     listed_at: Micros,
+    /// The revision of the state from which the list of servers was last built.
+    list_rev: Rev,
     tenants: Tenants,
     reservations: Reservations,
     /// Requests counted for each booking.
@@ -282,6 +287,7 @@
             membership: (1, 0),
             relist_at: None,
             listed_at: 0,
+            list_rev: 0,
             tenants: Tenants::new(beat_us / 3, seed),
             exhausted_plans: Vec::new(),
             actions: Vec::new(),
@@ -615,6 +621,7 @@
             request: forwarded,
             same_server_retry,
             until,
+            list_rev: self.list_rev,
         }));
     }
 
@@ -935,6 +942,7 @@
         let ServerList { entries, peers, rollout_servers, changes_at } =
             self.routing_view.server_list(self.now, &self.copy.state);
         (self.relist_at, self.listed_at, self.placements) = (changes_at, self.now, rollout_servers);
+        self.list_rev = self.copy.rev();
         let gone: Vec<u64> = self.peers.keys().filter(|n| !peers.contains_key(n)).copied().collect();
         for server in gone {
             self.peers.remove(&server);
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -351,7 +351,12 @@
                         request,
                         same_server_retry,
                         until,
+                        list_rev,
                     } = job;
+                    log::debug!(
+                        "attempt {id}.{attempt} ({}) to {instance}, by the list of revision {list_rev}",
+                        String::from_utf8_lossy(&attempt_id)
+                    );
                     let note = AttemptInfo { name: attempt_id, instance };
                     let job = Job { id, attempt, request, same_server_retry, until, note };
                     if !self.server_pools.send(server, job) {
--- a/crates/proxy/tests/answers.rs
+++ b/crates/proxy/tests/answers.rs
@@ -210,6 +210,7 @@
                     request,
                     same_server_retry,
                     until,
+                    list_rev: _,
                 }) => {
                     let same_server_retry =
                         same_server_retry && self.bug != Some(InjectedBug::SameConnectionAgain);
--- a/crates/registry/src/control_plane.rs
+++ b/crates/registry/src/control_plane.rs
@@ -228,7 +228,9 @@
             Input::Tick => {}
             Input::Call(id, request) => self.take_call(id, &request, out),
             Input::CallClosed(id) => {
-                self.pending_calls.remove(&id);
+                if self.pending_calls.remove(&id).is_some() {
+                    log::info!("call {id}: its caller has left before the answer");
+                }
             }
             Input::Store(message) => self.take_store_message(message, out),
             Input::StoreUp => {
@@ -508,7 +510,8 @@
     /// token.
     fn propose_fenced(&mut self, id: u64, order: Command, out: &mut Vec<Output>) -> Option<Answer> {
         let seen = self.copy.rev();
-        self.propose_command(id, Command::Fenced { seen, order: Box::new(order) }, out)
+        log::info!("call {id}: {order}, read at revision {seen}");
+        self.propose_command(id, Command::fenced(seen, order), out)
     }
 
     fn propose_command(&mut self, id: u64, command: Command, out: &mut Vec<Output>) -> Option<Answer> {
--- a/crates/runtime/src/log_buffer.rs
+++ b/crates/runtime/src/log_buffer.rs
@@ -25,11 +25,13 @@
 
 static LOG: OnceLock<Log> = OnceLock::new();
 
-/// Starts the log. `chatty`: writes each line to standard error at once.
+/// Starts the log. `chatty`: writes each line to standard error at once, also those that are too many to be kept, such as
+/// one for each attempt.
 pub fn start(program: &str, node: &str, chatty: bool) -> Result<()> {
     // The coroutine library's own lines below warnings are of no use here.
     let mut spec = LogSpecification::builder();
-    let spec = spec.default(log::LevelFilter::Info).module("may", log::LevelFilter::Warn).build();
+    let level = if chatty { log::LevelFilter::Debug } else { log::LevelFilter::Info };
+    let spec = spec.default(level).module("may", log::LevelFilter::Warn).build();
     let logger = Logger::with(spec);
     let logger =
         if chatty { logger.log_to_stderr() } else { logger.log_to_buffer(BUFFER_BYTES, Some(format_line)) };
