Let a simulated process that was stopped read its connections in any order

Cause: a stopped process of the simulator went on with what had come in the order in which it came. A real one finds all its connections readable at once, so news can be read before an older call.

Change: one connection after the other, in an order drawn by chance.

--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -415,7 +415,16 @@
         let Some(stalled) = self.stalled.remove(&owner) else { return };
         if self.life(owner) == Some(life) {
             self.note(format!("{owner:?} goes on"));
-            stalled.came.into_iter().for_each(|(conn, event)| self.told(owner, conn, event));
+            let mut by_connection: BTreeMap<ConnId, Vec<Event>> = BTreeMap::new();
+            for (conn, event) in stalled.came {
+                by_connection.entry(conn).or_default().push(event);
+            }
+            // A process finds all its connections readable at once, and reads one after the other in any order.
+            let mut connections: Vec<(ConnId, Vec<Event>)> = by_connection.into_iter().collect();
+            self.chance(11).shuffle(&mut connections);
+            for (conn, events) in connections {
+                events.into_iter().for_each(|event| self.told(owner, conn, event));
+            }
         }
     }
 
