Reproduce an evacuation that is undone by an older take-back, known red

- A take-back that was given up comes after the evacuation was ordered once more and acknowledged.
- A registry that was stopped reads a take-back whose caller has left, after the news of the newer evacuation.

--- a/crates/cluster/tests/orders.rs
+++ b/crates/cluster/tests/orders.rs
@@ -4,6 +4,7 @@
 use cluster::copy::Copy;
 use cluster::drill::{Drill, DrillChange};
 use cluster::orders::{MOST_CHANGES, MOST_SUBJECTS};
+use cluster::rollout::RolloutChange;
 use cluster::state::{Change, Command, Done, State};
 use std::collections::BTreeMap;
 
@@ -392,3 +393,121 @@
     assert_eq!(apply(&mut state, fenced(seen, start("d"))), Done::Overtaken);
     assert_eq!(state.drills.running().count(), 0);
 }
+
+fn in_order(seen: u64, order: Command) -> Command {
+    Command::fenced(seen, order)
+}
+
+fn move_zone(seen: u64, on: bool) -> Command {
+    in_order(seen, Command::Evacuate { zone: "a".into(), on })
+}
+
+/// Guards against a zone that opens again after its evacuation was acknowledged: a take-back that its operator gave up
+/// comes late, and the evacuation that was ordered after it had found the zone still evacuated.
+#[test]
+fn an_evacuation_that_is_acknowledged_is_not_undone_by_a_take_back_that_was_given_up() {
+    let mut state = State::default();
+    assert_eq!(apply(&mut state, move_zone(0, true)), Done::Taken);
+    let given_up = move_zone(state.rev, false);
+    let again = move_zone(state.rev, true);
+    assert_eq!(apply(&mut state, again), Done::Taken);
+    assert_eq!(apply(&mut state, given_up), Done::Overtaken);
+    assert!(state.evacuated.contains("a"));
+}
+
+/// An operator's orders of one zone, each acknowledged or given up before the next. All copies that registries have read
+/// of an order are under way from then on, with the revision that the registry had come to.
+#[derive(Clone)]
+struct Orders {
+    state: State,
+    /// The order of each copy, and what is proposed.
+    copies: Vec<(usize, Command)>,
+    /// What each order was.
+    wanted: Vec<bool>,
+    acknowledged: Option<usize>,
+}
+
+impl Orders {
+    /// Lands any one of the copies. One of an order before the last acknowledged one may not change anything.
+    fn land(&self, at: usize) -> Result<Orders, String> {
+        let mut next = self.clone();
+        let (order, command) = next.copies.remove(at);
+        let before = next.state.evacuated.contains("a");
+        let done = apply(&mut next.state, command);
+        let after = next.state.evacuated.contains("a");
+        if next.acknowledged.is_some_and(|last| order < last) {
+            let says = format!("{:?}, then a copy of {order}: {done:?}", next.wanted);
+            return if before == after { Ok(next) } else { Err(says) };
+        }
+        if done == Done::Taken && order + 1 == next.wanted.len() {
+            assert_eq!(after, next.wanted[order], "an order that is acknowledged holds");
+            next.acknowledged = Some(order);
+        }
+        Ok(next)
+    }
+
+    fn order(&self, on: bool, lag: u64) -> Orders {
+        let mut next = self.clone();
+        let rev = next.state.rev;
+        let copy = |seen| (next.wanted.len(), move_zone(seen, on));
+        let (fresh, old) = (copy(rev), copy(rev.saturating_sub(lag)));
+        next.copies.extend([fresh, old]);
+        next.wanted.push(on);
+        next
+    }
+
+    fn explore(&self, orders: usize, landings: usize, seen: &mut usize) -> Result<(), String> {
+        *seen += 1;
+        for at in 0..self.copies.len().min(if landings > 0 { usize::MAX } else { 0 }) {
+            self.land(at)?.explore(orders, landings - 1, seen)?;
+        }
+        if self.wanted.len() < orders {
+            for (on, lag) in [(true, 0), (true, 1), (false, 0), (false, 1)] {
+                self.order(on, lag).explore(orders, landings, seen)?;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Guards against the same in every course of a few orders: any of them given up, the same one ordered twice in a row, two
+/// copies of each, through registries one of which may lag, each copy at any later time.
+#[test]
+fn no_copy_of_an_order_undoes_one_that_was_acknowledged_after_it() {
+    let start = Orders { state: State::default(), copies: vec![], wanted: vec![], acknowledged: None };
+    let mut seen = 0;
+    assert_eq!(start.explore(3, 5, &mut seen), Ok(()));
+    assert!(seen > 10_000, "{seen}");
+}
+
+/// Guards against bookings and rollouts that are back after their end was acknowledged, in the same way: the end found
+/// them ended, and the order that was given up before it comes late.
+#[test]
+fn an_end_that_is_acknowledged_is_not_undone_by_a_beginning_that_was_given_up() {
+    let book = |base| Command::Book(BookChange::Put { booking: booking(6), base, room: 10 });
+    let cancel = || Command::Book(BookChange::Cancel { name: "a".into() });
+    let mut state = State::default();
+    assert_eq!(apply(&mut state, in_order(0, book(0))), Done::Taken);
+    let rev = state.rev;
+    assert_eq!(apply(&mut state, in_order(rev, cancel())), Done::Taken);
+    let mut anew = booking(4);
+    anew.flight = 4;
+    let epoch = state.bookings["a"].epoch;
+    let given_up = Command::Book(BookChange::Put { booking: anew, base: epoch, room: 10 });
+    let rev = state.rev;
+    assert_eq!(apply(&mut state, in_order(rev, cancel())), Done::Taken, "it has ended already");
+    assert_eq!(apply(&mut state, in_order(rev, given_up)), Done::Overtaken);
+    assert!(state.bookings["a"].cancelled);
+
+    let config = r#"{"config_version":"00000001","limits":{},"route_list":{"column_set":[],"row_set":[]},
+        "service_list":{"column_set":["entity_name"],"row_set":[["heron"]]}}"#;
+    configure(&mut state, &Change { base: 0, patch: false, body: config.into() });
+    let order = r#"{"service_ref":"heron","target_version":"v2","rollout_term_s":9}"#;
+    let order = cluster::rollout::Order::read(order.as_bytes()).expect("an order");
+    let rev = state.rev;
+    let given_up = in_order(rev, Command::Rollout(RolloutChange::Start { order, after: None }));
+    let stop = Command::Rollout(RolloutChange::Stop { service: "heron".into() });
+    assert_eq!(apply(&mut state, in_order(rev, stop)), Done::Taken, "none runs");
+    assert_eq!(apply(&mut state, given_up), Done::Overtaken);
+    assert!(state.rollouts.running_of("heron").is_none());
+}
--- a/crates/registry/tests/common/mod.rs
+++ b/crates/registry/tests/common/mod.rs
@@ -218,7 +218,26 @@
         }
     }
 
+    /// Hands over a call; the store answers at once whatever an order asks of it before it is proposed.
     pub fn call(&mut self, method: &str, target: &str, if_match: Option<&str>, body: &str) -> u64 {
+        let open_reads = self.reads.len();
+        let call = self.hand_over(method, target, if_match, body);
+        if method != "GET" {
+            self.answer_reads(open_reads);
+        }
+        call
+    }
+
+    /// The store answers the reads that came after the first `kept`.
+    pub fn answer_reads(&mut self, kept: usize) {
+        for ticket in self.reads.split_off(kept) {
+            let result = Ok(self.store.rev());
+            self.handle(Input::Store(FromStore::Reads { ticket, result }));
+        }
+    }
+
+    /// Hands over a call, and nothing more.
+    pub fn hand_over(&mut self, method: &str, target: &str, if_match: Option<&str>, body: &str) -> u64 {
         self.calls += 1;
         let if_match = if_match.map(str::to_string);
         let request = Request { method: method.into(), target: target.into(), if_match, body: body.into() };
