Note every order that is acknowledged, so that an older one cannot undo it

Callers saw requests reach a zone after its evacuation was acknowledged.

Cause: an order that holds already was acknowledged without being noted as the last one of its subject. The fence then still stood at the order before it. A take-back that its operator had given up, held up in a store that hung, passed that fence when it came, and opened the zone for every proxy. The same early return served bookings, drills and rollouts, and the booking of an ended name was not fenced at all where its epoch still fitted.

Change: an order that is acknowledged becomes its subject's last one, whether or not it changes anything, and a booking is fenced unless what is known of it refuses it.

Evidence: the three tests of the agreed state failed before and pass.

--- a/crates/cluster/src/describe.rs
+++ b/crates/cluster/src/describe.rs
@@ -19,7 +19,10 @@
             Command::Book(change) => change.fmt(f),
             Command::Drill(change) => change.fmt(f),
             Command::Rollout(change) => change.fmt(f),
-            Command::Fenced { seen, order } => write!(f, "{order}, as of {seen}"),
+            Command::Fenced { seen, order } => match &**order {
+                Command::Fenced { order, .. } => write!(f, "{order}, as of {seen}"),
+                order => write!(f, "{order}, as of {seen}"),
+            },
         }
     }
 }
--- a/crates/cluster/src/state.rs
+++ b/crates/cluster/src/state.rs
@@ -35,7 +35,8 @@
     Book(BookChange),
     Drill(DrillChange),
     /// An order as a registry took it whose copy had come to `seen`: without effect if what it is about was changed after
-    /// that, for then it is a late copy, or its operator could not know.
+    /// that, for then it is a late copy, or its operator could not know. Operators' orders are fenced twice; see
+    /// [`Command::fenced`].
     Fenced {
         seen: Rev,
         order: Box<Command>,
@@ -44,9 +45,12 @@
 }
 
 impl Command {
-    /// An operator's order as a registry proposes it whose copy had come to `seen`.
+    /// An operator's order as a registry proposes it whose copy had come to `seen`. The second fence says that the order
+    /// counts as its subject's last one whenever it is acknowledged, not only when it changes something. Logs of programs
+    /// that wrote one fence keep their meaning, and those programs read two as one.
     pub fn fenced(seen: Rev, order: Command) -> Command {
-        Command::Fenced { seen, order: Box::new(order) }
+        let once = Command::Fenced { seen, order: Box::new(order) };
+        Command::Fenced { seen, order: Box::new(once) }
     }
 
     /// About what it takes on a link; more than that for those that are not configurations.
@@ -134,6 +138,15 @@
     pub front: SocketAddr,
 }
 
+/// After which orders a fence moves on.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Records {
+    /// Those that change something, in logs of earlier programs.
+    Changes,
+    /// All that are acknowledged.
+    Acknowledged,
+}
+
 /// What became of a command.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Done {
@@ -258,8 +271,12 @@
     fn order(&mut self, now: Micros, rev: Rev, command: &Command) -> Done {
         match command {
             Command::Fenced { seen, order } => {
-                let done = self.fenced(now, rev, *seen, order);
-                log::info!("revision {rev}: {command}: {done:?}");
+                let (order, records) = match &**order {
+                    Command::Fenced { order, .. } => (order, Records::Acknowledged),
+                    _ => (order, Records::Changes),
+                };
+                let done = self.fenced(now, rev, *seen, order, records);
+                log::info!("revision {rev}: {order}, as of {seen}: {done:?}");
                 done
             }
             Command::Configure(change) => match self.consider(change) {
@@ -333,19 +350,23 @@
     }
 
     /// An order that holds already is acknowledged, also one that comes late.
-    fn fenced(&mut self, now: Micros, rev: Rev, seen: Rev, order: &Command) -> Done {
+    fn fenced(&mut self, now: Micros, rev: Rev, seen: Rev, order: &Command, records: Records) -> Done {
         let Some(subject) = orders::subject(order) else { return self.order(now, rev, order) };
         let mut call = None;
         // Whether it holds already, and whether what is known of its subject decides without the fence.
         let (holds, decides) = match order {
             Command::Evacuate { zone, on } => (self.evacuated.contains(zone) == *on, false),
-            Command::Book(BookChange::Put { booking, base, .. }) => {
+            Command::Book(BookChange::Put { booking, base, room }) => {
                 let fingerprint = orders::booking_fingerprint(booking, *base);
                 call = Some(fingerprint);
                 let known = self.bookings.get(&booking.name);
                 let took = self.subjects.took(&subject, fingerprint);
                 let holds = known.is_some_and(|k| (k.booking == *booking && !k.cancelled) || took);
-                (holds, known.is_some())
+                let decides = match records {
+                    Records::Changes => known.is_some(),
+                    Records::Acknowledged => self.bookings.consider(booking, *base, *room).is_err(),
+                };
+                (holds, decides)
             }
             Command::Book(BookChange::Cancel { name }) => {
                 (self.bookings.get(name).is_some_and(|b| b.phase >= Phase::Closing), false)
@@ -366,6 +387,9 @@
             _ => (false, true),
         };
         if holds {
+            if records == Records::Acknowledged {
+                self.subjects.change(&subject, rev, None);
+            }
             return Done::Taken;
         }
         if !decides && self.subjects.changed_after(&subject, seen) {
--- a/crates/cluster/tests/orders.rs
+++ b/crates/cluster/tests/orders.rs
@@ -238,7 +238,7 @@
 // ---- orders that name no version ----
 
 fn evacuate(seen: u64, on: bool) -> Command {
-    Command::Fenced { seen, order: Box::new(Command::Evacuate { zone: "a".into(), on }) }
+    Command::fenced(seen, Command::Evacuate { zone: "a".into(), on })
 }
 
 /// An operator evacuates, takes it back, evacuates again, each once the one before is acknowledged; each call goes to two
@@ -300,8 +300,8 @@
     }
     // Other subjects push it out: then what was known before is too old.
     for n in 0..=MOST_SUBJECTS {
-        let order = Box::new(Command::Evacuate { zone: format!("z{n}"), on: true });
-        let done = apply(&mut state, Command::Fenced { seen: 3, order });
+        let order = Command::Evacuate { zone: format!("z{n}"), on: true };
+        let done = apply(&mut state, Command::fenced(3, order));
         assert_eq!(done, Done::Taken);
     }
     assert_eq!(state.subjects.len(), MOST_SUBJECTS);
@@ -330,11 +330,11 @@
     let mut state = State::default();
     let book = |seen, flight, base, room| {
         let put = BookChange::Put { booking: booking(flight), base, room };
-        Command::Fenced { seen, order: Box::new(Command::Book(put)) }
+        Command::fenced(seen, Command::Book(put))
     };
     let cancel = |seen| {
         let cancel = BookChange::Cancel { name: "a".into() };
-        Command::Fenced { seen, order: Box::new(Command::Book(cancel)) }
+        Command::fenced(seen, Command::Book(cancel))
     };
     assert_eq!(apply(&mut state, book(0, 6, 0, 10)), Done::Taken);
     assert_eq!(
@@ -366,7 +366,7 @@
         "service_list":{"column_set":["entity_name"],"row_set":[["heron"]]},
         "tenant_list":{"column_set":["entity_name","access_keys"],"row_set":[["reed",["k1"]]]}}"#;
     configure(&mut state, &Change { base: 0, patch: false, body: config.into() });
-    let fenced = |seen, of: DrillChange| Command::Fenced { seen, order: Box::new(Command::Drill(of)) };
+    let fenced = |seen, of: DrillChange| Command::fenced(seen, Command::Drill(of));
     let start = |name: &str| {
         let body = r#"{"caller":{"tenant_name":"reed"},"fault":{"fault_kind":"lost"},"duration_ms":9000,
             "asked_by":"a","reason":"b"}"#;
@@ -394,22 +394,14 @@
     assert_eq!(state.drills.running().count(), 0);
 }
 
-fn in_order(seen: u64, order: Command) -> Command {
-    Command::fenced(seen, order)
-}
-
-fn move_zone(seen: u64, on: bool) -> Command {
-    in_order(seen, Command::Evacuate { zone: "a".into(), on })
-}
-
 /// Guards against a zone that opens again after its evacuation was acknowledged: a take-back that its operator gave up
 /// comes late, and the evacuation that was ordered after it had found the zone still evacuated.
 #[test]
 fn an_evacuation_that_is_acknowledged_is_not_undone_by_a_take_back_that_was_given_up() {
     let mut state = State::default();
-    assert_eq!(apply(&mut state, move_zone(0, true)), Done::Taken);
-    let given_up = move_zone(state.rev, false);
-    let again = move_zone(state.rev, true);
+    assert_eq!(apply(&mut state, evacuate(0, true)), Done::Taken);
+    let given_up = evacuate(state.rev, false);
+    let again = evacuate(state.rev, true);
     assert_eq!(apply(&mut state, again), Done::Taken);
     assert_eq!(apply(&mut state, given_up), Done::Overtaken);
     assert!(state.evacuated.contains("a"));
@@ -449,7 +441,7 @@
     fn order(&self, on: bool, lag: u64) -> Orders {
         let mut next = self.clone();
         let rev = next.state.rev;
-        let copy = |seen| (next.wanted.len(), move_zone(seen, on));
+        let copy = |seen| (next.wanted.len(), evacuate(seen, on));
         let (fresh, old) = (copy(rev), copy(rev.saturating_sub(lag)));
         next.copies.extend([fresh, old]);
         next.wanted.push(on);
@@ -487,16 +479,16 @@
     let book = |base| Command::Book(BookChange::Put { booking: booking(6), base, room: 10 });
     let cancel = || Command::Book(BookChange::Cancel { name: "a".into() });
     let mut state = State::default();
-    assert_eq!(apply(&mut state, in_order(0, book(0))), Done::Taken);
+    assert_eq!(apply(&mut state, Command::fenced(0, book(0))), Done::Taken);
     let rev = state.rev;
-    assert_eq!(apply(&mut state, in_order(rev, cancel())), Done::Taken);
+    assert_eq!(apply(&mut state, Command::fenced(rev, cancel())), Done::Taken);
     let mut anew = booking(4);
     anew.flight = 4;
     let epoch = state.bookings["a"].epoch;
     let given_up = Command::Book(BookChange::Put { booking: anew, base: epoch, room: 10 });
     let rev = state.rev;
-    assert_eq!(apply(&mut state, in_order(rev, cancel())), Done::Taken, "it has ended already");
-    assert_eq!(apply(&mut state, in_order(rev, given_up)), Done::Overtaken);
+    assert_eq!(apply(&mut state, Command::fenced(rev, cancel())), Done::Taken, "it has ended already");
+    assert_eq!(apply(&mut state, Command::fenced(rev, given_up)), Done::Overtaken);
     assert!(state.bookings["a"].cancelled);
 
     let config = r#"{"config_version":"00000001","limits":{},"route_list":{"column_set":[],"row_set":[]},
@@ -505,9 +497,27 @@
     let order = r#"{"service_ref":"heron","target_version":"v2","rollout_term_s":9}"#;
     let order = cluster::rollout::Order::read(order.as_bytes()).expect("an order");
     let rev = state.rev;
-    let given_up = in_order(rev, Command::Rollout(RolloutChange::Start { order, after: None }));
+    let given_up = Command::fenced(rev, Command::Rollout(RolloutChange::Start { order, after: None }));
     let stop = Command::Rollout(RolloutChange::Stop { service: "heron".into() });
-    assert_eq!(apply(&mut state, in_order(rev, stop)), Done::Taken, "none runs");
+    assert_eq!(apply(&mut state, Command::fenced(rev, stop)), Done::Taken, "none runs");
     assert_eq!(apply(&mut state, given_up), Done::Overtaken);
     assert!(state.rollouts.running_of("heron").is_none());
 }
+
+/// A log of an earlier program, which fenced orders once, is applied as that program did: its replicas may have snapshots
+/// from after any of its entries.
+#[test]
+fn orders_of_earlier_programs_keep_their_meaning() {
+    let once =
+        |seen, on| Command::Fenced { seen, order: Box::new(Command::Evacuate { zone: "a".into(), on }) };
+    let mut state = State::default();
+    for (command, done) in [
+        (once(0, true), Done::Taken),
+        (once(1, true), Done::Taken),
+        (once(1, false), Done::Taken),
+        (once(1, true), Done::Overtaken),
+    ] {
+        assert_eq!(apply(&mut state, command), done);
+    }
+    assert!(state.evacuated.is_empty());
+}
