Tell a simulated registry that a caller has left while it was stopped

Cause: the simulator looked up what kind of connection had ended in the network, which forgets connections that both ends have closed. A registry that had been stopped was therefore never told that the caller of a call it had just read was gone, as a real one is.

Change: the registry's own set of open calls decides.

--- a/crates/simulator/src/process.rs
+++ b/crates/simulator/src/process.rs
@@ -494,10 +494,12 @@
                 Some(Kind::News) => read::<Up>(&body).map(|up| control_plane::Input::Proxy(conn, up)),
                 _ => None,
             },
+            // The network may have forgotten a connection that ended while this process was stopped.
+            Event::Down if r.calls.remove(&conn) => Some(control_plane::Input::CallClosed(conn)),
             Event::Down => match kind {
                 Some(Kind::Local) => r.store.fell(clock, conn).then_some(control_plane::Input::StoreDown),
                 Some(Kind::News) => Some(control_plane::Input::ProxyDown(conn)),
-                Some(Kind::Call) => r.calls.remove(&conn).then_some(control_plane::Input::CallClosed(conn)),
+                Some(Kind::Call) => None,
                 _ => {
                     r.peers.values_mut().for_each(|t| {
                         t.fell(clock, conn);
