Carry out no order whose caller has left by the time it is read

Callers saw requests reach a zone after its evacuation was acknowledged.

Cause: a registry that was stopped finds calls in its sockets whose callers have turned to other registries long ago. It read them, took the revision of its copy at that moment for their fencing token, and proposed them. If it had taken the news of a newer evacuation first, an old take-back passed for a new one. That the caller had gone was told to the registry a moment later and dropped only the answer.

Change: the listener of a registry reads to the end of what has come before it hands over a request, and drops one whose client has closed. And an order without a version is proposed only once the store has answered a read, by when the end of a connection that crossed the request is known; its fencing token stays that of the moment in which it was read.

An order takes a round trip to the leader more.

--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -47,6 +47,12 @@
         1
     }
 
+    /// Whether a complete request is dropped if its client has closed its side by then. Such a request may have waited
+    /// for as long as this process was stopped, and its client may have sent it elsewhere since.
+    fn drops_abandoned(&self) -> bool {
+        false
+    }
+
     /// The client has disconnected, or was disconnected, before its request was answered.
     fn client_gone(&self, id: u64);
 
--- a/crates/net/src/listener/connection.rs
+++ b/crates/net/src/listener/connection.rs
@@ -385,6 +385,21 @@
         self.incoming.fill(max_bytes, |room| socket.read(room))
     }
 
+    /// Reads ahead as far as there is room. Returns whether the end of the stream, or an error, was read.
+    fn client_has_closed(&mut self) -> bool {
+        loop {
+            let mut socket = self.io.socket();
+            match self.incoming.fill(MAX_READ_AHEAD_BYTES, |room| socket.read(room)) {
+                Ok(Some(filled)) if filled.bytes > 0 => {}
+                Ok(Some(_)) => return true,
+                Ok(None) => return false,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return false,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return true,
+            }
+        }
+    }
+
     /// Sets the timer that ends a break.
     fn take_break(&self) {
         let connection = self.connection.clone();
@@ -430,6 +445,10 @@
             if part.body.done()
                 && let Some(part) = self.partial.take()
             {
+                if self.listener.handler.drops_abandoned() && self.client_has_closed() {
+                    self.ended = true;
+                    return Ok(false);
+                }
                 self.pass_to_handler(part);
                 return Ok(true);
             }
--- a/crates/net/src/listener/model.rs
+++ b/crates/net/src/listener/model.rs
@@ -71,6 +71,7 @@
     received: Mutex<Vec<(u64, String)>>,
     gone: Mutex<Vec<u64>>,
     draining: AtomicBool,
+    drops_abandoned: AtomicBool,
 }
 
 impl Handler for ManualHandler {
@@ -109,6 +110,10 @@
         3
     }
 
+    fn drops_abandoned(&self) -> bool {
+        self.drops_abandoned.load(Ordering::Relaxed)
+    }
+
     fn client_gone(&self, id: u64) {
         self.gone.lock().expect("not poisoned").push(id);
     }
@@ -148,26 +153,12 @@
     CutLooksWhole,
 }
 
-/// Runs one connection whose client sends the requests `sent`, indexes into `REQUESTS`; returns what went wrong, if
-/// anything. The first word says what:
-///
-/// | Word | Fault |
-/// |---|---|
-/// | `HEARD` | The handler received other requests than were sent, or in another order. |
-/// | `OWED` | At the end a request was not answered, and not reported as gone or reported so without cause. |
-/// | `GARBLED` | What the client reads is not the complete head of an answer. |
-/// | `UNFRAMED` | The head of an answer gives no length. |
-/// | `UNASKED` | An answer follows the last one due: the connection was to be closed, or no request is left. |
-/// | `MIXED` | An answer has not the body of its request, nor the start of it if one was cut. |
-/// | `SHORT` | A body ends early although no answer was cut, or the connection has not ended. |
-fn run(
+/// A connection that has just been accepted.
+fn connect(
     resources: &Arc<Resources>,
     alarm: &Alarm,
-    tape: &mut Tape,
-    sent: &[usize],
-    planted: Option<PlantedFault>,
-) -> Option<String> {
-    let handler = Arc::new(ManualHandler::default());
+    handler: &Arc<ManualHandler>,
+) -> (Client<ManualHandler, Pipe>, Pipe) {
     let listener = Arc::new(Listener {
         resources: resources.clone(),
         handler: handler.clone(),
@@ -188,7 +179,30 @@
         request_count: AtomicU32::new(0),
     });
     let (pipe, fd) = (Pipe::default(), resources.fds.take(ConnectionKind::Client).expect("a descriptor"));
-    let mut client = Client::new(pipe.clone(), listener, connection, fd);
+    (Client::new(pipe.clone(), listener, connection, fd), pipe)
+}
+
+/// Runs one connection whose client sends the requests `sent`, indexes into `REQUESTS`; returns what went wrong, if
+/// anything. The first word says what:
+///
+/// | Word | Fault |
+/// |---|---|
+/// | `HEARD` | The handler received other requests than were sent, or in another order. |
+/// | `OWED` | At the end a request was not answered, and not reported as gone or reported so without cause. |
+/// | `GARBLED` | What the client reads is not the complete head of an answer. |
+/// | `UNFRAMED` | The head of an answer gives no length. |
+/// | `UNASKED` | An answer follows the last one due: the connection was to be closed, or no request is left. |
+/// | `MIXED` | An answer has not the body of its request, nor the start of it if one was cut. |
+/// | `SHORT` | A body ends early although no answer was cut, or the connection has not ended. |
+fn run(
+    resources: &Arc<Resources>,
+    alarm: &Alarm,
+    tape: &mut Tape,
+    sent: &[usize],
+    planted: Option<PlantedFault>,
+) -> Option<String> {
+    let handler = Arc::new(ManualHandler::default());
+    let (mut client, pipe) = connect(resources, alarm, &handler);
     let bytes: Vec<u8> = sent.iter().flat_map(|n| REQUESTS[*n].0.bytes()).collect();
     let split = tape.pick(bytes.len());
     let mut parts = vec![bytes[split..].to_vec(), bytes[..split].to_vec()];
@@ -346,3 +360,25 @@
         assert!(fault.is_some_and(|f| f.starts_with("MIXED")), "{planted:?}");
     }
 }
+
+/// Guards against an order that takes effect long after its caller has turned elsewhere: the process was stopped, and finds
+/// the request and the end of its connection at once.
+#[test]
+fn a_request_whose_client_has_closed_already_is_dropped_if_the_handler_wants_that() {
+    let (resources, alarm) = (resources(), Alarm::new(Clock::start()).expect("a timer"));
+    for (request, drops) in [(0, false), (0, true), (1, false), (1, true)] {
+        let handler = Arc::new(ManualHandler::default());
+        handler.drops_abandoned.store(drops, Ordering::Relaxed);
+        let (mut client, pipe) = connect(&resources, &alarm, &handler);
+        let send = || pipe.0.borrow_mut().to_listener.extend(REQUESTS[request].0.bytes());
+        let received = || handler.received.lock().expect("not poisoned").len();
+        send();
+        assert_eq!((client.step(events::READABLE), received()), (Next::Wait, 1), "its client waits");
+        let (_, whole, reply) = handler.unanswered.lock().expect("not poisoned").remove(0);
+        reply.send(Answer::text(200, whole));
+        send();
+        pipe.0.borrow_mut().client_closed = true;
+        client.step(events::READABLE);
+        assert_eq!(received(), if drops { 1 } else { 2 }, "request {request}");
+    }
+}
--- a/crates/registry/src/control_plane.rs
+++ b/crates/registry/src/control_plane.rs
@@ -97,6 +97,8 @@
 enum Awaited {
     /// A server's call. It is answered once the batch of this number, or a later one, has been applied.
     Batch(u64),
+    /// An operator's order that is proposed once the store has answered a read, if the caller still waits then.
+    Caller { ticket: u64, seen: Rev, order: Command },
     /// An operator's command.
     Command { ticket: u64, at: Option<Rev>, done: Option<Done> },
     /// A read of the configuration, answered once the copy has reached revision `at`.
@@ -506,12 +508,18 @@
         None
     }
 
-    /// Proposes a command that does not name the version it builds on; the revision of this copy is its fencing
-    /// token.
+    /// Takes an order that does not name the version it builds on; the revision of this copy is its fencing token. A call
+    /// may have waited in its socket while this process was stopped, so that its caller has repeated it elsewhere and
+    /// ordered otherwise since. By the time the store has answered a read, the end of such a call's connection is known.
     fn propose_fenced(&mut self, id: u64, order: Command, out: &mut Vec<Output>) -> Option<Answer> {
         let seen = self.copy.rev();
         log::info!("call {id}: {order}, read at revision {seen}");
-        self.propose_command(id, Command::fenced(seen, order), out)
+        let ticket = self.next_ticket();
+        let refusal = self.await_result(id, Awaited::Caller { ticket, seen, order });
+        if refusal.is_none() {
+            out.push(Output::Store(ToStore::Read { ticket }));
+        }
+        refusal
     }
 
     fn propose_command(&mut self, id: u64, command: Command, out: &mut Vec<Output>) -> Option<Answer> {
@@ -666,21 +674,30 @@
                     }
                 }
             }
-            FromStore::Reads { ticket, result } => {
-                let found = self.pending_calls.iter_mut().find_map(|(id, call)| match &mut call.awaited {
-                    Awaited::Read { ticket: t, at } | Awaited::Rollouts { ticket: t, at, .. }
-                        if *t == ticket =>
-                    {
-                        Some((*id, at))
-                    }
-                    _ => None,
-                });
-                let Some((id, at)) = found else { return };
-                match result {
-                    Ok(rev) => *at = Some(rev),
-                    Err(_) => self.answer_call(id, Answer::unavailable("no leader"), out),
-                }
+            FromStore::Reads { ticket, result } => self.take_read_result(ticket, result, out),
+        }
+    }
+
+    fn take_read_result(&mut self, ticket: u64, result: Result<Rev, Unsure>, out: &mut Vec<Output>) {
+        let asked = |call: &PendingCall| match &call.awaited {
+            Awaited::Caller { ticket: t, .. }
+            | Awaited::Read { ticket: t, .. }
+            | Awaited::Rollouts { ticket: t, .. } => *t == ticket,
+            Awaited::Batch(_) | Awaited::Command { .. } => false,
+        };
+        let Some((id, call)) = self.pending_calls.iter_mut().find(|(_, call)| asked(call)) else { return };
+        let id = *id;
+        let Ok(rev) = result else { return self.answer_call(id, Answer::unavailable("no leader"), out) };
+        match &mut call.awaited {
+            Awaited::Read { at, .. } | Awaited::Rollouts { at, .. } => *at = Some(rev),
+            Awaited::Caller { seen, order, .. } if self.now < call.deadline => {
+                let command = Command::fenced(*seen, order.clone());
+                self.last_ticket += 1;
+                let ticket = self.last_ticket;
+                call.awaited = Awaited::Command { ticket, at: None, done: None };
+                out.push(Output::Store(ToStore::Propose { ticket, command }));
             }
+            _ => {}
         }
     }
 
--- a/crates/registry/src/main.rs
+++ b/crates/registry/src/main.rs
@@ -137,6 +137,10 @@
         self.inbox.post(Message::Call(id, ask, reply));
     }
 
+    fn drops_abandoned(&self) -> bool {
+        true
+    }
+
     fn client_gone(&self, id: u64) {
         self.inbox.post(Message::CallClosed(id));
     }
