Log what is open when a proxy exits

A proxy that reaches the end of its grace period ends its open requests without a word, so a request that was cut off then could not be told from one that was cut off by its pool. It logs the number of open requests and connections, and writes its log out if there are requests.

--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -139,6 +139,7 @@
         listener,
         finished,
         shutdown: Shutdown::new(grace_us),
+        exiting: false,
     };
     event_loop.run(proxy_loop, &finished_receiver)
 }
@@ -334,6 +335,7 @@
     /// Told once the proxy may exit.
     finished: Sender<()>,
     shutdown: Shutdown,
+    exiting: bool,
 }
 
 impl ProxyLoop {
@@ -512,7 +514,14 @@
         match self.shutdown.step(now, status) {
             Step::Serve => {}
             Step::StopAccepting => listener.stop_accepting(),
+            Step::Exit if self.exiting => {}
             Step::Exit => {
+                self.exiting = true;
+                let requests = self.dispatcher.open_requests();
+                log::info!("exiting, {requests} requests open on {} connections", status.open_connections);
+                if requests > 0 {
+                    runtime::log_buffer::dump("requests are open at the end of the grace period");
+                }
                 let _ = self.finished.send(());
             }
         }
