Take no request behind one that waits once a listener drains

Callers lost a request: sent 3.5 s after SIGTERM, run by its server, and never answered, as the proxy exited at the end of its grace period.

Cause: a connection that pipelines took further requests for as long as an earlier one had no answer. Each may hold the connection open for its own time again, so a request could be taken so late that the process ended before the answers in front of it were there.

Change: while the handler drains, a connection takes a request only if none is before it. The answer before it closes the connection, and the client sends it elsewhere, as the protocol has it.

Evidence: the test of the listener took three requests of three before, now the two that had come before.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -102,6 +102,9 @@
         days: u64,
         #[arg(long, value_enum, default_value = "large")]
         shape: SoakShape,
+        /// Days about evacuations alone, in so many rounds of 25 s.
+        #[arg(long, value_name = "ROUNDS")]
+        evacuations: Option<u32>,
         /// Days played at the same time.
         #[arg(long, default_value_t = 2)]
         jobs: usize,
@@ -256,13 +259,15 @@
             true
         }),
         Command::System { command } => runtime().block_on(play_system(command)),
-        Command::Soak { seed, days, shape, jobs, processes, out, bin, keep_all } => {
+        Command::Soak { seed, days, shape, evacuations, jobs, processes, out, bin, keep_all } => {
             let shape = match shape {
                 SoakShape::Large => soak::shape::Shape::large(),
                 SoakShape::Small => soak::shape::Shape::small(),
             };
             let seeds = (seed..seed.saturating_add(days)).collect();
-            let options = soak::Options { out: out.clone(), bin, seeds, shape, jobs, processes, keep_all };
+            let about = evacuations.map_or(soak::About::Seed, |rounds| soak::About::Evacuations { rounds });
+            let options =
+                soak::Options { out: out.clone(), bin, seeds, shape, about, jobs, processes, keep_all };
             soak::run(&options).map(|report| {
                 print!("\n{}", report.summary());
                 println!("report, and what failed: {}", out.display());
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -3,6 +3,7 @@
 //! kept. `docs/lab/soak.md` says how to use it.
 
 mod budget;
+pub mod evacuations;
 mod evidence;
 pub mod report;
 pub mod schedule;
@@ -18,6 +19,26 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::signal::unix::{SignalKind, signal};
 
+/// What the days are about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum About {
+    /// What the seed says, see [`schedule::Kind`].
+    Seed,
+    /// Evacuations, in so many rounds.
+    Evacuations { rounds: u32 },
+}
+
+impl About {
+    fn draw(self, shape: &Shape, seed: u64) -> String {
+        match self {
+            About::Seed => schedule::draw(shape, seed),
+            About::Evacuations { rounds } => {
+                evacuations::draw(&evacuations::shape(shape, rounds), seed, rounds)
+            }
+        }
+    }
+}
+
 /// What a soak is asked to do.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -27,6 +48,7 @@
     pub bin: PathBuf,
     pub seeds: Vec<u64>,
     pub shape: Shape,
+    pub about: About,
     /// Days played at the same time.
     pub jobs: usize,
     /// Processes of all days together, at the most.
@@ -76,7 +98,7 @@
     loop {
         let next = lock(waiting).pop_front();
         let Some(seed) = next else { return Ok(()) };
-        let text = schedule::draw(&options.shape, seed);
+        let text = options.about.draw(&options.shape, seed);
         let script = Script::read(&text).map_err(|e| format!("seed {seed}: {e}"))?;
         let _room = budget.take(processes_of(&script.scenario));
         let Some(row) = play(options, seed, &text, &script)? else {
--- a/crates/lab/src/soak/schedule.rs
+++ b/crates/lab/src/soak/schedule.rs
@@ -8,9 +8,9 @@
 use std::fmt::Write;
 
 /// Traffic runs between these, in seconds; what is done is done between them.
-const FIRST: f64 = 8.5;
+pub(super) const FIRST: f64 = 8.5;
 /// Nothing new is begun so long before the day ends.
-const LAST: f64 = 7.0;
+pub(super) const LAST: f64 = 7.0;
 /// Terms of rollouts, in seconds, at least and at most.
 const TERMS: (f64, f64) = (13.0, 18.0);
 /// Rollouts are drawn from a source of their own, so that the rest of a seed's day stays as it was without them.
@@ -49,11 +49,12 @@
     }
 }
 
-struct Draft<'s> {
-    shape: &'s Shape,
-    rng: StdRng,
-    text: String,
-    proxies: usize,
+/// A schedule that is being drawn.
+pub(super) struct Draft<'s> {
+    pub(super) shape: &'s Shape,
+    pub(super) rng: StdRng,
+    pub(super) text: String,
+    pub(super) proxies: usize,
     /// Servers that were not asked to leave yet, by name.
     servers: Vec<String>,
     added: Vec<String>,
@@ -62,14 +63,8 @@
 
 /// The scenario of this seed.
 pub fn draw(shape: &Shape, seed: u64) -> String {
-    let mut rng = StdRng::seed_from_u64(seed);
-    let crowded = seed % shape.crowded_every == shape.crowded_every - 1;
-    let usual = rng.gen_range(shape.proxies.0..=shape.proxies.1);
-    let proxies = if crowded { shape.crowded } else { usual };
-    let servers = shape.services.iter().flat_map(|(name, n)| (1..=*n).map(move |k| format!("{name}{k}")));
-    let servers = servers.collect();
-    let mut draft = Draft { shape, rng, text: String::new(), proxies, servers, added: Vec::new(), names: 0 };
-    draft.head(seed);
+    let mut draft = Draft::new(shape, seed);
+    draft.head(seed, Kind::of(seed).name());
     let (from, to) = (FIRST, shape.length_s as f64 - LAST);
     match Kind::of(seed) {
         Kind::Planned => {
@@ -112,19 +107,32 @@
     draft.text
 }
 
+impl<'s> Draft<'s> {
+    pub(super) fn new(shape: &'s Shape, seed: u64) -> Draft<'s> {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let crowded = seed % shape.crowded_every == shape.crowded_every - 1;
+        let usual = rng.gen_range(shape.proxies.0..=shape.proxies.1);
+        let proxies = if crowded { shape.crowded } else { usual };
+        let servers = shape.services.iter().flat_map(|(name, n)| (1..=*n).map(move |k| format!("{name}{k}")));
+        let servers = servers.collect();
+        Draft { shape, rng, text: String::new(), proxies, servers, added: Vec::new(), names: 0 }
+    }
+}
+
 impl Draft<'_> {
     fn line(&mut self, line: std::fmt::Arguments) {
         let _ = writeln!(self.text, "{line}");
     }
 
-    fn at(&mut self, at: f64, what: std::fmt::Arguments) {
+    pub(super) fn at(&mut self, at: f64, what: std::fmt::Arguments) {
         let _ = writeln!(self.text, "at {at:.2} {what}");
     }
 
-    fn head(&mut self, seed: u64) {
+    /// `about`: what the day is about.
+    pub(super) fn head(&mut self, seed: u64, about: &str) {
         let shape = self.shape;
         let proxies = self.proxies;
-        self.line(format_args!("# soak seed {seed}: {}, {proxies} proxies", Kind::of(seed).name()));
+        self.line(format_args!("# soak seed {seed}: {about}, {proxies} proxies"));
         self.line(format_args!("seconds {}", shape.length_s));
         for (zone, region) in &shape.zones {
             self.line(format_args!("zone {zone} {region}"));
@@ -174,7 +182,7 @@
         }
     }
 
-    fn hangups(&mut self, from: f64, to: f64, count: usize) {
+    pub(super) fn hangups(&mut self, from: f64, to: f64, count: usize) {
         for _ in 0..count {
             let at = self.rng.gen_range(from..to);
             let who = ["edges", "edges", "cores", "leader"][self.rng.gen_range(0..4)];
@@ -186,7 +194,7 @@
     }
 
     /// Configurations one after the other, at times two on one version, and invalid ones between.
-    fn changes(&mut self, from: f64, to: f64, gap: (f64, f64)) {
+    pub(super) fn changes(&mut self, from: f64, to: f64, gap: (f64, f64)) {
         let mut at = from;
         while at < to {
             let what = self.change();
--- a/crates/lab/tests/soak.rs
+++ b/crates/lab/tests/soak.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use curlewfront_lab::soak::{self, Options, schedule, shape::Shape};
+use curlewfront_lab::soak::{self, About, Options, evacuations, schedule, shape::Shape};
 use curlewfront_lab::system::observed::{LateHandlers, Observed, Readiness, StaleAddress, TimeHanded};
 use curlewfront_lab::system::rollouts::Script;
 use curlewfront_lab::system::{self, rules};
@@ -209,6 +209,19 @@
     }
 }
 
+#[test]
+fn a_seed_draws_the_same_evacuations_each_time() {
+    for (seed, rounds) in (0..30).map(|seed| (seed, 1 + (seed % 2) as u32)) {
+        let shape = evacuations::shape(&Shape::large(), rounds);
+        let text = evacuations::draw(&shape, seed, rounds);
+        assert_eq!(text, evacuations::draw(&shape, seed, rounds));
+        let script = Script::read(&text).unwrap_or_else(|e| panic!("seed {seed}: {e}"));
+        let lines = |what: &str| text.lines().filter(|l| l.contains(what)).count();
+        assert_eq!((lines(" evacuate "), lines(" return ")), (2 * rounds as usize, 2 * rounds as usize));
+        assert!(lines(" stall ") >= 2 && script.scenario.keeps_connections, "seed {seed}");
+    }
+}
+
 /// The short run of CI: planned work, core machines that end, and kills, each with rollouts. The bounds in time are seconds, which only a
 /// hang reaches.
 #[test]
@@ -216,7 +229,8 @@
     let bin = common::built(&["curlewfront-config-store", "curlewfront-registry", "curlewfront-proxy"]);
     let out = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak");
     let (seeds, shape) = (vec![5, 6, 7], Shape::small());
-    let options = Options { out, bin, seeds, shape, jobs: 3, processes: 100, keep_all: false };
+    let about = About::Seed;
+    let options = Options { out, bin, seeds, shape, about, jobs: 3, processes: 100, keep_all: false };
     let report = soak::run(&options).expect("the days are played");
     assert_eq!(report.rows.len(), 3);
     let lines: Vec<String> = report.rows.iter().map(|row| row.line()).collect();
@@ -225,6 +239,20 @@
     assert!(all, "{}", lines.join("\n"));
 }
 
+/// The short run of days about evacuations: take-backs that are given up, and such that are read late.
+#[test]
+fn a_short_soak_of_evacuations_keeps_all_rules() {
+    let bin = common::built(&["curlewfront-config-store", "curlewfront-registry", "curlewfront-proxy"]);
+    let out = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak-evacuations");
+    let (seeds, shape, about) = (vec![0, 1], Shape::small(), About::Evacuations { rounds: 1 });
+    let options = Options { out, bin, seeds, shape, about, jobs: 2, processes: 100, keep_all: false };
+    let report = soak::run(&options).expect("the days are played");
+    let lines: Vec<String> = report.rows.iter().map(|row| row.line()).collect();
+    assert_eq!(lines.len(), 2);
+    assert_eq!(report.failed(), 0, "kept in {}:\n{}", options.out.display(), lines.join("\n"));
+    assert!(report.rows.iter().all(|row| row.served > 0 && row.probes > 0), "{}", lines.join("\n"));
+}
+
 // Guards against bad versions that are completed for want of answers: few are asked for, and proxies that end in series take
 // their counts along. All rules are judged, too, as in the other days of the short run.
 #[test]
--- a/crates/net/src/listener/connection.rs
+++ b/crates/net/src/listener/connection.rs
@@ -406,9 +406,12 @@
         self.listener.resources.alarms.after(BREAK_US, move || connection.inbox.post(ToConnection::Resume));
     }
 
-    /// Whether another request may be processed: if none is under way, or together with others that may be pipelined.
+    /// Whether another request may be processed: if none is under way, or together with others that may be pipelined. While
+    /// the handler drains, none is taken behind another, as each could hold the connection open for its own time; the
+    /// answer before it closes the connection, and the client sends it elsewhere.
     fn may_process_request(&self) -> bool {
-        let max = self.listener.handler.max_pipelined();
+        let handler = &self.listener.handler;
+        let max = if handler.draining() { 1 } else { handler.max_pipelined() };
         !self.no_more_requests
             && (self.pending.is_empty()
                 || (self.pending.len() < max && self.pending.iter().all(|p| p.pipelinable)))
--- a/crates/net/src/listener/model.rs
+++ b/crates/net/src/listener/model.rs
@@ -382,3 +382,26 @@
         assert_eq!(received(), if drops { 1 } else { 2 }, "request {request}");
     }
 }
+
+/// Guards against a request that is taken seconds after its program was asked to stop, and is cut off with the one before
+/// it when the program's time is over: a client had sent it behind a request whose answer took long.
+#[test]
+fn a_draining_connection_takes_no_request_behind_one_that_waits() {
+    let (resources, alarm) = (resources(), Alarm::new(Clock::start()).expect("a timer"));
+    let handler = Arc::new(ManualHandler::default());
+    let (mut client, pipe) = connect(&resources, &alarm, &handler);
+    let send = |client: &mut Client<ManualHandler, Pipe>| {
+        pipe.0.borrow_mut().to_listener.extend(REQUESTS[0].0.bytes());
+        client.step(events::READABLE)
+    };
+    assert_eq!((send(&mut client), send(&mut client)), (Next::Wait, Next::Wait));
+    handler.draining.store(true, Ordering::Relaxed);
+    assert_eq!(send(&mut client), Next::Wait);
+    let taken = std::mem::take(&mut *handler.unanswered.lock().expect("not poisoned"));
+    assert_eq!(taken.len(), 2, "those that came before");
+    taken.into_iter().for_each(|(_, whole, reply)| reply.send(Answer::text(200, whole)));
+    assert_eq!(client.step(0), Next::Linger, "the connection ends with the last answer");
+    assert_eq!(handler.received.lock().expect("not poisoned").len(), 2);
+    let told = String::from_utf8_lossy(&pipe.0.borrow().to_client).into_owned();
+    assert_eq!((told.matches("HTTP/1.1 200").count(), told.matches("Connection: close").count()), (2, 1));
+}
