--- a/crates/lab/src/soak/evacuations.rs
+++ b/crates/lab/src/soak/evacuations.rs
@@ -7,6 +7,7 @@
 use rand::Rng;
 use rand::seq::SliceRandom;
 
+pub(super) const NAME: &str = "evacuations";
 /// Seconds of one evacuation with its troubles and the calm after them.
 const ROUND: f64 = 25.0;
 /// When in a round the core machines stand still, after the first evacuation.
@@ -46,7 +47,7 @@
 /// The scenario of this seed, over so many rounds.
 pub fn draw(shape: &Shape, seed: u64, rounds: u32) -> String {
     let mut draft = Draft::new(shape, seed);
-    draft.head(seed, "evacuations");
+    draft.head(seed, NAME);
     for round in 0..rounds {
         let from = FIRST + f64::from(round) * ROUND;
         draft.evacuation_round(from, seed + u64::from(round));
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -29,6 +29,13 @@
 }
 
 impl About {
+    fn name(self, seed: u64) -> &'static str {
+        match self {
+            About::Seed => schedule::Kind::of(seed).name(),
+            About::Evacuations { .. } => evacuations::NAME,
+        }
+    }
+
     fn draw(self, shape: &Shape, seed: u64) -> String {
         match self {
             About::Seed => schedule::draw(shape, seed),
@@ -136,15 +143,15 @@
     });
     drop(runtime);
     let Some(day) = day? else { return Ok(None) };
-    let scenario = &script.scenario;
+    let (scenario, about) = (&script.scenario, options.about.name(seed));
     let row = match &day {
         Ok(day) => {
             evidence::write(&dir, text, day)?;
-            Row::of(seed, scenario, day, evidence::worst_lag(&dir))
+            Row::of(seed, about, scenario, day, evidence::worst_lag(&dir))
         }
         Err(why) => {
             evidence::write_schedule(&dir, text)?;
-            Row::unplayed(seed, scenario, why)
+            Row::unplayed(seed, about, scenario, why)
         }
     };
     if row.kept() && !options.keep_all {
--- a/crates/lab/src/soak/report.rs
+++ b/crates/lab/src/soak/report.rs
@@ -1,6 +1,5 @@
 //! What a soak comes to: a row for each day, and the rules that were broken, by cases and by runs.
 
-use super::schedule::Kind;
 use crate::system::Day;
 use simulator::scenario::Scenario;
 use std::collections::BTreeMap;
@@ -10,7 +9,8 @@
 #[derive(Clone, Debug)]
 pub struct Row {
     pub seed: u64,
-    pub kind: &'static str,
+    /// What the day is about.
+    pub about: &'static str,
     pub proxies: usize,
     pub served: usize,
     pub owed: usize,
@@ -29,7 +29,7 @@
 }
 
 impl Row {
-    pub fn of(seed: u64, scenario: &Scenario, day: &Day, process_lag_ms: u64) -> Row {
+    pub fn of(seed: u64, about: &'static str, scenario: &Scenario, day: &Day, process_lag_ms: u64) -> Row {
         let mut broken = BTreeMap::new();
         for breach in &day.breaches {
             *broken.entry(breach.rule).or_default() += 1;
@@ -37,7 +37,7 @@
         let (served, owed) = day.record.served(0, day.record.ends);
         Row {
             seed,
-            kind: Kind::of(seed).name(),
+            about,
             proxies: scenario.edges,
             served,
             owed,
@@ -52,10 +52,10 @@
         }
     }
 
-    pub fn unplayed(seed: u64, scenario: &Scenario, why: &str) -> Row {
+    pub fn unplayed(seed: u64, about: &'static str, scenario: &Scenario, why: &str) -> Row {
         Row {
             seed,
-            kind: Kind::of(seed).name(),
+            about,
             proxies: scenario.edges,
             served: 0,
             owed: 0,
@@ -90,7 +90,7 @@
         format!(
             "seed {:4}  {:8} {:4} proxies  {:6} of {:6} served  {:5} probes  {} rollouts, {} not over by the term  late: processes {:5} ms, rig {:4} ms  {}",
             self.seed,
-            self.kind,
+            self.about,
             self.proxies,
             self.served,
             self.owed,
@@ -167,7 +167,7 @@
         for row in &self.rows {
             csv.write_record([
                 row.seed.to_string(),
-                row.kind.to_string(),
+                row.about.to_string(),
                 row.proxies.to_string(),
                 row.owed.to_string(),
                 row.served.to_string(),
