--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -56,7 +56,8 @@
     /// The client has disconnected, or was disconnected, before its request was answered.
     fn client_gone(&self, id: u64);
 
-    /// While true, each answer closes its connection, and idle connections are closed after half a second.
+    /// While true, each answer closes its connection, no request is taken behind one that waits, and idle connections are
+    /// closed after half a second.
     fn draining(&self) -> bool;
 
     /// The answer to a request that the listener itself refuses: malformed, too large, too slow (408), over the
