--- a/crates/simulator/src/judge.rs
+++ b/crates/simulator/src/judge.rs
@@ -114,15 +114,20 @@
             self.r.troubles.iter().any(|x| {
                 x.planned && x.host == t.edge && (x.from..=x.from + b.grace + SECOND).contains(&broken)
             });
-        let since = t.sent.saturating_sub(b.contact);
-        let unplanned = self.r.troubles.iter().any(|x| !x.planned && x.from <= broken && x.until >= since);
         let server_broke = t.arrivals.iter().any(|a| a.broke);
-        let closing = self.r.closing.as_ref().is_some_and(|c| broken >= c.at);
-        if due && planned && !unplanned && !server_broke && !closing && broken < t.until {
+        if due && planned && self.calm_until(t, broken) && !server_broke && broken < t.until {
             self.breach("LOST", n, "cut off around an end in order".into());
         }
     }
 
+    /// Whether there was no unplanned trouble from the contact time before a try until its end, nor the closing fault.
+    fn calm_until(&self, t: &Try, end: Micros) -> bool {
+        let since = t.sent.saturating_sub(self.r.bounds.contact);
+        let unplanned = self.r.troubles.iter().any(|x| !x.planned && x.from <= end && x.until >= since);
+        let before_closing = self.r.closing.as_ref().is_none_or(|c| end < c.at);
+        !unplanned && before_closing
+    }
+
     /// After SIGTERM a request was cut off at its server, and the proxy's own answer stands in the place of the server's.
     fn given_up_at_work(&mut self, n: u64, t: &Try) {
         let Some(answer) = t.answer.as_ref().filter(|a| a.seal.is_none()) else { return };
@@ -131,9 +136,6 @@
             return;
         }
         let b = &self.r.bounds;
-        let since = t.sent.saturating_sub(b.contact);
-        let calm = !self.r.troubles.iter().any(|x| !x.planned && x.from <= answer.at && x.until >= since);
-        let before_closing = self.r.closing.as_ref().is_none_or(|c| answer.at < c.at);
         let stopping = |cut: Micros| {
             self.r.troubles.iter().any(|x| {
                 let grace = x.from..=x.from + b.grace + SECOND;
@@ -142,7 +144,7 @@
             })
         };
         let cut = t.arrivals.iter().filter_map(|a| a.cut).any(|cut| cut < t.until && stopping(cut));
-        if cut && calm && before_closing {
+        if cut && self.calm_until(t, answer.at) {
             self.breach("LOST", n, "given up after SIGTERM while its server worked on it".into());
         }
     }
