--- a/crates/lab/tests/soak.rs
+++ b/crates/lab/tests/soak.rs
@@ -12,6 +12,7 @@
 use simulator::record::{Answer, Host, Record, Trouble};
 use simulator::scenario::Scenario;
 use std::path::PathBuf;
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 const DAY: &str = "
 seconds 46
@@ -222,10 +223,17 @@
     }
 }
 
+/// Days of real processes are played by one test at a time: each takes much of a machine, and is judged by seconds.
+fn machine() -> MutexGuard<'static, ()> {
+    static MACHINE: Mutex<()> = Mutex::new(());
+    MACHINE.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// The short run of CI: planned work, core machines that end, and kills, each with rollouts. The bounds in time are seconds, which only a
 /// hang reaches.
 #[test]
 fn a_short_soak_keeps_all_rules() {
+    let _machine = machine();
     let bin = common::built(&["curlewfront-config-store", "curlewfront-registry", "curlewfront-proxy"]);
     let out = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak");
     let (seeds, shape) = (vec![5, 6, 7], Shape::small());
@@ -242,6 +250,7 @@
 /// The short run of days about evacuations: take-backs that are given up, and such that are read late.
 #[test]
 fn a_short_soak_of_evacuations_keeps_all_rules() {
+    let _machine = machine();
     let bin = common::built(&["curlewfront-config-store", "curlewfront-registry", "curlewfront-proxy"]);
     let out = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak-evacuations");
     let (seeds, shape, about) = (vec![1, 3], Shape::small(), About::Evacuations { rounds: 1 });
@@ -257,6 +266,7 @@
 // their counts along. All rules are judged, too, as in the other days of the short run.
 #[test]
 fn a_short_soak_of_planned_work_completes_no_bad_version() {
+    let _machine = machine();
     let bin = common::built(&["curlewfront-config-store", "curlewfront-registry", "curlewfront-proxy"]);
     let out = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak-planned");
     let script = Script::read(&schedule::draw(&Shape::small(), 5)).expect("a script");
