--- a/review/grown.rs
+++ b/review/grown.rs
@@ -4,8 +4,8 @@
 use super::*;
 
 /// Each patch adds so many routes; all patches together make about 9.5 MB.
-const ROUTES_PER_PATCH: usize = 2_000;
-const PATCHES: usize = 48;
+const ROUTES_PER_PATCH: usize = 8_000;
+const PATCHES: usize = 12;
 /// The core's processes are back within a second.
 const PAUSE: Duration = Duration::from_millis(800);
 /// The operator reads for so long after that: twice `recovery_s` of the settings, six times `contact_ms`.
