--- a/review/split.rs
+++ b/review/split.rs
@@ -8,7 +8,10 @@
 /// Traffic before the evacuation and after it was taken back.
 const BEFORE: Duration = Duration::from_secs(10);
 const AFTER: Duration = Duration::from_secs(8);
-const GAP: Duration = Duration::from_millis(50);
+const GAP: Duration = Duration::from_millis(20);
+/// A part's share is judged over so many requests or more, and may be off by so much.
+const JUDGED_REQUESTS: usize = 200;
+const SHARE_OFF: f64 = 0.2;
 const DEADLINE_MS: u64 = 4000;
 const IN_USE: &str = "utu";
 const BEING_SET_UP: &str = "utu-next";
@@ -57,6 +60,7 @@
         waiting.into_iter().for_each(|client| _ = client.join());
     });
     thread::sleep(BEFORE);
+    let evacuated_from = record.now_s();
     if trouble {
         let evacuate = control_request("POST", "/api/evacuation/north-a", None, "");
         order(record, &control, "POST evacuation of north-a", &evacuate, limit)?;
@@ -66,6 +70,7 @@
     } else {
         thread::sleep(EVACUATED);
     }
+    let evacuated_to = record.now_s();
     thread::sleep(AFTER);
     stop.store(true, Ordering::Relaxed);
     let _ = generator.join();
@@ -84,14 +89,27 @@
     if served * 2 < tries.len() {
         return Err(format!("only {served} of {} payments were served", tries.len()));
     }
-    let broken = stray.first().map(|first| {
-        format!(
+    let mut broken = Vec::new();
+    if let Some(first) = stray.first() {
+        broken.push(format!(
             "ROUTE: {} payments ran at {BEING_SET_UP}, which no configuration gave any weight; the first, {}, at {} at {:.3} s",
             stray.len(),
             first.attempt,
             first.server,
             first.at_s
-        )
-    });
-    Ok(Verdict { broken: broken.into_iter().collect() })
+        ));
+    }
+    let within = |r: &&Run| r.at_s >= evacuated_from && r.at_s < evacuated_to;
+    let (of, part) = (all.iter().filter(within).count(), stray.iter().filter(|r| within(r)).count());
+    let share = part as f64 / of.max(1) as f64;
+    record.line(format!(
+        "{part} of {of} requests of the {:.1} s ran at {BEING_SET_UP}",
+        evacuated_to - evacuated_from
+    ));
+    if of >= JUDGED_REQUESTS && share > SHARE_OFF {
+        broken.push(format!(
+            "CONFIG: the share of {BEING_SET_UP} in {of} requests is {share:.2}, that of its weight is 0"
+        ));
+    }
+    Ok(Verdict { broken })
 }
