Review case 3: a stopping proxy gives up answers that pause for 2 s

Looked at: what ends an attempt whose answer has begun (crates/net/src/pool/exchange.rs, crates/proxy/src/main.rs): 2 s without its end or 64 KB more, whatever the deadline is and whether or not the proxy stops.

Done: a script with real processes (review/3); proxies are stopped in turn while sheets of 3 s of work are under way, whose servers send the head at once.

--- a/review/harness.rs
+++ b/review/harness.rs
@@ -139,6 +139,8 @@
     pub readiness: Vec<SocketAddr>,
     pub net: String,
     pub processes: Vec<Process>,
+    /// When processes were sent SIGTERM, in order.
+    pub stops: Vec<f64>,
     record: Record,
 }
 
@@ -192,6 +194,7 @@
             readiness: (0..proxies).map(|n| address(11 + n, READINESS_PORT)).collect(),
             net,
             processes: Vec::new(),
+            stops: Vec::new(),
             record: record.clone(),
         };
         for n in 1..=3 {
@@ -258,29 +261,29 @@
         command.spawn().map_err(|e| format!("{program}: {e}"))
     }
 
-    /// Kills the processes whose names begin so, all at once, and starts them again after a pause.
-    pub fn kill_and_restart(&mut self, names: &[&str], pause: Duration) -> Result<(), Problem> {
-        let hit = |p: &Process| names.iter().any(|n| p.name.starts_with(n));
-        let at: Vec<usize> = (0..self.processes.len()).filter(|n| hit(&self.processes[*n])).collect();
-        for n in &at {
-            let process = &mut self.processes[*n];
-            process.child.kill().map_err(|e| e.to_string())?;
-            self.record.line(format!("platform: SIGKILL to {}", process.name));
+    /// Stops a process as the platform does, with SIGTERM, and SIGKILL after the grace period, and starts it again.
+    pub fn stop_and_restart(&mut self, name: &str, grace: Duration) -> Result<(), Problem> {
+        let n = self.processes.iter().position(|p| p.name == name).ok_or("no such process")?;
+        let id = self.processes[n].child.id();
+        self.stops.push(self.record.now_s());
+        self.record.line(format!("platform: SIGTERM to {name}"));
+        let sent = Command::new("sh").args(["-c", &format!("kill -TERM {id}")]).status();
+        if !sent.is_ok_and(|status| status.success()) {
+            return Err(format!("cannot send SIGTERM to {name}"));
         }
-        for n in &at {
-            let _ = self.processes[*n].child.wait();
-        }
-        thread::sleep(pause);
-        for n in at {
-            // Only the first start of all is the initial one.
-            let settings = self.processes[n].settings.clone();
-            let text = fs::read_to_string(&settings).map_err(|e| e.to_string())?;
-            let text = text.replace("\"initial_start\":true", "\"initial_start\":false");
-            fs::write(&settings, text).map_err(|e| e.to_string())?;
-            let child = self.spawn(self.processes[n].program, &settings, &self.processes[n].log)?;
-            self.processes[n].child = child;
-            self.record.line(format!("platform: {} started again", self.processes[n].name));
+        let until = Instant::now() + grace;
+        while self.processes[n].child.try_wait().map_err(|e| e.to_string())?.is_none()
+            && Instant::now() < until
+        {
+            thread::sleep(Duration::from_millis(20));
         }
+        let _ = self.processes[n].child.kill();
+        let _ = self.processes[n].child.wait();
+        self.record.line(format!("platform: {name} has ended"));
+        let process = &self.processes[n];
+        let child = self.spawn(process.program, &process.settings, &process.log)?;
+        self.processes[n].child = child;
+        self.record.line(format!("platform: {name} started again"));
         Ok(())
     }
 
@@ -362,6 +365,8 @@
     pub takes: Duration,
     /// 200, or the server's own failure.
     pub status: u16,
+    /// The head and half of the body are sent at once, the rest when the work is done; else all at the end.
+    pub streams: bool,
 }
 
 /// One run of a request at a server.
@@ -449,15 +454,18 @@
         record.line(format!("server {id}: runs {attempt} ({path})"));
         let run = Run { attempt: attempt.clone(), path, server: id.into(), at_s, status };
         runs.0.lock().expect("not poisoned").push(run);
-        thread::sleep(work.takes);
         let reason = if status == 200 { "OK" } else { "Internal Server Error" };
         let body = format!("{attempt} by {id}\n");
-        let answer = format!(
-            "HTTP/1.1 {status} {reason}\r\nX-Attempt-Id: {attempt}\r\nX-Server-Seal: {attempt}.{id}\r\nContent-Length: {}\r\n\r\n{body}",
+        let head = format!(
+            "HTTP/1.1 {status} {reason}\r\nX-Attempt-Id: {attempt}\r\nX-Server-Seal: {attempt}.{id}\r\nContent-Length: {}\r\n\r\n",
             body.len()
         );
+        let whole = format!("{head}{body}");
+        let early = if work.streams { head.len() + body.len() / 2 } else { 0 };
+        stream.write_all(&whole.as_bytes()[..early])?;
+        thread::sleep(work.takes);
         record.line(format!("server {id}: answers {attempt} with {status}"));
-        stream.write_all(answer.as_bytes())?;
+        stream.write_all(&whole.as_bytes()[early..])?;
     }
     Ok(())
 }
@@ -517,12 +525,12 @@
     by_attempt
 }
 
-#[path = "grown.rs"]
-mod grown;
 #[path = "names.rs"]
 mod names;
 #[path = "split.rs"]
 mod split;
+#[path = "stall.rs"]
+mod stall;
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
@@ -541,7 +549,7 @@
     record.line(format!("case {case}, trouble: {trouble}"));
     let verdict = match case.as_str() {
         "names" => names::run(Path::new(programs), &record, trouble),
-        "grown" => grown::run(Path::new(programs), &record, trouble),
+        "stall" => stall::run(Path::new(programs), &record, trouble),
         "split" => split::run(Path::new(programs), &record, trouble),
         other => Err(format!("no case {other}")),
     };
--- a/review/names.rs
+++ b/review/names.rs
@@ -68,9 +68,9 @@
         match failing {
             Some(ms) if !seen.iter().any(|a| a == attempt) => {
                 seen.push(attempt.into());
-                Work { takes: Duration::from_millis(ms), status: 500 }
+                Work { takes: Duration::from_millis(ms), status: 500, streams: false }
             }
-            _ => Work { takes: usual_work(attempt), status: 200 },
+            _ => Work { takes: usual_work(attempt), status: 200, streams: false },
         }
     };
     let plan: Arc<Plan> = Arc::new(plan);
--- a/review/split.rs
+++ b/review/split.rs
@@ -32,7 +32,8 @@
     if order(record, &control, "PUT version 00000001", &put, limit)? != 200 {
         return Err("the configuration was refused".into());
     }
-    let plan: Arc<Plan> = Arc::new(|_, _| Work { takes: Duration::from_millis(100), status: 200 });
+    let plan: Arc<Plan> =
+        Arc::new(|_, _| Work { takes: Duration::from_millis(100), status: 200, streams: false });
     // Odd hosts stand in zone north-a, even ones in north-b.
     for host in [101, 103, 105] {
         start_server(record, &installation, IN_USE, host, &runs, plan.clone(), &stop)?;
