Handle each request to its end by the kind of the route that accepted it

Seen by callers: a route was added at the head of the list, so that route names moved by one place. A payment whose server then answered 500 ran at a second server, and its client got that one's 200; another payment, answered 500 too late for a retry, got 503 with Retry-After though it had run.

Cause: a request carried the number of its class alone, and `retry`, `give_up`, `pick_server` and the cap on work in flight looked the class up again when they needed it. A new configuration overwrites classes in place, by route name, so the request was handled as one of the route that has the name now.

--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -170,6 +170,11 @@
 }
 
 /// A request that has no final answer yet, or has attempts in flight.
+///
+/// A configuration that comes meanwhile changes nothing of it. Here or in its [`NewRequest`] it carries what its route and
+/// tenant said when it was accepted: service, kind, deadline, target, zones, attempt limit, tenant and booking. Only
+/// figures that are shared with other requests are the newest, and are found by numbers that never change their meaning:
+/// the tenant's quota, the state of a service and its servers, the room of a booking, the share of a trial.
 struct OpenRequest {
     attempt_id: Arc<[u8]>,
     /// The request without the lines that differ between attempts.
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -28,7 +28,7 @@
             return actions.push(Action::Refuse { id, retry_after_us: 0, over_quota: false });
         }
         let (spent, fleet) = (self.already_spent(&n), service as usize);
-        let (class_settings, plan) = (&self.config.classes[class], &self.config.plans[n.plan]);
+        let (class_settings, plan) = (self.config.classes[class], &self.config.plans[n.plan]);
         self.fleets[fleet].aim = self.fleets[fleet].aim.max(class_settings.aim_us);
         let margin = 2 * self.config.tick_us + class_settings.aim_us / 100;
         let aim = class_settings.aim_us.saturating_sub(spent).min(n.left_us).saturating_sub(margin);
@@ -65,10 +65,8 @@
         c.tokens -= units;
         c.queue(fleet).push_back(id);
         self.schedule_customer(key, Some(fleet), true);
-        let (attempts, draws, queued, streaming, done) = (Vec::new(), 0, true, false, false);
         let params = NewRequest { units, ..n };
-        self.requests
-            .insert(id, Request { params, best_by, deadline, attempts, draws, queued, streaming, done });
+        self.requests.insert(id, Request::new(params, class_settings, best_by, deadline));
         let likely = self.fleets[fleet].aimd.likely_latency();
         self.tasks.insert((best_by.saturating_sub(likely).max(self.now + 1), Task::Expire(id)));
     }
@@ -185,7 +183,8 @@
 
     /// Whether the customer may have one more attempt in flight here: up to share x rate x aim + burst units
     /// (Little's law), or its part of `at_once`; one is always allowed, but see `send_gap`.
-    pub(super) fn under_cap(&self, c: &Customer, r: &NewRequest) -> bool {
+    pub(super) fn under_cap(&self, c: &Customer, request: &Request) -> bool {
+        let r = &request.params;
         let (plan, share) = (&self.config.plans[c.plan], self.quota_share(c));
         if plan.at_once > 0 {
             // Whole parts that add up to the limit; a gateway whose part is 0 may send one now and then.
@@ -196,7 +195,7 @@
             let whole = ((index + 1.0) * part).floor() - (index * part).floor();
             return (c.in_flight as f64) < whole.max(min);
         }
-        let aim = self.config.classes[r.class].aim_us as f64 / 1e6;
+        let aim = request.aim_us as f64 / 1e6;
         let cap = plan.rate * share * aim + self.local_burst(c);
         c.in_flight == 0 || plan.rate == 0.0 || c.units_in_flight + r.units <= cap || self.booking_has_room(r)
     }
--- a/src/decide/choice.rs
+++ b/src/decide/choice.rs
@@ -53,11 +53,11 @@
         let (draws, draws_before) = (r.attempts.len() + 1, r.draws);
         r.draws = draws;
         let (r, fleet) = (&*r, &mut fleets[r.fleet()]);
-        let (effect, usual) = (config.classes[r.params.class].effect, fleet.aimd.latency);
+        let usual = fleet.aimd.latency;
         let even_share = fleet.aimd.permits / config.balancers as f64 * fleet.room_factor(config);
         let usable = |s: &Server| {
             let room = (s.in_flight as f64) < (MAX_LOAD_FACTOR * even_share * s.share).max(1.0);
-            room && (now >= s.token_at || !s.rate_limited(now, config)) && r.allows(s, effect, now)
+            room && (now >= s.token_at || !s.rate_limited(now, config)) && r.allows(s, now)
         };
         let cost = |s: &Server| {
             let served = 1.0 - s.decayed(now, s.error_rate, 0.0).min(0.9);
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -135,7 +135,7 @@
             let Some(&id) = queue.waiting.front() else { continue };
             self.refill(key);
             let (c, r) = (&self.customers[&key], &self.requests[&id]);
-            if !self.under_cap(c, &r.params) {
+            if !self.under_cap(c, r) {
                 let free_at = c.sent_at + self.send_gap(c, n);
                 if c.in_flight == 0 && free_at + self.fleets[n].aimd.likely_latency() > r.best_by {
                     self.give_up(id, actions);
--- a/src/decide/records.rs
+++ b/src/decide/records.rs
@@ -143,9 +143,14 @@
     pub may_have_run: bool,
 }
 
+/// A request that was accepted. What its class said at that moment holds to its end: the settings may give the
+/// class's number another effect or aim while it waits, is at a server, or is between two attempts.
 pub struct Request {
     /// The request as received, its units made finite and not negative.
     pub params: NewRequest,
+    pub effect: Effect,
+    /// The target latency of its class.
+    pub aim_us: Micros,
     /// An answer by `best_by` has its full worth, one after `deadline` none.
     pub best_by: Micros,
     pub deadline: Micros,
@@ -158,6 +163,24 @@
     pub done: bool,
 }
 
+impl Request {
+    /// A request that waits for its first attempt.
+    pub fn new(params: NewRequest, class: Class, best_by: Micros, deadline: Micros) -> Request {
+        Request {
+            params,
+            effect: class.effect,
+            aim_us: class.aim_us,
+            best_by,
+            deadline,
+            attempts: Vec::new(),
+            draws: 0,
+            queued: true,
+            streaming: false,
+            done: false,
+        }
+    }
+}
+
 #[derive(Default)]
 pub struct Server {
     pub fleet: usize,
--- a/src/decide/tries.rs
+++ b/src/decide/tries.rs
@@ -12,12 +12,12 @@
     }
 
     /// Whether an attempt may go to this server: its zone is allowed, and a repeat cannot run twice.
-    pub(super) fn allows(&self, s: &Server, effect: Effect, now: Micros) -> bool {
+    pub(super) fn allows(&self, s: &Server, now: Micros) -> bool {
         let zones = if self.attempts.is_empty() { self.params.zones } else { self.params.retry_zones };
         if zones != 0 && zones != u64::MAX && (s.zone >= 64 || zones >> s.zone & 1 == 0) {
             return false;
         }
-        match (effect, self.attempts.iter().find(|a| a.in_flight || a.may_have_run)) {
+        match (self.effect, self.attempts.iter().find(|a| a.in_flight || a.may_have_run)) {
             (Effect::Once, Some(_)) => false,
             (Effect::ByKey { group, window_us }, Some(a)) => {
                 let in_group = match group {
@@ -95,8 +95,7 @@
         let r = self.requests.get_mut(&id).expect("just seen");
         let (n, fleet) = (r.fleet(), &mut self.fleets[r.fleet()]);
         let limit = if r.params.max_attempts > 0 { r.params.max_attempts } else { self.config.attempts_cap };
-        let once = self.config.classes[r.params.class].effect == Effect::Once;
-        let allowed = !(once && r.attempts.iter().any(|a| a.may_have_run));
+        let allowed = !(r.effect == Effect::Once && r.attempts.iter().any(|a| a.may_have_run));
         let next_by = self.now + fleet.aimd.latency as Micros;
         if !allowed || next_by > r.best_by || r.attempts.len() as u32 >= limit || fleet.retry_tokens < cost {
             return self.give_up(id, actions);
@@ -119,7 +118,7 @@
     pub(super) fn give_up(&mut self, id: u64, actions: &mut Vec<Action>) {
         let r = &self.requests[&id];
         let (over_quota, ran) = (false, r.attempts.iter().any(|a| a.in_flight || a.may_have_run));
-        let safe = match self.config.classes[r.params.class].effect {
+        let safe = match r.effect {
             Effect::Repeatable | Effect::ByKey { group: Group::All, .. } => true,
             _ => !ran,
         };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -82,8 +82,8 @@
     }
 }
 
-/// A class of requests.
-#[derive(Clone, Debug, PartialEq)]
+/// A class of requests. A request is handled to its end by what its class said when it was accepted.
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Class {
     /// Target latency: an answer within it has its full worth.
     pub aim_us: Micros,
