Number classes of requests by what a route takes, not by its name

Cause: what a proxy learns of a class (the time that first tries usually have left, from which it tells retries) was kept under the route's name, so a route that took over the name of another was judged by that one's clients. No request was seen to be harmed by it; it is the cause of the payments that ran twice, in a figure that is learned.

Change: a class belongs to the host, the path prefix and the kind of a route, and is found by the route's position in the configuration, without a look-up by text for each request. Numbers never change their meaning; a name that moves leaves its class where the requests are. Of two routes with the same path the first makes the class, as it gets all requests.

Shown: routing_view::a_class_belongs_to_the_requests_of_a_route_and_not_to_ its_name fails with classes numbered by name (tried), and passes.

--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -387,7 +387,7 @@
     }
 
     fn admit(&mut self, request: ClientRequest, drill_fault: Option<Fault>) -> Result<NewRequest, Answer> {
-        let (route, tenant) = route_and_tenant(&self.config, &request)?;
+        let Matched { position, route, tenant } = match_request(&self.config, &request)?;
         let mut zones = self.routing_view.zones_in_regions(&route.homes)
             & tenant.map_or(u64::MAX, |t| self.routing_view.zones_in_regions(&t.homes));
         if let Some(Fault::UnreachableZone(zone)) = &drill_fault {
@@ -435,7 +435,7 @@
         };
         let new_request = NewRequest {
             id: request.id,
-            class: self.routing_view.class(&route.name),
+            class: self.routing_view.class(position),
             plan,
             customer: plan as u64,
             left_us,
@@ -700,7 +700,9 @@
     /// Whether a drill applies to this request.
     fn check_drills(&mut self, request: &ClientRequest) -> DrillDecision {
         // A request without a route or with a wrong key is refused as usual, by `accept`.
-        let Ok((route, tenant)) = route_and_tenant(&self.config, request) else { return DrillDecision::Pass };
+        let Ok(Matched { route, tenant, .. }) = match_request(&self.config, request) else {
+            return DrillDecision::Pass;
+        };
         let meeting = DrilledRequest {
             id: request.id,
             tenant: tenant.map(|t| t.name.as_str()),
@@ -981,24 +983,33 @@
 /// The `Retry-After` of refusals that are decided here and not by the decider.
 const RETRY_AFTER_US: Micros = 500_000;
 
+/// What the configuration says of a request.
+struct Matched<'c> {
+    /// The route's place in the configuration.
+    position: usize,
+    route: &'c Route,
+    tenant: Option<&'c Tenant>,
+}
+
 /// The route and the tenant of a request, or the answer that refuses it.
-fn route_and_tenant<'c>(
+fn match_request<'c>(
     config: &'c Option<(Arc<Config>, Index)>,
     request: &ClientRequest,
-) -> Result<(&'c Route, Option<&'c Tenant>), Answer> {
+) -> Result<Matched<'c>, Answer> {
     let Some((config, index)) = config else {
         return Err(Answer::retry_later(503, "no configuration yet", 200_000));
     };
     let path = request.target.split(['?', '#']).next().unwrap_or("");
-    let Some(route) = index.route(&request.host, path).map(|n| &config.routes[n]) else {
+    let Some(position) = index.route(&request.host, path) else {
         return Err(Answer::text(404, "no route"));
     };
+    let route = &config.routes[position];
     if !index.needs_keys() || route.keyless {
-        return Ok((route, None));
+        return Ok(Matched { position, route, tenant: None });
     }
     let found = request.key.as_deref().and_then(|k| index.tenant_by_key(k));
     let Some(found) = found else { return Err(Answer::text(401, "no such key")) };
-    Ok((route, config.tenants.as_ref().map(|t| &t[found])))
+    Ok(Matched { position, route, tenant: config.tenants.as_ref().map(|t| &t[found]) })
 }
 
 /// Applies a drill's fault to a server's complete answer. The request has run, so no answer here may promise that it
--- a/crates/proxy/src/routing_view.rs
+++ b/crates/proxy/src/routing_view.rs
@@ -1,8 +1,10 @@
 //! Translates the agreed state into the input of the request decisions: routes become classes, tenants
 //! become plans, services become fleets, and servers become entries of the server list.
 //!
-//! Each name gets a number once, and no number is given to another name, so a number that a request in
-//! flight carries stays valid when a new configuration arrives.
+//! Tenants, services and zones are known by their names, and routes by the requests that they take, since a
+//! route's name may pass to another route. Each gets a number once, and no number is given to another, so a
+//! number that a request in flight carries, or under which something was learned, keeps its meaning when a
+//! new configuration arrives.
 
 use crate::reservations::BookingTimes;
 use crate::rollout::{Exposure, RolloutServer, Side};
@@ -11,8 +13,10 @@
 use cluster::state::{Node, Server, State};
 use cluster::talk::tenant_key;
 use curlewfront::{Class, Effect, Entry, Micros, Plan, Settings, State as Standing};
-use settings::config::{Config, Service};
+use settings::config::{Config, RouteKey, Service};
+use std::borrow::Borrow;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::hash::Hash;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use xxhash_rust::xxh3::xxh3_64;
@@ -145,22 +149,35 @@
 /// one.
 const BURST_SPLIT: f64 = 0.8;
 
-/// Consecutive numbers for names, from 0.
-#[derive(Default)]
-struct NumberMap(HashMap<String, u32>);
+/// Consecutive numbers for keys, from 0.
+struct NumberMap<K = String>(HashMap<K, u32>);
 
-impl NumberMap {
-    fn number_for(&mut self, name: &str) -> u32 {
-        if let Some(n) = self.0.get(name) {
-            return *n;
+impl<K> Default for NumberMap<K> {
+    fn default() -> NumberMap<K> {
+        NumberMap(HashMap::new())
+    }
+}
+
+impl<K: Eq + Hash> NumberMap<K> {
+    fn number_for<Q>(&mut self, key: &Q) -> u32
+    where
+        K: Borrow<Q>,
+        Q: Eq + Hash + ToOwned<Owned = K> + ?Sized,
+    {
+        if let Some(n) = self.get(key) {
+            return n;
         }
         let n = self.0.len() as u32;
-        self.0.insert(name.to_string(), n);
+        self.0.insert(key.to_owned(), n);
         n
     }
 
-    fn get(&self, name: &str) -> Option<u32> {
-        self.0.get(name).copied()
+    fn get<Q>(&self, key: &Q) -> Option<u32>
+    where
+        K: Borrow<Q>,
+        Q: Eq + Hash + ?Sized,
+    {
+        self.0.get(key).copied()
     }
 }
 
@@ -176,7 +193,10 @@
 pub struct RoutingView {
     own: ProxySettings,
     classes: Vec<Class>,
-    class_of: NumberMap,
+    /// `None` stands for class 0.
+    class_of: NumberMap<Option<RouteKey>>,
+    /// The class of each route, in the order of the configuration last applied.
+    class_by_route: Vec<usize>,
     plans: Vec<Plan>,
     plan_of: NumberMap,
     keys: Vec<u32>,
@@ -235,12 +255,13 @@
             effect: Effect::Repeatable,
         };
         let (mut class_of, mut plan_of) = (NumberMap::default(), NumberMap::default());
-        class_of.number_for("");
+        class_of.number_for(&None);
         plan_of.number_for("");
         RoutingView {
             own,
             classes: vec![class],
             class_of,
+            class_by_route: Vec::new(),
             plans: vec![Plan::default()],
             plan_of,
             keys: vec![0],
@@ -255,9 +276,10 @@
         }
     }
 
-    /// The number of a route's class; 0: unknown route.
-    pub fn class(&self, route: &str) -> usize {
-        self.class_of.get(route).unwrap_or(0) as usize
+    /// The number of the class of the route at this position of the configuration last applied; 0: there is
+    /// no such route.
+    pub fn class(&self, route: usize) -> usize {
+        self.class_by_route.get(route).copied().unwrap_or(0)
     }
 
     /// The number of a tenant's plan, which is also its customer number; 0: unknown tenant.
@@ -327,6 +349,8 @@
 
     /// Applies a configuration, with quotas divided over `nodes` proxies.
     pub fn apply_config(&mut self, config: &Config, nodes: usize) {
+        self.class_by_route.clear();
+        let mut set = BTreeSet::new();
         for route in &config.routes {
             let class = Class {
                 aim_us: (route.target_ms * 1000).max(1),
@@ -334,7 +358,12 @@
                 late_worth: LATE_WORTH,
                 effect: if route.kind.repeatable() { Effect::Repeatable } else { Effect::Once },
             };
-            set_at(&mut self.classes, self.class_of.number_for(&route.name) as usize, class);
+            let number = self.class_of.number_for(&Some(route.key())) as usize;
+            // Of two routes with the same host and path, the first gets all requests.
+            if set.insert(number) {
+                set_at(&mut self.classes, number, class);
+            }
+            self.class_by_route.push(number);
         }
         for tenant in config.tenants.iter().flatten() {
             let burst = self.own.leeway.burst_with_margin(tenant.rate, tenant.burst);
--- a/crates/proxy/tests/routing_view.rs
+++ b/crates/proxy/tests/routing_view.rs
@@ -126,3 +126,51 @@
     proxy.tell(proxy::dispatcher::Input::Tick);
     assert_eq!(proxy.up(), ["b"]);
 }
+
+/// The classes of these paths, by the configuration that the view last applied.
+fn classes_of(view: &RoutingView, copy: &cluster::copy::Copy, paths: &[&str]) -> Vec<usize> {
+    let config = copy.state.config.as_ref().expect("a configuration");
+    let class = |path: &&str| view.class(config.index().route("h", path).expect("a route"));
+    paths.iter().map(class).collect()
+}
+
+// Guards against a route that takes over what was learned of another, as it gets that one's name.
+#[test]
+fn a_class_belongs_to_the_requests_of_a_route_and_not_to_its_name() {
+    let route = |name: &str, path: &str, kind: &str| {
+        format!(r#"["{name}","h","{path}","{kind}","heron",null,2000,1000,3,true,null]"#)
+    };
+    let mut view = RoutingView::new(place(1, "north-a"));
+    let mut copy = copy(SECOND, vec![nodes(&SIX_PROXIES)]);
+    let mut apply = |version: u32, routes: &[String], paths: &[&str]| {
+        let routes: Vec<&str> = routes.iter().map(String::as_str).collect();
+        let rev = copy.rev() + 1;
+        copy.apply(SECOND, rev, Some(config(version, &routes)));
+        view.apply_config(copy.state.config.as_ref().expect("a configuration"), 6);
+        classes_of(&view, &copy, paths)
+    };
+    let paths = ["/pay/", "/news/"];
+    let first = apply(1, &[route("r-1", "/pay/", "unsafe"), route("r-2", "/news/", "safe")], &paths);
+    assert!(first[0] != first[1] && !first.contains(&0));
+    let swapped = apply(2, &[route("r-1", "/news/", "safe"), route("r-2", "/pay/", "unsafe")], &paths);
+    assert_eq!(swapped, first);
+    let other = apply(3, &[route("r-1", "/top/", "safe")], &["/top/"]);
+    assert!(!first.contains(&other[0]) && other[0] > 0, "the route with that name is gone for good");
+    let another_kind = apply(4, &[route("r-1", "/pay/", "safe")], &["/pay/"]);
+    assert!(![first[0], first[1], other[0], 0].contains(&another_kind[0]));
+    let back = apply(5, &[route("r-9", "/pay/", "unsafe"), route("r-8", "/news/", "safe")], &paths);
+    assert_eq!(back, first);
+}
+
+#[test]
+fn of_two_routes_with_the_same_path_the_first_makes_the_class() {
+    let twice = [
+        r#"["one","h","/get/","safe","heron",null,2000,700,3,true,null]"#,
+        r#"["two","h","/get/","safe","heron",null,2000,900,3,true,null]"#,
+    ];
+    let copy = copy(SECOND, vec![nodes(&SIX_PROXIES), config(1, &twice)]);
+    let mut view = RoutingView::new(place(1, "north-a"));
+    view.apply_config(copy.state.config.as_ref().expect("a configuration"), 6);
+    let class = classes_of(&view, &copy, &["/get/"])[0];
+    assert_eq!(view.settings(6, 0, SECOND).classes[class].aim_us, 700_000);
+}
--- a/crates/settings/src/config.rs
+++ b/crates/settings/src/config.rs
@@ -26,7 +26,7 @@
     text: String,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Kind {
     Safe,
     Unsafe,
@@ -59,6 +59,21 @@
     pub homes: Vec<String>,
 }
 
+/// Which requests come to a route, and what may be done with them. A route keeps its key under any name, and a route
+/// that takes over the name of another does not take over its key.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct RouteKey {
+    pub host: String,
+    pub prefix: String,
+    pub kind: Kind,
+}
+
+impl Route {
+    pub fn key(&self) -> RouteKey {
+        RouteKey { host: self.host.clone(), prefix: self.prefix.clone(), kind: self.kind }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
     pub name: String,
