Count the answers of a rollout by the path that was asked, not by route name

Cause: tallies of rollouts name a route by the hash of its name. Where a name passes to another route during a rollout, the answers of two routes are added up as one: the old version is then judged by one route's answers and the new one by another's.

Change: a route is named by the hash of its host and path prefix. Registries use the number only to tell routes apart. Beside proxies of the text before, a route has two rows until all proxies run this one.

Shown: rollout::answers_are_counted_for_the_path_that_was_asked_whatever_its_ routes_name failed before (27 and 3 answers for 23 and 7), and passes.

--- a/crates/cluster/src/rollout.rs
+++ b/crates/cluster/src/rollout.rs
@@ -305,7 +305,7 @@
 /// What one proxy has counted of one route since the rollout began.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteTally {
-    /// [`crate::talk::tenant_key`] of the route's name.
+    /// [`crate::talk::route_key`] of the route.
     pub route: u32,
     pub old: Answers,
     pub new: Answers,
--- a/crates/cluster/src/talk.rs
+++ b/crates/cluster/src/talk.rs
@@ -249,6 +249,12 @@
     xxhash_rust::xxh3::xxh3_64(name.as_bytes()) as u32
 }
 
+/// A route as tallies of rollouts name it: by the requests that it takes, as its name may pass to another route.
+pub fn route_key(host: &str, prefix: &str) -> u32 {
+    let seed = xxhash_rust::xxh3::xxh3_64(host.as_bytes());
+    xxhash_rust::xxh3::xxh3_64_with_seed(prefix.as_bytes(), seed) as u32
+}
+
 /// Up the tree of news.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Up {
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -14,7 +14,7 @@
 use cluster::drill::Rows;
 use cluster::rollout::Tally;
 use cluster::state::{Command, ServerChange, State};
-use cluster::talk::{Lease, News, Reading, Use, tenant_key};
+use cluster::talk::{Lease, News, Reading, Use, route_key};
 use curlewfront::{Action, Decider, Event, Hold, ListKind, Micros, NewRequest, Outcome};
 use net::limits::BufferedBody;
 use net::pool::ForwardedRequest;
@@ -185,7 +185,7 @@
     /// Number of the booking that it counts under; 0: none.
     booking: u32,
     service: u32,
-    /// [`tenant_key`] of the route's name.
+    /// [`route_key`] of its route.
     route: u32,
     /// It may go to a server on trial and has not yet used that part of the trial's share.
     trial_reserved: bool,
@@ -412,7 +412,7 @@
         if booking > 0 {
             self.booking_usage.record_request(booking as usize);
         }
-        let route_key = tenant_key(&route.name);
+        let route_key = route_key(&route.host, &route.prefix);
         let trial_reserved = drill_fault.is_none() && self.rollouts.reserve(service, route_key);
         let trials = if trial_reserved { self.routing_view.trial_zones(zones) } else { 0 };
         let accepted = OpenRequest {
--- a/crates/proxy/tests/rollout.rs
+++ b/crates/proxy/tests/rollout.rs
@@ -193,3 +193,32 @@
     proxy.learn(Command::Servers(vec![ServerChange::Draining { id: "o1".into() }]));
     assert!(!proxy.up().contains(&"o1"));
 }
+
+// Guards against a version that is judged by the answers of two routes as if they were one, as a route's name has passed
+// to another.
+#[test]
+fn answers_are_counted_for_the_path_that_was_asked_whatever_its_routes_name() {
+    let mut proxy = with_rollout();
+    let answers_by_route = |proxy: &mut Proxy| -> Vec<u32> {
+        proxy.now = proxy.now.max(proxy.dispatcher.wake_at()) + SECOND;
+        let tallies = proxy.dispatcher.tallies(proxy.now);
+        let routes = tallies.iter().flat_map(|t| &t.routes);
+        let mut ended: Vec<u32> = routes.map(|r| r.old.ended + r.new.ended).collect();
+        ended.sort();
+        ended
+    };
+    sent_to_new(&mut proxy, 20);
+    assert_eq!(answers_by_route(&mut proxy), [20]);
+    let swapped = [
+        r#"["put","h","/get/","safe","heron",null,2000,1000,3,false,null]"#,
+        r#"["get","h","/put/","unsafe","heron",null,2000,1000,3,false,null]"#,
+    ];
+    proxy.learn(config(2, &swapped));
+    for _ in 0..7 {
+        let id = proxy.ask("/put/a", Some("k1"));
+        proxy.now += 5_000;
+        proxy.served(id, 0, 200, false);
+    }
+    sent_to_new(&mut proxy, 3);
+    assert_eq!(answers_by_route(&mut proxy), [7, 23]);
+}
