Give a server whose service or address has changed a number of its own

Seen by operators: a server that once answered 421 and was then listed at another address under its name got no requests from that proxy any more.

Cause: the number by which a proxy knows a server went with the server's name, whatever the name stood for. What was learned of the old address (421) held for the new one; and an attempt that waited for a connection to a server would have gone to whatever the name had come to stand for, also of another service.

Change: a changed zone, service or address makes a new number; the old one leaves the list, and what is in flight there goes on as with any server that leaves.

Shown: dispatcher::a_server_that_answered_421_is_used_again_once_it_is_listed_ at_another_address and ::a_name_that_comes_to_stand_for_a_server_of_another_ service_is_another_server failed before, and pass.

--- a/crates/proxy/src/routing_view.rs
+++ b/crates/proxy/src/routing_view.rs
@@ -499,7 +499,8 @@
         list
     }
 
-    /// Returns the cached record of a server, or a new one if its zone, service or address has changed.
+    /// Returns the cached record of a server, or a new one with a number of its own if its zone, service or
+    /// address has changed: attempts in flight and what was learned belong to the server as it was.
     fn server_record(&mut self, s: &Server) -> ServerRecord {
         let (zone, service) = (self.zones.number_for(&s.zone), self.services.number_for(&s.service));
         let kept = self.servers.get(&s.id);
@@ -508,12 +509,10 @@
         {
             return k.clone();
         }
-        let number = kept.map(|k| k.number).unwrap_or_else(|| {
-            self.next_server += 1;
-            self.next_server
-        });
+        self.next_server += 1;
         let (id, near) = (s.id.as_str().into(), self.near(self.own_zone, zone));
-        let record = ServerRecord { number, peer: Peer { id, addr: s.addr, service, zone, near } };
+        let peer = Peer { id, addr: s.addr, service, zone, near };
+        let record = ServerRecord { number: self.next_server, peer };
         self.servers.insert(s.id.clone(), record.clone());
         record
     }
--- a/crates/proxy/tests/dispatcher.rs
+++ b/crates/proxy/tests/dispatcher.rs
@@ -4,7 +4,7 @@
 
 use cluster::talk::News;
 use common::*;
-use proxy::dispatcher::{Execution, Input};
+use proxy::dispatcher::{Execution, Input, Output};
 
 #[test]
 fn an_evacuation_shuts_the_servers_of_its_own_zone_though_names_and_numbers_differ_in_order() {
@@ -119,6 +119,32 @@
     assert_eq!(proxy.up(), [other, "new"]);
 }
 
+// Guards against a server that gets nothing for good: what was learned of an address holds for the one that its name has now.
+#[test]
+fn a_server_that_answered_421_is_used_again_once_it_is_listed_at_another_address() {
+    let mut proxy = Proxy::with(&[("a", "north-a")]);
+    let id = proxy.ask("/put/", Some("k1"));
+    proxy.served(id, 0, 421, false);
+    assert!(proxy.up().is_empty());
+    proxy.learn(server(2, "a", "heron", "north-a", 0));
+    assert_eq!(proxy.up(), ["a"]);
+}
+
+// Guards against a request that runs at a service it was not sent to: an attempt waits for a connection to a server whose
+// name comes to stand for a server of another service.
+#[test]
+fn a_name_that_comes_to_stand_for_a_server_of_another_service_is_another_server() {
+    let mut proxy = Proxy::with(&[("a", "north-a")]);
+    proxy.ask("/get/", Some("k1"));
+    let first = proxy.sent().expect("sent").server;
+    proxy.learn(server(1, "a", "stilt", "north-a", 0));
+    let removed = |o: &Output| matches!(o, Output::ServerRemoved { server } if *server == first);
+    assert!(proxy.out.iter().any(removed), "connections to it are not used any more");
+    assert_eq!(proxy.up(), ["a"]);
+    proxy.ask("/get/deep/", None);
+    assert_ne!(proxy.sent().expect("sent").server, first);
+}
+
 #[test]
 fn only_a_request_that_has_not_run_is_answered_as_not_executed() {
     // How the first attempt at an unsafe request ends: status, whether the server says that it has not run it; the
