Send nothing to a part of weight 0, whatever becomes of the other parts

Seen by callers: a route was split between a service that was being set up, of weight 0, and the one in use, of weight 100. The zone with the servers of the latter was evacuated for 8 s, and every payment, some 390, ran at the service that no configuration had given any weight.

Cause: a service was drawn among the parts of positive weight that have a server; where none has one, the draw fell back to the first part in the list. It was meant for a request that waits until a server comes up, and forgot the weight. Lost, leaving, cold or unknown servers of the part in use did the same as an evacuation, and so did a version that lowers a part to 0.

Change: a route's destinations hold the parts above 0 alone, never none; parts of weight 0 are read into `standby`, so no fallback can reach them. Bookings at a service on standby stay allowed: room is booked ahead of its first share.

The assertion on `to` in settings/tests/config.rs now asks both lists.

--- a/crates/cli/src/config/show.rs
+++ b/crates/cli/src/config/show.rs
@@ -55,15 +55,14 @@
     table.show()
 }
 
-/// The services that a route leads to, with their weights where there are several.
+/// The services that a route leads to, with their weights where there are several, those on standby last.
 fn destinations(route: &Route) -> String {
-    match route.to.as_slice() {
-        [(service, _)] => service.clone(),
-        services => {
-            let weighted = services.iter().map(|(service, weight)| format!("{service}:{weight}"));
-            weighted.collect::<Vec<_>>().join(",")
-        }
+    if let ([(service, _)], []) = (route.to.as_slice(), route.standby.as_slice()) {
+        return service.clone();
     }
+    let weighted = route.to.iter().map(|(service, weight)| format!("{service}:{weight}"));
+    let standby = route.standby.iter().map(|service| format!("{service}:0"));
+    weighted.chain(standby).collect::<Vec<_>>().join(",")
 }
 
 fn services(config: &Config) -> String {
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -8,6 +8,7 @@
 use crate::reservations::{ReservationStatus, Reservations};
 use crate::rollout::{AttemptEnd, RolloutServer, Rollouts, Side};
 use crate::routing_view::{Peer, ProxySettings, RoutingView, SAME_REGION, ServerList};
+use crate::split::pick_service;
 use crate::tenants::{Quota, Tenants};
 use cluster::Rev;
 use cluster::copy::{Copy, Took};
@@ -397,7 +398,12 @@
         if zones == 0 {
             return Err(Answer::retry_later(503, "no region may serve this", RETRY_AFTER_US));
         }
-        let Some(service) = pick_service(&self.routing_view, &self.peers, &mut self.rng, route) else {
+        let has_server = |name: &str| {
+            let service = self.routing_view.service(name);
+            self.peers.values().any(|(p, up)| *up && Some(p.service) == service)
+        };
+        let drawn = pick_service(route, has_server, &mut self.rng);
+        let Some(service) = drawn.and_then(|name| self.routing_view.service(name)) else {
             return Err(Answer::retry_later(503, "no server is known", RETRY_AFTER_US));
         };
         let left_us = request.left_us.unwrap_or(Micros::MAX).min(route.deadline_ms * 1000);
@@ -1064,36 +1070,6 @@
     }
 }
 
-/// Draws one of the route's services by weight, among those that have a server that may get requests.
-fn pick_service(
-    routing_view: &RoutingView,
-    peers: &BTreeMap<u64, (Peer, bool)>,
-    rng: &mut fastrand::Rng,
-    route: &Route,
-) -> Option<u32> {
-    if let [(only, _)] = route.to.as_slice() {
-        return routing_view.service(only);
-    }
-    let lives = |name: &str| {
-        routing_view
-            .service(name)
-            .is_some_and(|service| peers.values().any(|(p, up)| *up && p.service == service))
-    };
-    let alive: Vec<&(String, f64)> = route.to.iter().filter(|(name, w)| *w > 0.0 && lives(name)).collect();
-    let all: f64 = alive.iter().map(|(_, w)| w).sum();
-    let mut at = rng.f64() * all;
-    for (name, weight) in &alive {
-        at -= weight;
-        if at < 0.0 {
-            return routing_view.service(name);
-        }
-    }
-    alive
-        .first()
-        .or(route.to.iter().collect::<Vec<_>>().first())
-        .and_then(|(name, _)| routing_view.service(name))
-}
-
 /// The request line and the headers that go to every server.
 fn request_head(request: &ClientRequest, tenant: Option<&Tenant>) -> Vec<u8> {
     let mut head = Vec::with_capacity(request.head.len() + request.target.len() + 160);
--- a/crates/settings/src/booking.rs
+++ b/crates/settings/src/booking.rs
@@ -90,7 +90,10 @@
         if !config.services.iter().any(|s| s.name == self.service) {
             return Err(clash("service_ref", format!("no service {:?} in the configuration", self.service)));
         }
-        let goes = |r: &&Route| r.to.iter().any(|(service, _)| *service == self.service);
+        // Room may be booked at a service on standby, ahead of the configuration that gives it a weight.
+        let goes = |r: &&Route| {
+            r.to.iter().any(|(service, _)| *service == self.service) || r.standby.contains(&self.service)
+        };
         let mut routes: Vec<&Route> = Vec::new();
         for (i, name) in self.routes.iter().enumerate() {
             let refused = |why: &str| clash(format!("route_refs[{i}]"), format!("{why} {name:?}"));
--- a/crates/settings/src/config.rs
+++ b/crates/settings/src/config.rs
@@ -51,8 +51,11 @@
     pub target_ms: u64,
     /// 0, also where left out, is the highest.
     pub priority: u32,
-    /// Services and their weights; one of weight 1 where the route is not split.
+    /// The services that may get its requests, with their weights, all above 0; one of weight 1 where the route is not
+    /// split. Never empty.
     pub to: Vec<(String, f64)>,
+    /// Services that its split names with weight 0. They get none of its requests, whatever becomes of the others.
+    pub standby: Vec<String>,
     /// The servers that one try may be sent to; at least 1, also where left out.
     pub attempts: u32,
     pub keyless: bool,
@@ -251,7 +254,7 @@
         return Err(f.bad("path_prefix", "a path that begins and ends with a slash"));
     }
     let deadline_ms = f.must_whole("deadline_ms", "milliseconds", TEN_MINUTES_MS)?;
-    let to = destinations(f, known)?;
+    let Destinations { to, standby } = destinations(f, known)?;
     Ok(Route {
         name: f.name("entity_name")?,
         host: f.name("host_name")?,
@@ -261,14 +264,21 @@
         target_ms: f.whole("target_ms", "milliseconds", MOST)?.unwrap_or(deadline_ms),
         priority: f.count("priority_level")?.unwrap_or(0),
         to,
+        standby,
         attempts: f.count("attempt_limit")?.unwrap_or(1).max(1),
         keyless: f.truth("keyless")?.unwrap_or(false),
         homes: f.texts("home_regions")?,
     })
 }
 
+/// Where the requests of a route may go.
+struct Destinations {
+    to: Vec<(String, f64)>,
+    standby: Vec<String>,
+}
+
 /// A split goes before a single service; both may name only services that the configuration has.
-fn destinations(f: &Facts, known: &BTreeSet<&str>) -> Res<Vec<(String, f64)>> {
+fn destinations(f: &Facts, known: &BTreeSet<&str>) -> Res<Destinations> {
     let service = |f: &Facts| {
         let name = f.name("service_ref")?;
         match known.contains(name.as_str()) {
@@ -277,21 +287,19 @@
         }
     };
     let single = f.at("service_ref").map(|_| service(f)).transpose()?;
-    let split: Res<Vec<_>> = f
-        .list("weighted_split")?
-        .iter()
-        .enumerate()
-        .map(|(i, part)| {
-            let part = Facts::of(&format!("{}[{i}]", f.path("weighted_split")), part)?;
-            let weight = "split_weight";
-            Ok((service(&part)?, part.must(weight, "a number that is not negative", part.number(weight))?))
-        })
-        .collect();
-    match (split?, single) {
-        (split, _) if split.iter().any(|(_, weight)| *weight > 0.0) => Ok(split),
-        (split, _) if !split.is_empty() => Err(f.bad("weighted_split", "a split_weight above 0")),
-        (_, Some(name)) => Ok(vec![(name, 1.0)]),
-        (_, None) => Err(f.bad("service_ref", "a service, or weighted_split")),
+    let (mut to, mut standby) = (Vec::new(), Vec::new());
+    for (i, part) in f.list("weighted_split")?.iter().enumerate() {
+        let part = Facts::of(&format!("{}[{i}]", f.path("weighted_split")), part)?;
+        let name = service(&part)?;
+        let weight = "split_weight";
+        let weight = part.must(weight, "a number that is not negative", part.number(weight))?;
+        if weight > 0.0 { to.push((name, weight)) } else { standby.push(name) }
+    }
+    match (to.is_empty(), standby.is_empty(), single) {
+        (false, ..) => Ok(Destinations { to, standby }),
+        (true, false, _) => Err(f.bad("weighted_split", "a split_weight above 0")),
+        (true, true, Some(name)) => Ok(Destinations { to: vec![(name, 1.0)], standby }),
+        (true, true, None) => Err(f.bad("service_ref", "a service, or weighted_split")),
     }
 }
 
--- a/crates/settings/tests/config.rs
+++ b/crates/settings/tests/config.rs
@@ -36,7 +36,8 @@
     );
     assert_eq!(r1.homes, ["north"]);
     assert_eq!(r1.to, [("heron".to_string(), 1.0)]);
-    assert_eq!(r2.to, [("heron".to_string(), 0.5), ("stilt".to_string(), 0.0)]);
+    assert_eq!(r2.to, [("heron".to_string(), 0.5)]);
+    assert_eq!((&r1.standby[..], &r2.standby[..]), (&[][..], &["stilt".to_string()][..]));
     assert_eq!(config.services[0].cold_rate_s, Some(2.9));
     let tenants = config.tenants.as_ref().expect("tenants");
     assert_eq!((tenants[0].rate, tenants[0].burst, tenants[1].rate), (43.0, 4.5, 0.0));
