Give attempts up at the deadline of their request, and not before

Callers saw: after SIGTERM a proxy answered 504 for a request at which a server was working (LOST).

Cause: admission took a margin (two ticks and a hundredth of the target, 9 ms there) off the deadline, for the own answer to reach the client in time, and attempts under way ended by it, as at any time.

Change: the margin stays for the time by which a request that waits must be sent. An attempt ends at the deadline. A client tells its time in whole milliseconds and may have rounded down, so it is taken for the next one.

--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -181,6 +181,11 @@
 /// Headers of a client that are not forwarded to servers.
 const NOT_FORWARDED: [&str; 4] = ["X-Time-Left", "Authorization", "X-Tenant-Name", "X-Expected-Instance"];
 
+/// The longest time that a client may wait that has told so many whole milliseconds: it may have rounded down.
+fn latest_us(left_ms: u64) -> Micros {
+    left_ms.saturating_add(1).saturating_mul(1000)
+}
+
 impl Handler for ClientHandler {
     type Request = ClientRequest;
 
@@ -218,7 +223,7 @@
             target: head.target.to_string(),
             host: text("Host").unwrap_or("").to_string(),
             attempt_id: attempt_id.as_bytes().into(),
-            left_us: left_us.map(|ms| ms.saturating_mul(1000)),
+            left_us: left_us.map(latest_us),
             key: key.map(|(_, key)| key.trim().to_string()),
             head: lines,
             body: BufferedBody::default(),
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -32,7 +32,7 @@
         self.fleets[fleet].aim = self.fleets[fleet].aim.max(class_settings.aim_us);
         let margin = 2 * self.config.tick_us + class_settings.aim_us / 100;
         let aim = class_settings.aim_us.saturating_sub(spent).min(n.left_us).saturating_sub(margin);
-        let deadline = if class_settings.late_worth > 0.0 { n.left_us.saturating_sub(margin) } else { aim };
+        let deadline = if class_settings.late_worth > 0.0 { n.left_us } else { aim };
         let (best_by, deadline) = (self.now.saturating_add(aim), self.now.saturating_add(deadline));
         let units = if n.units.is_finite() { n.units.max(0.0) } else { 1.0 };
         let spread = n.spread.clamp(1, self.config.balancers);
