Let an answer pause for as long as its request may take

Callers saw: an answer that had begun and brought neither its end nor 64 KB in 2 s was cut off while its server worked on the rest; a safe request went to a second server, was cut there, too, and got 503, an unsafe one 502 though it ran.

Cause: the pool took a server's silence within an answer for its end (ANSWER_STALL_TIMEOUT_US), whatever the deadline. Before the answer begins, only the deadline ends an attempt.

Change: the limit is optional, and the proxy has none: the dispatcher's deadline is the only one. The settings of the proxy's connections stand with its protocol, where tests reach them.

The model of connections has the proxy's own settings where answers have names, and the limit where they have none, as at the gateway.

--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -31,7 +31,7 @@
     let settings = Settings {
         dial_us: config.dial_timeout_us,
         // A server that takes longer than this counts as unreachable, even if it has begun to answer.
-        answer_us: config.dial_timeout_us,
+        answer_us: Some(config.dial_timeout_us),
         // An old connection that the server might close at any moment is worth less than a new one: an attempt written
         // to it would count as one that may have run.
         idle_us: config.conn_idle_us / 2,
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -98,8 +98,8 @@
 pub struct Settings {
     /// Time for a connection to be established.
     pub dial_us: Micros,
-    /// Time for an answer that has begun to be complete, or to bring its next 64 KB.
-    pub answer_us: Micros,
+    /// Time for an answer that has begun to be complete, or to bring its next 64 KB; None: until its attempt is given up.
+    pub answer_us: Option<Micros>,
     /// A connection idle for longer is not reused, unless the server names its own time (`Keep-Alive: timeout=N`).
     pub idle_us: Micros,
     pub max_connections: usize,
--- a/crates/net/src/pool/exchange.rs
+++ b/crates/net/src/pool/exchange.rs
@@ -45,8 +45,8 @@
 /// The state of one connection to a server.
 pub struct Exchange<W: Wire> {
     bounds: Bounds,
-    /// Time for an answer that has begun to be complete, or to bring its next block.
-    answer_us: Micros,
+    /// Time for an answer that has begun to be complete, or to bring its next block; None: no limit.
+    answer_us: Option<Micros>,
     incoming: Ring,
     outgoing: Outgoing,
     job: Option<Job<W::Note>>,
@@ -78,7 +78,7 @@
 
 impl<W: Wire> Exchange<W> {
     /// The state of a connection that is being opened for `job`.
-    pub fn new(job: Job<W::Note>, bounds: Bounds, answer_us: Micros) -> Exchange<W> {
+    pub fn new(job: Job<W::Note>, bounds: Bounds, answer_us: Option<Micros>) -> Exchange<W> {
         Exchange {
             bounds,
             answer_us,
@@ -305,18 +305,18 @@
         Ok(true)
     }
 
-    /// Fails if an answer that has begun makes no progress in time, because its length is false or its server is
-    /// gone: the request must not wait until its deadline, as another attempt may still succeed. Servers that pause
-    /// for longer within an answer are cut off by this. Some: the time after which this is to be called again.
+    /// Fails if an answer that has begun makes no progress within the limit, if there is one. This cuts off servers that
+    /// pause for longer within an answer. Some: the time after which this is to be called again.
     pub fn check_timeout(&mut self, now: Micros) -> Result<Option<Micros>, Cause> {
+        let Some(answer_us) = self.answer_us else { return Ok(None) };
         if self.job.is_none() || (self.answer.is_none() && self.incoming.is_empty()) {
             return Ok(None);
         }
         if self.progress_bytes >= http::BLOCK_BYTES {
             (self.progress_bytes, self.answer_deadline) = (0, None);
         }
-        let next_check = self.answer_deadline.is_none().then_some(self.answer_us + 1);
-        let deadline = *self.answer_deadline.get_or_insert(now + self.answer_us);
+        let next_check = self.answer_deadline.is_none().then_some(answer_us + 1);
+        let deadline = *self.answer_deadline.get_or_insert(now + answer_us);
         if now >= deadline { Err(Cause::Malformed("answer not whole in time")) } else { Ok(next_check) }
     }
 
--- a/crates/net/src/pool/tests.rs
+++ b/crates/net/src/pool/tests.rs
@@ -45,7 +45,7 @@
     let resources = Arc::new(Resources::new(1000, 64, clock, alarms, Box::new(|_| {})));
     let settings = Settings {
         dial_us: 100_000,
-        answer_us: 100_000,
+        answer_us: Some(100_000),
         idle_us: 1_000_000,
         max_connections: 1000,
         tcp_user_timeout: None,
--- a/crates/net/tests/fuzz.rs
+++ b/crates/net/tests/fuzz.rs
@@ -87,7 +87,7 @@
     let head = format!("{method} / HTTP/1.1\r\nHost: x\r\n").into_bytes();
     let request = Arc::new(ForwardedRequest { head, body: BufferedBody::default() });
     let job = Job { id: 1, attempt: 0, request, same_server_retry: false, until: 9_000_000, note: () };
-    let mut exchange = Exchange::new(job, BOUNDS, 1_000_000);
+    let mut exchange = Exchange::new(job, BOUNDS, Some(1_000_000));
     exchange.connected(&ById, 1);
     exchange.write(io::sink()).expect("taken");
     let mut result = String::new();
@@ -365,7 +365,7 @@
         let (sender, results) = channel();
         let settings = Settings {
             dial_us: 5_000_000,
-            answer_us: 5_000_000,
+            answer_us: Some(5_000_000),
             idle_us: 30_000_000,
             max_connections: 10,
             tcp_user_timeout: None,
--- a/crates/net/tests/sockets.rs
+++ b/crates/net/tests/sockets.rs
@@ -76,7 +76,7 @@
 fn pool_settings() -> Settings {
     Settings {
         dial_us: 5_000_000,
-        answer_us: 5_000_000,
+        answer_us: Some(5_000_000),
         idle_us: 30_000_000,
         max_connections: 10,
         tcp_user_timeout: Some(WAIT),
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -8,7 +8,7 @@
 use net::http::{self, Bad, Bounds};
 use net::limits::BufferedBody;
 use net::listener::{Answer, ClientTimeouts, Handler, HeadAction, Listener, Reply};
-use net::pool::{self, Job};
+use net::pool::Job;
 use net::resources::Resources;
 use proxy::dispatcher::{self, AttemptResult, ClientRequest, Dispatcher, Execution};
 use proxy::failure_detector::FailureDetector;
@@ -30,14 +30,6 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{Sender, channel};
 
-/// How long a connection to a server may take to be established.
-const SERVER_CONNECT_TIMEOUT_US: Micros = 600_000;
-/// How long an answer that has begun may take to be complete or to bring its next 64 KB.
-const ANSWER_STALL_TIMEOUT_US: Micros = 2_000_000;
-/// How long an idle connection to a server is kept if the server names no time.
-const SERVER_IDLE_US: Micros = 8_000_000;
-/// The largest head and body of a server's answer, in bytes.
-const ANSWER_BOUNDS: Bounds = Bounds { head: 16 * 1024, body: 32 << 20 };
 /// The most requests of one client's connection that are in flight at once.
 const MAX_PIPELINED: usize = 16;
 /// The limits of clients' requests until there is a configuration: bytes of the head and of the body, microseconds to
@@ -119,7 +111,7 @@
     let (finished, finished_receiver) = channel();
     let grace_us = (s.bounds.grace_period_s.unwrap_or(DEFAULT_GRACE_S) * 1e6) as Micros;
     let servers = Arc::new(Servers::new(report_to(inbox.clone())));
-    let server_pools = ServerPools::new(resources.clone(), servers, pool_settings());
+    let server_pools = ServerPools::new(resources.clone(), servers, servers::pool_settings());
     let proxy_loop = ProxyLoop {
         dispatcher: Dispatcher::new(proxy_settings, beat_us, runtime.life, now),
         failure_detector: FailureDetector::new(node.clone(), beat_us / 3, runtime.life, now),
@@ -306,17 +298,6 @@
     Box::new(move |id, attempt, end| inbox.post(Message::AttemptEnded(id, attempt, end)))
 }
 
-fn pool_settings() -> pool::Settings {
-    pool::Settings {
-        dial_us: SERVER_CONNECT_TIMEOUT_US,
-        answer_us: ANSWER_STALL_TIMEOUT_US,
-        idle_us: SERVER_IDLE_US,
-        max_connections: usize::MAX,
-        tcp_user_timeout: Some(ACK_TIMEOUT),
-        bounds: ANSWER_BOUNDS,
-    }
-}
-
 /// Drives the state machines and carries out their outputs.
 struct ProxyLoop {
     dispatcher: Dispatcher,
--- a/crates/proxy/src/servers.rs
+++ b/crates/proxy/src/servers.rs
@@ -1,13 +1,34 @@
-//! The proxy's side of HTTP to servers: the headers that it adds per attempt, which attempt an answer
-//! belongs to, and how an attempt ended.
+//! The proxy's side of HTTP to servers: the limits of its connections, the headers that it adds per attempt, which
+//! attempt an answer belongs to, and how an attempt ended.
 
 use crate::dispatcher::{AttemptResult, Execution, ServerAnswer};
 use net::Micros;
 use net::errors::AttemptError;
-use net::http;
+use net::http::{self, Bounds};
 use net::pool::{self, Ended, Job, ResponseMatch, Wire};
+use runtime::link::ACK_TIMEOUT;
 use std::sync::Arc;
 
+/// How long a connection to a server may take to be established.
+const CONNECT_TIMEOUT_US: Micros = 600_000;
+/// How long an idle connection to a server is kept if the server names no time.
+const IDLE_US: Micros = 8_000_000;
+/// The largest head and body of a server's answer, in bytes.
+const ANSWER_BOUNDS: Bounds = Bounds { head: 16 * 1024, body: 32 << 20 };
+
+/// The settings of connections to servers. An answer may pause for as long as its request may take: the server may be
+/// at work on the rest of it.
+pub fn pool_settings() -> pool::Settings {
+    pool::Settings {
+        dial_us: CONNECT_TIMEOUT_US,
+        answer_us: None,
+        idle_us: IDLE_US,
+        max_connections: usize::MAX,
+        tcp_user_timeout: Some(ACK_TIMEOUT),
+        bounds: ANSWER_BOUNDS,
+    }
+}
+
 /// Implements [`Wire`] for connections to servers.
 pub struct ServerWire<T> {
     on_end: T,
--- a/crates/proxy/tests/answers.rs
+++ b/crates/proxy/tests/answers.rs
@@ -16,7 +16,7 @@
 use net::pool::exchange::{AfterFailure, Exchange, ReadResult};
 use net::pool::{self, ResponseMatch, Wire};
 use proxy::dispatcher::{Answer, AttemptResult, ClientRequest, Execution, Input, Job, Output, ServerAnswer};
-use proxy::servers::{AnswerInfo, AttemptInfo, ServerWire};
+use proxy::servers::{AnswerInfo, AttemptInfo, ServerWire, pool_settings};
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, ErrorKind, Read, Write};
 use std::sync::{Arc, Mutex};
@@ -26,6 +26,7 @@
 type Carried = pool::Job<AttemptInfo>;
 
 const BOUNDS: Bounds = Bounds { head: 4096, body: 4096 };
+/// The limit of pauses within an answer where servers do not name attempts, as at the gateway.
 const ANSWER_US: Micros = 300_000;
 
 /// A bug injected between the parts, which `check` must detect.
@@ -245,6 +246,7 @@
 
     /// Sends an attempt over an idle connection or a new one.
     fn send(&mut self, server: u64, mut job: Carried) {
+        let answer_us = if self.wire.ignore_ids { Some(ANSWER_US) } else { pool_settings().answer_us };
         let key = Some((job.id, job.attempt));
         for n in 0..self.conns.len() {
             let conn = &mut self.conns[n];
@@ -258,7 +260,7 @@
                 conn.pipe.to_proxy.extend(conn.surplus.drain(..));
             }
             if reuse_unread {
-                conn.exchange = Exchange::new(job, BOUNDS, ANSWER_US);
+                conn.exchange = Exchange::new(job, BOUNDS, answer_us);
                 conn.exchange.connected(&self.wire, self.proxy.now);
                 conn.attempt = key;
                 return self.write_request(n);
@@ -271,7 +273,7 @@
                 Err(back) => (conn.open, job) = (false, back),
             }
         }
-        let mut exchange = Exchange::new(job, BOUNDS, ANSWER_US);
+        let mut exchange = Exchange::new(job, BOUNDS, answer_us);
         if self.pick_fault(2) == 1 {
             // The connection does not come up.
             return match exchange.fail(Cause::DialTimeout) {
--- a/crates/proxy/tests/server_pools.rs
+++ b/crates/proxy/tests/server_pools.rs
@@ -39,7 +39,7 @@
     });
     let settings = Settings {
         dial_us: 5_000_000,
-        answer_us: 5_000_000,
+        answer_us: Some(5_000_000),
         idle_us: 30_000_000,
         max_connections: 10,
         tcp_user_timeout: None,
