Probe silent servers, so that a vanished machine ends its attempts

Cause: a machine that vanishes sends no reset.

Change: where unacknowledged data ends a connection, silent peers are probed (SO_KEEPALIVE, each second). The kernel of a machine whose server is busy or frozen answers them, so silence of a server alone ends nothing.

Result: a test reads both options back. That a machine which vanishes is noticed is not shown by a run: over loopback none can vanish.

--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -2,6 +2,7 @@
 
 use crate::mailbox::Waker;
 use may::io::{CoIo, WaitIo};
+use socket2::TcpKeepalive;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::os::fd::{AsRawFd, RawFd};
@@ -68,14 +69,19 @@
     }
 }
 
-/// Begins to connect. If data that was sent stays unacknowledged for `user_timeout` (`TCP_USER_TIMEOUT`), the
-/// connection fails: a machine that has vanished sends no reset.
+/// How long nothing comes before a peer is probed, and the time between probes: whole seconds, as TCP has it.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Begins to connect. If data that was sent, or probes of a silent peer, stay unacknowledged for `user_timeout`
+/// (`TCP_USER_TIMEOUT`), the connection fails: a machine that has vanished sends no reset.
 pub fn connect(addr: SocketAddr, user_timeout: Option<Duration>) -> io::Result<Watched<TcpStream>> {
     let socket = socket2::Socket::new(socket2::Domain::for_address(addr), socket2::Type::STREAM, None)?;
     socket.set_nonblocking(true)?;
     socket.set_tcp_nodelay(true)?;
     if user_timeout.is_some() {
         socket.set_tcp_user_timeout(user_timeout)?;
+        let probes = TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
+        socket.set_tcp_keepalive(&probes)?;
     }
     match socket.connect(&addr.into()) {
         Ok(()) => {}
--- a/crates/net/tests/sockets.rs
+++ b/crates/net/tests/sockets.rs
@@ -661,3 +661,17 @@
     write(&conn, answer(2, "two"));
     assert_eq!(server.served(), (2, b"two".to_vec()));
 }
+
+// Guards against attempts that wait until their deadline for a machine that has vanished after it began to answer.
+#[test]
+fn a_silent_server_is_probed_where_unacknowledged_data_ends_a_connection() {
+    let _set_up = resources();
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("bound");
+    for user_timeout in [Some(WAIT), None] {
+        let connected = net::socket::connect(addr, user_timeout).expect("a connection");
+        let socket = socket2::SockRef::from(connected.inner());
+        assert_eq!(socket.keepalive().expect("an option"), user_timeout.is_some());
+        assert_eq!(socket.tcp_user_timeout().expect("an option"), user_timeout);
+    }
+}
