Count a server as cold for as long as a report may say that is not recorded

Cause: a heartbeat that says "cold for longer" is recorded only if it is longer by more than 0.5 s, as it may just have been delayed; but the proxies took the recorded time for exact.

Change: the tolerance belongs to the recorded time. What is not recorded is counted: proxies and bookings take a server for cold until the latest time that a report may have said without being recorded. The tolerance is 0.1 s, as each cold server now stays cold for so much longer.

--- a/crates/cluster/src/state.rs
+++ b/crates/cluster/src/state.rs
@@ -115,10 +115,24 @@
     pub noted_at: Micros,
 }
 
+/// A heartbeat that says that a server stays cold for longer by up to this is not recorded: it may have been delayed.
+pub const COLD_TOLERANCE_US: Micros = 100_000;
+
 impl Server {
+    /// When it is warm by the report that is recorded; 0: it was not reported as cold.
     pub fn cold_until(&self) -> Micros {
         if self.cold_ms == 0 { 0 } else { self.noted_at + Micros::from(self.cold_ms) * 1000 }
     }
+
+    /// When it is warm by the latest report that may have come since and was not recorded.
+    pub fn cold_until_at_most(&self) -> Micros {
+        if self.cold_ms == 0 { 0 } else { self.cold_until() + COLD_TOLERANCE_US }
+    }
+
+    /// Whether a report at `now` that it stays cold for `left_ms` is to be recorded.
+    pub fn is_colder(&self, now: Micros, left_ms: u32) -> bool {
+        left_ms > 0 && now + Micros::from(left_ms) * 1000 > self.cold_until_at_most()
+    }
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/proxy/src/routing_view.rs
+++ b/crates/proxy/src/routing_view.rs
@@ -538,7 +538,7 @@
         // yet.
         let period = service.map_or(0, |s| (s.cold_period_s * 1e6) as Micros);
         let returned = state.returned.get(&server.zone).map_or(0, |at| at + period);
-        server.cold_until().max(returned)
+        server.cold_until_at_most().max(returned)
     }
 }
 
--- a/crates/registry/src/bookings.rs
+++ b/crates/registry/src/bookings.rs
@@ -102,7 +102,7 @@
         for s in self.state.servers.values().filter(|s| s.service == booking.service && !s.draining) {
             let home = homes.is_none_or(|h| self.zones.get(&s.zone).is_some_and(|region| h.contains(region)));
             let back = self.state.returned.get(&s.zone).map_or(0, |at| at + cold_us);
-            let warm = s.cold_until().max(back) <= opens_at;
+            let warm = s.cold_until_at_most().max(back) <= opens_at;
             if home && warm && !self.state.evacuated.contains(&s.zone) {
                 let zone = slots.entry(&s.zone).or_default();
                 *zone = zone.saturating_add(s.slots);
--- a/crates/registry/src/calls.rs
+++ b/crates/registry/src/calls.rs
@@ -1,8 +1,7 @@
 //! Calls from servers, operators and clients as parsed from HTTP, and the answers to them.
 
-use cluster::Micros;
 use cluster::rollout::Declined;
-use cluster::state::{Done, Node, Server};
+use cluster::state::{Done, Node};
 use settings::config::show_version;
 
 /// An HTTP request before its path and body are interpreted.
@@ -64,9 +63,3 @@
         Answer::json(200, settings::api::resolution_answer(&list, validity_s))
     }
 }
-
-/// Whether a server reports to be cold for longer than is known, by more than a late call explains.
-pub fn is_colder(server: &Server, now: Micros, left_ms: u32) -> bool {
-    const MAX_DELAY_MS: u64 = 500;
-    left_ms > 0 && now + u64::from(left_ms) * 1000 > server.cold_until() + MAX_DELAY_MS * 1000
-}
--- a/crates/registry/src/control_plane.rs
+++ b/crates/registry/src/control_plane.rs
@@ -7,7 +7,7 @@
 mod rollout;
 
 use crate::bookings::{BookingScheduler, Clocks};
-use crate::calls::{self, Answer, Request};
+use crate::calls::{Answer, Request};
 use crate::drills::Leases;
 use crate::meter::Meter;
 use crate::presence::Presence;
@@ -452,8 +452,8 @@
         let new_version = version.filter(|v| self.copy.state.versions.get(server) != Some(v));
         let change = match (known, beat.information) {
             (Some(s), _) if draining && !s.draining => ServerChange::Draining { id: server.into() },
-            // Reported cold although it was known as warm, or again much longer than known.
-            (Some(s), _) if !s.draining && calls::is_colder(s, self.now, cold_ms) => {
+            // Reported cold although it was known as warm, or for longer than known.
+            (Some(s), _) if !s.draining && s.is_colder(self.now, cold_ms) => {
                 ServerChange::Cold { id: server.into(), left_ms: cold_ms }
             }
             (Some(_), _) => match new_version.clone() {
