Play answers that pause in the soak and the simulator

Need: no stand-in paused within an answer, so neither the soak nor the simulator could show that a proxy cuts such answers off.

Change: `pause SERVER for S`: answers that begin meanwhile pause for 2.2 s, all but their last byte being written; simulated answers, which come in one piece, take so much longer.

--- a/crates/lab/src/soak/schedule.rs
+++ b/crates/lab/src/soak/schedule.rs
@@ -72,6 +72,7 @@
             draft.hangups(from, to, 6);
             draft.changes(from, to, (0.3, 1.2));
             draft.leaving_servers(from, to, (0.5, 2.0));
+            draft.paused_answers(from, to, 4);
         }
         Kind::Core => {
             draft.core_ends(from, from + (to - from) * 0.5);
@@ -354,6 +355,17 @@
         self.at(at + 8.0, format_args!("return {zone}"));
     }
 
+    /// Single servers pause within their answers, for longer than most requests last.
+    pub(super) fn paused_answers(&mut self, from: f64, to: f64, count: usize) {
+        for _ in 0..count {
+            let (at, last) = (self.rng.gen_range(from..to), self.rng.gen_range(0.5..1.5));
+            let (service, count) =
+                self.shape.services[self.rng.gen_range(0..self.shape.services.len())].clone();
+            let server = self.rng.gen_range(1..=count);
+            self.at(at, format_args!("pause {service}{server} for {last:.2}"));
+        }
+    }
+
     /// Answers of whole services are lost after the work, so that what may run twice is sent again.
     pub(super) fn lost_answers(&mut self, from: f64, to: f64, count: usize) {
         for _ in 0..count {
--- a/crates/lab/src/system/play.rs
+++ b/crates/lab/src/system/play.rs
@@ -96,6 +96,7 @@
             What::Crash { server: who, .. } | What::Replace { server: who, .. } => server(who),
             What::Drain { server: who, .. } | What::Cold { server: who } => server(who),
             What::Lose { server: who, .. } | What::Slow { server: who, .. } => server(who),
+            What::Pause { server: who, .. } => server(who),
             What::When { then, .. } => one(then, s, zones),
             What::Closing(then) => one(then, s, zones),
             What::Odd(_) => Err("stranger troubles are played on simulated time only".into()),
@@ -239,6 +240,10 @@
                 self.log.note(format!("answers of {server} are lost"));
                 self.servers.named(&server).into_iter().for_each(|n| self.servers.lose(n, last));
             }
+            What::Pause { server, last } => {
+                self.log.note(format!("answers of {server} pause"));
+                self.servers.named(&server).into_iter().for_each(|n| self.servers.pause(n, last));
+            }
             What::Slow { server, last } => {
                 self.log.note(format!("{server} slow"));
                 self.servers.named(&server).into_iter().for_each(|n| self.servers.slow(n, last));
--- a/crates/lab/src/system/servers.rs
+++ b/crates/lab/src/system/servers.rs
@@ -10,6 +10,7 @@
 use crate::http::{Conn, Request, header, response};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use simulator::Micros;
+use simulator::plan::PAUSE;
 use simulator::record::{Arrival, Cold, Leave};
 use simulator::scenario::Scenario;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -85,6 +86,7 @@
     /// Nobody has acknowledged yet that it has turned cold.
     cold_untold: AtomicBool,
     loses_until: AtomicU64,
+    pauses_until: AtomicU64,
     slow_until: AtomicU64,
 }
 
@@ -223,6 +225,7 @@
             cold_until: AtomicU64::new(until),
             cold_untold: AtomicBool::new(false),
             loses_until: AtomicU64::new(0),
+            pauses_until: AtomicU64::new(0),
             slow_until: AtomicU64::new(0),
         });
         if cold {
@@ -313,6 +316,12 @@
         }
     }
 
+    pub fn pause(&self, place: usize, last: Micros) {
+        if let Some(life) = self.life(place) {
+            life.pauses_until.store(self.log.now() + last, Relaxed);
+        }
+    }
+
     pub fn slow(&self, place: usize, last: Micros) {
         if let Some(life) = self.life(place) {
             life.slow_until.store(self.log.now() + last, Relaxed);
@@ -479,13 +488,10 @@
     let slow_version = life.quality == Quality::Slow;
     let times = if slow { SLOWER } else { 1.0 } * if slow_version { SLOW_TIMES } else { 1.0 };
     let took = servers.work as f64 * (0.5 + servers.chance()) * times;
-    tokio::select! {
-        () = tokio::time::sleep(Duration::from_micros(took as u64)) => {}
-        () = closed(stream) => {
-            let now = log.now();
-            arrival(&mut log.book(), attempt, at).cut = Some(now);
-            return None;
-        }
+    if works_undisturbed(stream, took as Micros).await.is_none() {
+        let now = log.now();
+        arrival(&mut log.book(), attempt, at).cut = Some(now);
+        return None;
     }
     if log.now() < life.loses_until.load(Relaxed) {
         arrival(&mut log.book(), attempt, at).broke = true;
@@ -505,7 +511,41 @@
         return Some(response(500, &headers, b""));
     }
     headers.push(("X-Server-Seal", named.clone()));
-    Some(response(200, &headers, &body(attempt, request.target.starts_with("/r-kawe/"))))
+    let whole = response(200, &headers, &body(attempt, request.target.starts_with("/r-kawe/")));
+    if begun >= life.pauses_until.load(Relaxed) {
+        return Some(whole);
+    }
+    let (begin, rest) = whole.split_at(whole.len() - 1);
+    if write_all(stream, begin).await.is_err() || works_undisturbed(stream, PAUSE).await.is_none() {
+        let now = log.now();
+        arrival(&mut log.book(), attempt, at).cut = Some(now);
+        return None;
+    }
+    if log.now() > now + left {
+        arrival(&mut log.book(), attempt, at).broke = true;
+        return None;
+    }
+    Some(rest.to_vec())
+}
+
+/// None: the caller has gone meanwhile.
+async fn works_undisturbed(stream: &TcpStream, for_us: Micros) -> Option<()> {
+    tokio::select! {
+        () = tokio::time::sleep(Duration::from_micros(for_us)) => Some(()),
+        () = closed(stream) => None,
+    }
+}
+
+async fn write_all(stream: &TcpStream, mut bytes: &[u8]) -> std::io::Result<()> {
+    while !bytes.is_empty() {
+        stream.writable().await?;
+        match stream.try_write(bytes) {
+            Ok(written) => bytes = &bytes[written..],
+            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
 }
 
 /// Whether a client sent this, just so; what nobody sent is put down.
--- a/crates/simulator/src/outside.rs
+++ b/crates/simulator/src/outside.rs
@@ -2,7 +2,7 @@
 
 use crate::net::{Body, Conn, ConnId, Event, Kind, Owner, Work, Worked};
 use crate::odd::{Ill, Oddness};
-use crate::plan::{DEADLINE, HOST, Plan, Wish};
+use crate::plan::{DEADLINE, HOST, PAUSE, Plan, Wish};
 use crate::process::BEAT;
 use crate::record::{self, Arrival, Fate, ReadBack, Request, Spoken, Try, Vouched};
 use crate::scenario::{Rooms, route_of};
@@ -94,6 +94,7 @@
     cold_untold: bool,
     /// Answers lost until then.
     pub loses_until: Micros,
+    pub pauses_until: Micros,
     pub slow_until: Micros,
     pub odd: Oddness,
 }
@@ -358,6 +359,7 @@
             cold_until,
             cold_untold: false,
             loses_until: 0,
+            pauses_until: 0,
             slow_until: 0,
             odd: Oddness::default(),
         });
@@ -604,7 +606,8 @@
             s.works += 1;
             let number = s.works;
             let slow = if now < s.cold_until || now < s.slow_until { 3.0 } else { 1.0 };
-            let took = (base as f64 * factor * slow * slower) as Micros;
+            let pause = if now < s.pauses_until { PAUSE } else { 0 };
+            let took = (base as f64 * factor * slow * slower) as Micros + pause;
             let life = s.life;
             if bad {
                 s.bad.insert(number);
--- a/crates/simulator/src/plan.rs
+++ b/crates/simulator/src/plan.rs
@@ -38,6 +38,8 @@
 
 pub const HOST: &str = "front.example";
 pub const DEADLINE: Micros = 3 * SECOND;
+/// How long servers that pause do so within an answer.
+pub const PAUSE: Micros = 2200 * MS;
 
 impl Plan {
     fn route_rows(&self, routes: &[RoutePlan]) -> jzon::JsonValue {
--- a/crates/simulator/src/scenario.rs
+++ b/crates/simulator/src/scenario.rs
@@ -127,6 +127,11 @@
         server: String,
         last: Micros,
     },
+    /// Answers pause for [`crate::plan::PAUSE`] after they have begun.
+    Pause {
+        server: String,
+        last: Micros,
+    },
     /// Servers work slowly.
     Slow {
         server: String,
@@ -447,6 +452,7 @@
         "drain" => What::Drain { server: w.next("the server")?.into(), back: w.maybe_back()? },
         "cold" => What::Cold { server: w.next("the server")?.into() },
         "lose" => What::Lose { server: w.next("the server")?.into(), last: w.last()? },
+        "pause" => What::Pause { server: w.next("the server")?.into(), last: w.last()? },
         "slow" => What::Slow { server: w.next("the server")?.into(), last: w.last()? },
         "drill-at" => What::OneNode { who: w.next("who")?.into() },
         "hot" => {
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -717,6 +717,13 @@
                     }
                 }
             }
+            What::Pause { server, last } => {
+                for place in self.places_named(&server) {
+                    if let Some(s) = &mut self.places[place].server {
+                        s.pauses_until = now + last;
+                    }
+                }
+            }
             What::Slow { server, last } => {
                 for place in self.places_named(&server) {
                     self.unwell(place, now + last);
