Give what a stand-in server does with a request a module of its own

Need: `work` had grown to a hundred lines of one function, with the pause within an answer on top, and servers.rs to 570 lines.

Change: `servers::requests` has an attempt's steps as methods: taken or turned away, waits for a slot, works, its result, written with or without a pause. `--routes` reads `Changing` itself.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,6 +5,7 @@
 //! scenario, a program that would not start); the message names what is wrong.
 
 use clap::{Parser, Subcommand};
+use curlewfront_lab::soak::route_changes::Changing;
 use curlewfront_lab::{
     baseline, compare, group, launch, measure, report, run, scenario::Scenario, soak, system,
 };
@@ -107,7 +108,7 @@
         evacuations: Option<u32>,
         /// Days on which names of routes, or weights of split routes change, in place of what the seed says.
         #[arg(long, value_enum, conflicts_with = "evacuations")]
-        routes: Option<SoakRoutes>,
+        routes: Option<Changing>,
         /// Days played at the same time.
         #[arg(long, default_value_t = 2)]
         jobs: usize,
@@ -137,19 +138,11 @@
     Small,
 }
 
-#[derive(Clone, Copy, clap::ValueEnum)]
-enum SoakRoutes {
-    Names,
-    Weights,
-}
-
 /// What the days of a soak are about.
-fn about(evacuations: Option<u32>, routes: Option<SoakRoutes>) -> soak::About {
-    use soak::route_changes::Changing;
+fn about(evacuations: Option<u32>, routes: Option<Changing>) -> soak::About {
     match (evacuations, routes) {
         (Some(rounds), _) => soak::About::Evacuations { rounds },
-        (_, Some(SoakRoutes::Names)) => soak::About::Routes(Changing::Names),
-        (_, Some(SoakRoutes::Weights)) => soak::About::Routes(Changing::Weights),
+        (None, Some(changing)) => soak::About::Routes(changing),
         (None, None) => soak::About::Seed,
     }
 }
--- a/crates/lab/src/soak/route_changes.rs
+++ b/crates/lab/src/soak/route_changes.rs
@@ -7,7 +7,7 @@
 use simulator::route_days::{self, Line};
 
 /// Which of the two a day is about.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
 pub enum Changing {
     Names,
     Weights,
--- a/crates/lab/src/system/servers.rs
+++ b/crates/lab/src/system/servers.rs
@@ -1,28 +1,27 @@
 //! Stand-in servers that make themselves known: each calls the registries as the protocol has it, works on a few
 //! requests at a time, seals its answers with the name of the try, and puts down everything that reaches it.
 
+mod requests;
+
+use self::requests::serve;
 use super::call::{Call, good};
-use super::log::{Log, arrival, lock};
+use super::log::{Log, lock};
 use super::machines::Machines;
-use super::observed::{BadAnswer, TimeHanded};
-use super::rollouts::{ERROR_PART, PlannedRollout, Quality, SLOW_TIMES, server_prefix};
+use super::rollouts::{PlannedRollout, Quality, server_prefix};
 use super::{MS, SECOND, all};
-use crate::http::{Conn, Request, header, response};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use simulator::Micros;
-use simulator::plan::PAUSE;
-use simulator::record::{Arrival, Cold, Leave};
+use simulator::record::{Cold, Leave};
 use simulator::scenario::Scenario;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
 use tokio::task::{JoinHandle, JoinSet};
 
 const SLOTS: usize = 3;
-const QUEUE: usize = 3;
 const FIRST_PORT: u16 = 8080;
 /// The version of all servers that run from the beginning.
 const FIRST_VERSION: &str = "v1";
@@ -30,14 +29,8 @@
 const START_SPREAD: Micros = 500 * MS;
 /// Servers share this many addresses and differ by port.
 const ADDRESSES: usize = 3;
-/// Kept connections are closed after this; callers are told a second less.
-const IDLE: Duration = Duration::from_secs(11);
 /// For what was acknowledged to reach the proxies in touch.
 const NEWS: Micros = 300 * MS;
-/// A cold or slowed server takes so many times as long.
-const SLOWER: f64 = 3.0;
-/// A request that names no time left may take so long.
-const UNTOLD: Micros = 60 * SECOND;
 /// Without an acknowledgement a server that leaves still ends.
 const LEAVES_ANYWAY: Micros = 12 * SECOND;
 
@@ -388,183 +381,3 @@
         tokio::time::sleep(Duration::from_micros(wait)).await;
     }
 }
-
-/// Puts down that the server itself broke off, if it ends while it works.
-struct Working<'a> {
-    log: &'a Log,
-    life: &'a Life,
-    attempt: u64,
-    at: usize,
-}
-
-impl Drop for Working<'_> {
-    fn drop(&mut self) {
-        let now = self.log.now();
-        let mut book = self.log.book();
-        book.observed.worked_until.insert(self.attempt, now);
-        if self.life.ended.load(Relaxed) {
-            arrival(&mut book, self.attempt, self.at).broke = true;
-        }
-    }
-}
-
-async fn serve(servers: Arc<Servers>, life: Arc<Life>, stream: TcpStream) {
-    let mut conn = Conn::new(stream);
-    while let Ok(Ok(Some(request))) = tokio::time::timeout(IDLE, conn.read_request()).await {
-        let Some(answer) = work(&servers, &life, &conn.stream, &request).await else { return };
-        if conn.write(&answer).await.is_err() {
-            return;
-        }
-    }
-}
-
-/// Whoever called has gone.
-async fn closed(stream: &TcpStream) {
-    let mut byte = [0];
-    match stream.peek(&mut byte).await {
-        Ok(0) | Err(_) => {}
-        Ok(_) => std::future::pending().await,
-    }
-}
-
-/// None: the connection ends without an answer.
-async fn work(servers: &Servers, life: &Life, stream: &TcpStream, request: &Request) -> Option<Vec<u8>> {
-    let (log, now) = (&servers.log, servers.log.now());
-    let named = request.header("X-Attempt-Id").unwrap_or("").to_string();
-    let not_run = |status: u16| {
-        let headers = [("X-Attempt-Id", named.clone()), ("X-Not-Executed", "1".to_string())];
-        Some(response(status, &headers, b""))
-    };
-    let asked = u64::from_str_radix(&named, 16).ok();
-    let Some(attempt) = asked.filter(|n| asked_for(&mut log.book(), *n, request, life)) else {
-        return not_run(400);
-    };
-    let elsewhere = request.header("X-Expected-Instance").is_some_and(|id| id != life.id);
-    let full = life.slots.available_permits() == 0 && life.waiting.load(Relaxed) >= QUEUE;
-    let turned_away = if elsewhere { Some(421) } else { full.then_some(503) };
-    let at = {
-        let mut book = log.book();
-        let tried = &mut book.tries[attempt as usize];
-        let (edge, proxy_life) = (tried.edge, tried.life);
-        tried.arrivals.push(Arrival {
-            // When the proxy sent it is not seen from here; over loopback it is the same moment.
-            sent: now,
-            at: now,
-            edge,
-            life: proxy_life,
-            server: life.id.clone(),
-            service: life.service.clone(),
-            zone: life.zone.clone(),
-            region: life.region.clone(),
-            tenant: request.header("X-Tenant-Name").map(str::to_string),
-            turned_away,
-            ran: None,
-            broke: false,
-            cut: None,
-        });
-        tried.arrivals.len() - 1
-    };
-    if let Some(status) = turned_away {
-        return not_run(status);
-    }
-    let told = request.header("X-Time-Left").and_then(|t| t.parse::<u64>().ok()).map(|ms| ms * MS);
-    log.book().observed.handed.push(TimeHanded { attempt, at: now, left: told });
-    let left = told.unwrap_or(UNTOLD);
-    life.waiting.fetch_add(1, Relaxed);
-    let turn = tokio::select! {
-        turn = life.slots.acquire() => turn.ok(),
-        () = tokio::time::sleep(Duration::from_micros(left)) => None,
-        () = closed(stream) => None,
-    };
-    life.waiting.fetch_sub(1, Relaxed);
-    let Some(_turn) = turn.filter(|_| log.now() < now + left) else {
-        arrival(&mut log.book(), attempt, at).turned_away = Some(503);
-        return not_run(503);
-    };
-    let begun = log.now();
-    arrival(&mut log.book(), attempt, at).ran = Some(begun);
-    let _working = Working { log, life, attempt, at };
-    let slow = begun < life.cold_until.load(Relaxed).max(life.slow_until.load(Relaxed));
-    let slow_version = life.quality == Quality::Slow;
-    let times = if slow { SLOWER } else { 1.0 } * if slow_version { SLOW_TIMES } else { 1.0 };
-    let took = servers.work as f64 * (0.5 + servers.chance()) * times;
-    if works_undisturbed(stream, took as Micros).await.is_none() {
-        let now = log.now();
-        arrival(&mut log.book(), attempt, at).cut = Some(now);
-        return None;
-    }
-    if log.now() < life.loses_until.load(Relaxed) {
-        arrival(&mut log.book(), attempt, at).broke = true;
-        return None;
-    }
-    let mut headers =
-        vec![("X-Attempt-Id", named.clone()), ("Keep-Alive", format!("timeout={}", IDLE.as_secs() - 1))];
-    if log.now() > now + left {
-        return Some(response(504, &headers, b""));
-    }
-    let fails = life.quality.fails(begun - life.begun) && servers.chance() < ERROR_PART;
-    if fails || slow_version {
-        let bad = BadAnswer { at: log.now(), server: life.id.clone() };
-        log.book().observed.bad_answers.push(bad);
-    }
-    if fails {
-        return Some(response(500, &headers, b""));
-    }
-    headers.push(("X-Server-Seal", named.clone()));
-    let whole = response(200, &headers, &body(attempt, request.target.starts_with("/r-kawe/")));
-    if begun >= life.pauses_until.load(Relaxed) {
-        return Some(whole);
-    }
-    let (begin, rest) = whole.split_at(whole.len() - 1);
-    if write_all(stream, begin).await.is_err() || works_undisturbed(stream, PAUSE).await.is_none() {
-        let now = log.now();
-        arrival(&mut log.book(), attempt, at).cut = Some(now);
-        return None;
-    }
-    if log.now() > now + left {
-        arrival(&mut log.book(), attempt, at).broke = true;
-        return None;
-    }
-    Some(rest.to_vec())
-}
-
-/// None: the caller has gone meanwhile.
-async fn works_undisturbed(stream: &TcpStream, for_us: Micros) -> Option<()> {
-    tokio::select! {
-        () = tokio::time::sleep(Duration::from_micros(for_us)) => Some(()),
-        () = closed(stream) => None,
-    }
-}
-
-async fn write_all(stream: &TcpStream, mut bytes: &[u8]) -> std::io::Result<()> {
-    while !bytes.is_empty() {
-        stream.writable().await?;
-        match stream.try_write(bytes) {
-            Ok(written) => bytes = &bytes[written..],
-            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
-            Err(e) => return Err(e),
-        }
-    }
-    Ok(())
-}
-
-/// Whether a client sent this, just so; what nobody sent is put down.
-fn asked_for(book: &mut super::log::Book, n: u64, request: &Request, life: &Life) -> bool {
-    let wrong = match book.tries.get(n as usize) {
-        None => Some("a try that no client sent".to_string()),
-        Some(t) => {
-            let (method, sent) = if t.once { ("POST", payload(n)) } else { ("GET", Vec::new()) };
-            let same = request.method == method && request.target == t.path && request.body == sent;
-            let key = header(&request.headers, "Authorization").is_some();
-            if !same {
-                Some(format!("changed on the way: {} {}", request.method, request.target))
-            } else {
-                key.then(|| "the tenant's key was passed on".to_string())
-            }
-        }
-    };
-    if let Some(what) = wrong.clone() {
-        book.unasked.push((Some(n), format!("at {}: {what}", life.id)));
-    }
-    wrong.is_none()
-}
