--- a/crates/lab/src/system/machines.rs
+++ b/crates/lab/src/system/machines.rs
@@ -154,6 +154,12 @@
         Some(ProcessorTime { life: held.lives, ms })
     }
 
+    /// The process id; none: it has ended.
+    pub fn id(&self) -> Option<u32> {
+        let mut held = lock(&self.held);
+        if held.gone() { None } else { held.child.as_ref().map(Child::id) }
+    }
+
     pub fn life(&self) -> u64 {
         lock(&self.held).lives
     }
