Hold all that others make a program hold within one budget

Cause: only bodies of requests were counted. An answer was held from its first byte at the pool until its client had taken it; the server's slot, the tenant's cap and the deadline were free again when the server was done, so what was held had no bound in number or time.

An answer is reserved by its length before it is read (without a length in three steps); without room its server is not read, and reservations are granted in order. Its lease goes with it until the client has taken it. While something waits or was refused, connections that have held for 1 s at under 256 KB/s are closed, the slowest first; within a request they get 503, which holds, as it has not run.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -5,8 +5,8 @@
 use crate::shared::Shared;
 use net::Micros;
 use net::http::{self, Bad, Bounds, Framing};
-use net::limits::BufferedBody;
 use net::listener::{Answer, ClientTimeouts, Handler, HeadAction, Reply};
+use net::memory::BufferedBody;
 use net::pool::ForwardedRequest;
 use std::sync::Arc;
 
--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -533,7 +533,7 @@
 mod tests {
     use super::*;
     use crate::shared::tests::shared;
-    use net::limits::BufferedBody;
+    use net::memory::BufferedBody;
     use std::sync::mpsc::{Sender, channel};
 
     fn actor() -> DecisionActor {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -4,7 +4,7 @@
 use crate::shared::Shared;
 use curlewfront::{Micros, Plan};
 use net::http::{self, Bad};
-use net::limits::BufferedBody;
+use net::memory::BufferedBody;
 use net::pool::ForwardedRequest;
 
 /// Checks the head of a request and reads its headers. `until` of the result is still a duration: the time allowed,
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -275,6 +275,10 @@
 /// All such lines of a body together may be so many times as long as the largest allowed body: a chunked body that
 /// brings little content and never ends must not be read for ever.
 const MAX_LINE_BYTES_FACTOR: usize = 8;
+/// A body whose length is not known grows to this size before the largest one is reserved for it.
+const LARGE_STEP_BYTES: usize = 1 << 20;
+/// The least room for further input: a line around chunks must fit.
+const MIN_ROOM_BYTES: usize = 2 * MAX_CHUNK_LINE_BYTES;
 /// Bytes reserved for a body before any of it has come, as its claimed length may be false.
 const MAX_INITIAL_CAPACITY_BYTES: usize = 4096;
 /// With at least so many bytes still to come, a body is read directly instead of through a ring buffer.
@@ -302,6 +306,36 @@
         }
     }
 
+    /// How many bytes more must be reserved before further input is taken, with `reserved` bytes so far. A length that is
+    /// known is reserved whole; otherwise the reservation grows in few steps, of which the last but one is `max_growing`.
+    pub fn unreserved_bytes(&self, reserved: usize, max_growing: usize) -> usize {
+        let needed = match self.state {
+            BodyState::Done => 0,
+            BodyState::Left(left) => self.content.len() + left,
+            _ if reserved >= self.max_bytes || self.content.len() + MIN_ROOM_BYTES <= reserved => 0,
+            _ => {
+                let steps = [BLOCK_BYTES, LARGE_STEP_BYTES, max_growing, self.max_bytes];
+                let step = steps.into_iter().find(|step| *step > reserved).unwrap_or(self.max_bytes);
+                step.min(self.max_bytes)
+            }
+        };
+        needed.saturating_sub(reserved)
+    }
+
+    /// How much input may be taken with so many bytes reserved.
+    pub fn max_input_bytes(&self, reserved: usize) -> usize {
+        match self.state {
+            BodyState::Done | BodyState::Left(_) => usize::MAX,
+            _ if reserved >= self.max_bytes => usize::MAX,
+            _ => reserved.saturating_sub(self.content.len()),
+        }
+    }
+
+    /// Allocates the store for a body of up to so many bytes at once, so that it is not copied as it grows.
+    pub fn allocate(&mut self, bytes: usize) {
+        self.content.reserve_exact(bytes.saturating_sub(self.content.len()));
+    }
+
     /// Calls `read` once, directly into the body, if much of it is still to come. Otherwise reads nothing and returns
     /// None: the bytes are to be passed to `take`.
     pub fn fill(&mut self, read: impl FnOnce(&mut [u8]) -> io::Result<usize>) -> io::Result<Option<Filled>> {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod limits;
 pub mod listener;
 pub mod mailbox;
+pub mod memory;
 pub mod pool;
 pub mod resources;
 pub mod ring;
--- a/crates/net/src/limits.rs
+++ b/crates/net/src/limits.rs
@@ -1,5 +1,4 @@
-//! Limits on open descriptors and on memory for request bodies. They only count: a holder gets a permit, and
-//! dropping the permit releases its share.
+//! The limit on open descriptors. It only counts: a holder gets a permit, and dropping the permit releases its share.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -91,77 +90,10 @@
     }
 }
 
-/// The limit on memory for the bodies of requests. The body size of one request is bounded elsewhere (`Bounds`).
-pub struct Memory {
-    max_bytes: usize,
-    used_bytes: AtomicUsize,
-}
-
-/// The part of the program's memory that request bodies may take together, as numerator and denominator. The rest
-/// is for answers, connections and the program itself.
-const BODY_MEMORY_FRACTION: (u64, u64) = (3, 8);
-
-impl Memory {
-    pub fn new(memory_mb: u64) -> Memory {
-        let max = memory_mb.saturating_mul(1024 * 1024) / BODY_MEMORY_FRACTION.1 * BODY_MEMORY_FRACTION.0;
-        Memory { max_bytes: usize::try_from(max).unwrap_or(usize::MAX), used_bytes: AtomicUsize::new(0) }
-    }
-
-    /// A permit to hold so many bytes, released when it is dropped; None if they are not available.
-    pub fn take(self: &Arc<Memory>, bytes: usize) -> Option<Lease> {
-        let take = |used: usize| used.checked_add(bytes).filter(|sum| *sum <= self.max_bytes);
-        let taken = self.used_bytes.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take);
-        taken.ok().map(|_| Lease { memory: self.clone(), bytes })
-    }
-}
-
-/// A permit to hold a number of bytes.
-pub struct Lease {
-    memory: Arc<Memory>,
-    bytes: usize,
-}
-
-impl Lease {
-    /// Extends the permit to `bytes` in all. Returns false and changes nothing if they are not available.
-    pub fn grow(&mut self, bytes: usize) -> bool {
-        let Some(more) = bytes.checked_sub(self.bytes).filter(|more| *more > 0) else { return true };
-        let Some(mut lease) = self.memory.take(more) else { return false };
-        self.bytes += std::mem::take(&mut lease.bytes);
-        true
-    }
-}
-
-/// A request body in memory, with the permit to hold it.
-#[derive(Default)]
-pub struct BufferedBody {
-    pub bytes: Vec<u8>,
-    pub lease: Option<Lease>,
-}
-
-impl Drop for Lease {
-    fn drop(&mut self) {
-        self.memory.used_bytes.fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
 
-    #[test]
-    fn bodies_hold_no_more_than_their_part_together() {
-        let memory = Arc::new(Memory::new(32));
-        let leases: Vec<Lease> = std::iter::from_fn(|| memory.take(128 * 1024)).collect();
-        assert_eq!(leases.len(), 96, "12 of 32 MB");
-        assert!(memory.take(1).is_none() && memory.take(usize::MAX).is_none());
-        drop(leases);
-        let mut grown = memory.take(1).expect("there is room");
-        assert!(!grown.grow(12 * 1024 * 1024 + 1) && grown.grow(12 * 1024 * 1024));
-        assert!(memory.take(1).is_none());
-        drop(grown);
-        assert!(memory.take(1).is_some());
-    }
-
     #[test]
     fn neither_side_can_take_all_descriptors() {
         let fds = Arc::new(Fds::new(24 + 160));
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -10,8 +10,9 @@
 use crate::Micros;
 use crate::clock::Alarm;
 use crate::http::{self, Bad, Bounds};
-use crate::limits::{BufferedBody, ConnectionKind, Fd};
+use crate::limits::{ConnectionKind, Fd};
 use crate::mailbox::{Mailbox, Waker};
+use crate::memory::BufferedBody;
 use crate::resources::Resources;
 use crate::ring::Bytes;
 use crate::socket::Watched;
@@ -176,6 +177,8 @@
     },
     /// Time to send the next piece of a paced body.
     NextPiece,
+    /// Others need the memory that it holds: refuse its request if that has not run, or close.
+    Evict,
     /// Close the connection if it is still in this state.
     Close(State),
     /// The break is over: go on reading.
@@ -205,6 +208,30 @@
     opened_at: Micros,
     /// Complete requests received.
     request_count: AtomicU32,
+    held: Held,
+}
+
+/// What a connection holds of bodies and answers, and how fast its client takes or brings them.
+#[derive(Default)]
+struct Held {
+    bytes: AtomicUsize,
+    /// Since when it has held anything without a break; 0: it holds nothing.
+    since: AtomicU64,
+    /// Bytes read and written since then.
+    moved: AtomicUsize,
+}
+
+impl Held {
+    /// The rate at which its bytes have moved, in bytes per second, if that is too slow while others need memory.
+    fn slow_rate(&self, now: Micros) -> Option<u64> {
+        let since = self.since.load(Ordering::Relaxed);
+        let age = now.saturating_sub(since);
+        if since == 0 || age < HOLD_GRACE_US {
+            return None;
+        }
+        let rate = self.moved.load(Ordering::Relaxed) as u64 * 1_000_000 / age;
+        (rate < LEAST_RATE).then_some(rate)
+    }
 }
 
 impl Connection {
@@ -312,6 +339,11 @@
 const DRAIN_IDLE_US: Micros = 500_000;
 /// Interval of the sweeps over all connections.
 const SWEEP_INTERVAL_US: Micros = 100_000;
+/// While others need memory: how long a connection may hold a body or an answer at whatever rate.
+const HOLD_GRACE_US: Micros = 1_000_000;
+/// While others need memory: the rate below which a connection may be closed, over the whole time for which it has held
+/// a body or an answer, in bytes per second.
+const LEAST_RATE: u64 = 256 * 1024;
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1024;
 /// How long accepting pauses when no descriptor is available.
@@ -362,6 +394,7 @@
             loop {
                 alarm.sleep(SWEEP_INTERVAL_US);
                 sweeping.close_overdue(&mut draining_since);
+                sweeping.evict_slowest();
             }
         });
         Ok(listener)
@@ -390,6 +423,36 @@
         }
     }
 
+    /// While others need memory, closes the connections whose clients move their bytes most slowly, as many as are needed.
+    fn evict_slowest(&self) {
+        let demand = self.resources.memory.take_demand();
+        if demand == 0 {
+            return;
+        }
+        let now = self.resources.clock.now();
+        let open = self.open();
+        let rated = open.values().filter_map(|c| c.held.slow_rate(now).map(|rate| (rate, c)));
+        let mut slow: Vec<(u64, &Arc<Connection>)> = rated.collect();
+        slow.sort_by_key(|(rate, _)| *rate);
+        let (mut freed, mut count) = (0, 0);
+        for (_, connection) in slow {
+            if freed >= demand {
+                break;
+            }
+            freed += connection.held.bytes.load(Ordering::Relaxed);
+            count += 1;
+            // It is not chosen again while it closes.
+            connection.held.since.store(0, Ordering::Relaxed);
+            connection.inbox.post(ToConnection::Evict);
+        }
+        if count > 0 {
+            self.resources.memory.count_evicted(count);
+            (self.resources.warn)(format_args!(
+                "{count} connections of slow clients closed, which held {freed} bytes: others need the memory"
+            ));
+        }
+    }
+
     fn open(&self) -> MutexGuard<'_, HashMap<u64, Arc<Connection>>> {
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -400,6 +463,10 @@
         let mut left = BACKLOG + 1;
         while left > 0 {
             left -= i32::from(self.stopped.load(Ordering::Relaxed));
+            if self.resources.memory.is_exhausted() {
+                self.evict_one(false);
+                return self.pause();
+            }
             let Some(fd) = self.resources.fds.take(ConnectionKind::Client) else {
                 self.evict_one(false);
                 self.handler.descriptors_exhausted(); // for it to close idle connections to servers
@@ -512,8 +579,14 @@
         let id = self.resources.ids.fetch_add(1, Ordering::Relaxed);
         let opened_at = self.resources.clock.now();
         let (state, since) = (AtomicU8::new(State::Idle as u8), AtomicU64::new(opened_at));
-        let connection =
-            Arc::new(Connection { inbox, state, since, opened_at, request_count: AtomicU32::new(0) });
+        let connection = Arc::new(Connection {
+            inbox,
+            state,
+            since,
+            opened_at,
+            request_count: AtomicU32::new(0),
+            held: Held::default(),
+        });
         self.open().insert(id, connection.clone());
         connection::start(self.clone(), connection, id, io, fd);
         Ok(())
--- a/crates/net/src/listener/connection.rs
+++ b/crates/net/src/listener/connection.rs
@@ -3,7 +3,8 @@
 use super::{Answer, Connection, Handler, HeadAction, Listener, Reply, ReplyTarget, State, ToConnection};
 use crate::Micros;
 use crate::http::{self, Bad, Body, Framing};
-use crate::limits::{BufferedBody, Fd, Lease};
+use crate::limits::Fd;
+use crate::memory::{BufferedBody, CONNECTION_BYTES, Lease, MAX_SMALL_BYTES};
 use crate::ring::{Bytes, Filled, Outgoing, Ring};
 use crate::socket::{Stream, Watched, events};
 use std::collections::VecDeque;
@@ -72,7 +73,7 @@
 pub(super) struct Client<H: Handler, S = Watched<TcpStream>> {
     io: S,
     listener: Arc<Listener<H>>,
-    connection: Arc<Connection>,
+    pub(super) connection: Arc<Connection>,
     incoming: Ring,
     outgoing: Outgoing,
     partial: Option<PartialRequest<H::Request>>,
@@ -84,6 +85,12 @@
     no_more_requests: bool,
     /// Bytes read or written since the last block of progress was recorded.
     progress_bytes: usize,
+    /// Bytes read or written since the connection began.
+    moved_bytes: usize,
+    /// Of these, those from before it held what it holds now.
+    moved_before: usize,
+    /// The permit for its buffers.
+    buffers: Lease,
     /// There may be bytes to read that no further event will announce.
     may_have_input: bool,
     /// Received requests wait until more of the answers is written.
@@ -126,6 +133,12 @@
 const OVER_LIMIT: Bad = Bad { status: 503, what: "no room" };
 const DROPPED: Bad = Bad { status: 502, what: "" };
 
+/// What is sent in place of a long answer for which there is no memory: an error if the request has only read, or else
+/// the end of the connection, as an error could promise that it has not run.
+fn without_room(refusal: Answer, only_read: bool) -> Answer {
+    if only_read { refusal } else { Answer { cut: true, body: Vec::new().into(), ..refusal } }
+}
+
 /// What a connection does next, after a step.
 #[derive(Debug, PartialEq, Eq)]
 pub(super) enum Next {
@@ -198,6 +211,7 @@
 
 impl<H: Handler, S: Stream> Client<H, S> {
     pub(super) fn new(io: S, listener: Arc<Listener<H>>, connection: Arc<Connection>, fd: Fd) -> Self {
+        let buffers = listener.resources.memory.hold(CONNECTION_BYTES);
         Client {
             io,
             listener,
@@ -209,6 +223,9 @@
             paced: None,
             no_more_requests: false,
             progress_bytes: 0,
+            moved_bytes: 0,
+            moved_before: 0,
+            buffers,
             may_have_input: false,
             write_blocked: false,
             streak: 0,
@@ -235,6 +252,11 @@
                 ToConnection::Dropped { id } => self.set_answer(id, self.listener.handler.refusal(&DROPPED)),
                 ToConnection::Resume => (self.streak, self.reading_paused) = (0, false),
                 ToConnection::NextPiece => self.send_piece(),
+                ToConnection::Evict if self.state() == State::Reading => self.refuse(&OVER_LIMIT),
+                ToConnection::Evict => {
+                    let _ = self.io.shutdown(Shutdown::Both);
+                    return Next::Close;
+                }
                 ToConnection::Close(expected_state) => {
                     // An idle connection may be closed between requests: a client whose request crosses the
                     // close sends it again. But a request that has already come must be answered.
@@ -309,6 +331,36 @@
             let since = if state == State::Waiting { 0 } else { self.listener.resources.clock.now() };
             self.connection.since.store(since, Ordering::Relaxed);
         }
+        self.publish_held();
+    }
+
+    /// Publishes what it holds for others, and how much of that has moved.
+    fn publish_held(&mut self) {
+        let buffers = CONNECTION_BYTES + self.incoming.capacity() + self.outgoing.buffer_capacity();
+        if buffers != self.buffers.bytes() {
+            self.buffers.resize(buffers);
+        }
+        let (bytes, held) = (self.held_bytes(), &self.connection.held);
+        let before = held.bytes.swap(bytes, Ordering::Relaxed);
+        if bytes == 0 {
+            if before > 0 {
+                held.since.store(0, Ordering::Relaxed);
+            }
+            return;
+        }
+        if before == 0 {
+            self.moved_before = self.moved_bytes;
+            held.since.store(self.listener.resources.clock.now(), Ordering::Relaxed);
+        }
+        held.moved.store(self.moved_bytes - self.moved_before, Ordering::Relaxed);
+    }
+
+    /// The memory of bodies and answers that its client has yet to bring or to take.
+    fn held_bytes(&self) -> usize {
+        let body = self.partial.as_ref().and_then(|part| part.lease.as_ref()).map_or(0, Lease::bytes);
+        let answers = self.pending.iter().filter_map(|p| p.answer.as_ref()).map(|a| a.body.held_bytes());
+        let paced = self.paced.as_ref().map_or(0, |p| p.body.held_bytes());
+        body + answers.sum::<usize>() + paced + self.outgoing.held_bytes()
     }
 
     /// Answers with an error and ends the connection, as it is not known where the next request would begin.
@@ -360,6 +412,7 @@
                 }
                 Ok(Some(filled)) => {
                     self.progress_bytes += filled.bytes;
+                    self.moved_bytes += filled.bytes;
                     self.ended = filled.bytes == 0;
                     self.may_have_input = filled.full || self.client_closed;
                     self.process_input();
@@ -408,13 +461,16 @@
 
     /// Whether another request may be processed: if none is under way, or together with others that may be pipelined. While
     /// the handler drains, none is taken behind another, as each could hold the connection open for its own time; the
-    /// answer before it closes the connection, and the client sends it elsewhere.
+    /// answer before it closes the connection, and the client sends it elsewhere. While memory is short, each would bring
+    /// an answer that can only wait.
     fn may_process_request(&self) -> bool {
         let handler = &self.listener.handler;
-        let max = if handler.draining() { 1 } else { handler.max_pipelined() };
-        !self.no_more_requests
-            && (self.pending.is_empty()
-                || (self.pending.len() < max && self.pending.iter().all(|p| p.pipelinable)))
+        if self.no_more_requests || self.pending.is_empty() {
+            return !self.no_more_requests;
+        }
+        let one_at_a_time = handler.draining() || self.listener.resources.memory.is_short();
+        let max = if one_at_a_time { 1 } else { handler.max_pipelined() };
+        self.pending.len() < max && self.pending.iter().all(|p| p.pipelinable)
     }
 
     /// Processes as much as possible of the buffered bytes.
@@ -537,8 +593,22 @@
         );
     }
 
-    fn set_answer(&mut self, id: u64, answer: Answer) {
+    fn set_answer(&mut self, id: u64, mut answer: Answer) {
         if let Some(pending) = self.pending.iter_mut().find(|p| p.id == id && p.answer.is_none()) {
+            // The program's own long answers; those of servers bring their permit.
+            if let Bytes::Owned(bytes) = &mut answer.body
+                && bytes.len() > MAX_SMALL_BYTES
+            {
+                let bytes = std::mem::take(bytes);
+                let lease = self.listener.resources.memory.take_answer(bytes.len());
+                answer = match lease {
+                    Some(lease) => {
+                        let body = BufferedBody { bytes, lease: Some(lease) };
+                        Answer { body: body.into(), ..answer }
+                    }
+                    None => without_room(self.listener.handler.refusal(&OVER_LIMIT), pending.pipelinable),
+                };
+            }
             pending.answer = Some(answer);
             self.send_available_answers();
         }
@@ -628,6 +698,7 @@
         let before = self.outgoing.len();
         let result = self.outgoing.flush(self.io.socket());
         self.progress_bytes += before - self.outgoing.len();
+        self.moved_bytes += before - self.outgoing.len();
         result
     }
 }
--- a/crates/net/src/listener/model.rs
+++ b/crates/net/src/listener/model.rs
@@ -24,6 +24,8 @@
     to_listener: VecDeque<u8>,
     client_closed: bool,
     to_client: Vec<u8>,
+    /// The client does not read.
+    blocked: bool,
     shut_down: bool,
 }
 
@@ -44,7 +46,11 @@
 
 impl Write for Pipe {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.0.borrow_mut().to_client.extend_from_slice(bytes);
+        let mut streams = self.0.borrow_mut();
+        if streams.blocked {
+            return Err(ErrorKind::WouldBlock.into());
+        }
+        streams.to_client.extend_from_slice(bytes);
         Ok(bytes.len())
     }
 
@@ -177,6 +183,7 @@
         since: AtomicU64::new(0),
         opened_at: 0,
         request_count: AtomicU32::new(0),
+        held: Held::default(),
     });
     let (pipe, fd) = (Pipe::default(), resources.fds.take(ConnectionKind::Client).expect("a descriptor"));
     (Client::new(pipe.clone(), listener, connection, fd), pipe)
@@ -405,3 +412,83 @@
     let told = String::from_utf8_lossy(&pipe.0.borrow().to_client).into_owned();
     assert_eq!((told.matches("HTTP/1.1 200").count(), told.matches("Connection: close").count()), (2, 1));
 }
+
+/// A connection whose client has sent the request `sent`, an index into `REQUESTS`, and reads nothing.
+fn asked(
+    resources: &Arc<Resources>,
+    handler: &Arc<ManualHandler>,
+    sent: usize,
+) -> (Client<ManualHandler, Pipe>, Pipe) {
+    let (mut client, pipe) = connect(resources, &Alarm::new(Clock::start()).expect("a timer"), handler);
+    pipe.0.borrow_mut().to_listener.extend(REQUESTS[sent].0.bytes());
+    assert_eq!(client.step(events::READABLE), Next::Wait);
+    (client, pipe)
+}
+
+fn answer_with(handler: &ManualHandler, body: crate::ring::Bytes) {
+    let (_, _, reply) = handler.unanswered.lock().expect("not poisoned").remove(0);
+    reply.send(Answer::new(200, Vec::new(), body));
+}
+
+const LONG_BYTES: usize = 1 << 20;
+
+/// The room of an answer is free again only once its client has taken it or the connection is closed.
+#[test]
+fn an_evicted_connection_ends_and_what_it_held_is_free() {
+    let (resources, handler) = (resources(), Arc::new(ManualHandler::default()));
+    let (mut client, pipe) = asked(&resources, &handler, 0);
+    pipe.0.borrow_mut().blocked = true;
+    let lease = resources.memory.take_answer(LONG_BYTES);
+    answer_with(&handler, BufferedBody { bytes: vec![0; LONG_BYTES], lease }.into());
+    assert_eq!(client.step(0), Next::Wait);
+    let held = &client.connection.held;
+    assert!(held.bytes.load(Ordering::Relaxed) >= LONG_BYTES && resources.memory.used() >= LONG_BYTES);
+    client.connection.inbox.post(ToConnection::Evict);
+    assert_eq!(client.step(0), Next::Close);
+    drop(client);
+    assert_eq!(resources.memory.used(), 0);
+}
+
+/// Its request has not run and never will, and the client is told so.
+#[test]
+fn a_connection_that_is_evicted_within_its_request_is_refused() {
+    let (resources, handler) = (resources(), Arc::new(ManualHandler::default()));
+    let (mut client, pipe) = connect(&resources, &Alarm::new(Clock::start()).expect("a timer"), &handler);
+    let request = b"POST /2 HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\na";
+    pipe.0.borrow_mut().to_listener.extend(request);
+    assert_eq!(client.step(events::READABLE), Next::Wait);
+    client.connection.inbox.post(ToConnection::Evict);
+    pipe.0.borrow_mut().to_listener.extend(b"bc");
+    assert_eq!(client.step(events::READABLE), Next::Linger);
+    assert!(pipe.0.borrow().to_client.starts_with(b"HTTP/1.1 503 "));
+    assert!(handler.received.lock().expect("not poisoned").is_empty(), "it was not passed on");
+}
+
+/// A refusal would promise that the request has not run: only one that reads gets it.
+#[test]
+fn the_programs_own_long_answer_without_room_is_refused_only_where_nothing_was_changed() {
+    let (resources, handler) = (resources(), Arc::new(ManualHandler::default()));
+    for (sent, start) in [(0, b"HTTP/1.1 503 ".as_slice()), (1, b"")] {
+        let (mut client, pipe) = asked(&resources, &handler, sent);
+        let _all = resources.memory.hold(32 << 20);
+        answer_with(&handler, vec![0; LONG_BYTES].into());
+        let next = client.step(0);
+        assert_eq!(next == Next::Linger, sent == 1, "{sent}");
+        let told = &pipe.0.borrow().to_client;
+        assert!(told.starts_with(start) && told.is_empty() == start.is_empty(), "{sent}");
+    }
+}
+
+#[test]
+fn only_those_who_hold_long_and_move_little_are_slow() {
+    let held = Held::default();
+    assert_eq!(held.slow_rate(10 * HOLD_GRACE_US), None, "it holds nothing");
+    held.since.store(HOLD_GRACE_US, Ordering::Relaxed);
+    assert_eq!(held.slow_rate(2 * HOLD_GRACE_US - 1), None, "not yet");
+    assert_eq!(held.slow_rate(2 * HOLD_GRACE_US), Some(0));
+    held.moved.store(LEAST_RATE as usize - 1, Ordering::Relaxed);
+    assert_eq!(held.slow_rate(2 * HOLD_GRACE_US), Some(LEAST_RATE - 1));
+    assert_eq!(held.slow_rate(3 * HOLD_GRACE_US), Some(LEAST_RATE / 2 - 1), "over the whole time");
+    held.moved.store(LEAST_RATE as usize, Ordering::Relaxed);
+    assert_eq!(held.slow_rate(2 * HOLD_GRACE_US), None);
+}
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -13,8 +13,9 @@
 use crate::Micros;
 use crate::errors::{AttemptError, Cause};
 use crate::http::{self, Bounds};
-use crate::limits::{BufferedBody, ConnectionKind};
+use crate::limits::ConnectionKind;
 use crate::mailbox::Mailbox;
+use crate::memory::BufferedBody;
 use crate::resources::Resources;
 use crate::socket;
 use may::sync::mpsc::{Receiver, Sender, channel};
@@ -90,7 +91,7 @@
 pub struct Served<HeadInfo> {
     pub status: u16,
     pub head_info: HeadInfo,
-    pub body: Vec<u8>,
+    pub body: BufferedBody,
 }
 
 /// Settings of the connections to one server.
--- a/crates/net/src/pool/connection.rs
+++ b/crates/net/src/pool/connection.rs
@@ -6,6 +6,7 @@
 use crate::errors::{Cause, ConnectionHistory};
 use crate::limits::Fd;
 use crate::mailbox::Mailbox;
+use crate::memory::{CONNECTION_BYTES, Lease, Reserver};
 use crate::resources::Resources;
 use crate::socket::{Watched, events};
 use may::sync::mpsc::Sender;
@@ -30,10 +31,23 @@
     job: Job<W::Note>,
     fd: Fd,
 ) {
-    let exchange = Exchange::new(job, context.settings.bounds, context.settings.answer_us);
+    let waked = inbox.clone();
+    let room = Reserver::new(context.resources.memory.clone(), move || waked.wake());
+    let exchange = Exchange::new(job, context.settings.bounds, context.settings.answer_us, room);
     let opened_at = context.resources.clock.now();
-    let mut connection =
-        Connection { context, io, inbox, exchange, opened_at, established_at: None, attempts: 1, _fd: fd };
+    let buffers = context.resources.memory.hold(CONNECTION_BYTES);
+    let mut connection = Connection {
+        context,
+        io,
+        inbox,
+        exchange,
+        opened_at,
+        established_at: None,
+        attempts: 1,
+        peer_closed: false,
+        _fd: fd,
+        _buffers: buffers,
+    };
     may::go!(move || {
         // A panic ends only this connection; the outcome of its attempt is still reported.
         let result = catch_unwind(AssertUnwindSafe(|| connection.run()));
@@ -53,7 +67,10 @@
     established_at: Option<Micros>,
     /// Attempts that it was given.
     attempts: u32,
+    /// The server has closed its side, or the connection has failed. What came before may still wait to be read.
+    peer_closed: bool,
     _fd: Fd,
+    _buffers: Lease,
 }
 
 impl<W: Wire> Connection<W> {
@@ -106,8 +123,10 @@
             self.established_at = Some(now);
             self.exchange.connected(wire, now);
         }
-        if events & (events::READABLE | events::ENDED) != 0 {
-            match self.exchange.read(wire, &mut self.io.inner(), events & events::ENDED != 0)? {
+        self.peer_closed |= events & events::ENDED != 0;
+        let readable = events & (events::READABLE | events::ENDED) != 0;
+        if readable || self.exchange.is_waiting_for_room() {
+            match self.exchange.read(wire, &mut self.io.inner(), self.peer_closed)? {
                 ReadResult::Wait => {}
                 ReadResult::Reusable { ended, keep_us } => {
                     // Before the outcome is reported, so that an attempt sent right after it finds this connection
--- a/crates/net/src/pool/exchange.rs
+++ b/crates/net/src/pool/exchange.rs
@@ -9,6 +9,7 @@
 use crate::Micros;
 use crate::errors::{AttemptError, Cause, Progress};
 use crate::http::{self, Body, Bounds};
+use crate::memory::{BufferedBody, Lease, Reservation, Reserver, Ticket};
 use crate::ring::{Bytes, Filled, Outgoing, Ring};
 use std::io::{self, ErrorKind, Read, Write};
 
@@ -40,6 +41,31 @@
     /// None: it is not the answer to this attempt.
     head_info: Option<HeadInfo>,
     body: Body,
+    /// The room that is reserved for the body.
+    lease: Option<Lease>,
+}
+
+impl<HeadInfo> IncomingAnswer<HeadInfo> {
+    fn reserved_bytes(&self) -> usize {
+        self.lease.as_ref().map_or(0, Lease::bytes)
+    }
+
+    fn add_room(&mut self, room: Lease) {
+        match &mut self.lease {
+            Some(lease) => lease.join(room),
+            None => self.lease = Some(room),
+        }
+        self.body.allocate(self.reserved_bytes());
+    }
+
+    /// The whole body, which holds no more room than it needs.
+    fn take_body(&mut self) -> BufferedBody {
+        let mut bytes = std::mem::take(&mut self.body.content);
+        bytes.shrink_to_fit();
+        let mut lease = self.lease.take();
+        lease.iter_mut().for_each(|lease| lease.shrink(bytes.len()));
+        BufferedBody { bytes, lease }
+    }
 }
 
 /// The state of one connection to a server.
@@ -70,6 +96,9 @@
     /// Bytes read of the answer since that was set.
     progress_bytes: usize,
     answer: Option<IncomingAnswer<W::HeadInfo>>,
+    room: Reserver,
+    /// The answer waits for room; nothing is read meanwhile.
+    waiting: Option<Ticket>,
 }
 
 /// The most response heads for one attempt, with those of interim (1xx) and surplus answers. More are treated as an
@@ -78,7 +107,7 @@
 
 impl<W: Wire> Exchange<W> {
     /// The state of a connection that is being opened for `job`.
-    pub fn new(job: Job<W::Note>, bounds: Bounds, answer_us: Option<Micros>) -> Exchange<W> {
+    pub fn new(job: Job<W::Note>, bounds: Bounds, answer_us: Option<Micros>, room: Reserver) -> Exchange<W> {
         Exchange {
             bounds,
             answer_us,
@@ -95,6 +124,8 @@
             answer_deadline: None,
             progress_bytes: 0,
             answer: None,
+            room,
+            waiting: None,
         }
     }
 
@@ -102,6 +133,11 @@
         self.connected
     }
 
+    /// Whether its answer waits for room. It is then to be read again once that is granted.
+    pub fn is_waiting_for_room(&self) -> bool {
+        self.waiting.is_some()
+    }
+
     /// Whether no attempt is under way.
     pub fn is_idle(&self) -> bool {
         self.job.is_none()
@@ -186,7 +222,16 @@
     /// Reads what has come. `ended`: the server has closed its side or the connection has failed. After `Wait` and
     /// `Reusable` nothing is left to be read.
     pub fn read(&mut self, wire: &W, socket: &mut impl Read, ended: bool) -> Result<ReadResult<W>, Cause> {
+        if self.is_waiting_for_room()
+            && let Some(outcome) = self.process_input(wire)?
+        {
+            return Ok(result_of(outcome, true, socket));
+        }
         loop {
+            // Bytes that are not read hold their server up.
+            if self.is_waiting_for_room() {
+                return Ok(ReadResult::Wait);
+            }
             match self.read_once(socket) {
                 Ok(None) => {}
                 Ok(Some(filled)) if filled.bytes == 0 => {
@@ -209,13 +254,8 @@
                     }
                     self.progress_bytes += filled.bytes;
                     let more = filled.full || ended;
-                    if let Some((ended, keep_us)) = self.process_input(wire)? {
-                        return Ok(match keep_us {
-                            Some(keep_us) if !more || nothing_to_read(socket) => {
-                                ReadResult::Reusable { ended, keep_us }
-                            }
-                            _ => ReadResult::Finished { ended: Some(ended) },
-                        });
+                    if let Some(outcome) = self.process_input(wire)? {
+                        return Ok(result_of(outcome, more, socket));
                     }
                     if !more {
                         return Ok(ReadResult::Wait);
@@ -242,27 +282,35 @@
 
     /// Processes as much as possible of the buffered bytes. Returns the outcome of the attempt once its answer is
     /// complete and, if the connection can be reused, for how long the server keeps it open.
-    #[allow(clippy::type_complexity)]
-    fn process_input(&mut self, wire: &W) -> Result<Option<(Ended<W>, Option<Option<Micros>>)>, Cause> {
+    fn process_input(&mut self, wire: &W) -> Result<Option<AnswerOutcome<W>>, Cause> {
         let malformed = |e: http::Bad| Cause::Malformed(e.what);
         loop {
             if self.answer.is_none() && !self.read_head(wire).map_err(malformed)? {
                 return Ok(None);
             }
+            if !self.make_room()? {
+                return Ok(None);
+            }
             let Some(answer) = &mut self.answer else { continue };
-            let used = answer.body.take(self.incoming.bytes()).map_err(malformed)?;
+            let input = self.incoming.bytes();
+            let taken = input.len().min(answer.body.max_input_bytes(answer.reserved_bytes()));
+            let more_input = taken < input.len();
+            let used = answer.body.take(&input[..taken]).map_err(malformed)?;
             self.incoming.consume(used);
             if !answer.body.done() {
+                if more_input {
+                    continue;
+                }
                 return Ok(None);
             }
-            let Some(answer) = self.answer.take() else { continue };
-            let Some(head_info) = answer.head_info else {
+            let Some(mut answer) = self.answer.take() else { continue };
+            let Some(head_info) = answer.head_info.take() else {
                 // The answer to this attempt is still awaited.
                 (self.surplus, self.progress_bytes, self.answer_deadline) = (true, 0, None);
                 continue;
             };
             let Some(Job { id, attempt, note, .. }) = self.job.take() else { return Ok(None) };
-            let served = Served { status: answer.status, head_info, body: answer.body.content };
+            let served = Served { status: answer.status, head_info, body: answer.take_body() };
             let ended = Ended { id, attempt, note, begun_at: self.begun_at, outcome: Ok(served) };
             self.used = true;
             // After an answer that came before the request was completely written, or with further bytes behind it,
@@ -272,6 +320,27 @@
         }
     }
 
+    /// Reserves room for what comes next of the answer. False: it waits for that.
+    fn make_room(&mut self) -> Result<bool, Cause> {
+        let Some(answer) = &mut self.answer else { return Ok(true) };
+        if let Some(ticket) = &self.waiting {
+            let Some(room) = ticket.take() else { return Ok(false) };
+            self.waiting = None;
+            answer.add_room(room);
+        }
+        let max_growing = self.room.max_growing_bytes();
+        let bytes = answer.body.unreserved_bytes(answer.reserved_bytes(), max_growing);
+        if bytes == 0 {
+            return Ok(true);
+        }
+        match self.room.reserve(bytes) {
+            Reservation::Granted(room) => answer.add_room(room),
+            Reservation::Waiting(ticket) => self.waiting = Some(ticket),
+            Reservation::TooLarge => return Err(Cause::Malformed("answer larger than there is memory for")),
+        }
+        Ok(self.waiting.is_none())
+    }
+
     /// Parses one head; false while it is incomplete.
     fn read_head(&mut self, wire: &W) -> Result<bool, http::Bad> {
         let Some(job) = &self.job else { return Ok(false) };
@@ -299,6 +368,7 @@
                 keep_us: http::keep_alive_timeout_s(head.headers).map(|s| s.saturating_mul(1_000_000)),
                 head_info,
                 body: Body::new(head.framing, self.bounds),
+                lease: None,
             });
         }
         self.incoming.consume(len);
@@ -312,6 +382,10 @@
         if self.job.is_none() || (self.answer.is_none() && self.incoming.is_empty()) {
             return Ok(None);
         }
+        if self.is_waiting_for_room() {
+            self.answer_deadline = None; // the server is not what it waits for
+            return Ok(None);
+        }
         if self.progress_bytes >= http::BLOCK_BYTES {
             (self.progress_bytes, self.answer_deadline) = (0, None);
         }
@@ -342,6 +416,22 @@
     }
 }
 
+/// The outcome of an attempt with a whole answer, and for how long the server keeps the connection open if it can be
+/// reused.
+type AnswerOutcome<W> = (Ended<W>, Option<Option<Micros>>);
+
+/// `more`: there may be more to read.
+fn result_of<W: Wire>(
+    (ended, keep_us): AnswerOutcome<W>,
+    more: bool,
+    socket: &mut impl Read,
+) -> ReadResult<W> {
+    match keep_us {
+        Some(keep_us) if !more || nothing_to_read(socket) => ReadResult::Reusable { ended, keep_us },
+        _ => ReadResult::Finished { ended: Some(ended) },
+    }
+}
+
 /// Whether nothing is there to be read, and the peer has not closed its side.
 fn nothing_to_read(socket: &mut impl Read) -> bool {
     socket.read(&mut [0]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
--- a/crates/net/src/resources.rs
+++ b/crates/net/src/resources.rs
@@ -1,7 +1,8 @@
 //! The clock, limits, log and numbering that all listeners and pools of one program share.
 
 use crate::clock::{Alarms, Clock};
-use crate::limits::{Fds, Memory};
+use crate::limits::Fds;
+use crate::memory::Memory;
 use std::fmt::Arguments;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize};
@@ -23,7 +24,7 @@
 }
 
 impl Resources {
-    /// Allows up to `sockets` descriptors, and a part of `memory_mb` for the bodies of requests.
+    /// Allows up to `sockets` descriptors, and a part of `memory_mb` for what others make the program hold.
     pub fn new(sockets: usize, memory_mb: u64, clock: Clock, alarms: Alarms, warn: Warn) -> Resources {
         Resources {
             clock,
--- a/crates/net/src/ring.rs
+++ b/crates/net/src/ring.rs
@@ -1,6 +1,7 @@
 //! Ring buffers, one for each connection and direction. A buffer starts small, grows for a large message, and is
 //! small again once it is empty: a thousand idle connections must not hold the memory of a thousand large messages.
 
+use crate::memory::BufferedBody;
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind};
 use std::sync::Arc;
@@ -66,6 +67,11 @@
         self.len
     }
 
+    /// The memory that it takes.
+    pub fn capacity(&self) -> usize {
+        self.store.len()
+    }
+
     /// Grows to the next multiple of the step instead of doubling: a large message must not take twice its size.
     fn reserve(&mut self, need: usize) {
         if need > self.store.len() {
@@ -106,6 +112,8 @@
 /// Bytes to be sent, owned or shared.
 pub enum Bytes {
     Owned(Vec<u8>),
+    /// With the permit to hold them.
+    Buffered(BufferedBody),
     Shared(Arc<dyn AsRef<[u8]> + Send + Sync>),
 }
 
@@ -113,6 +121,7 @@
     fn as_ref(&self) -> &[u8] {
         match self {
             Bytes::Owned(bytes) => bytes,
+            Bytes::Buffered(body) => body,
             Bytes::Shared(bytes) => (**bytes).as_ref(),
         }
     }
@@ -124,6 +133,23 @@
     }
 }
 
+impl Bytes {
+    /// The memory that is free again once they are sent.
+    pub fn held_bytes(&self) -> usize {
+        match self {
+            Bytes::Owned(bytes) => bytes.len(),
+            Bytes::Buffered(body) => body.len(),
+            Bytes::Shared(_) => 0,
+        }
+    }
+}
+
+impl From<BufferedBody> for Bytes {
+    fn from(body: BufferedBody) -> Bytes {
+        Bytes::Buffered(body)
+    }
+}
+
 impl From<Arc<[u8]>> for Bytes {
     fn from(bytes: Arc<[u8]>) -> Bytes {
         Bytes::Shared(Arc::new(bytes))
@@ -152,6 +178,17 @@
         self.len
     }
 
+    /// The memory of the buffer for small pieces.
+    pub fn buffer_capacity(&self) -> usize {
+        self.ring.capacity()
+    }
+
+    /// The memory that is free again once all is sent.
+    pub fn held_bytes(&self) -> usize {
+        let large: usize = self.large.iter().map(|(_, bytes, _)| bytes.held_bytes()).sum();
+        self.ring.len() + large
+    }
+
     pub fn push(&mut self, bytes: &[u8]) {
         self.ring.push(bytes);
         self.len += bytes.len();
--- a/crates/net/tests/fuzz.rs
+++ b/crates/net/tests/fuzz.rs
@@ -5,8 +5,8 @@
 use net::clock::{Alarms, Clock};
 use net::errors::{Cause, Progress};
 use net::http::{self, Bad, Body, Bounds, NO_HEADERS};
-use net::limits::BufferedBody;
 use net::listener::{self, Answer, ClientTimeouts, Handler, Listener, Reply};
+use net::memory::{BufferedBody, Memory, Reserver};
 use net::pool::exchange::{AfterFailure, Exchange, ReadResult};
 use net::pool::{Ended, ForwardedRequest, Job, Peer, ResponseMatch, Served, Settings, Wire};
 use net::resources::Resources;
@@ -87,7 +87,8 @@
     let head = format!("{method} / HTTP/1.1\r\nHost: x\r\n").into_bytes();
     let request = Arc::new(ForwardedRequest { head, body: BufferedBody::default() });
     let job = Job { id: 1, attempt: 0, request, same_server_retry: false, until: 9_000_000, note: () };
-    let mut exchange = Exchange::new(job, BOUNDS, Some(1_000_000));
+    let mut exchange =
+        Exchange::new(job, BOUNDS, Some(1_000_000), Reserver::new(Arc::new(Memory::new(256)), || {}));
     exchange.connected(&ById, 1);
     exchange.write(io::sink()).expect("taken");
     let mut result = String::new();
--- a/crates/net/tests/sockets.rs
+++ b/crates/net/tests/sockets.rs
@@ -6,8 +6,9 @@
 use net::clock::{Alarms, Clock};
 use net::errors::Progress;
 use net::http::{self, Bad, Bounds};
-use net::limits::{BufferedBody, ConnectionKind, Fd};
+use net::limits::{ConnectionKind, Fd};
 use net::listener::{Answer, ClientTimeouts, Handler, HeadAction, Listener, Reply};
+use net::memory::BufferedBody;
 use net::pool::{self, Ended, ForwardedRequest, Job, Peer, Settings, Wire};
 use net::resources::Resources;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
@@ -120,7 +121,7 @@
 
     fn served(&self) -> (u64, Vec<u8>) {
         let ended = self.ended();
-        (ended.id, ended.outcome.expect("an answer").body)
+        (ended.id, ended.outcome.expect("an answer").body.bytes.clone())
     }
 }
 
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -17,7 +17,7 @@
 use cluster::state::{Command, ServerChange, State};
 use cluster::talk::{Lease, News, Reading, Use, route_key};
 use curlewfront::{Action, Decider, Event, Hold, ListKind, Micros, NewRequest, Outcome};
-use net::limits::BufferedBody;
+use net::memory::BufferedBody;
 use net::pool::ForwardedRequest;
 use net::timeouts::Timeouts;
 use settings::config::{Config, Index, Kind, Route, Tenant};
@@ -66,7 +66,7 @@
     pub not_run: bool,
     /// Header lines to forward to the client.
     pub headers: Vec<u8>,
-    pub body: Vec<u8>,
+    pub body: BufferedBody,
 }
 
 pub enum Input {
@@ -140,17 +140,17 @@
 }
 
 /// An answer to a client.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Debug, PartialEq, Eq)]
 pub struct Answer {
     pub status: u16,
     pub headers: Vec<u8>,
-    pub body: Vec<u8>,
+    pub body: BufferedBody,
 }
 
 impl Answer {
     fn text(status: u16, why: &str) -> Answer {
         let headers = b"Content-Type: text/plain\r\n".to_vec();
-        Answer { status, headers, body: format!("{why}\n").into_bytes() }
+        Answer { status, headers, body: format!("{why}\n").into_bytes().into() }
     }
 
     /// The request has not run; `after`: when the client may try again.
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -6,8 +6,8 @@
 use cluster::talk::{Down, Here, PROXY_NEWS, PROXY_WATCH, REGISTRY_NEWS, Up};
 use miette::{Result, miette};
 use net::http::{self, Bad, Bounds};
-use net::limits::BufferedBody;
 use net::listener::{Answer, ClientTimeouts, Handler, HeadAction, Listener, Reply};
+use net::memory::BufferedBody;
 use net::pool::Job;
 use net::resources::Resources;
 use proxy::dispatcher::{self, AttemptResult, ClientRequest, Dispatcher, Execution};
@@ -363,7 +363,11 @@
                 dispatcher::Output::Cut(id, answer) => self.reply(id, |a| a.cut = true, answer),
                 dispatcher::Output::Slow(id, answer, us) => self.reply(id, |a| a.pace_us = us, answer),
                 dispatcher::Output::Close(id) => {
-                    let empty = dispatcher::Answer { status: 502, headers: Vec::new(), body: Vec::new() };
+                    let empty = dispatcher::Answer {
+                        status: 502,
+                        headers: Vec::new(),
+                        body: BufferedBody::default(),
+                    };
                     self.reply(id, |a| a.cut = true, empty);
                 }
                 dispatcher::Output::DrillFault { attempt_id, injected, .. } => {
--- a/crates/proxy/tests/answers.rs
+++ b/crates/proxy/tests/answers.rs
@@ -12,7 +12,7 @@
 use httparse::Header;
 use net::errors::Cause;
 use net::http::{Bounds, Response};
-use net::limits::BufferedBody;
+use net::memory::{BufferedBody, Memory, Reserver};
 use net::pool::exchange::{AfterFailure, Exchange, ReadResult};
 use net::pool::{self, ResponseMatch, Wire};
 use proxy::dispatcher::{Answer, AttemptResult, ClientRequest, Execution, Input, Job, Output, ServerAnswer};
@@ -117,6 +117,11 @@
     }
 }
 
+/// Room for all answers of the model.
+fn room() -> Reserver {
+    Reserver::new(Arc::new(Memory::new(256)), || {})
+}
+
 struct Conn {
     server: u64,
     exchange: Exchange<Protocol>,
@@ -260,7 +265,7 @@
                 conn.pipe.to_proxy.extend(conn.surplus.drain(..));
             }
             if reuse_unread {
-                conn.exchange = Exchange::new(job, BOUNDS, answer_us);
+                conn.exchange = Exchange::new(job, BOUNDS, answer_us, room());
                 conn.exchange.connected(&self.wire, self.proxy.now);
                 conn.attempt = key;
                 return self.write_request(n);
@@ -273,7 +278,7 @@
                 Err(back) => (conn.open, job) = (false, back),
             }
         }
-        let mut exchange = Exchange::new(job, BOUNDS, answer_us);
+        let mut exchange = Exchange::new(job, BOUNDS, answer_us, room());
         if self.pick_fault(2) == 1 {
             // The connection does not come up.
             return match exchange.fail(Cause::DialTimeout) {
@@ -531,7 +536,7 @@
                 Some(InjectedBug::TruncatedAsComplete),
                 AttemptResult::Broken { execution: Execution::MayHaveRun },
             ) => {
-                let (headers, body) = (Vec::new(), b"n1/1/xx".to_vec());
+                let (headers, body) = (Vec::new(), b"n1/1/xx".to_vec().into());
                 AttemptResult::Answered(ServerAnswer { status: 200, not_run: false, headers, body })
             }
             (_, end) => end,
@@ -545,7 +550,7 @@
                 self.violations.push(format!("{} answers to {id}", r.answers.len()));
             }
             for a in &r.answers {
-                if (200..300).contains(&a.status) && !r.bodies.contains(&a.body) {
+                if (200..300).contains(&a.status) && !r.bodies.contains(&a.body.bytes) {
                     self.violations.push(format!("MIXED {id}"));
                 }
                 if r.once && matches!(a.status, 408 | 421 | 429 | 503) && r.runs > 0 {
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -4,7 +4,7 @@
 use cluster::copy::Copy;
 use cluster::state::{Change, Command, Node, NodeChange, Server, ServerChange};
 use cluster::talk::News;
-use net::limits::BufferedBody;
+use net::memory::BufferedBody;
 use proxy::dispatcher::{
     Answer, AttemptResult, ClientRequest, Dispatcher, Execution, Input, Job, Output, ServerAnswer,
 };
@@ -173,7 +173,7 @@
     }
 
     pub fn served(&mut self, id: u64, attempt: u32, status: u16, not_run: bool) {
-        let served = ServerAnswer { status, not_run, headers: Vec::new(), body: b"said".to_vec() };
+        let served = ServerAnswer { status, not_run, headers: Vec::new(), body: b"said".to_vec().into() };
         self.end(id, attempt, AttemptResult::Answered(served));
     }
 
--- a/crates/proxy/tests/pausing_answers.rs
+++ b/crates/proxy/tests/pausing_answers.rs
@@ -1,7 +1,7 @@
 //! Answers that pause after they have begun: a server may write while it still works on the rest.
 
 use net::Micros;
-use net::limits::BufferedBody;
+use net::memory::{BufferedBody, Memory, Reserver};
 use net::pool::exchange::{Exchange, ReadResult};
 use net::pool::{ForwardedRequest, Job};
 use proxy::dispatcher::AttemptResult;
@@ -30,6 +30,10 @@
     ServerWire::new(|_, _, _| {})
 }
 
+fn room() -> Reserver {
+    Reserver::new(Arc::new(Memory::new(256)), || {})
+}
+
 /// An attempt that is written to its server.
 fn written() -> Exchange<Wire> {
     let head = b"GET / HTTP/1.1\r\nX-Attempt-Id: a\r\n".to_vec();
@@ -37,7 +41,7 @@
     let note = AttemptInfo { name: b"a".as_slice().into(), instance: "i-1".into() };
     let job = Job { id: 1, attempt: 0, request, same_server_retry: false, until: DEADLINE, note };
     let settings = pool_settings();
-    let mut exchange = Exchange::new(job, settings.bounds, settings.answer_us);
+    let mut exchange = Exchange::new(job, settings.bounds, settings.answer_us, room());
     exchange.connected(&wire(), SENT_AT);
     exchange.write(io::sink()).expect("written");
     exchange
--- a/crates/proxy/tests/server_pools.rs
+++ b/crates/proxy/tests/server_pools.rs
@@ -2,7 +2,7 @@
 
 use net::clock::{Alarms, Clock};
 use net::http::Bounds;
-use net::limits::BufferedBody;
+use net::memory::BufferedBody;
 use net::pool::{ForwardedRequest, Job, Settings};
 use net::resources::Resources;
 use proxy::dispatcher::AttemptResult;
--- a/crates/registry/src/main.rs
+++ b/crates/registry/src/main.rs
@@ -6,8 +6,8 @@
 use miette::{Result, miette};
 use net::Micros;
 use net::http::{self, Bad, Bounds};
-use net::limits::BufferedBody;
 use net::listener::{Answer, ClientTimeouts, Handler, HeadAction, Listener, Reply};
+use net::memory::BufferedBody;
 use registry::calls::{self, Request};
 use registry::control_plane::{ControlPlane, DEFAULT_ORDER_REPEAT_US, Input, Output, Parameters};
 use runtime::event_loop::{Inbox, StateMachine};
--- a/crates/simulator/src/process.rs
+++ b/crates/simulator/src/process.rs
@@ -11,7 +11,7 @@
 use cluster::talk::{Down, FromStore, Gossip, Here, ToStore, Up};
 use config_store::replica::{self, Peer, Replica};
 use consensus::{PersistentState, Write};
-use net::limits::BufferedBody;
+use net::memory::BufferedBody;
 use proxy::dispatcher::{self, AttemptResult, ClientRequest, Dispatcher, Execution, ServerAnswer};
 use proxy::failure_detector::FailureDetector;
 use proxy::feed::{self, Feed};
@@ -649,7 +649,8 @@
                     }
                     let seal = w.seal.map(|s| format!("X-Server-Seal: {s}\r\n")).unwrap_or_default();
                     let (headers, body) = (seal.into_bytes(), Vec::new());
-                    let served = ServerAnswer { status: w.status, not_run: w.not_run, headers, body };
+                    let served =
+                        ServerAnswer { status: w.status, not_run: w.not_run, headers, body: body.into() };
                     let end = AttemptResult::Answered(served);
                     self.front(
                         n,
