Hold one copy of a configuration for all who read it

Cause: each answer had a copy of the text of its own, and long answers that a program makes itself were not counted.

Change: the text is one copy, shared with the state; it counts once in the budget, and a reader for whose version there is no room gets 503 and asks another registry. Other long answers of a program count as they are made.

--- a/crates/net/src/listener/connection.rs
+++ b/crates/net/src/listener/connection.rs
@@ -358,8 +358,8 @@
     /// The memory of bodies and answers that its client has yet to bring or to take.
     fn held_bytes(&self) -> usize {
         let body = self.partial.as_ref().and_then(|part| part.lease.as_ref()).map_or(0, Lease::bytes);
-        let answers = self.pending.iter().filter_map(|p| p.answer.as_ref()).map(|a| a.body.held_bytes());
-        let paced = self.paced.as_ref().map_or(0, |p| p.body.held_bytes());
+        let answers = self.pending.iter().filter_map(|p| p.answer.as_ref()).map(|a| a.body.as_ref().len());
+        let paced = self.paced.as_ref().map_or(0, |p| p.body.as_ref().len());
         body + answers.sum::<usize>() + paced + self.outgoing.held_bytes()
     }
 
@@ -600,7 +600,7 @@
                 && bytes.len() > MAX_SMALL_BYTES
             {
                 let bytes = std::mem::take(bytes);
-                let lease = self.listener.resources.memory.take_answer(bytes.len());
+                let lease = self.listener.resources.memory.try_hold(bytes.len());
                 answer = match lease {
                     Some(lease) => {
                         let body = BufferedBody { bytes, lease: Some(lease) };
--- a/crates/net/src/listener/model.rs
+++ b/crates/net/src/listener/model.rs
@@ -438,7 +438,7 @@
     let (resources, handler) = (resources(), Arc::new(ManualHandler::default()));
     let (mut client, pipe) = asked(&resources, &handler, 0);
     pipe.0.borrow_mut().blocked = true;
-    let lease = resources.memory.take_answer(LONG_BYTES);
+    let lease = resources.memory.try_hold(LONG_BYTES);
     answer_with(&handler, BufferedBody { bytes: vec![0; LONG_BYTES], lease }.into());
     assert_eq!(client.step(0), Next::Wait);
     let held = &client.connection.held;
--- a/crates/net/src/memory.rs
+++ b/crates/net/src/memory.rs
@@ -119,8 +119,8 @@
         }
     }
 
-    /// A lease for an answer that exists already; None if there is no room.
-    pub fn take_answer(self: &Arc<Memory>, bytes: usize) -> Option<Lease> {
+    /// A lease for memory that is needed at once; None if there is no room.
+    pub fn try_hold(self: &Arc<Memory>, bytes: usize) -> Option<Lease> {
         let mut state = lock(&self.state);
         if !self.fits(&state, bytes) {
             state.refused = state.refused.max(bytes);
--- a/crates/net/src/ring.rs
+++ b/crates/net/src/ring.rs
@@ -133,17 +133,6 @@
     }
 }
 
-impl Bytes {
-    /// The memory that is free again once they are sent.
-    pub fn held_bytes(&self) -> usize {
-        match self {
-            Bytes::Owned(bytes) => bytes.len(),
-            Bytes::Buffered(body) => body.len(),
-            Bytes::Shared(_) => 0,
-        }
-    }
-}
-
 impl From<BufferedBody> for Bytes {
     fn from(body: BufferedBody) -> Bytes {
         Bytes::Buffered(body)
@@ -185,7 +174,7 @@
 
     /// The memory that is free again once all is sent.
     pub fn held_bytes(&self) -> usize {
-        let large: usize = self.large.iter().map(|(_, bytes, _)| bytes.held_bytes()).sum();
+        let large: usize = self.large.iter().map(|(_, bytes, _)| bytes.as_ref().len()).sum();
         self.ring.len() + large
     }
 
--- a/crates/registry/src/calls.rs
+++ b/crates/registry/src/calls.rs
@@ -3,6 +3,8 @@
 use cluster::rollout::Declined;
 use cluster::state::{Done, Node};
 use settings::config::show_version;
+use std::ops::Deref;
+use std::sync::Arc;
 
 /// An HTTP request before its path and body are interpreted.
 #[derive(Clone, Debug, Default)]
@@ -13,19 +15,58 @@
     pub body: Vec<u8>,
 }
 
+/// The text of an answer.
+#[derive(Clone, Debug)]
+pub enum AnswerBody {
+    Own(String),
+    /// The configuration, as all who read it get it: one copy in memory.
+    Configuration(Arc<str>),
+}
+
+impl Deref for AnswerBody {
+    type Target = str;
+
+    fn deref(&self) -> &str {
+        match self {
+            AnswerBody::Own(text) => text,
+            AnswerBody::Configuration(text) => text,
+        }
+    }
+}
+
+impl From<String> for AnswerBody {
+    fn from(text: String) -> AnswerBody {
+        AnswerBody::Own(text)
+    }
+}
+
+impl From<Arc<str>> for AnswerBody {
+    fn from(text: Arc<str>) -> AnswerBody {
+        AnswerBody::Configuration(text)
+    }
+}
+
+impl PartialEq for AnswerBody {
+    fn eq(&self, other: &AnswerBody) -> bool {
+        **self == **other
+    }
+}
+
+impl Eq for AnswerBody {}
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Answer {
     pub status: u16,
-    pub body: String,
+    pub body: AnswerBody,
 }
 
 impl Answer {
-    pub fn json(status: u16, body: String) -> Answer {
-        Answer { status, body }
+    pub fn json(status: u16, body: impl Into<AnswerBody>) -> Answer {
+        Answer { status, body: body.into() }
     }
 
     pub fn ok() -> Answer {
-        Answer::json(200, "{}".into())
+        Answer::json(200, "{}".to_string())
     }
 
     pub fn error(status: u16, why: &str) -> Answer {
--- a/crates/registry/src/control_plane.rs
+++ b/crates/registry/src/control_plane.rs
@@ -668,7 +668,7 @@
                     Some(Answer::done(done))
                 }
                 Awaited::Read { at: Some(at), .. } if *at <= rev => Some(match &self.copy.state.config {
-                    Some(config) => Answer::json(200, config.write()),
+                    Some(config) => Answer::json(200, config.shared_text()),
                     None => Answer::error(404, "no configuration yet"),
                 }),
                 Awaited::Rollouts { at: Some(at), query, .. } if *at <= rev => {
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod calls;
 pub mod control_plane;
 pub mod drills;
+pub mod held;
 pub mod meter;
 pub mod presence;
 pub mod rollouts;
--- a/crates/registry/src/main.rs
+++ b/crates/registry/src/main.rs
@@ -7,9 +7,11 @@
 use net::Micros;
 use net::http::{self, Bad, Bounds};
 use net::listener::{Answer, ClientTimeouts, Handler, HeadAction, Listener, Reply};
-use net::memory::BufferedBody;
-use registry::calls::{self, Request};
+use net::memory::{BufferedBody, Memory};
+use net::ring::Bytes;
+use registry::calls::{self, AnswerBody, Request};
 use registry::control_plane::{ControlPlane, DEFAULT_ORDER_REPEAT_US, Input, Output, Parameters};
+use registry::held::SharedConfiguration;
 use runtime::event_loop::{Inbox, StateMachine};
 use runtime::link::{ACK_TIMEOUT, Event, LinkHandle, ReconnectingLink};
 use runtime::{Runtime, SignalEvent};
@@ -66,6 +68,7 @@
         order_repeat_us: s.bounds.ack_limit_ms.map_or(DEFAULT_ORDER_REPEAT_US, |ms| ms * 1000),
     };
     let draining = Arc::new(AtomicBool::new(false));
+    let memory = room.memory.clone();
     let handler = Arc::new(CallHandler { inbox: inbox.clone(), draining: draining.clone() });
     let mut listens = vec![s.control()?];
     listens.extend(s.directory().ok().filter(|d| !listens.contains(d)));
@@ -87,6 +90,8 @@
         accepted_peers: BTreeMap::new(),
         proxy_links: BTreeMap::new(),
         replies: BTreeMap::new(),
+        memory,
+        shared_configuration: SharedConfiguration::default(),
         inbox,
         out: Vec::new(),
         draining,
@@ -154,9 +159,10 @@
     }
 }
 
+const JSON_HEADER: &[u8] = b"Content-Type: application/json\r\n";
+
 fn http_answer(answer: calls::Answer) -> Answer {
-    let headers = b"Content-Type: application/json\r\n".to_vec();
-    Answer::new(answer.status, headers, answer.body.into_bytes())
+    Answer::new(answer.status, JSON_HEADER.to_vec(), answer.body.to_string().into_bytes())
 }
 
 /// The main loop: turns messages into inputs of the control plane and sends its outputs.
@@ -168,6 +174,8 @@
     accepted_peers: BTreeMap<u64, LinkHandle>,
     proxy_links: BTreeMap<u64, LinkHandle>,
     replies: BTreeMap<u64, Reply>,
+    memory: Arc<Memory>,
+    shared_configuration: SharedConfiguration,
     inbox: Inbox<Message>,
     out: Vec<Output>,
     draining: Arc<AtomicBool>,
@@ -193,6 +201,20 @@
         }
     }
 
+    /// An answer as it is sent. A configuration for which there is no room is refused: its reader asks another registry.
+    fn answer(&mut self, answer: calls::Answer) -> Answer {
+        let text = match answer.body {
+            AnswerBody::Own(text) => {
+                return Answer::new(answer.status, JSON_HEADER.to_vec(), text.into_bytes());
+            }
+            AnswerBody::Configuration(text) => text,
+        };
+        match self.shared_configuration.share(&self.memory, &text) {
+            Some(held) => Answer::new(answer.status, JSON_HEADER.to_vec(), Bytes::Shared(held)),
+            None => http_answer(calls::Answer::unavailable("no room")),
+        }
+    }
+
     fn input_from(&mut self, now: Micros, message: Message) -> Option<Input> {
         Some(match message {
             Message::Call(id, request, reply) => {
@@ -267,7 +289,7 @@
             match output {
                 Output::Answer(id, answer) => {
                     if let Some(reply) = self.replies.remove(&id) {
-                        reply.send(http_answer(answer));
+                        reply.send(self.answer(answer));
                     }
                 }
                 Output::Store(message) => self.store.send(&message),
--- a/crates/registry/tests/common/mod.rs
+++ b/crates/registry/tests/common/mod.rs
@@ -128,7 +128,10 @@
         for output in out {
             match output {
                 Output::Answer(id, answer) => {
-                    assert!(self.answers.insert(id, (answer.status, answer.body)).is_none(), "answered once");
+                    assert!(
+                        self.answers.insert(id, (answer.status, answer.body.to_string())).is_none(),
+                        "answered once"
+                    );
                 }
                 Output::Store(ToStore::Propose { ticket, command }) => self.proposed.push((ticket, command)),
                 Output::Store(ToStore::Duty { ticket, term, command }) => {
--- a/crates/settings/src/config.rs
+++ b/crates/settings/src/config.rs
@@ -3,6 +3,7 @@
 use crate::facts::{Facts, MOST, Res, clash, parse, unfit};
 use jzon::JsonValue;
 use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
 
 const TEN_MINUTES_MS: u64 = 600_000;
 /// Where a limit is left out.
@@ -23,7 +24,7 @@
     pub tenants: Option<Vec<Tenant>>,
     /// As it is laid out: what was put, or what a patch made of it. Unknown fields, columns and the forms of
     /// numbers live on here, at the price of the text alone.
-    text: String,
+    text: Arc<str>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -136,7 +137,7 @@
         let (routes, services, limits, tenants) = whole(&value)?;
         let version = version_of(&value)?;
         // `parse` has seen that the bytes are text.
-        let text = String::from_utf8_lossy(bytes).into_owned();
+        let text = String::from_utf8_lossy(bytes).into();
         Ok(Config { version, routes, services, limits, tenants, text })
     }
 
@@ -147,13 +148,18 @@
 
     /// The whole configuration, laid out as it is put.
     pub fn write(&self) -> String {
-        self.text.clone()
+        self.text.to_string()
     }
 
     pub fn text(&self) -> &str {
         &self.text
     }
 
+    /// The text, without a copy.
+    pub fn shared_text(&self) -> Arc<str> {
+        self.text.clone()
+    }
+
     pub fn check_version(&self, current: u32) -> Res<()> {
         let (sent, current_text) = (show_version(self.version), show_version(current));
         match self.version > current {
--- a/crates/simulator/src/outside.rs
+++ b/crates/simulator/src/outside.rs
@@ -204,7 +204,7 @@
                     let (_, why) = self.calls.remove(&conn).expect("there");
                     let by = self.net.conns.get(&conn).map(|c| c.ends[1].owner);
                     if answer.status >= 300 {
-                        self.note(format!("{by:?} answers {owner:?}: {} {}", answer.status, answer.body));
+                        self.note(format!("{by:?} answers {owner:?}: {} {}", answer.status, &*answer.body));
                     }
                     self.close(conn, owner);
                     let by = by.map_or(0, |o| self.host_of(o));
@@ -1126,7 +1126,7 @@
         let (plan, change, evacuation) = (o.plan.clone(), o.change, o.evacuation);
         let (drill, booking, rollout) = (o.drill, o.booking, o.rollout);
         let fate = if ends { Fate::Refused(now) } else { Fate::Acknowledged(now) };
-        self.note(format!("order {number}: {fate:?} {}", answer.map_or("", |a| a.body.as_str())));
+        self.note(format!("order {number}: {fate:?} {}", answer.map_or("", |a| &*a.body)));
         if let Some(at) = change {
             self.record.changes[at].fate = fate;
             if !ends {
--- a/crates/simulator/src/rollout.rs
+++ b/crates/simulator/src/rollout.rs
@@ -144,7 +144,7 @@
             _ => return,
         };
         let now = self.now;
-        self.note(format!("the operator is told {}", answer.map_or("", |a| a.body.as_str())));
+        self.note(format!("the operator is told {}", answer.map_or("", |a| &*a.body)));
         let rollout = &mut self.record.rollouts[at];
         let over = |seen: &[Seen]| seen.iter().any(|s| s.is_over(&rollout.version));
         let before = over(&rollout.seen);
