Count the values of a long body before a registry reads them

Cause: a value takes 32 bytes or more once it is read, and a text of 4 MB may hold two million. The permit of the body itself was dropped as the call was handed to the main loop.

Change: a registry counts what could be values in a body of over 64 KB and takes room for them in the budget before it is read; without room it answers 503, and nothing was ordered. That room and the body's are kept until the call has been handled.

--- a/crates/registry/src/held.rs
+++ b/crates/registry/src/held.rs
@@ -1,8 +1,24 @@
 //! What calls from outside make a registry hold, within the budget of `net::memory`.
 
-use net::memory::{Lease, Memory};
+use net::memory::{Lease, MAX_SMALL_BYTES, Memory};
 use std::sync::Arc;
 
+/// What one value of a JSON text takes while it is read, in bytes: a list grows to twice its length at the most.
+const VALUE_BYTES: usize = 64;
+
+/// The most values that a JSON text can have.
+fn value_count(text: &[u8]) -> usize {
+    1 + text.iter().filter(|byte| matches!(byte, b',' | b':' | b'[' | b'{')).count()
+}
+
+/// Room for the values of a call's body while they are read. A small body needs none. None: there is no room.
+pub fn room_for_values(memory: &Arc<Memory>, body: &[u8]) -> Option<Option<Lease>> {
+    if body.len() <= MAX_SMALL_BYTES {
+        return Some(None);
+    }
+    memory.try_hold(value_count(body) * VALUE_BYTES).map(Some)
+}
+
 /// The text of a configuration, which counts once however many read it.
 struct HeldText {
     text: Arc<str>,
--- a/crates/registry/src/main.rs
+++ b/crates/registry/src/main.rs
@@ -7,11 +7,11 @@
 use net::Micros;
 use net::http::{self, Bad, Bounds};
 use net::listener::{Answer, ClientTimeouts, Handler, HeadAction, Listener, Reply};
-use net::memory::{BufferedBody, Memory};
+use net::memory::{BufferedBody, Lease, Memory};
 use net::ring::Bytes;
 use registry::calls::{self, AnswerBody, Request};
 use registry::control_plane::{ControlPlane, DEFAULT_ORDER_REPEAT_US, Input, Output, Parameters};
-use registry::held::SharedConfiguration;
+use registry::held::{self, SharedConfiguration};
 use runtime::event_loop::{Inbox, StateMachine};
 use runtime::link::{ACK_TIMEOUT, Event, LinkHandle, ReconnectingLink};
 use runtime::{Runtime, SignalEvent};
@@ -33,7 +33,8 @@
 
 /// What other threads post to the inbox of the main loop.
 enum Message {
-    Call(u64, Request, Reply),
+    /// With the room that its body and the values in it take.
+    Call(u64, Request, CallRoom, Reply),
     CallClosed(u64),
     StoreLink(u64, Event<FromStore>),
     PeerLink(Ipv4Addr, u64, Event<()>),
@@ -44,6 +45,9 @@
     Signal(SignalEvent),
 }
 
+/// The room that a call takes until it has been handled.
+type CallRoom = [Option<Lease>; 2];
+
 fn main() -> ExitCode {
     runtime::run(
         "curlewfront-registry",
@@ -69,7 +73,8 @@
     };
     let draining = Arc::new(AtomicBool::new(false));
     let memory = room.memory.clone();
-    let handler = Arc::new(CallHandler { inbox: inbox.clone(), draining: draining.clone() });
+    let handler = CallHandler { inbox: inbox.clone(), draining: draining.clone(), memory: memory.clone() };
+    let handler = Arc::new(handler);
     let mut listens = vec![s.control()?];
     listens.extend(s.directory().ok().filter(|d| !listens.contains(d)));
     for listen in listens {
@@ -91,6 +96,7 @@
         proxy_links: BTreeMap::new(),
         replies: BTreeMap::new(),
         memory,
+        call_room: None,
         shared_configuration: SharedConfiguration::default(),
         inbox,
         out: Vec::new(),
@@ -111,6 +117,7 @@
 struct CallHandler {
     inbox: Inbox<Message>,
     draining: Arc<AtomicBool>,
+    memory: Arc<Memory>,
 }
 
 impl Handler for CallHandler {
@@ -138,8 +145,11 @@
     }
 
     fn handle(&self, id: u64, mut ask: Request, body: BufferedBody, reply: Reply) {
+        let Some(values) = held::room_for_values(&self.memory, &body) else {
+            return reply.send(http_answer(calls::Answer::unavailable("no room")));
+        };
         ask.body = body.bytes;
-        self.inbox.post(Message::Call(id, ask, reply));
+        self.inbox.post(Message::Call(id, ask, [body.lease, values], reply));
     }
 
     fn drops_abandoned(&self) -> bool {
@@ -175,6 +185,8 @@
     proxy_links: BTreeMap<u64, LinkHandle>,
     replies: BTreeMap<u64, Reply>,
     memory: Arc<Memory>,
+    /// Of the call that is being handled.
+    call_room: Option<CallRoom>,
     shared_configuration: SharedConfiguration,
     inbox: Inbox<Message>,
     out: Vec<Output>,
@@ -217,8 +229,9 @@
 
     fn input_from(&mut self, now: Micros, message: Message) -> Option<Input> {
         Some(match message {
-            Message::Call(id, request, reply) => {
+            Message::Call(id, request, room, reply) => {
                 self.replies.insert(id, reply);
+                self.call_room = Some(room);
                 Input::Call(id, request)
             }
             Message::CallClosed(id) => {
@@ -283,6 +296,7 @@
             let day = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
             self.control_plane.set_time_of_day(now, day);
             self.control_plane.handle(now, input, &mut self.out);
+            self.call_room = None;
             self.log_rollouts();
         }
         for output in std::mem::take(&mut self.out) {
