Bring ten more kinds of crowd to all doors

Heads that come a byte at a time, tiny chunks and trailers, bodies announced and never sent, bodies that go on after the answer, resets, HEAD requests in numbers; silent connections at the readiness port and at a directory; silent links and half frames at the ports between processes. Crowd and bounds as in the other tests.

--- a/crates/lab/tests/crowds/main.rs
+++ b/crates/lab/tests/crowds/main.rs
@@ -33,6 +33,18 @@
 const SENT_BODY_BYTES: usize = 8 << 20;
 /// Bytes of a head that never ends: within the limit of a head.
 const HEAD_BYTES: usize = 14_000;
+/// Connections that bring their requests a byte at a time.
+const DRIPPING: usize = 200;
+/// Bytes that each of them brings.
+const DRIPPED_BYTES: usize = 20;
+/// Chunks of one byte that a client sends.
+const TINY_CHUNKS: usize = 200_000;
+/// Lines of a trailer that a client sends.
+const TRAILERS: usize = 100_000;
+/// Links that send half a frame.
+const LINKS: usize = 30;
+/// The largest frame of a link.
+const FRAME_BYTES: u32 = 8 << 20;
 /// Callers that ask a registry for its configuration.
 const CALLERS: usize = 300;
 /// A body that a registry accepts, in bytes.
@@ -173,6 +185,131 @@
     (0..count).filter_map(client).collect()
 }
 
+/// Guards against many connections that each bring one byte now and then.
+#[test]
+fn heads_that_come_a_byte_at_a_time() {
+    let site = Site::start("drip");
+    let head = wire::get("/short/", "crowd");
+    let mut crowd = crowd_that_may_be_refused(DRIPPING, site.front(), b"");
+    for byte in &head[..DRIPPED_BYTES] {
+        crowd.retain_mut(|client| client.write_all(&[*byte]).is_ok());
+        site.serves_an_ordinary_request();
+    }
+    hold_after(&site, crowd);
+}
+
+#[test]
+fn bodies_of_tiny_chunks_and_endless_trailers() {
+    let site = Site::start("tiny-chunks");
+    let head =
+        "POST /put/it HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: crowd\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let mut crowd = crowd(SENDERS, site.front(), head.as_bytes());
+    let chunks = b"1\r\nx\r\n".repeat(TINY_CHUNKS);
+    let trailers = [b"0\r\n".as_slice(), &b"X-Trailer: more of it\r\n".repeat(TRAILERS)].concat();
+    for (n, client) in crowd.iter_mut().enumerate() {
+        wire::write_until_answered(client, if n % 2 == 0 { &chunks } else { &trailers });
+    }
+    hold_after(&site, crowd);
+}
+
+#[test]
+fn bodies_that_are_announced_and_never_sent() {
+    let site = Site::start("expected");
+    let head = format!(
+        "POST /put/it HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: crowd\r\nExpect: 100-continue\r\nContent-Length: {MAX_BODY_BYTES}\r\n\r\n"
+    );
+    let crowd = crowd(SENDERS, site.front(), head.as_bytes());
+    await_answers(&crowd);
+    hold_after(&site, crowd);
+}
+
+#[test]
+fn bodies_that_go_on_after_the_answer() {
+    let site = Site::start("late-bodies");
+    let head = format!(
+        "POST /no/route HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: crowd\r\nContent-Length: {MAX_BODY_BYTES}\r\n\r\n"
+    );
+    let mut crowd = crowd(SENDERS, site.front(), head.as_bytes());
+    let body = vec![b'x'; SENT_BODY_BYTES];
+    // Until the proxy closes the connection.
+    crowd.iter_mut().for_each(|client| drop(client.write_all(&body)));
+    hold_after(&site, crowd);
+}
+
+#[test]
+fn connections_that_are_reset_in_the_middle() {
+    let site = Site::start("resets");
+    for _ in 0..VISITS {
+        let readers = crowd(READERS, site.front(), &wire::get("/long/file", "crowd"));
+        let halves = crowd(
+            READERS,
+            site.front(),
+            b"POST /put/it HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\nhalf",
+        );
+        await_answers(&readers);
+        readers.into_iter().chain(halves).for_each(wire::reset);
+        site.serves_an_ordinary_request();
+    }
+    hold_after(&site, Vec::new());
+}
+
+#[test]
+fn heads_of_long_answers_asked_for_many_at_once() {
+    let site = Site::start("head-requests");
+    let request = wire::get("/long/file", "crowd");
+    let request = [b"HEAD".as_slice(), &request[b"GET".len()..]].concat().repeat(PIPELINED);
+    let crowd = crowd(READERS, site.front(), &request);
+    await_answers(&crowd);
+    hold_after(&site, crowd);
+}
+
+#[test]
+fn silent_connections_at_the_readiness_port() {
+    let site = Site::start("readiness");
+    let crowd = crowd_that_may_be_refused(DESCRIPTORS as usize, site.readiness(), b"");
+    site.is_ready();
+    hold_after(&site, crowd);
+}
+
+#[test]
+fn silent_connections_at_a_directory() {
+    let site = Site::start("directory");
+    let crowd = crowd_that_may_be_refused(DESCRIPTORS as usize, site.directory(0), b"GET /api/resol");
+    let request = b"GET /api/resolution?entity_name=h HTTP/1.1\r\nHost: directory\r\n\r\n";
+    let answers = || wire::call(site.directory(0), request).is_ok_and(|a| a.status == 200);
+    site::wait_for("the directory answers", answers);
+    hold_after(&site, crowd);
+}
+
+#[test]
+fn silent_links_between_processes() {
+    let site = Site::start("links");
+    let mut crowd = Vec::new();
+    for door in [site.relay(), site.news(0), site.store_peers(0)] {
+        crowd.extend(crowd_that_may_be_refused(DESCRIPTORS as usize, door, b""));
+    }
+    hold_after(&site, crowd);
+}
+
+/// Guards against frames that claim the most and never become whole.
+#[test]
+fn half_frames_on_links_between_processes() {
+    let site = Site::start("frames");
+    let mut crowd = Vec::new();
+    for door in [site.relay(), site.news(0), site.store_peers(0)] {
+        crowd.extend(crowd_that_may_be_refused(LINKS, door, &half_frame()));
+    }
+    hold_after(&site, crowd);
+}
+
+/// The opening of a link and the beginning of the largest frame.
+fn half_frame() -> Vec<u8> {
+    let mut bytes = [b"cfl".as_slice(), &[runtime::link::PROTOCOL_VERSION]].concat();
+    bytes.extend_from_slice(&FRAME_BYTES.to_be_bytes());
+    bytes.resize(FRAME_BYTES as usize, 0);
+    bytes
+}
+
 #[test]
 fn all_kinds_at_once() {
     let site = Site::start("mixed");
--- a/crates/lab/tests/crowds/servers.rs
+++ b/crates/lab/tests/crowds/servers.rs
@@ -84,11 +84,11 @@
         io::copy(&mut reader.by_ref().take(length), &mut io::sink())?;
         let attempt = wire::header(&head, "X-Attempt-Id").unwrap_or("none");
         let path = head.split(' ').nth(1).unwrap_or("");
-        answer(&mut writer, path, attempt)?;
+        answer(&mut writer, head.starts_with("HEAD "), path, attempt)?;
     }
 }
 
-fn answer(writer: &mut TcpStream, path: &str, attempt: &str) -> io::Result<()> {
+fn answer(writer: &mut TcpStream, head_only: bool, path: &str, attempt: &str) -> io::Result<()> {
     let start = format!("HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Server-Seal: seal\r\n");
     if !path.starts_with("/long/") {
         writer.write_all(format!("{start}Content-Length: {}\r\n\r\n", SHORT.len()).as_bytes())?;
@@ -98,6 +98,9 @@
         return write_chunks(writer, &start);
     }
     writer.write_all(format!("{start}Content-Length: {LONG_BYTES}\r\n\r\n").as_bytes())?;
+    if head_only {
+        return Ok(());
+    }
     (0..LONG_BYTES / PIECE_BYTES).try_for_each(|_| writer.write_all(&[b'x'; PIECE_BYTES]))
 }
 
--- a/crates/lab/tests/crowds/site.rs
+++ b/crates/lab/tests/crowds/site.rs
@@ -4,6 +4,7 @@
 use crate::common;
 use crate::servers::Servers;
 use crate::wire::{self, Answer};
+use cluster::talk::{PROXY_NEWS, REGISTRY_NEWS, STORE_PEERS};
 use curlewfront_lab::system::machines::{Block, Machines, Process};
 use settings::Scheme;
 use settings::scheme::Program;
@@ -94,8 +95,48 @@
 
     /// The address at which clients reach the proxy.
     pub fn front(&self) -> SocketAddr {
+        self.machines.front(self.proxy())
+    }
+
+    fn proxy(&self) -> &Process {
         let proxy = self.machines.processes.iter().find(|p| p.program == Program::Proxy);
-        self.machines.front(proxy.expect("the scheme has one"))
+        proxy.expect("the scheme has one")
+    }
+
+    /// The address at which the platform asks whether the proxy is ready.
+    pub fn readiness(&self) -> SocketAddr {
+        self.machines.readiness(self.proxy())
+    }
+
+    /// The address at which clients ask a registry where to go.
+    pub fn directory(&self, core: usize) -> SocketAddr {
+        self.machines.directory(core)
+    }
+
+    /// The proxy's address for the links of other proxies.
+    pub fn relay(&self) -> SocketAddr {
+        (self.proxy().ip, self.first_internal_port() + PROXY_NEWS).into()
+    }
+
+    /// A registry's address for the links of proxies.
+    pub fn news(&self, core: usize) -> SocketAddr {
+        (self.control(core).ip(), self.first_internal_port() + REGISTRY_NEWS).into()
+    }
+
+    /// A store's address for the links of other stores.
+    pub fn store_peers(&self, core: usize) -> SocketAddr {
+        (self.control(core).ip(), self.first_internal_port() + STORE_PEERS).into()
+    }
+
+    fn first_internal_port(&self) -> u16 {
+        self.machines.scheme.ports.internal.0
+    }
+
+    /// The platform finds the proxy ready.
+    pub fn is_ready(&self) {
+        let request = b"GET /api/readiness HTTP/1.1\r\nHost: proxy\r\n\r\n";
+        let ready = || wire::call(self.readiness(), request).is_ok_and(|a| a.status == 200);
+        wait_for("the proxy is ready", ready);
     }
 
     /// An ordinary client's request: asked again after any failure, as it may be.
--- a/crates/lab/tests/crowds/wire.rs
+++ b/crates/lab/tests/crowds/wire.rs
@@ -91,6 +91,12 @@
     }
 }
 
+/// Closes a connection with a reset.
+pub fn reset(stream: TcpStream) {
+    let socket = Socket::from(stream);
+    socket.set_linger(Some(Duration::ZERO)).expect("an option");
+}
+
 /// Writes all of it, unless an answer comes or the connection ends before.
 pub fn write_until_answered(stream: &mut TcpStream, bytes: &[u8]) {
     for piece in bytes.chunks(64 * 1024) {
