Limit the links that others open to a process

Cause: an accepted link was counted nowhere. Its buffer doubled up to twice the largest frame, and its descriptor came on top of those that connections may take.

Change: accepted links count, one descriptor in 4 (registry, store) or 16 (proxy), taken from the part that clients may not use; what comes on them counts in a budget of its own, an eighth of the memory or two of the largest frames; a link without its opening after 5 s is closed. A ring buffer grows by 1 MB at the most for bytes that are read.

--- a/crates/config-store/src/main.rs
+++ b/crates/config-store/src/main.rs
@@ -20,6 +20,11 @@
 /// Delay before a failed write is tried again.
 const WRITE_RETRY_DELAY: Duration = Duration::from_millis(250);
 
+/// File descriptors that are not available for links.
+const RESERVED_DESCRIPTORS: u64 = 64;
+/// One descriptor in so many may be a link that a registry or another store has opened.
+const LINK_DESCRIPTOR_DIVISOR: u64 = 4;
+
 /// What other threads post to the event loop. The `u64` of a link event is the number of the link.
 enum Message {
     /// An event on the link that this store opened to another one.
@@ -73,8 +78,11 @@
 
     let (writes, to_write) = channel();
     spawn_writer(store, dir, me, to_write, inbox.clone())?;
-    let peers_port = runtime.listen(STORE_PEERS, &inbox, Message::PeerAccepted, Message::PeerInbound)?.port();
-    runtime.listen(STORE_LOCAL, &inbox, Message::LocalAccepted, Message::LocalInbound)?;
+    let resources = runtime.room(event_loop.clock, RESERVED_DESCRIPTORS)?;
+    let links = runtime.link_limits(&resources, LINK_DESCRIPTOR_DIVISOR);
+    let peers_port =
+        runtime.listen(&links, STORE_PEERS, &inbox, Message::PeerAccepted, Message::PeerInbound)?.port();
+    runtime.listen(&links, STORE_LOCAL, &inbox, Message::LocalAccepted, Message::LocalInbound)?;
     let signal_inbox = inbox.clone();
     runtime.on_signal(move |event| signal_inbox.post(Message::Signal(event)))?;
 
--- a/crates/net/src/memory.rs
+++ b/crates/net/src/memory.rs
@@ -93,6 +93,11 @@
         }
     }
 
+    /// A budget of so many bytes, without a part for request bodies.
+    pub fn with_limit(max_bytes: usize) -> Memory {
+        Memory { max_bytes, max_body_bytes: 0, state: Mutex::default(), evicted: AtomicUsize::new(0) }
+    }
+
     /// The most that holders of so many bytes may use together.
     fn limit(&self, bytes: usize) -> usize {
         let reserve = if bytes > MAX_SMALL_BYTES { self.max_bytes / SMALL_RESERVE_DIVISOR } else { 0 };
--- a/crates/net/src/ring.rs
+++ b/crates/net/src/ring.rs
@@ -10,6 +10,8 @@
 const STEP_BYTES: usize = 4096;
 /// The most bytes that are reserved in an empty buffer for the next read.
 const MAX_READ_BYTES: usize = 64 * 1024;
+/// The most by which a buffer grows at once for bytes that are read.
+const MAX_GROWTH_BYTES: usize = 1 << 20;
 /// An empty buffer larger than this frees its memory.
 const MAX_EMPTY_BYTES: usize = 4096;
 
@@ -78,6 +80,7 @@
             self.bytes();
             self.store.copy_within(self.head..self.head + self.len, 0);
             self.head = 0;
+            self.store.reserve_exact(need.next_multiple_of(STEP_BYTES) - self.store.len());
             self.store.resize(need.next_multiple_of(STEP_BYTES), 0);
         }
     }
@@ -93,7 +96,7 @@
             return Ok(None);
         }
         if self.len == self.store.len() {
-            self.reserve(self.len * 2 + 1);
+            self.reserve(self.len + self.len.clamp(1, MAX_GROWTH_BYTES));
         }
         if self.len == 0 {
             self.reserve(self.next_read.min(max));
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -37,6 +37,8 @@
 const DEFAULT_LIMITS: (usize, usize, u64, u64) = (16 * 1024, 1 << 20, 3_000_000, 15_000_000);
 /// Descriptors reserved for files and everything else that is not a connection.
 const RESERVED_DESCRIPTORS: u64 = 232;
+/// One descriptor in so many may be a link that another proxy has opened.
+const LINK_DESCRIPTOR_DIVISOR: u64 = 16;
 /// The grace period where the settings name none, in seconds.
 const DEFAULT_GRACE_S: f64 = 5.0;
 /// The retry budget where the settings name none: a fraction of the requests, and a fixed number on top of that.
@@ -77,7 +79,8 @@
     let messages = inbox.clone();
     runtime.on_signal(move |signal| messages.post(Message::Signal(signal)))?;
 
-    let relay = runtime.listen(PROXY_NEWS, &inbox, Message::FollowerConnected, Message::Follower)?;
+    let links = runtime.link_limits(&resources, LINK_DESCRIPTOR_DIVISOR);
+    let relay = runtime.listen(&links, PROXY_NEWS, &inbox, Message::FollowerConnected, Message::Follower)?;
     let (messages, listen) = (inbox.clone(), runtime.internal_addr(PROXY_WATCH)?);
     let datagrams = datagram::open(listen, move |from, here| messages.post(Message::Heartbeat(from, here)))
         .map_err(|e| miette!("cannot receive datagrams on {listen}: {e}"))?;
--- a/crates/registry/src/main.rs
+++ b/crates/registry/src/main.rs
@@ -31,6 +31,9 @@
 /// File descriptors that are not available for connections.
 const RESERVED_DESCRIPTORS: u64 = 64;
 
+/// One descriptor in so many may be a link that a proxy or another registry has opened.
+const LINK_DESCRIPTOR_DIVISOR: u64 = 4;
+
 /// What other threads post to the inbox of the main loop.
 enum Message {
     /// With the room that its body and the values in it take.
@@ -81,8 +84,9 @@
         Listener::start(listen, room.clone(), handler.clone())
             .map_err(|e| miette!("cannot listen on {listen}: {e}"))?;
     }
-    let peers = runtime.listen(REGISTRY_PEERS, &inbox, Message::PeerAccepted, Message::PeerEvent)?;
-    runtime.listen(REGISTRY_NEWS, &inbox, Message::ProxyAccepted, Message::ProxyEvent)?;
+    let links = runtime.link_limits(&room, LINK_DESCRIPTOR_DIVISOR);
+    let peers = runtime.listen(&links, REGISTRY_PEERS, &inbox, Message::PeerAccepted, Message::PeerEvent)?;
+    runtime.listen(&links, REGISTRY_NEWS, &inbox, Message::ProxyAccepted, Message::ProxyEvent)?;
     let signal_inbox = inbox.clone();
     runtime.on_signal(move |event| signal_inbox.post(Message::Signal(event)))?;
 
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -4,10 +4,12 @@
 pub mod datagram;
 pub mod event_loop;
 pub mod link;
+pub mod link_limits;
 pub mod log_buffer;
 
 use crate::event_loop::{Inbox, StateMachine};
 use crate::link::{Event, LinkHandle};
+use crate::link_limits::LinkLimits;
 use miette::{Report, Result, miette};
 use net::clock::{Alarm, Alarms, Clock};
 use net::mailbox::Mailbox;
@@ -186,9 +188,18 @@
         Ok(Arc::new(Resources::new(sockets, memory, clock, alarms, warn)))
     }
 
+    /// The limits of the links that this process accepts: one descriptor in `divisor` at the most.
+    pub fn link_limits(&self, resources: &Arc<Resources>, divisor: u64) -> Arc<LinkLimits> {
+        let limits = &self.settings.limits;
+        let memory_mb = limits.memory_size_mb.unwrap_or(DEFAULT_MEMORY_MB);
+        let max_links = limits.descriptor_limit.unwrap_or(DEFAULT_DESCRIPTORS) / divisor;
+        LinkLimits::new(resources.clone(), memory_mb, max_links as usize, link::MIN_FRAME_MEMORY_BYTES)
+    }
+
     /// Accepts links on one of this machine's internal ports. For each, `accepted` is posted first, then its events.
     pub fn listen<I, T>(
         &self,
+        limits: &Arc<LinkLimits>,
         port: u16,
         inbox: &Inbox<T>,
         accepted: fn(LinkHandle) -> T,
@@ -199,7 +210,7 @@
         T: Send + 'static,
     {
         let (addr, inbox) = (self.internal_addr(port)?, inbox.clone());
-        let listening = link::listen(addr, link::ACK_TIMEOUT, move |handle, _| {
+        let listening = link::listen(addr, link::ACK_TIMEOUT, limits.clone(), move |handle, _| {
             inbox.post(accepted(handle));
             let inbox = inbox.clone();
             move |link, happened| inbox.post(event(link, happened))
--- a/crates/runtime/src/link.rs
+++ b/crates/runtime/src/link.rs
@@ -4,6 +4,7 @@
 //! A link is an actor with one coroutine. It never sends anything again: a link that breaks loses what was in transit,
 //! and its user starts afresh on a new one.
 
+use crate::link_limits::{LinkLimits, LinkPermit};
 use net::Micros;
 use net::mailbox::Mailbox;
 use net::ring::{Outgoing, Ring};
@@ -25,6 +26,8 @@
 
 /// The largest frame.
 const MAX_FRAME_BYTES: usize = 8 << 20;
+/// What there is memory for on accepted links in any case: two of the largest frames.
+pub const MIN_FRAME_MEMORY_BYTES: usize = 2 * MAX_FRAME_BYTES;
 /// The most that may be queued for the other side before the link is closed.
 const MAX_QUEUED_BYTES: usize = 16 << 20;
 /// Connections that may wait to be accepted.
@@ -77,13 +80,14 @@
     on_event: impl Fn(u64, Event<I>) + Send + 'static,
 ) -> io::Result<LinkHandle> {
     let io = socket::connect(addr, Some(ack_timeout))?;
-    Ok(start(io, true, on_event))
+    Ok(start(io, on_event))
 }
 
-/// Accepts links on `addr`; for each, `on_accept` returns the callback for its events.
+/// Accepts links on `addr`, as far as `limits` allow; for each, `on_accept` returns the callback for its events.
 pub fn listen<I, T>(
     addr: SocketAddr,
     ack_timeout: Duration,
+    limits: Arc<LinkLimits>,
     on_accept: impl Fn(LinkHandle, SocketAddr) -> T + Send + 'static,
 ) -> io::Result<()>
 where
@@ -99,7 +103,9 @@
         loop {
             match listener.inner().accept() {
                 Ok((stream, from)) => {
-                    if let Err(e) = accept(stream, from, ack_timeout, &on_accept) {
+                    // A link that is refused is closed; its other side tries again.
+                    let Some(permit) = limits.accept() else { continue };
+                    if let Err(e) = accept(stream, from, ack_timeout, permit, &on_accept) {
                         log::warn!("cannot accept a link from {from}: {e}");
                     }
                 }
@@ -120,6 +126,7 @@
     stream: TcpStream,
     from: SocketAddr,
     ack_timeout: Duration,
+    permit: LinkPermit,
     on_accept: &impl Fn(LinkHandle, SocketAddr) -> T,
 ) -> io::Result<()>
 where
@@ -135,31 +142,36 @@
     let inbox = Arc::new(Mailbox::new(io.waker()));
     let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
     let on_event = on_accept(LinkHandle { number, inbox: inbox.clone() }, from);
-    spawn(io, number, inbox, false, on_event);
+    spawn(io, number, inbox, Some(permit), on_event);
     Ok(())
 }
 
 fn start<I: DeserializeOwned>(
     io: Watched<TcpStream>,
-    dialing: bool,
     on_event: impl Fn(u64, Event<I>) + Send + 'static,
 ) -> LinkHandle {
     let inbox = Arc::new(Mailbox::new(io.waker()));
     let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
-    spawn(io, number, inbox.clone(), dialing, on_event);
+    spawn(io, number, inbox.clone(), None, on_event);
     LinkHandle { number, inbox }
 }
 
+/// `permit`: of an accepted link; None: the link is being opened from here.
 fn spawn<I: DeserializeOwned>(
     io: Watched<TcpStream>,
     number: u64,
     inbox: Arc<Mailbox<Command>>,
-    dialing: bool,
+    permit: Option<LinkPermit>,
     on_event: impl Fn(u64, Event<I>) + Send + 'static,
 ) {
     let (incoming, mut outgoing) = (Ring::default(), Outgoing::default());
     outgoing.push(&OPENING);
-    let mut link = Link { io, inbox, dialing, opening_checked: false, incoming, outgoing };
+    if let Some(permit) = &permit {
+        let waked = inbox.clone();
+        permit.wake_when_opening_is_due(move || waked.wake());
+    }
+    let dialing = permit.is_none();
+    let mut link = Link { io, inbox, dialing, opening_checked: false, incoming, outgoing, permit };
     may::go!(move || {
         if !dialing {
             on_event(number, Event::Up);
@@ -182,6 +194,8 @@
     opening_checked: bool,
     incoming: Ring,
     outgoing: Outgoing,
+    /// None: it was opened from here.
+    permit: Option<LinkPermit>,
 }
 
 impl Link {
@@ -222,17 +236,26 @@
                 }
                 self.outgoing.flush(self.io.inner()).map_err(|e| e.to_string())?;
             }
+            self.check_limits()?;
             ready_events = self.io.wait();
         }
     }
 
+    fn check_limits(&mut self) -> Result<(), String> {
+        let (bytes, opening_checked) = (self.incoming.capacity(), self.opening_checked);
+        self.permit.as_mut().map_or(Ok(()), |permit| permit.check(bytes, opening_checked))
+    }
+
     fn read<I: DeserializeOwned>(&mut self, on_event: &impl Fn(Event<I>)) -> Result<(), String> {
         loop {
             let mut socket = self.io.inner();
             match self.incoming.fill(MAX_FRAME_BYTES + 4, |room| socket.read(room)) {
                 Ok(None) => return Err("a frame larger than the buffer".into()),
                 Ok(Some(filled)) if filled.bytes == 0 => return Err("closed by the other side".into()),
-                Ok(Some(_)) => self.process_frames(on_event)?,
+                Ok(Some(_)) => {
+                    self.process_frames(on_event)?;
+                    self.check_limits()?;
+                }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) => return Err(e.to_string()),
