--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -4,6 +4,7 @@
 //! allows pipelining.
 
 mod connection;
+mod held;
 #[cfg(test)]
 mod model;
 
@@ -16,6 +17,7 @@
 use crate::resources::Resources;
 use crate::ring::Bytes;
 use crate::socket::Watched;
+use held::Held;
 use socket2::{Domain, Type};
 use std::collections::HashMap;
 use std::io::{self, ErrorKind};
@@ -211,29 +213,6 @@
     held: Held,
 }
 
-/// What a connection holds of bodies and answers, and how fast its client takes or brings them.
-#[derive(Default)]
-struct Held {
-    bytes: AtomicUsize,
-    /// Since when it has held anything without a break; 0: it holds nothing.
-    since: AtomicU64,
-    /// Bytes read and written since then.
-    moved: AtomicUsize,
-}
-
-impl Held {
-    /// The rate at which its bytes have moved, in bytes per second, if that is too slow while others need memory.
-    fn slow_rate(&self, now: Micros) -> Option<u64> {
-        let since = self.since.load(Ordering::Relaxed);
-        let age = now.saturating_sub(since);
-        if since == 0 || age < HOLD_GRACE_US {
-            return None;
-        }
-        let rate = self.moved.load(Ordering::Relaxed) as u64 * 1_000_000 / age;
-        (rate < LEAST_RATE).then_some(rate)
-    }
-}
-
 impl Connection {
     fn state(&self) -> State {
         let stored = self.state.load(Ordering::Relaxed);
@@ -339,11 +318,6 @@
 const DRAIN_IDLE_US: Micros = 500_000;
 /// Interval of the sweeps over all connections.
 const SWEEP_INTERVAL_US: Micros = 100_000;
-/// While others need memory: how long a connection may hold a body or an answer at whatever rate.
-const HOLD_GRACE_US: Micros = 1_000_000;
-/// While others need memory: the rate below which a connection may be closed, over the whole time for which it has held
-/// a body or an answer, in bytes per second.
-const LEAST_RATE: u64 = 256 * 1024;
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1024;
 /// How long accepting pauses when no descriptor is available.
@@ -446,7 +420,6 @@
             connection.inbox.post(ToConnection::Evict);
         }
         if count > 0 {
-            self.resources.memory.count_evicted(count);
             (self.resources.warn)(format_args!(
                 "{count} connections of slow clients closed, which held {freed} bytes: others need the memory"
             ));
--- a/crates/net/src/listener/model.rs
+++ b/crates/net/src/listener/model.rs
@@ -6,6 +6,7 @@
 mod tape;
 
 use super::connection::{Client, Next};
+use super::held::{HOLD_GRACE_US, LEAST_RATE};
 use super::*;
 use crate::clock::{Alarms, Clock};
 use crate::http::NO_HEADERS;
--- a/crates/net/src/memory.rs
+++ b/crates/net/src/memory.rs
@@ -12,7 +12,6 @@
 
 use std::collections::VecDeque;
 use std::ops::Deref;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// The part of the program's memory that others may make it hold, as numerator and denominator. The rest is for the
@@ -32,8 +31,6 @@
     max_bytes: usize,
     max_body_bytes: usize,
     state: Mutex<State>,
-    /// Connections of clients that were closed as others needed the memory that they held.
-    evicted: AtomicUsize,
 }
 
 #[derive(Default)]
@@ -89,13 +86,12 @@
             max_bytes: part(memory_mb, HELD_FRACTION),
             max_body_bytes: part(memory_mb, BODY_FRACTION),
             state: Mutex::default(),
-            evicted: AtomicUsize::new(0),
         }
     }
 
     /// A budget of so many bytes, without a part for request bodies.
     pub fn with_limit(max_bytes: usize) -> Memory {
-        Memory { max_bytes, max_body_bytes: 0, state: Mutex::default(), evicted: AtomicUsize::new(0) }
+        Memory { max_bytes, max_body_bytes: 0, state: Mutex::default() }
     }
 
     /// The most that holders of so many bytes may use together.
@@ -213,16 +209,6 @@
         if wanted == 0 { overdrawn } else { wanted.saturating_sub(free).max(1) }
     }
 
-    /// Counts connections that were closed as others needed the memory that they held.
-    pub fn count_evicted(&self, connections: usize) {
-        self.evicted.fetch_add(connections, Ordering::Relaxed);
-    }
-
-    /// The number of connections closed for memory since the start.
-    pub fn evicted(&self) -> usize {
-        self.evicted.load(Ordering::Relaxed)
-    }
-
     /// The bytes that are held.
     pub fn used(&self) -> usize {
         lock(&self.state).used
