Keep a connection that holds nothing any more

Found by reading: an order to close a slow connection may cross the end of its answer. The next request of that client could then be cut while its server worked on it.

Change: the connection, which knows what it holds, ignores the order. listener/model.rs has the course; it failed before (the connection was closed).

--- a/crates/net/src/listener/connection.rs
+++ b/crates/net/src/listener/connection.rs
@@ -252,6 +252,7 @@
                 ToConnection::Dropped { id } => self.set_answer(id, self.listener.handler.refusal(&DROPPED)),
                 ToConnection::Resume => (self.streak, self.reading_paused) = (0, false),
                 ToConnection::NextPiece => self.send_piece(),
+                ToConnection::Evict if self.held_bytes() == 0 => {}
                 ToConnection::Evict if self.state() == State::Reading => self.refuse(&OVER_LIMIT),
                 ToConnection::Evict => {
                     let _ = self.io.shutdown(Shutdown::Both);
--- a/crates/net/src/listener/model.rs
+++ b/crates/net/src/listener/model.rs
@@ -450,6 +450,18 @@
     assert_eq!(resources.memory.used(), 0);
 }
 
+/// The client took its answer while the order was on its way, and has sent its next request.
+#[test]
+fn a_connection_that_holds_nothing_any_more_is_not_evicted() {
+    let (resources, handler) = (resources(), Arc::new(ManualHandler::default()));
+    let (mut client, pipe) = asked(&resources, &handler, 0);
+    client.connection.inbox.post(ToConnection::Evict);
+    assert_eq!(client.step(0), Next::Wait);
+    answer_with(&handler, b"/1".to_vec().into());
+    assert_eq!(client.step(0), Next::Wait);
+    assert!(pipe.0.borrow().to_client.starts_with(b"HTTP/1.1 200 "));
+}
+
 /// Its request has not run and never will, and the client is told so.
 #[test]
 fn a_connection_that_is_evicted_within_its_request_is_refused() {
