Correct three comments on the memory budget

Found on the last reading: the module's comment named a method that does not exist, one said less than its function does, and one referred to a constant that had moved away from it. Comments alone; format, lints and the tests of net pass.

--- a/crates/net/src/memory.rs
+++ b/crates/net/src/memory.rs
@@ -7,8 +7,8 @@
 //!   granted in their order. None waits for another that waits: a length that is known is reserved whole.
 //! - Buffers of connections are held in any case; each is small.
 //!
-//! While something waits, or was refused, there is a [`Memory::demand`], and listeners close the connections of clients
-//! that take or bring their bytes most slowly.
+//! While something waits, or was refused, [`Memory::take_demand`] says how much is wanted, and listeners close the
+//! connections of clients that take or bring their bytes most slowly.
 
 use std::collections::VecDeque;
 use std::ops::Deref;
@@ -23,7 +23,7 @@
 const SMALL_RESERVE_DIVISOR: usize = 8;
 /// What a connection takes beside what it buffers, in bytes: its stack and its records.
 pub const CONNECTION_BYTES: usize = 16 * 1024;
-/// The largest body or answer that may use that reserve, in bytes.
+/// The largest body or answer that may use the reserve for small ones, in bytes.
 pub const MAX_SMALL_BYTES: usize = 64 * 1024;
 
 /// The budget of one program.
@@ -193,7 +193,7 @@
         !state.waiting.is_empty() || state.refused > 0 || state.used > self.max_bytes
     }
 
-    /// Whether the connections of clients alone take up the budget, so that no more are to be accepted.
+    /// Whether more is held than the budget allows, as what is held in any case can overdraw it.
     pub fn is_exhausted(&self) -> bool {
         lock(&self.state).used > self.max_bytes
     }
